--- /dev/null
+++ b/scripts/build.ts
@@ -0,0 +1,35 @@
+/**
+ * Builds `dist/marjoramcleat`: one bundle, made into a single executable.
+ */
+import { execFileSync } from 'node:child_process';
+import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
+import { build } from 'esbuild';
+import { inject } from 'postject';
+
+const BUNDLE = 'dist/marjoramcleat.cjs';
+const CONFIGURATION = 'dist/executable.json';
+const BLOB = 'dist/marjoramcleat.blob';
+const BINARY = 'dist/marjoramcleat';
+const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+
+mkdirSync('dist', { recursive: true });
+const { version } = JSON.parse(readFileSync('package.json', 'utf8')) as { version: string };
+await build({
+  entryPoints: ['src/main.ts'],
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  outfile: BUNDLE,
+  logLevel: 'error',
+  define: { 'process.env.MARJORAMCLEAT_VERSION': JSON.stringify(version) },
+});
+writeFileSync(
+  CONFIGURATION,
+  JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true }),
+);
+execFileSync(process.execPath, ['--experimental-sea-config', CONFIGURATION], { stdio: 'ignore' });
+copyFileSync(process.execPath, BINARY);
+chmodSync(BINARY, 0o755);
+await inject(BINARY, 'NODE_SEA_BLOB', readFileSync(BLOB), { sentinelFuse: FUSE });
+console.log(`built ${BINARY} ${version}`);
--- /dev/null
+++ b/scripts/demo.ts
@@ -0,0 +1,17 @@
+/**
+ * The demonstration: `npm run demo -- --site fit-desk|strathbrae`.
+ */
+import { parseArgs } from 'node:util';
+import { formatTable } from '../src/commands/printOutput/index.js';
+import { runDemo } from './demo/runDemo.js';
+
+const { values } = parseArgs({ options: { site: { type: 'string', default: 'fit-desk' } } });
+const startedAt = performance.now();
+const summary = await runDemo(values.site, (text) => {
+  const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1).padStart(5);
+  console.log(`${seconds} s  ${text}`);
+});
+console.log(`\n${formatTable(summary.rows, process.stdout.isTTY)}\n`);
+console.log(formatTable(summary.classes, process.stdout.isTTY));
+console.log(`\n${JSON.stringify(summary.result)}`);
+process.exit(summary.isKept ? 0 : 1);
--- /dev/null
+++ b/scripts/standins.ts
@@ -0,0 +1,21 @@
+/**
+ * Starts all stand-ins of a site: `npm run standins -- --settings FILE`.
+ */
+import { parseArgs } from 'node:util';
+import { readSite, startSite } from '../standins/startSite/index.js';
+
+const { values } = parseArgs({ options: { settings: { type: 'string' } } });
+const file = values.settings ?? 'examples/fit-desk/standins.json';
+const site = await startSite(readSite(file));
+console.log(
+  JSON.stringify({
+    platform: site.platform.address,
+    engines: site.engines.size,
+    services: site.services.length,
+  }),
+);
+const stop = (): void => {
+  void site.close().then(() => process.exit(0));
+};
+process.on('SIGTERM', stop);
+process.on('SIGINT', stop);
--- /dev/null
+++ b/src/commands/serve/index.ts
@@ -0,0 +1,46 @@
+/**
+ * `marjoramcleat serve`: runs one node.
+ */
+import { defineCommand } from 'citty';
+import { ListenError } from '../../process/runtime/listenHttp/index.js';
+import { startNode, type RunningNode } from '../../process/runtime/startNode/index.js';
+import { readSettings, type LoadedSettings } from '../../process/settings/readSettings/index.js';
+import { formatFaults } from '../check/index.js';
+import { printError } from '../printOutput/index.js';
+
+async function start(loaded: LoadedSettings): Promise<RunningNode | undefined> {
+  try {
+    return await startNode(loaded);
+  } catch (error) {
+    if (!(error instanceof ListenError)) throw error;
+    const { listener, address } = error;
+    printError(
+      'addressInUse',
+      `${listener} cannot listen on ${address}: stop the process that uses it, or change '${listener}.port'`,
+    );
+    return undefined;
+  }
+}
+
+/** The command. */
+export const serveCommand = defineCommand({
+  meta: {
+    name: 'serve',
+    description:
+      'Run one node until it is asked to leave by SIGTERM. Example: serve --settings node-1.json',
+  },
+  args: { settings: { type: 'string', description: 'settings file', required: true } },
+  run: async ({ args }) => {
+    const loaded = readSettings(args.settings);
+    if (loaded.isErr) {
+      printError('invalidSettings', formatFaults(args.settings, loaded.error));
+      return;
+    }
+    const running = await start(loaded.value);
+    if (!running) return;
+    process.on('SIGTERM', running.leave);
+    process.on('SIGINT', running.leave);
+    process.exitCode = await running.ended;
+    process.exit();
+  },
+});
--- /dev/null
+++ b/src/commands/version/index.ts
@@ -0,0 +1,15 @@
+/**
+ * `marjoramcleat version`: prints the version.
+ */
+import { defineCommand } from 'citty';
+
+/** Version of this build. */
+export const VERSION = process.env.MARJORAMCLEAT_VERSION ?? 'development';
+
+/** The command. */
+export const versionCommand = defineCommand({
+  meta: { name: 'version', description: 'Print the version. Example: version' },
+  run: () => {
+    process.stdout.write(`marjoramcleat ${VERSION}\n`);
+  },
+});
--- /dev/null
+++ b/src/connection/limitConcurrency/index.ts
@@ -0,0 +1,69 @@
+/**
+ * Concurrency limit of a pool of engines that follows measured latency.
+ */
+
+/** State of a limit. Latencies are in milliseconds. */
+export interface ConcurrencyLimit {
+  readonly limit: number;
+  readonly baseLatency: number;
+  readonly recentLatency: number;
+}
+
+/** Options of {@link adaptLimit}. */
+export interface AdaptLimitOptions {
+  readonly state: ConcurrencyLimit;
+  readonly latencyMilliseconds: number;
+  readonly inFlight: number;
+  /** Latency above the base that is accepted, as a factor. */
+  readonly tolerance: number;
+  readonly minimum: number;
+  readonly maximum: number;
+}
+
+const RECENT_WEIGHT = 0.1;
+const BASE_RISE_WEIGHT = 0.002;
+const LIMIT_WEIGHT = 0.1;
+
+/**
+ * Creates a limit that has seen no latency.
+ *
+ * @param limit - the limit to begin with
+ * @returns the initial state
+ * @example
+ * createConcurrencyLimit(64);
+ */
+export function createConcurrencyLimit(limit: number): ConcurrencyLimit {
+  return { limit, baseLatency: 0, recentLatency: 0 };
+}
+
+function followBase(base: number, latency: number): number {
+  if (base === 0 || latency < base) return latency;
+  return base + BASE_RISE_WEIGHT * (latency - base);
+}
+
+/**
+ * Adapts a limit to one more latency.
+ *
+ * The gradient is the accepted latency over the recent one, between one half and one; the limit is
+ * multiplied by it and grows by its square root. It does not grow while it is not used.
+ *
+ * @param options - the state, the new latency and the bounds
+ * @returns the next state
+ * @example
+ * adaptLimit({ state, latencyMilliseconds: 40, inFlight: 60, tolerance: 2, minimum: 4, maximum: 4096 });
+ */
+export function adaptLimit(options: AdaptLimitOptions): ConcurrencyLimit {
+  const { state, latencyMilliseconds, inFlight, tolerance } = options;
+  const baseLatency = followBase(state.baseLatency, latencyMilliseconds);
+  const recentLatency =
+    state.recentLatency === 0
+      ? latencyMilliseconds
+      : state.recentLatency + RECENT_WEIGHT * (latencyMilliseconds - state.recentLatency);
+  const gradient = Math.min(1, Math.max(0.5, (tolerance * baseLatency) / recentLatency));
+  const isIdle = inFlight < state.limit / 2;
+  if (isIdle && gradient === 1) return { limit: state.limit, baseLatency, recentLatency };
+  const target = state.limit * gradient + Math.sqrt(state.limit);
+  const next = state.limit + LIMIT_WEIGHT * (target - state.limit);
+  const limit = Math.min(options.maximum, Math.max(options.minimum, next));
+  return { limit, baseLatency, recentLatency };
+}
--- /dev/null
+++ b/src/connection/updateCircuit/index.ts
@@ -0,0 +1,72 @@
+/**
+ * Circuit breaker of one engine or link.
+ */
+
+/** State of a circuit. Times are in milliseconds on the node's clock. */
+export interface Circuit {
+  readonly state: 'closed' | 'open' | 'halfOpen';
+  readonly failures: number;
+  /** Time at which a circuit that is not closed lets one probe through. */
+  readonly retryAt: number;
+}
+
+/** What happened on the circuit. */
+export type CircuitEvent = 'success' | 'failure' | 'probe';
+
+const FIRST_BACKOFF_MILLISECONDS = 500;
+const LONGEST_BACKOFF_MILLISECONDS = 30_000;
+const PROBE_TIMEOUT_MILLISECONDS = 2_000;
+
+/** A circuit without failures. */
+export const CLOSED_CIRCUIT: Circuit = { state: 'closed', failures: 0, retryAt: 0 };
+
+const HANDLERS: Record<CircuitEvent, (circuit: Circuit, now: number) => Circuit> = {
+  success: () => CLOSED_CIRCUIT,
+  failure: (circuit, now) => {
+    const failures = circuit.failures + 1;
+    const backoff = Math.min(
+      FIRST_BACKOFF_MILLISECONDS * 2 ** (failures - 1),
+      LONGEST_BACKOFF_MILLISECONDS,
+    );
+    return { state: 'open', failures, retryAt: now + backoff };
+  },
+  probe: (circuit, now) => ({
+    ...circuit,
+    state: 'halfOpen',
+    retryAt: now + PROBE_TIMEOUT_MILLISECONDS,
+  }),
+};
+
+/**
+ * Advances a circuit.
+ *
+ * A failure opens it with exponential backoff; one probe is let through when the backoff ends;
+ * a success closes it.
+ *
+ * @param circuit - the circuit so far
+ * @param event - what happened
+ * @param nowMilliseconds - the present time
+ * @returns the next circuit
+ * @example
+ * updateCircuit(CLOSED_CIRCUIT, 'failure', 0).state; // 'open'
+ */
+export function updateCircuit(
+  circuit: Circuit,
+  event: CircuitEvent,
+  nowMilliseconds: number,
+): Circuit {
+  return HANDLERS[event](circuit, nowMilliseconds);
+}
+
+/**
+ * Tells whether a circuit admits a call now.
+ *
+ * @param circuit - the circuit
+ * @param nowMilliseconds - the present time
+ * @returns true when it is closed or due for a probe
+ * @example
+ * admitsCall(CLOSED_CIRCUIT, 0); // true
+ */
+export function admitsCall(circuit: Circuit, nowMilliseconds: number): boolean {
+  return circuit.state === 'closed' || nowMilliseconds >= circuit.retryAt;
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,32 @@
+/**
+ * Entry point of the executable: the daemon and the operators' command line.
+ */
+import { defineCommand, runMain } from 'citty';
+import { checkCommand } from './commands/check/index.js';
+import { getCommand } from './commands/get/index.js';
+import { histogramsCommand } from './commands/histograms/index.js';
+import { labelCommand } from './commands/label/index.js';
+import { selectorCommand } from './commands/selector/index.js';
+import { serveCommand } from './commands/serve/index.js';
+import { statusCommand } from './commands/status/index.js';
+import { VERSION, versionCommand } from './commands/version/index.js';
+
+const main = defineCommand({
+  meta: {
+    name: 'marjoramcleat',
+    version: VERSION,
+    description: 'A router for language-model pipelines over mixed accelerators',
+  },
+  subCommands: {
+    serve: serveCommand,
+    check: checkCommand,
+    label: labelCommand,
+    selector: selectorCommand,
+    get: getCommand,
+    status: statusCommand,
+    histograms: histogramsCommand,
+    version: versionCommand,
+  },
+});
+
+void runMain(main);
--- /dev/null
+++ b/src/process/createHistograms/index.ts
@@ -0,0 +1,142 @@
+/**
+ * Histograms for each client account and class, and event counters.
+ */
+import * as hdr from 'hdr-histogram-js';
+import type { Metric } from '../../types/node/index.js';
+
+/** One value to record. */
+export interface Observation {
+  readonly metric: Metric;
+  readonly account: string;
+  readonly class: string;
+  readonly milliseconds: number;
+}
+
+/** Percentiles of one histogram, in milliseconds. */
+export interface HistogramSummary {
+  readonly metric: Metric;
+  readonly account: string;
+  readonly class: string;
+  readonly count: number;
+  readonly p50: number;
+  readonly p95: number;
+  readonly p99: number;
+  readonly maximum: number;
+}
+
+/** The histograms and counters of one process. */
+export interface Histograms {
+  readonly observe: (observation: Observation) => void;
+  readonly count: (counter: string) => void;
+  readonly summarize: () => HistogramSummary[];
+  readonly readCounters: () => ReadonlyMap<string, number>;
+  /** Formats everything as Prometheus text. */
+  readonly formatPrometheus: () => string;
+}
+
+interface Entry {
+  readonly metric: Metric;
+  readonly account: string;
+  readonly class: string;
+  readonly histogram: hdr.Histogram;
+}
+
+const MICROSECONDS_PER_MILLISECOND = 1_000;
+const LONGEST_MICROSECONDS = 3_600_000_000;
+const LARGEST_ACCOUNTS = 128;
+const OTHER_ACCOUNTS = 'other';
+const PROMETHEUS_QUANTILES = [50, 95, 99] as const;
+
+function createHistogram(): hdr.Histogram {
+  return hdr.build({
+    bitBucketSize: 32,
+    highestTrackableValue: LONGEST_MICROSECONDS,
+    numberOfSignificantValueDigits: 2,
+  });
+}
+
+function summarizeEntry({
+  metric,
+  account,
+  class: accountClass,
+  histogram,
+}: Entry): HistogramSummary {
+  const read = (percentile: number): number =>
+    histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MILLISECOND;
+  return {
+    metric,
+    account,
+    class: accountClass,
+    count: histogram.totalCount,
+    p50: read(50),
+    p95: read(95),
+    p99: read(99),
+    maximum: histogram.maxValue / MICROSECONDS_PER_MILLISECOND,
+  };
+}
+
+function formatSummary(summary: HistogramSummary): string[] {
+  const name = `marjoramcleat_${summary.metric.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`)}_milliseconds`;
+  const labels = `account="${summary.account}",class="${summary.class}"`;
+  const values = { 50: summary.p50, 95: summary.p95, 99: summary.p99 };
+  return [
+    ...PROMETHEUS_QUANTILES.map(
+      (quantile) =>
+        `${name}{${labels},quantile="${(quantile / 100).toString()}"} ${values[quantile].toString()}`,
+    ),
+    `${name}_count{${labels}} ${summary.count.toString()}`,
+  ];
+}
+
+/**
+ * Creates the histograms of one process.
+ *
+ * Values are kept in microseconds with two significant digits. Beyond a number of accounts, further
+ * ones share the account name `other`, so that memory is bounded.
+ *
+ * @returns the histograms
+ * @example
+ * createHistograms().observe({ metric: 'firstToken', account: 'kiosk', class: 'kiosk', milliseconds: 80 });
+ */
+export function createHistograms(): Histograms {
+  const entries = new Map<string, Entry>();
+  const accounts = new Set<string>();
+  const counters = new Map<string, number>();
+
+  const boundAccount = (account: string): string => {
+    if (accounts.has(account)) return account;
+    if (accounts.size >= LARGEST_ACCOUNTS) return OTHER_ACCOUNTS;
+    accounts.add(account);
+    return account;
+  };
+  const findEntry = (observation: Observation): Entry => {
+    const { metric, class: accountClass } = observation;
+    const account = boundAccount(observation.account);
+    const key = `${metric}/${account}/${accountClass}`;
+    const present = entries.get(key);
+    if (present) return present;
+    const entry = { metric, account, class: accountClass, histogram: createHistogram() };
+    entries.set(key, entry);
+    return entry;
+  };
+
+  return {
+    observe: (observation) => {
+      const microseconds = Math.round(observation.milliseconds * MICROSECONDS_PER_MILLISECOND);
+      const bounded = Math.min(Math.max(microseconds, 0), LONGEST_MICROSECONDS);
+      findEntry(observation).histogram.recordValue(bounded);
+    },
+    count: (counter) => {
+      counters.set(counter, (counters.get(counter) ?? 0) + 1);
+    },
+    summarize: () => [...entries.values()].map(summarizeEntry),
+    readCounters: () => counters,
+    formatPrometheus: () => {
+      const lines = [...entries.values()].map(summarizeEntry).flatMap(formatSummary);
+      const counted = [...counters.entries()].map(
+        ([name, value]) => `marjoramcleat_${name}_total ${value.toString()}`,
+      );
+      return `${[...lines, ...counted].join('\n')}\n`;
+    },
+  };
+}
--- /dev/null
+++ b/src/process/createLogger/index.ts
@@ -0,0 +1,49 @@
+/**
+ * Logs as JSON lines.
+ */
+import winston from 'winston';
+
+/** Options of {@link createLogger}. */
+export interface CreateLoggerOptions {
+  readonly level?: 'info' | 'warn' | 'error' | 'silent';
+  readonly node: string;
+  readonly vm: string;
+  readonly availabilityZone: string;
+}
+
+/** A logger: one event name a line, with fields. */
+export interface Logger {
+  readonly log: (
+    level: 'info' | 'warn' | 'error',
+    event: string,
+    fields?: Record<string, string | number | boolean>,
+  ) => void;
+}
+
+/**
+ * Creates a logger that writes JSON lines to standard error.
+ *
+ * Every line names the node, its VM and its availability zone. Prompts and keys are never passed in.
+ *
+ * @param options - level and identity of the process
+ * @returns the logger
+ * @example
+ * createLogger({ node: 'node-1', vm: 'vm-1', availabilityZone: 'mission' }).log('info', 'started');
+ */
+export function createLogger(options: CreateLoggerOptions): Logger {
+  const { level = 'info', node, vm, availabilityZone } = options;
+  const logger = winston.createLogger({
+    level: level === 'silent' ? 'error' : level,
+    silent: level === 'silent',
+    defaultMeta: { node, vm, availabilityZone },
+    format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
+  });
+  // winston declares its transports as interfaces, which the rule takes for other classes.
+  // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
+  logger.add(new winston.transports.Console({ stderrLevels: ['info', 'warn', 'error'] }));
+  return {
+    log: (lineLevel, event, fields = {}) => {
+      logger.log({ level: lineLevel, message: event, ...fields });
+    },
+  };
+}
--- /dev/null
+++ b/src/process/membership/createMembership/index.ts
@@ -0,0 +1,354 @@
+/**
+ * Membership: which nodes live, and facts that nodes tell each other.
+ */
+import { GOSSIP_ROUND_MILLISECONDS } from '../../../constants/index.js';
+import type { Fact, Member, MemberState, PeerMessage } from '../../../types/peer/index.js';
+import { hashText } from '../../hashRendezvous/index.js';
+import type { NodeContext } from '../../node/createContext/index.js';
+import { firstIncarnation, mergeMember } from '../mergeMember/index.js';
+import { createProber } from '../probeMembers/index.js';
+import { createRumors } from '../spreadRumors/index.js';
+
+/** Options of {@link createMembership}. */
+export interface CreateMembershipOptions {
+  readonly context: NodeContext;
+  readonly peerAddress: string;
+  readonly callerAddress: string;
+  readonly availabilityZone: string;
+  /** Configuration revision that this node has in force. */
+  readonly getRevision: () => number;
+  /** Called for each fact that is news to this node. */
+  readonly onFact: (fact: Fact) => void;
+  /** Called when a peer has a higher configuration revision. */
+  readonly onHigherRevision: (peer: Member) => void;
+  readonly merge?: typeof mergeMember;
+}
+
+/** Messages that membership takes. */
+export type MembershipMessage = Extract<
+  PeerMessage,
+  { kind: 'ping' | 'ack' | 'indirectPing' | 'synchronize' }
+>;
+
+/** The membership of one node. */
+export interface Membership {
+  readonly start: () => void;
+  readonly receive: (message: MembershipMessage) => void;
+  /** Adds members learnt from the platform's registrations. */
+  readonly introduce: (members: readonly Member[]) => void;
+  readonly self: () => Member;
+  readonly list: () => Member[];
+  readonly find: (node: string) => Member | undefined;
+  /** Names of the nodes that are alive, this one included. */
+  readonly listAlive: () => string[];
+  readonly leave: () => void;
+  /** Spreads a fact; an urgent one is passed on at once. */
+  readonly tell: (fact: Fact, isUrgent?: boolean) => void;
+  /** Pings a few peers at once, so that they see this node's revision. */
+  readonly announce: () => void;
+}
+
+type Packet = Pick<
+  Extract<PeerMessage, { kind: 'ping' }>,
+  'from' | 'revision' | 'members' | 'facts'
+>;
+
+const SUSPECT_MILLISECONDS = 4_000;
+const FORGET_DEAD_MILLISECONDS = 600_000;
+const URGENT_PEERS = 3;
+const MISMATCHES_BEFORE_SYNCHRONIZE = 8;
+const LEAST_SYNCHRONIZE_INTERVAL_MILLISECONDS = 15_000;
+const RELAY_MILLISECONDS = 2_000;
+const ROUNDS_BETWEEN_SWEEPS = 30;
+const PASSED_FACT_MILLISECONDS = 60_000;
+const KEPT_FACT_MILLISECONDS = 86_400_000;
+
+/** Facts that are kept for nodes that missed them; others are only passed on. */
+const KEPT_FACTS = ['leaving/', 'report/'];
+
+function isKept(fact: Fact): boolean {
+  return KEPT_FACTS.some((prefix) => fact.key.startsWith(prefix));
+}
+
+function isUrgentFact(fact: Fact): boolean {
+  return fact.key.startsWith('leaving/');
+}
+
+/**
+ * Creates the membership of one node.
+ *
+ * @param options - the context, this node's addresses, and what to call on news
+ * @returns the membership
+ * @example
+ * createMembership({ context, peerAddress, callerAddress, availabilityZone, getRevision, onFact, onHigherRevision }).start();
+ */
+export function createMembership(options: CreateMembershipOptions): Membership {
+  const { context, merge = mergeMember } = options;
+  const members = new Map<string, Member>();
+  const facts = new Map<string, Fact>();
+  const suspicions = new Map<string, string>();
+  const relays = new Map<number, { readonly address: string; readonly sequence: number }>();
+  const rumors = createRumors();
+  let own: Member = {
+    node: context.node,
+    incarnation: firstIncarnation(context.incarnation),
+    state: 'alive',
+    peerAddress: options.peerAddress,
+    callerAddress: options.callerAddress,
+    availabilityZone: options.availabilityZone,
+    revision: 0,
+  };
+  let round = 0;
+  let mismatches = 0;
+  let synchronizedAt = -LEAST_SYNCHRONIZE_INTERVAL_MILLISECONDS;
+  let memberDigest = 0;
+  let factDigest = 0;
+
+  const listPeers = (): Member[] => [...members.values()];
+  const countAlive = (): number => 1 + listPeers().filter(({ state }) => state === 'alive').length;
+  const digestMember = (member: Member): number =>
+    member.state === 'dead'
+      ? 0
+      : hashText(`${member.node}/${member.incarnation.toString()}/${member.state}`);
+  const digestFact = (fact: Fact): number => hashText(`${fact.key}/${fact.version.toString()}`);
+  const computeDigest = (): number => (memberDigest ^ digestMember(own) ^ factDigest) >>> 0;
+
+  const store = (member: Member): void => {
+    const present = members.get(member.node);
+    if (present) memberDigest ^= digestMember(present);
+    memberDigest ^= digestMember(member);
+    members.set(member.node, member);
+  };
+  const createPacket = (): Packet => ({
+    from: context.node,
+    revision: options.getRevision(),
+    ...rumors.take(countAlive()),
+  });
+  const send = (address: string, message: PeerMessage): void => {
+    context.emit({ kind: 'sendPeer', address, message });
+  };
+  const sendPing = (peer: Member, sequence: number): void => {
+    const digest = computeDigest();
+    send(peer.peerAddress, { kind: 'ping', sequence, digest, ...createPacket() });
+  };
+  const choosePeers = (count: number): Member[] =>
+    listPeers()
+      .filter(({ state }) => state !== 'dead')
+      .map((peer) => ({ peer, order: context.random() }))
+      .sort((left, right) => left.order - right.order)
+      .slice(0, count)
+      .map(({ peer }) => peer);
+  const announce = (): void => {
+    for (const peer of choosePeers(URGENT_PEERS)) sendPing(peer, prober.nextSequence());
+  };
+
+  const setState = (member: Member, state: MemberState): void => {
+    const next = { ...member, state };
+    store(next);
+    rumors.add({ kind: 'member', member: next });
+    context.log('warn', 'member-state', { node: member.node, state });
+  };
+  const clearSuspicion = (node: string): void => {
+    const timer = suspicions.get(node);
+    if (timer === undefined) return;
+    context.cancel(timer);
+    suspicions.delete(node);
+  };
+  const awaitRefutation = (member: Member): void => {
+    clearSuspicion(member.node);
+    const timer = context.schedule(SUSPECT_MILLISECONDS, () => {
+      suspicions.delete(member.node);
+      const present = members.get(member.node);
+      if (present?.state !== 'suspect' || present.incarnation !== member.incarnation) return;
+      setState(present, 'dead');
+      context.schedule(FORGET_DEAD_MILLISECONDS, () => {
+        forgetDead(member.node);
+      });
+    });
+    suspicions.set(member.node, timer);
+  };
+  const forgetDead = (node: string): void => {
+    const present = members.get(node);
+    if (present?.state !== 'dead') return;
+    memberDigest ^= digestMember(present);
+    members.delete(node);
+  };
+  const refute = (incoming: Member): void => {
+    if (incoming.incarnation < own.incarnation || incoming.state === own.state) return;
+    if (incoming.state === 'alive' && own.state === 'leaving') return;
+    own = { ...own, incarnation: incoming.incarnation + 1 };
+    rumors.add({ kind: 'member', member: own });
+    context.count('suspicions_refuted');
+  };
+  const takeMember = (incoming: Member): void => {
+    if (incoming.node === context.node) {
+      refute(incoming);
+      return;
+    }
+    const present = members.get(incoming.node);
+    const winner = merge(present, incoming);
+    if (winner === present) return;
+    store(winner);
+    rumors.add({ kind: 'member', member: winner });
+    if (winner.state === 'suspect') awaitRefutation(winner);
+    else clearSuspicion(winner.node);
+  };
+  const takeFact = (fact: Fact, isUrgent = isUrgentFact(fact)): void => {
+    const present = facts.get(fact.key);
+    if (present && present.version >= fact.version) return;
+    if (isKept(fact)) {
+      if (present) factDigest ^= digestFact(present);
+      factDigest ^= digestFact(fact);
+    }
+    facts.set(fact.key, fact);
+    rumors.add({ kind: 'fact', fact });
+    options.onFact(fact);
+    if (isUrgent) announce();
+  };
+  const takePacket = (packet: Packet): void => {
+    packet.members.forEach(takeMember);
+    packet.facts.forEach((fact) => {
+      takeFact(fact);
+    });
+    const sender = members.get(packet.from);
+    if (!sender) return;
+    if (packet.revision !== sender.revision) {
+      members.set(packet.from, { ...sender, revision: packet.revision });
+    }
+    if (packet.revision > options.getRevision()) options.onHigherRevision(sender);
+    if (sender.state === 'suspect' || sender.state === 'dead') {
+      rumors.add({ kind: 'member', member: sender });
+    }
+  };
+  const sendEverything = (peer: Member, answer: boolean): void => {
+    send(peer.peerAddress, {
+      kind: 'synchronize',
+      answer,
+      from: context.node,
+      revision: options.getRevision(),
+      members: [own, ...members.values()],
+      facts: [...facts.values()].filter(isKept),
+    });
+  };
+  const compareDigest = (from: string, digest: number): void => {
+    mismatches = digest === computeDigest() ? 0 : mismatches + 1;
+    const isRecent = context.now() - synchronizedAt < LEAST_SYNCHRONIZE_INTERVAL_MILLISECONDS;
+    const peer = members.get(from);
+    if (mismatches < MISMATCHES_BEFORE_SYNCHRONIZE || isRecent || !peer) return;
+    mismatches = 0;
+    synchronizedAt = context.now();
+    context.count('gossip_synchronized');
+    sendEverything(peer, true);
+  };
+  const prober = createProber({
+    context,
+    listPeers,
+    sendPing,
+    sendIndirectPing: (helper, target, sequence) => {
+      send(helper.peerAddress, {
+        kind: 'indirectPing',
+        sequence,
+        target: target.node,
+        ...createPacket(),
+      });
+    },
+    onSilence: (member) => {
+      const present = members.get(member.node);
+      if (!present || present.state === 'dead' || present.state === 'suspect') return;
+      setState(present, 'suspect');
+      awaitRefutation({ ...present, state: 'suspect' });
+    },
+  });
+
+  const HANDLERS: {
+    [Kind in MembershipMessage['kind']]: (
+      message: Extract<MembershipMessage, { kind: Kind }>,
+    ) => void;
+  } = {
+    ping: (message) => {
+      takePacket(message);
+      const peer = members.get(message.from);
+      if (!peer) return;
+      const { sequence } = message;
+      const digest = computeDigest();
+      send(peer.peerAddress, { kind: 'ack', sequence, digest, ...createPacket() });
+      compareDigest(message.from, message.digest);
+    },
+    ack: (message) => {
+      takePacket(message);
+      const relay = relays.get(message.sequence);
+      if (relay) {
+        relays.delete(message.sequence);
+        send(relay.address, { ...message, sequence: relay.sequence });
+        return;
+      }
+      prober.receiveAck(message.sequence);
+      compareDigest(message.from, message.digest);
+    },
+    indirectPing: (message) => {
+      takePacket(message);
+      const target = members.get(message.target);
+      const asker = members.get(message.from);
+      if (!target || !asker) return;
+      const sequence = prober.nextSequence();
+      relays.set(sequence, { address: asker.peerAddress, sequence: message.sequence });
+      context.schedule(RELAY_MILLISECONDS, () => {
+        relays.delete(sequence);
+      });
+      sendPing(target, sequence);
+    },
+    synchronize: (message) => {
+      takePacket(message);
+      const peer = members.get(message.from);
+      if (message.answer && peer) sendEverything(peer, false);
+    },
+  };
+  const forgetOldFacts = (): void => {
+    for (const fact of facts.values()) {
+      const age = context.now() - fact.version;
+      if (age < (isKept(fact) ? KEPT_FACT_MILLISECONDS : PASSED_FACT_MILLISECONDS)) continue;
+      facts.delete(fact.key);
+      if (isKept(fact)) factDigest ^= digestFact(fact);
+    }
+  };
+  const runRound = (): void => {
+    round += 1;
+    if (round % ROUNDS_BETWEEN_SWEEPS === 0) forgetOldFacts();
+    prober.runRound();
+    context.schedule(GOSSIP_ROUND_MILLISECONDS, runRound);
+  };
+
+  return {
+    start: () => {
+      context.schedule(context.random() * GOSSIP_ROUND_MILLISECONDS, runRound);
+    },
+    receive: (message) => {
+      const handler = HANDLERS[message.kind] as (received: MembershipMessage) => void;
+      handler(message);
+    },
+    introduce: (introduced) => {
+      const isFirst = members.size === 0;
+      introduced.forEach(takeMember);
+      const [peer] = choosePeers(1);
+      if (!isFirst || !peer) return;
+      rumors.add({ kind: 'member', member: own });
+      sendEverything(peer, true);
+    },
+    self: () => ({ ...own, revision: options.getRevision() }),
+    list: () => [{ ...own, revision: options.getRevision() }, ...members.values()],
+    find: (node) => (node === context.node ? own : members.get(node)),
+    listAlive: () => [
+      ...(own.state === 'alive' ? [own.node] : []),
+      ...listPeers()
+        .filter(({ state }) => state === 'alive')
+        .map(({ node }) => node),
+    ],
+    leave: () => {
+      own = { ...own, state: 'leaving', incarnation: own.incarnation + 1 };
+      rumors.add({ kind: 'member', member: own });
+      announce();
+    },
+    tell: takeFact,
+    announce,
+  };
+}
--- /dev/null
+++ b/src/process/membership/probeMembers/index.ts
@@ -0,0 +1,106 @@
+/**
+ * Failure detection: direct and indirect probes of one member a round.
+ */
+import { GOSSIP_ROUND_MILLISECONDS } from '../../../constants/index.js';
+import type { Member } from '../../../types/peer/index.js';
+import type { NodeContext } from '../../node/createContext/index.js';
+
+/** Options of {@link createProber}. */
+export interface CreateProberOptions {
+  readonly context: NodeContext;
+  /** Members other than this node, dead ones included. */
+  readonly listPeers: () => readonly Member[];
+  readonly sendPing: (member: Member, sequence: number) => void;
+  readonly sendIndirectPing: (helper: Member, target: Member, sequence: number) => void;
+  readonly onSilence: (member: Member) => void;
+}
+
+/** The probes of one node. */
+export interface Prober {
+  readonly runRound: () => void;
+  readonly receiveAck: (sequence: number) => void;
+  readonly nextSequence: () => number;
+}
+
+const ACK_TIMEOUT_MILLISECONDS = 300;
+const HELPERS = 3;
+const ROUNDS_BETWEEN_DEAD_PROBES = 10;
+
+/**
+ * Creates the prober of one node.
+ *
+ * Each round probes the next member of a shuffled list. Without an ack in time, three helpers probe
+ * it too; a member that stays silent for the round is reported. A dead member is probed now and
+ * then, so that two sides of a healed partition find each other.
+ *
+ * @param options - the context, the peers, and the ways to reach them
+ * @returns the prober
+ * @example
+ * createProber({ context, listPeers, sendPing, sendIndirectPing, onSilence }).runRound();
+ */
+export function createProber(options: CreateProberOptions): Prober {
+  const { context } = options;
+  const awaited = new Set<number>();
+  let order: string[] = [];
+  let sequence = 0;
+  let round = 0;
+
+  const shuffle = (names: string[]): string[] => {
+    for (let index = names.length - 1; index > 0; index -= 1) {
+      const other = Math.floor(context.random() * (index + 1));
+      [names[index], names[other]] = [names[other] ?? '', names[index] ?? ''];
+    }
+    return names;
+  };
+  const chooseTarget = (): Member | undefined => {
+    const peers = new Map(options.listPeers().map((peer) => [peer.node, peer]));
+    const dead = [...peers.values()].filter((peer) => peer.state === 'dead');
+    if (round % ROUNDS_BETWEEN_DEAD_PROBES === 0 && dead.length > 0) {
+      return dead[Math.floor(context.random() * dead.length)];
+    }
+    if (order.length === 0) {
+      order = shuffle([...peers.keys()].filter((name) => peers.get(name)?.state !== 'dead'));
+    }
+    for (let name = order.pop(); name !== undefined; name = order.pop()) {
+      const peer = peers.get(name);
+      if (peer && peer.state !== 'dead') return peer;
+    }
+    return undefined;
+  };
+  const askHelpers = (target: Member, awaitedSequence: number): void => {
+    const helpers = options
+      .listPeers()
+      .filter((peer) => peer.node !== target.node && peer.state !== 'dead')
+      .map((peer) => ({ peer, order: context.random() }))
+      .sort((left, right) => left.order - right.order)
+      .slice(0, HELPERS);
+    for (const { peer } of helpers) options.sendIndirectPing(peer, target, awaitedSequence);
+  };
+  const probe = (target: Member): void => {
+    sequence += 1;
+    const awaitedSequence = sequence;
+    awaited.add(awaitedSequence);
+    options.sendPing(target, awaitedSequence);
+    context.schedule(ACK_TIMEOUT_MILLISECONDS, () => {
+      if (awaited.has(awaitedSequence)) askHelpers(target, awaitedSequence);
+    });
+    context.schedule(GOSSIP_ROUND_MILLISECONDS * 0.95, () => {
+      if (awaited.delete(awaitedSequence)) options.onSilence(target);
+    });
+  };
+
+  return {
+    runRound: () => {
+      round += 1;
+      const target = chooseTarget();
+      if (target) probe(target);
+    },
+    receiveAck: (acknowledged) => {
+      awaited.delete(acknowledged);
+    },
+    nextSequence: () => {
+      sequence += 1;
+      return sequence;
+    },
+  };
+}
--- /dev/null
+++ b/src/process/membership/registerNode/index.ts
@@ -0,0 +1,98 @@
+/**
+ * Registration of a node in the platform's service, for joins and first contacts.
+ */
+import { memberSchema, type Member } from '../../../types/peer/index.js';
+import type { NodeContext } from '../../node/createContext/index.js';
+import type { Membership } from '../createMembership/index.js';
+
+/** Options of {@link createRegistration}. */
+export interface CreateRegistrationOptions {
+  readonly context: NodeContext;
+  readonly membership: Membership;
+}
+
+/** The registration of one node. */
+export interface Registration {
+  readonly start: () => void;
+}
+
+const REGISTRATION_LEASE_MILLISECONDS = 60_000;
+const RENEW_MILLISECONDS = 20_000;
+const RETRY_MILLISECONDS = 1_000;
+const LONELY_READ_MILLISECONDS = 1_000;
+const READ_MILLISECONDS = 60_000;
+const PREFIX = 'members/';
+
+function readMember(text: string): Member | undefined {
+  try {
+    return memberSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Creates the registration of one node.
+ *
+ * The registration is only for finding peers; gossip alone decides who lives. A node that knows no
+ * live peer reads the registrations every second, others every minute.
+ *
+ * @param options - the context and the membership to introduce peers to
+ * @returns the registration
+ * @example
+ * createRegistration({ context, membership }).start();
+ */
+export function createRegistration(options: CreateRegistrationOptions): Registration {
+  const { context, membership } = options;
+  const key = `${PREFIX}${context.node}`;
+
+  const retry = (): void => {
+    context.schedule(RETRY_MILLISECONDS * (0.5 + context.random()), register);
+  };
+  const renew = (lease: string): void => {
+    context.schedule(RENEW_MILLISECONDS * (0.8 + 0.4 * context.random()), () => {
+      context.callPlatform({ kind: 'renewLease', lease }, (result) => {
+        if (result.kind === 'renewed' && !result.live) register();
+        else renew(lease);
+      });
+    });
+  };
+  const write = (lease: string, expectedRevision: number): void => {
+    const value = JSON.stringify(membership.self());
+    context.callPlatform(
+      { kind: 'compareAndSwap', key, expectedRevision, value, lease },
+      (result) => {
+        if (result.kind === 'swapped') renew(lease);
+        else if (result.kind === 'conflict') write(lease, result.entry?.revision ?? 0);
+        else retry();
+      },
+    );
+  };
+  const register = (): void => {
+    context.callPlatform(
+      { kind: 'grantLease', milliseconds: REGISTRATION_LEASE_MILLISECONDS },
+      (result) => {
+        if (result.kind === 'lease') write(result.lease, 0);
+        else retry();
+      },
+    );
+  };
+  const readPeers = (): void => {
+    context.callPlatform({ kind: 'list', prefix: PREFIX }, (result) => {
+      if (result.kind === 'entries') {
+        const members = result.entries.flatMap(({ value }) => readMember(value) ?? []);
+        membership.introduce(members.filter(({ node }) => node !== context.node));
+      }
+      const isLonely = membership.listAlive().every((node) => node === context.node);
+      const interval = isLonely ? LONELY_READ_MILLISECONDS : READ_MILLISECONDS;
+      context.schedule(interval * (0.5 + context.random()), readPeers);
+    });
+  };
+
+  return {
+    start: () => {
+      register();
+      readPeers();
+    },
+  };
+}
--- /dev/null
+++ b/src/process/node/askPeers/index.ts
@@ -0,0 +1,207 @@
+/**
+ * Questions between nodes about bookings and tickets.
+ */
+import { RESULT_CODES, type ResultCodeName } from '../../resultCodes/index.js';
+import type { Member, PeerMessage } from '../../../types/peer/index.js';
+import type {
+  Booking,
+  BookingEnd,
+  Bookings,
+  BookingState,
+} from '../../../request/createBookings/index.js';
+import { readTicket, type Tickets } from '../../../request/createTickets/index.js';
+import type { JournalRecord } from '../../../request/decideIntent/index.js';
+import type { CompiledVersion } from '../../../version/compileVersion/index.js';
+import { processIncarnation } from '../../membership/mergeMember/index.js';
+import type { NodeContext } from '../createContext/index.js';
+
+/** Messages that carry questions and their answers. */
+export type QuestionMessage = Extract<
+  PeerMessage,
+  { kind: 'bookingQuery' | 'bookingAnswer' | 'ticketCall' | 'ticketReply' }
+>;
+
+/** Options of {@link createPeerQuestions}. */
+export interface CreatePeerQuestionsOptions {
+  readonly context: NodeContext;
+  readonly findMember: (node: string) => Member | undefined;
+  readonly getVersion: () => CompiledVersion;
+  readonly getBookings: () => Bookings;
+  readonly tickets: Tickets;
+}
+
+/** Questions that one node asks and answers. */
+export interface PeerQuestions {
+  readonly askOwner: (
+    record: JournalRecord,
+    bookingKey: string,
+    done: (state: BookingState | undefined) => void,
+  ) => void;
+  /** Runs a call under a ticket at the node that minted the ticket. */
+  readonly runTicket: (booking: Booking, done: (end: BookingEnd) => void) => void;
+  readonly receive: (message: QuestionMessage) => void;
+}
+
+const QUERY_TIMEOUT_MILLISECONDS = 300;
+const REPLY_MARGIN_MILLISECONDS = 250;
+
+function isCodeName(name: string): name is ResultCodeName {
+  return name in RESULT_CODES;
+}
+
+/**
+ * Creates the questions of one node.
+ *
+ * An owner that is dead, or that has started again since it wrote its intent, cannot say; one that
+ * does not answer in time counts as still running the call.
+ *
+ * @param options - the context, the members, and this node's bookings and tickets
+ * @returns the questions
+ * @example
+ * createPeerQuestions({ context, findMember, getVersion, getBookings, tickets });
+ */
+export function createPeerQuestions(options: CreatePeerQuestionsOptions): PeerQuestions {
+  const { context } = options;
+  const queries = new Map<string, (state: BookingState) => void>();
+  const calls = new Map<string, (end: BookingEnd) => void>();
+
+  const send = (peer: Member, message: PeerMessage): void => {
+    context.emit({ kind: 'sendPeer', address: peer.peerAddress, message });
+  };
+  const findIncarnation = (node: string, incarnation: number): Member | undefined => {
+    const member = options.findMember(node);
+    if (!member || member.state === 'dead') return undefined;
+    return processIncarnation(member.incarnation) === incarnation ? member : undefined;
+  };
+  const askMember = (
+    member: Member,
+    bookingKey: string,
+    done: (state: BookingState) => void,
+  ): void => {
+    const query = context.nextId('query');
+    const timer = context.schedule(QUERY_TIMEOUT_MILLISECONDS, () => {
+      if (queries.delete(query)) done({ state: 'running' });
+    });
+    queries.set(query, (state) => {
+      context.cancel(timer);
+      done(state);
+    });
+    send(member, { kind: 'bookingQuery', from: context.node, query, bookingKey });
+  };
+  const forwardTicket = (
+    member: Member,
+    booking: Booking,
+    done: (end: BookingEnd) => void,
+  ): void => {
+    const query = context.nextId('ticket');
+    const { account, idempotencyKey, digest, call } = booking;
+    const remainingMilliseconds = Math.max(0, call.deadlineAt - context.now());
+    const timer = context.schedule(remainingMilliseconds + REPLY_MARGIN_MILLISECONDS, () => {
+      if (calls.delete(query)) done({ kind: 'error', code: 'outcomeUnknown' });
+    });
+    calls.set(query, (end) => {
+      context.cancel(timer);
+      done(end);
+    });
+    const { service, method, path, headers, body } = call;
+    send(member, {
+      kind: 'ticketCall',
+      from: context.node,
+      query,
+      account,
+      idempotencyKey,
+      digest,
+      service,
+      selector: call.selector.name,
+      method,
+      path,
+      headers,
+      body,
+      remainingMilliseconds,
+    });
+  };
+  const runTicket = (booking: Booking, done: (end: BookingEnd) => void): void => {
+    const ticket = readTicket(booking.idempotencyKey);
+    if (!ticket) {
+      done({ kind: 'error', code: 'malformedRequest' });
+      return;
+    }
+    if (ticket.node === context.node) {
+      options.tickets.run(ticket, booking, done);
+      return;
+    }
+    const member = findIncarnation(ticket.node, ticket.incarnation);
+    if (member) forwardTicket(member, booking, done);
+    else done({ kind: 'error', code: 'outcomeUnknown' });
+  };
+  const receiveTicketCall = (message: Extract<QuestionMessage, { kind: 'ticketCall' }>): void => {
+    const { from, query, account, idempotencyKey, digest, remainingMilliseconds } = message;
+    const peer = options.findMember(from);
+    const ticket = readTicket(idempotencyKey);
+    const selector = options.getVersion().selectors.find(({ name }) => name === message.selector);
+    if (!peer || !ticket || !selector) return;
+    const { service, method, path, headers, body } = message;
+    const deadlineAt = context.now() + remainingMilliseconds;
+    const call = {
+      service,
+      selector,
+      method,
+      path,
+      headers,
+      body,
+      deadlineAt,
+      isRepeatable: false,
+    };
+    options.tickets.run(ticket, { account, idempotencyKey, digest, call }, (end) => {
+      const reply =
+        end.kind === 'answer'
+          ? { status: end.status, contentType: end.contentType, body: end.body, code: '' }
+          : { status: 0, contentType: '', body: '', code: end.code };
+      send(peer, { kind: 'ticketReply', from: context.node, query, ...reply });
+    });
+  };
+
+  const HANDLERS: {
+    [Kind in QuestionMessage['kind']]: (message: Extract<QuestionMessage, { kind: Kind }>) => void;
+  } = {
+    bookingQuery: ({ from, query, bookingKey }) => {
+      const peer = options.findMember(from);
+      if (!peer) return;
+      const found = options.getBookings().inspect(bookingKey);
+      const { status, body } = found.state === 'answered' ? found : { status: 0, body: '' };
+      const { state } = found;
+      send(peer, { kind: 'bookingAnswer', from: context.node, query, state, status, body });
+    },
+    bookingAnswer: ({ query, state, status, body }) => {
+      const done = queries.get(query);
+      queries.delete(query);
+      done?.(state === 'answered' ? { state, status, body } : { state });
+    },
+    ticketCall: receiveTicketCall,
+    ticketReply: ({ query, status, contentType, body, code }) => {
+      const done = calls.get(query);
+      calls.delete(query);
+      done?.(
+        isCodeName(code) ? { kind: 'error', code } : { kind: 'answer', status, contentType, body },
+      );
+    },
+  };
+
+  return {
+    askOwner: (record, bookingKey, done) => {
+      if (record.node === context.node) {
+        const isOwn = record.incarnation === context.incarnation;
+        done(isOwn ? options.getBookings().inspect(bookingKey) : undefined);
+        return;
+      }
+      const member = findIncarnation(record.node, record.incarnation);
+      if (member) askMember(member, bookingKey, done);
+      else done(undefined);
+    },
+    runTicket,
+    receive: (message) => {
+      const handler = HANDLERS[message.kind] as (received: QuestionMessage) => void;
+      handler(message);
+    },
+  };
+}
--- /dev/null
+++ b/src/process/node/createNode/index.ts
@@ -0,0 +1,285 @@
+/**
+ * One whole node: every event that it can meet goes in, the effects that it asks for come out.
+ */
+import { createFleet } from '../../../connection/createFleet/index.js';
+import { createAttempts } from '../../../request/createAttempts/index.js';
+import { createBookings, type Bookings } from '../../../request/createBookings/index.js';
+import { createJournal } from '../../../request/createJournal/index.js';
+import { createModelRequests } from '../../../request/createModelRequests/index.js';
+import { createPools } from '../../../request/createPools/index.js';
+import { createPrefixMemory } from '../../../request/createPrefixMemory/index.js';
+import { createRateLimiter } from '../../../request/createRateLimiter/index.js';
+import { createServiceCalls } from '../../../request/createServiceCalls/index.js';
+import { createTickets } from '../../../request/createTickets/index.js';
+import type { LinkCost } from '../../../request/buildChainPool/index.js';
+import type { Configuration } from '../../../types/configuration/index.js';
+import type { NodeEffect, NodeEvent } from '../../../types/node/index.js';
+import type { Fact, Member, PeerMessage } from '../../../types/peer/index.js';
+import type { Vm } from '../../../types/platform/index.js';
+import { compileVersion, type CompiledVersion } from '../../../version/compileVersion/index.js';
+import { createAcceptor } from '../../configuration/acceptChange/index.js';
+import { createConfiguration } from '../../configuration/createConfiguration/index.js';
+import { createLeaving } from '../../leaving/createLeaving/index.js';
+import { createMembership } from '../../membership/createMembership/index.js';
+import { createRegistration } from '../../membership/registerNode/index.js';
+import { createOrders } from '../../orders/createOrders/index.js';
+import { createPeerQuestions } from '../askPeers/index.js';
+import { createContext } from '../createContext/index.js';
+import { describeStatus } from '../describeStatus/index.js';
+import { createPolling } from '../pollEndpoints/index.js';
+import { createCallerRouter } from '../routeCaller/index.js';
+import { createOperatorRouter } from '../routeOperator/index.js';
+
+/** Options of {@link createNode}. */
+export interface CreateNodeOptions {
+  readonly node: string;
+  /** Name of the VM that the node runs on. */
+  readonly vm: string;
+  readonly availabilityZone: string;
+  /** Start of the process in milliseconds since the epoch; distinguishes two starts. */
+  readonly incarnation: number;
+  readonly seed: number;
+  /** Secret of this start, known to no other process. */
+  readonly secret: string;
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+  readonly findLink?: (fromZone: string, toZone: string) => LinkCost;
+  readonly addressExpirySeconds?: number;
+  readonly drainLimitMilliseconds?: number;
+  readonly loadsPerSecond?: number;
+}
+
+/** A node. Time is in milliseconds since the epoch and never falls. */
+export interface Node {
+  readonly receive: (event: NodeEvent, nowMilliseconds: number) => NodeEffect[];
+}
+
+const PREFIX_BLOCKS = 16_384;
+const DEMAND_INTERVAL_MILLISECONDS = 1_000;
+const OFFERED_PEERS = 2;
+
+const DEFAULT_LINK: LinkCost = { latencyMilliseconds: 0.5, perPromptTokenMilliseconds: 0.01 };
+
+/**
+ * Creates a node.
+ *
+ * The node does no I/O and reads no clock: it composes the decisions, and its driver carries events
+ * in and effects out. Any number of nodes can run in one process under one virtual clock.
+ *
+ * @param options - names, addresses and bounds of the node
+ * @returns the node; send it `{ kind: 'start' }` first
+ * @example
+ * const effects = createNode(options).receive({ kind: 'start' }, 0);
+ */
+export function createNode(options: CreateNodeOptions): Node {
+  const control = createContext(options);
+  const { context } = control;
+  const fleet = createFleet();
+  let version: CompiledVersion = compileVersion({ revision: 0, objects: [], selectors: [] });
+  const getVersion = (): CompiledVersion => version;
+
+  const limiter = createRateLimiter();
+  const prefixes = createPrefixMemory(PREFIX_BLOCKS);
+  const pools = createPools({
+    fleet,
+    availabilityZone: options.availabilityZone,
+    findLink: options.findLink ?? (() => DEFAULT_LINK),
+  });
+  const takeDemand = (fact: Fact): void => {
+    const [, account = '', node = ''] = fact.key.split('/');
+    if (node === context.node) return;
+    limiter.takePeerDemand(node, { account, requestsPerSecond: Number(fact.value) }, context.now());
+  };
+  const membership = createMembership({
+    context,
+    peerAddress: options.peerAddress,
+    callerAddress: options.callerAddress,
+    availabilityZone: options.availabilityZone,
+    getRevision: () => version.revision,
+    onFact: (fact) => {
+      if (fact.key.startsWith('demand/')) takeDemand(fact);
+      else polling.takeFact(fact);
+    },
+    onHigherRevision: (peer) => {
+      configuration.requestFrom(peer);
+    },
+  });
+  const checkLeaving = (vms: readonly Vm[]): void => {
+    const own = vms.find(({ name }) => name === options.vm);
+    if (own?.state === 'leaving' && !leaving.isLeaving()) leaving.begin('vm-list');
+    const labels = version.labelsByObject.get(`vm/${options.vm}`);
+    if (labels?.state === 'leaving' && !leaving.isLeaving()) leaving.begin('label');
+  };
+  const applyConfiguration = (applied: Configuration): void => {
+    version = compileVersion(applied);
+    fleet.applyLabels(version.labelsByObject);
+    checkLeaving([]);
+    membership.announce();
+  };
+  const configuration = createConfiguration({
+    context,
+    findMember: membership.find,
+    onApplied: applyConfiguration,
+  });
+  const polling = createPolling({
+    context,
+    fleet,
+    listAlive: membership.listAlive,
+    tell: membership.tell,
+    onVms: checkLeaving,
+    onEngineRestarted: prefixes.forget,
+  });
+  const attempts = createAttempts({
+    context,
+    fleet,
+    prefixes,
+    countNodes: () => membership.listAlive().length,
+    onLeaving: polling.markLeaving,
+  });
+  const modelRequests = createModelRequests({ context, pools, attempts });
+  const services = createServiceCalls({ context, fleet, onLeaving: polling.markLeaving });
+  const tickets = createTickets({ context, services, secret: options.secret });
+  const journal = createJournal(context);
+  const questions = createPeerQuestions({
+    context,
+    findMember: membership.find,
+    getVersion,
+    getBookings: (): Bookings => bookings,
+    tickets,
+  });
+  const bookings = createBookings({ context, journal, services, askOwner: questions.askOwner });
+  const orders = createOrders({
+    context,
+    fleet,
+    getVersion,
+    listAlive: membership.listAlive,
+    loadsPerSecond: options.loadsPerSecond ?? 2,
+  });
+  const registration = createRegistration({ context, membership });
+  const leaving = createLeaving({
+    context,
+    answersExpireMilliseconds: (options.addressExpirySeconds ?? 30) * 1_000,
+    drainLimitMilliseconds: options.drainLimitMilliseconds ?? 600_000,
+    countWork: () =>
+      modelRequests.count() + bookings.count() + journal.backlog() + services.inFlight(),
+    onLeave: membership.leave,
+    interruptAll: modelRequests.interruptAll,
+  });
+  const choosePeers = (): Member[] => {
+    const peers = membership
+      .list()
+      .filter(({ node, state }) => node !== context.node && state === 'alive')
+      .map((member) => ({ member, order: context.random() }))
+      .sort((left, right) => left.order - right.order)
+      .map(({ member }) => member);
+    const isFar = (member: Member): boolean => member.availabilityZone !== options.availabilityZone;
+    return [...peers.filter(isFar), ...peers.filter((peer) => !isFar(peer))].slice(
+      0,
+      OFFERED_PEERS,
+    );
+  };
+  const acceptor = createAcceptor({ context, configuration, choosePeers });
+  const routeOperator = createOperatorRouter({
+    context,
+    configuration,
+    acceptor,
+    fleet,
+    getStatus: () =>
+      describeStatus({
+        membership,
+        fleet,
+        pools,
+        orders: orders.describe(),
+        journalBacklog: journal.backlog(),
+        revision: version.revision,
+        now: context.now(),
+      }),
+  });
+  const routeCaller = createCallerRouter({
+    context,
+    getVersion,
+    membership,
+    limiter,
+    modelRequests,
+    bookings,
+    services,
+    journal,
+    tickets,
+    questions,
+    isLeaving: leaving.isLeaving,
+    addressExpirySeconds: options.addressExpirySeconds ?? 30,
+  });
+
+  const tellDemands = (): void => {
+    for (const { account, requestsPerSecond } of limiter.listDemands(context.now())) {
+      membership.tell({
+        key: `demand/${account}/${context.node}`,
+        version: context.now(),
+        value: requestsPerSecond.toString(),
+      });
+    }
+    context.schedule(DEMAND_INTERVAL_MILLISECONDS, tellDemands);
+  };
+  const start = (): void => {
+    registration.start();
+    membership.start();
+    configuration.start();
+    polling.start();
+    orders.start();
+    tellDemands();
+  };
+
+  const PEER_HANDLERS: Record<PeerMessage['kind'], (message: PeerMessage) => void> = {
+    ping: membership.receive as (message: PeerMessage) => void,
+    ack: membership.receive as (message: PeerMessage) => void,
+    indirectPing: membership.receive as (message: PeerMessage) => void,
+    synchronize: membership.receive as (message: PeerMessage) => void,
+    configurationRequest: configuration.receive as (message: PeerMessage) => void,
+    configurationOffer: configuration.receive as (message: PeerMessage) => void,
+    configurationTaken: configuration.receive as (message: PeerMessage) => void,
+    bookingQuery: questions.receive as (message: PeerMessage) => void,
+    bookingAnswer: questions.receive as (message: PeerMessage) => void,
+    ticketCall: questions.receive as (message: PeerMessage) => void,
+    ticketReply: questions.receive as (message: PeerMessage) => void,
+  };
+  const HANDLERS: {
+    [Kind in NodeEvent['kind']]: (event: Extract<NodeEvent, { kind: Kind }>) => void;
+  } = {
+    start,
+    callerRequest: routeCaller,
+    callerGone: ({ request }) => {
+      modelRequests.cancel(request);
+    },
+    operatorRequest: routeOperator,
+    tokens: ({ attempt, lines }) => {
+      attempts.receiveTokens(attempt, lines);
+    },
+    runEnded: ({ attempt }) => {
+      attempts.receiveEnd(attempt);
+    },
+    runFailed: attempts.receiveFailure,
+    reply: control.resumeEndpoint,
+    callFailed: control.resumeEndpoint,
+    peerMessage: ({ message }) => {
+      PEER_HANDLERS[message.kind](message);
+    },
+    platformResult: ({ call, result }) => {
+      control.resumePlatform(call, result);
+    },
+    timerDue: ({ timer }) => {
+      control.resumeTimer(timer);
+    },
+    leave: () => {
+      leaving.begin('signal');
+    },
+  };
+
+  return {
+    receive: (event, nowMilliseconds) => {
+      control.advance(nowMilliseconds);
+      const handler = HANDLERS[event.kind] as (received: NodeEvent) => void;
+      handler(event);
+      return control.takeEffects();
+    },
+  };
+}
--- /dev/null
+++ b/src/process/orders/createOrders/index.ts
@@ -0,0 +1,151 @@
+/**
+ * Orders to engines: compares desired with reported states and sends what is missing.
+ */
+import {
+  LEASE_MARGIN_MILLISECONDS,
+  ORDER_INTERVAL_MILLISECONDS,
+} from '../../../constants/index.js';
+import type { Endpoint, Fleet } from '../../../connection/createFleet/index.js';
+import type { EngineOrder, EngineReport, EngineState } from '../../../types/endpoint/index.js';
+import type { CompiledVersion } from '../../../version/compileVersion/index.js';
+import { findOwner } from '../../hashRendezvous/index.js';
+import type { NodeContext } from '../../node/createContext/index.js';
+import { decideOrders, holdsState, type OrderedEngine } from '../decideOrders/index.js';
+import { createClaim, type Claim } from '../holdClaim/index.js';
+import { planFleet } from '../planFleet/index.js';
+
+/** Options of {@link createOrders}. */
+export interface CreateOrdersOptions {
+  readonly context: NodeContext;
+  readonly fleet: Fleet;
+  readonly getVersion: () => CompiledVersion;
+  readonly listAlive: () => readonly string[];
+  /** Loads a second that the weight store serves. */
+  readonly loadsPerSecond: number;
+  readonly claim?: Claim;
+}
+
+/** What operators see of the orders. */
+export interface OrderStatus {
+  readonly fencing: number;
+  /** Engines whose reported state differs from the desired one. */
+  readonly backlog: number;
+  readonly blocked: readonly string[];
+}
+
+/** The orders of one node. */
+export interface Orders {
+  readonly start: () => void;
+  readonly describe: () => OrderStatus;
+}
+
+const CLAIM_KEY = 'orders/claim';
+const ORDER_TIMEOUT_MILLISECONDS = 2_000;
+const BUSY_MILLISECONDS = 3_000;
+const REPORT_FRESH_MILLISECONDS = 5_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+function hasReport(endpoint: Endpoint): endpoint is Endpoint & { report: EngineReport } {
+  return endpoint.kind === 'engine' && endpoint.report !== undefined;
+}
+
+/**
+ * Creates the orders of one node.
+ *
+ * One node at a time sends orders, under a claim; which one is chosen by rendezvous hashing as an
+ * economy only. Orders are absolute states, so that a late one is undone by the next comparison.
+ *
+ * @param options - the context, the fleet, the version in force and the weight store's rate
+ * @returns the orders
+ * @example
+ * createOrders({ context, fleet, getVersion, listAlive, loadsPerSecond: 2 }).start();
+ */
+export function createOrders(options: CreateOrdersOptions): Orders {
+  const { context, fleet } = options;
+  const claim = options.claim ?? createClaim({ context, key: CLAIM_KEY });
+  const busyUntil = new Map<string, number>();
+  let nextLoadAt = 0;
+  let status: OrderStatus = { fencing: 0, backlog: 0, blocked: [] };
+
+  const countAllowance = (): number => {
+    const interval = MILLISECONDS_PER_SECOND / options.loadsPerSecond;
+    const due = context.now() - nextLoadAt;
+    if (due < 0) return 0;
+    return Math.min(Math.floor(due / interval) + 1, Math.ceil(options.loadsPerSecond));
+  };
+  const spendAllowance = (count: number): void => {
+    const interval = MILLISECONDS_PER_SECOND / options.loadsPerSecond;
+    nextLoadAt = Math.max(nextLoadAt, context.now() - MILLISECONDS_PER_SECOND) + count * interval;
+  };
+  /** An engine that does not check fencing is not ordered until a former holder's orders have ended. */
+  const isSafe = (endpoint: Endpoint & { report: EngineReport }): boolean =>
+    endpoint.report.checksFencing ||
+    context.now() - claim.acquiredAt() >= LEASE_MARGIN_MILLISECONDS + ORDER_TIMEOUT_MILLISECONDS;
+  const describeEngine = (endpoint: Endpoint & { report: EngineReport }): OrderedEngine => ({
+    name: endpoint.name,
+    report: endpoint.report,
+    isBusy:
+      (busyUntil.get(endpoint.name) ?? 0) > context.now() ||
+      context.now() - endpoint.reportedAt > REPORT_FRESH_MILLISECONDS ||
+      !isSafe(endpoint),
+  });
+  const send = (name: string, state: EngineState): void => {
+    const fencing = claim.fencing();
+    const endpoint = fleet.find(name);
+    if (fencing === undefined || !endpoint) return;
+    busyUntil.set(name, context.now() + BUSY_MILLISECONDS);
+    const order: EngineOrder = { id: context.nextId('order'), fencing, state };
+    context.count('orders_sent');
+    context.log('info', 'order-sent', { engine: name, fencing, version: state.version });
+    context.callEndpoint(
+      {
+        address: endpoint.vm.address,
+        method: 'POST',
+        path: '/orders',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(order),
+        timeoutMilliseconds: ORDER_TIMEOUT_MILLISECONDS,
+      },
+      (result) => {
+        const isTaken = result.kind === 'reply' && result.status < 300;
+        if (isTaken) return;
+        context.log('warn', 'order-not-taken', { engine: name, fencing });
+      },
+    );
+  };
+  const runPass = (): void => {
+    const isOwner = findOwner('orders', options.listAlive()) === context.node;
+    claim.pursue(isOwner);
+    const fencing = claim.fencing();
+    if (fencing === undefined) {
+      status = { fencing: 0, backlog: 0, blocked: [] };
+      return;
+    }
+    const desired = planFleet(options.getVersion().selectors, fleet.list());
+    const engines = fleet.list().filter(hasReport);
+    const backlog = engines.filter(({ name, report }) => {
+      const state = desired.get(name);
+      return state !== undefined && !holdsState(report, state);
+    }).length;
+    const { orders, blocked } = decideOrders({
+      desired,
+      engines: engines.map(describeEngine),
+      allowance: countAllowance(),
+    });
+    status = { fencing, backlog, blocked };
+    if (orders.length === 0) return;
+    spendAllowance(orders.length);
+    for (const { engine, state } of orders) send(engine, state);
+  };
+  const run = (): void => {
+    runPass();
+    context.schedule(ORDER_INTERVAL_MILLISECONDS, run);
+  };
+
+  return {
+    start: () => {
+      context.schedule(context.random() * ORDER_INTERVAL_MILLISECONDS, run);
+    },
+    describe: () => status,
+  };
+}
--- /dev/null
+++ b/src/process/orders/decideOrders/index.ts
@@ -0,0 +1,128 @@
+/**
+ * Decision on which orders to send to engines now.
+ */
+import type { EngineReport, EngineState } from '../../../types/endpoint/index.js';
+
+/** An engine as orders see it. */
+export interface OrderedEngine {
+  readonly name: string;
+  readonly report: EngineReport;
+  /** True while an order to it has not been answered or carried out. */
+  readonly isBusy: boolean;
+}
+
+/** Options of {@link decideOrders}. */
+export interface DecideOrdersOptions {
+  readonly desired: ReadonlyMap<string, EngineState>;
+  readonly engines: readonly OrderedEngine[];
+  /** Number of orders that may be sent now. */
+  readonly allowance: number;
+}
+
+/** The orders to send, and the engines that must wait because they are the last holders of a layer. */
+export interface OrderDecision {
+  readonly orders: readonly { readonly engine: string; readonly state: EngineState }[];
+  readonly blocked: readonly string[];
+}
+
+/**
+ * Tells whether an engine reports the state that it has to hold.
+ *
+ * @param report - what the engine reports
+ * @param state - the desired state
+ * @returns true when nothing has to change
+ * @example
+ * holdsState(report, state);
+ */
+export function holdsState(report: EngineReport, state: EngineState): boolean {
+  return (
+    report.model === state.model &&
+    report.version === state.version &&
+    report.from === state.from &&
+    report.to === state.to &&
+    [...report.adapters].sort().join() === [...state.adapters].sort().join()
+  );
+}
+
+function holdsLayer(report: EngineReport, model: string, version: string, layer: number): boolean {
+  if (report.loading || report.leaving) return false;
+  if (report.model !== model || report.version !== version) return false;
+  return report.from <= layer && layer < report.to;
+}
+
+function coversRange(holders: readonly EngineReport[], range: EngineState): boolean {
+  for (let layer = range.from; layer < range.to; layer += 1) {
+    const isHeld = holders.some((report) => holdsLayer(report, range.model, range.version, layer));
+    if (!isHeld) return false;
+  }
+  return true;
+}
+
+/** Tells whether the desired variant of a model is ready on every layer that is planned. */
+function isReadyElsewhere(
+  model: string,
+  desired: ReadonlyMap<string, EngineState>,
+  holders: readonly EngineReport[],
+): boolean {
+  const planned = [...desired.values()].filter((state) => state.model === model);
+  return planned.length === 0 || planned.every((state) => coversRange(holders, state));
+}
+
+function isIdle(report: EngineReport): boolean {
+  return report.from >= report.to || report.model === '';
+}
+
+function keepsEveryLayer(
+  engine: OrderedEngine,
+  state: EngineState,
+  others: readonly EngineReport[],
+  desired: ReadonlyMap<string, EngineState>,
+): boolean {
+  const { report } = engine;
+  if (isIdle(report)) return true;
+  const { model, version, adapters, from, to } = report;
+  const isSameRange = state.model === model && state.version === version;
+  if (isSameRange && state.from === from && state.to === to) return true;
+  if (coversRange(others, { model, version, adapters, from, to })) return true;
+  return isReadyElsewhere(model, desired, others);
+}
+
+/**
+ * Decides which orders to send now.
+ *
+ * Desired and reported states are compared; an engine gets one absolute order at a time. An order
+ * that takes layers from their last ready holder is held back until another engine holds them or the
+ * desired variant of the model is ready everywhere. Engines that hold nothing come first.
+ *
+ * @param options - desired states, reported states and the number of orders allowed now
+ * @returns the orders and the engines held back
+ * @example
+ * decideOrders({ desired, engines, allowance: 2 }).orders;
+ */
+export function decideOrders(options: DecideOrdersOptions): OrderDecision {
+  const { desired, engines, allowance } = options;
+  const orders: { engine: string; state: EngineState }[] = [];
+  const blocked: string[] = [];
+  const changing = new Set(engines.filter(({ isBusy }) => isBusy).map(({ name }) => name));
+  const ordered = [...engines].sort(
+    (left, right) =>
+      Number(isIdle(right.report)) - Number(isIdle(left.report)) ||
+      left.name.localeCompare(right.name),
+  );
+  for (const engine of ordered) {
+    const state = desired.get(engine.name);
+    if (!state || engine.isBusy || engine.report.loading || engine.report.leaving) continue;
+    if (holdsState(engine.report, state)) continue;
+    const others = engines
+      .filter(({ name }) => name !== engine.name && !changing.has(name))
+      .map(({ report }) => report);
+    if (!keepsEveryLayer(engine, state, others, desired)) {
+      blocked.push(engine.name);
+      continue;
+    }
+    if (orders.length >= allowance) continue;
+    orders.push({ engine: engine.name, state });
+    changing.add(engine.name);
+  }
+  return { orders, blocked };
+}
--- /dev/null
+++ b/src/process/orders/holdClaim/index.ts
@@ -0,0 +1,102 @@
+/**
+ * The claim under which one node sends orders: a leased record with a fencing number.
+ */
+import { LEASE_MARGIN_MILLISECONDS, LEASE_MILLISECONDS } from '../../../constants/index.js';
+import type { NodeContext } from '../../node/createContext/index.js';
+
+/** A claim on a duty. */
+export interface Claim {
+  /** Wants the claim or gives it up; call on every pass. */
+  readonly pursue: (isWanted: boolean) => void;
+  /** Fencing number while the claim certainly holds; undefined otherwise. */
+  readonly fencing: () => number | undefined;
+  /** Time at which the claim was acquired, in milliseconds. */
+  readonly acquiredAt: () => number;
+}
+
+/** Options of {@link createClaim}. */
+export interface CreateClaimOptions {
+  readonly context: NodeContext;
+  readonly key: string;
+  /** Part of the lease at its end in which the claim no longer counts, in milliseconds. */
+  readonly marginMilliseconds?: number;
+}
+
+/**
+ * Creates a claim.
+ *
+ * The record is created only when absent, under a lease; its revision in the platform's service is
+ * the fencing number, which therefore only grows. The lease is counted from before the call that
+ * granted or renewed it, and ends for its holder a margin early.
+ *
+ * @param options - the context, the platform key and the margin
+ * @returns the claim
+ * @example
+ * const claim = createClaim({ context, key: 'orders/claim' });
+ */
+export function createClaim(options: CreateClaimOptions): Claim {
+  const { context, key, marginMilliseconds = LEASE_MARGIN_MILLISECONDS } = options;
+  let fencing = 0;
+  let lease = '';
+  let validUntil = -Infinity;
+  let acquiredAt = 0;
+  let isCalling = false;
+
+  const isHeld = (): boolean => fencing > 0 && context.now() < validUntil - marginMilliseconds;
+  const drop = (): void => {
+    fencing = 0;
+    lease = '';
+    validUntil = -Infinity;
+  };
+  const renew = (): void => {
+    const calledAt = context.now();
+    isCalling = true;
+    context.callPlatform({ kind: 'renewLease', lease }, (result) => {
+      isCalling = false;
+      if (result.kind !== 'renewed') return;
+      if (result.live) validUntil = calledAt + LEASE_MILLISECONDS;
+      else drop();
+    });
+  };
+  const create = (granted: string, calledAt: number): void => {
+    const value = JSON.stringify({ node: context.node, incarnation: context.incarnation });
+    context.callPlatform(
+      { kind: 'compareAndSwap', key, expectedRevision: 0, value, lease: granted },
+      (result) => {
+        isCalling = false;
+        if (result.kind !== 'swapped') return;
+        lease = granted;
+        fencing = result.revision;
+        validUntil = calledAt + LEASE_MILLISECONDS;
+        acquiredAt = context.now();
+        context.log('info', 'claim-acquired', { key, fencing });
+      },
+    );
+  };
+  const acquire = (): void => {
+    isCalling = true;
+    const calledAt = context.now();
+    context.callPlatform({ kind: 'get', key }, (found) => {
+      if (found.kind !== 'entry' || found.entry) {
+        isCalling = false;
+        return;
+      }
+      context.callPlatform({ kind: 'grantLease', milliseconds: LEASE_MILLISECONDS }, (result) => {
+        if (result.kind === 'lease') create(result.lease, calledAt);
+        else isCalling = false;
+      });
+    });
+  };
+
+  return {
+    pursue: (isWanted) => {
+      if (isCalling) return;
+      if (lease !== '' && context.now() >= validUntil) drop();
+      if (!isWanted) return;
+      if (lease === '') acquire();
+      else if (context.now() > validUntil - LEASE_MILLISECONDS * 0.7) renew();
+    },
+    fencing: () => (isHeld() ? fencing : undefined),
+    acquiredAt: () => acquiredAt,
+  };
+}
--- /dev/null
+++ b/src/process/orders/planFleet/index.ts
@@ -0,0 +1,76 @@
+/**
+ * Desired state of every engine.
+ */
+import type { Endpoint } from '../../../connection/createFleet/index.js';
+import type { Selector } from '../../../types/configuration/index.js';
+import type { EngineState } from '../../../types/endpoint/index.js';
+import { matchLabels } from '../../../version/matchLabels/index.js';
+import { planLayers, type PlannedEngine } from '../../../version/planLayers/index.js';
+
+type ModelSelector = Selector & { readonly serve: { readonly kind: 'model' } };
+
+function isModelSelector(selector: Selector): selector is ModelSelector {
+  return selector.serve.kind === 'model';
+}
+
+function readFixedRange(endpoint: Endpoint): PlannedEngine['fixed'] {
+  const [, from, to] = /^(\d+)-(\d+)$/.exec(endpoint.labels.layers ?? '') ?? [];
+  if (from === undefined || to === undefined) return undefined;
+  return { from: Number(from), to: Number(to) };
+}
+
+function describeEngine(endpoint: Endpoint, selector: ModelSelector): PlannedEngine {
+  const { report, name } = endpoint;
+  const holdsModel = report?.model === selector.serve.model;
+  const capacity = Number(endpoint.labels['layer-capacity'] ?? selector.serve.layers);
+  const fixed = readFixedRange(endpoint);
+  const reported = holdsModel ? report : undefined;
+  return { name, capacity, ...(fixed && { fixed }), ...(reported && { reported }) };
+}
+
+/**
+ * Plans the state that every engine has to hold.
+ *
+ * Selectors are taken by priority, then by name; the first that matches an engine decides its model,
+ * version and layers, and later ones of the same model and version add their adapters. Two selectors
+ * that share a label match by version split the engines between them by their shares.
+ *
+ * @param selectors - the selectors of one configuration
+ * @param endpoints - the endpoints of the fleet
+ * @returns the desired state by engine name
+ * @example
+ * planFleet(version.selectors, fleet.list()).get('engine-1');
+ */
+export function planFleet(
+  selectors: readonly Selector[],
+  endpoints: readonly Endpoint[],
+): Map<string, EngineState> {
+  const ordered = selectors
+    .filter(isModelSelector)
+    .sort((left, right) => right.priority - left.priority || left.name.localeCompare(right.name));
+  const engines = endpoints.filter(({ kind, leaving }) => kind === 'engine' && !leaving);
+  const desired = new Map<string, EngineState>();
+  for (const selector of ordered) {
+    const matching = engines.filter(({ labels }) => matchLabels(selector.endpoints, labels));
+    const free = matching.filter(({ name }) => !desired.has(name));
+    const plan = planLayers(
+      selector,
+      free.map((endpoint) => describeEngine(endpoint, selector)),
+    );
+    for (const { name } of matching) addAdapter(desired, name, selector);
+    for (const [name, state] of plan) desired.set(name, state);
+  }
+  return desired;
+}
+
+function addAdapter(
+  desired: Map<string, EngineState>,
+  name: string,
+  selector: ModelSelector,
+): void {
+  const state = desired.get(name);
+  const { model, version, adapter } = selector.serve;
+  if (state?.model !== model || state.version !== version || adapter === '') return;
+  const adapters = [...new Set([...state.adapters, adapter])].sort();
+  desired.set(name, { ...state, adapters });
+}
--- /dev/null
+++ b/src/process/runtime/callHttp/index.ts
@@ -0,0 +1,100 @@
+/**
+ * Whole HTTP calls, on one connection each, that tell whether a call can have been acted on.
+ */
+import http from 'node:http';
+
+/** Options of {@link callHttp}. */
+export interface CallHttpOptions {
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers?: Record<string, string>;
+  readonly body?: string;
+  readonly timeoutMilliseconds: number;
+  readonly agent?: http.Agent;
+}
+
+/** The end of a call; `sent` is false only when no byte of it can have reached the other side. */
+export type HttpResult =
+  | {
+      readonly kind: 'reply';
+      readonly status: number;
+      readonly contentType: string;
+      readonly body: string;
+    }
+  | { readonly kind: 'failed'; readonly sent: boolean };
+
+const LARGEST_REPLY_BYTES = 8_388_608;
+
+/**
+ * Calls an address over HTTP.
+ *
+ * Without an agent, the call has a connection of its own, which is never used again.
+ *
+ * @param options - address, request and timeout in milliseconds
+ * @param done - called once with the reply or the failure
+ * @returns a function that cancels the call
+ * @example
+ * callHttp({ address: '127.0.0.1:8080', method: 'GET', path: '/report', timeoutMilliseconds: 900 }, done);
+ */
+export function callHttp(options: CallHttpOptions, done: (result: HttpResult) => void): () => void {
+  const [host = '', port = '80'] = options.address.split(':');
+  let isConnected = false;
+  let isDone = false;
+  const finish = (result: HttpResult): void => {
+    if (isDone) return;
+    isDone = true;
+    done(result);
+  };
+  const fail = (): void => {
+    finish({ kind: 'failed', sent: isConnected });
+  };
+  const body = options.body ?? '';
+  const request = http.request({
+    host,
+    port: Number(port),
+    method: options.method,
+    path: options.path,
+    headers: {
+      ...options.headers,
+      ...(body !== '' && { 'content-length': Buffer.byteLength(body).toString() }),
+    },
+    agent: options.agent ?? false,
+    signal: AbortSignal.timeout(Math.max(1, Math.ceil(options.timeoutMilliseconds))),
+  });
+  request.on('socket', (socket) => {
+    isConnected = !socket.connecting;
+    if (isConnected) return;
+    socket.once('connect', () => {
+      isConnected = true;
+    });
+  });
+  request.on('error', fail);
+  request.on('response', (response) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    response.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > LARGEST_REPLY_BYTES) request.destroy();
+      else chunks.push(chunk);
+    });
+    response.on('error', fail);
+    response.on('close', fail);
+    response.on('end', () => {
+      if (!response.complete) {
+        fail();
+        return;
+      }
+      finish({
+        kind: 'reply',
+        status: response.statusCode ?? 0,
+        contentType: response.headers['content-type'] ?? '',
+        body: Buffer.concat(chunks).toString('utf8'),
+      });
+    });
+  });
+  request.end(body === '' ? undefined : body);
+  return () => {
+    request.destroy();
+  };
+}
--- /dev/null
+++ b/src/process/runtime/runEngines/index.ts
@@ -0,0 +1,162 @@
+/**
+ * Runs on chains of engines: one streamed HTTP request an attempt.
+ */
+import http from 'node:http';
+import csp, { type Channel } from 'js-csp';
+import type { RunRequest, TokenLine } from '../../../types/endpoint/index.js';
+import type { NodeEvent } from '../../../types/node/index.js';
+
+/** Events that a run gives rise to. */
+export type RunEvent = Extract<NodeEvent, { kind: 'tokens' | 'runEnded' | 'runFailed' }>;
+
+/** The runs of one node. */
+export interface EngineRuns {
+  readonly start: (address: string, run: RunRequest) => void;
+  readonly cancel: (attempt: string) => void;
+  readonly close: () => void;
+  readonly count: () => number;
+}
+
+/** A failure as an engine reports it in place of a token. */
+interface FailureLine {
+  readonly failed: string;
+  readonly leaving?: boolean;
+}
+
+const CHUNKS_PER_RUN = 256;
+const SUCCESS = 200;
+
+function isFailure(line: TokenLine | FailureLine): line is FailureLine {
+  return 'failed' in line;
+}
+
+/**
+ * Creates the runs of one node.
+ *
+ * Each run has a goroutine that reads its chunks from a bounded channel; lines that arrive together
+ * become one event. A full channel pauses the socket.
+ *
+ * @param onEvent - called with each event
+ * @returns the runs
+ * @example
+ * createEngineRuns((event) => feed(event)).start(address, run);
+ */
+export function createEngineRuns(onEvent: (event: RunEvent) => void): EngineRuns {
+  const agent = new http.Agent({ keepAlive: true, maxSockets: Infinity, maxFreeSockets: 256 });
+  const requests = new Map<string, http.ClientRequest>();
+
+  const finish = (attempt: string, event: RunEvent): void => {
+    if (!requests.delete(attempt)) return;
+    onEvent(event);
+  };
+  const fail = (attempt: string, sent: boolean, engine: string, leaving = false): void => {
+    finish(attempt, { kind: 'runFailed', attempt, sent, engine, leaving });
+  };
+  const parse = (attempt: string, text: string): void => {
+    const lines: TokenLine[] = [];
+    for (const part of text.split('\n')) {
+      if (part === '') continue;
+      const line = JSON.parse(part) as TokenLine | FailureLine;
+      if (isFailure(line)) {
+        if (lines.length > 0) onEvent({ kind: 'tokens', attempt, lines });
+        fail(attempt, true, line.failed, line.leaving ?? false);
+        return;
+      }
+      lines.push(line);
+    }
+    if (lines.length > 0 && requests.has(attempt)) onEvent({ kind: 'tokens', attempt, lines });
+  };
+  const readChunks = (
+    attempt: string,
+    chunks: Channel<string>,
+    response: http.IncomingMessage,
+    firstEngine: string,
+  ): void => {
+    csp.go(function* (): Generator<unknown, void, string | null> {
+      let rest = '';
+      for (;;) {
+        const chunk = yield csp.take(chunks);
+        if (chunk === null) break;
+        const text = rest + chunk;
+        const end = text.lastIndexOf('\n') + 1;
+        rest = text.slice(end);
+        try {
+          if (end > 0) parse(attempt, text.slice(0, end));
+        } catch {
+          fail(attempt, true, firstEngine);
+        }
+        if (response.isPaused()) response.resume();
+      }
+      if (response.complete) finish(attempt, { kind: 'runEnded', attempt });
+      else fail(attempt, true, firstEngine);
+    });
+  };
+  const takeResponse = (
+    attempt: string,
+    response: http.IncomingMessage,
+    firstEngine: string,
+  ): void => {
+    if (response.statusCode !== SUCCESS) {
+      const isLeaving = response.headers['x-refused'] === 'leaving';
+      response.resume();
+      fail(attempt, false, firstEngine, isLeaving);
+      return;
+    }
+    const chunks = csp.chan<string>(csp.buffers.fixed(CHUNKS_PER_RUN));
+    response.setEncoding('utf8');
+    response.on('data', (chunk: string) => {
+      if (csp.offer(chunks, chunk)) return;
+      response.pause();
+      csp.putAsync(chunks, chunk);
+    });
+    response.on('error', () => undefined);
+    response.on('close', () => {
+      chunks.close();
+    });
+    readChunks(attempt, chunks, response, firstEngine);
+  };
+
+  return {
+    start: (address, run) => {
+      const [host = '', port = '80'] = address.split(':');
+      const { attempt } = run;
+      const firstEngine = run.route[0]?.engine ?? '';
+      let isConnected = false;
+      const request = http.request({
+        host,
+        port: Number(port),
+        method: 'POST',
+        path: '/runs',
+        headers: { 'content-type': 'application/json' },
+        agent,
+      });
+      requests.set(attempt, request);
+      request.on('socket', (socket) => {
+        socket.setNoDelay(true);
+        isConnected = !socket.connecting;
+        if (isConnected) return;
+        socket.once('connect', () => {
+          isConnected = true;
+        });
+      });
+      request.on('error', () => {
+        fail(attempt, isConnected, firstEngine);
+      });
+      request.on('response', (response) => {
+        takeResponse(attempt, response, firstEngine);
+      });
+      request.end(JSON.stringify(run));
+    },
+    cancel: (attempt) => {
+      const request = requests.get(attempt);
+      requests.delete(attempt);
+      request?.destroy();
+    },
+    close: () => {
+      for (const request of requests.values()) request.destroy();
+      requests.clear();
+      agent.destroy();
+    },
+    count: () => requests.size,
+  };
+}
--- /dev/null
+++ b/src/process/runtime/sendPeers/index.ts
@@ -0,0 +1,129 @@
+/**
+ * Links to other nodes: one goroutine and one bounded channel for each.
+ */
+import * as grpc from '@grpc/grpc-js';
+import csp, { type Channel } from 'js-csp';
+import type { PeerMessage } from '../../../types/peer/index.js';
+import type { LifeCycle } from '../../createLifeCycle/index.js';
+import type { TlsSettings } from '../../settings/settingsSchema/index.js';
+import {
+  createCertificateProvider,
+  PEER_CHANNEL_OPTIONS,
+  PEER_METHOD,
+} from '../servePeers/index.js';
+
+/** Options of {@link createPeerLinks}. */
+export interface CreatePeerLinksOptions {
+  readonly key: string;
+  readonly tls?: TlsSettings | undefined;
+  readonly lifeCycle: LifeCycle;
+  readonly onDropped: () => void;
+}
+
+/** The links of one node. */
+export interface PeerLinks {
+  readonly send: (address: string, message: PeerMessage) => void;
+  readonly count: () => number;
+}
+
+interface Link {
+  readonly client: grpc.Client;
+  readonly messages: Channel<PeerMessage>;
+  usedAt: number;
+}
+
+const MESSAGES_PER_LINK = 256;
+const SEND_TIMEOUT_MILLISECONDS = 2_000;
+const IDLE_MILLISECONDS = 120_000;
+const SWEEP_MILLISECONDS = 30_000;
+const LONGEST_RECONNECT_MILLISECONDS = 1_000;
+const FIRST_RECONNECT_MILLISECONDS = 100;
+
+function createCredentials(tls: TlsSettings | undefined): grpc.ChannelCredentials {
+  if (!tls) return grpc.credentials.createInsecure();
+  const provider = createCertificateProvider(tls);
+  return grpc.experimental.createCertificateProviderChannelCredentials(provider, provider);
+}
+
+/**
+ * Creates the links of one node.
+ *
+ * A message is dropped and counted when its link's channel is full or the peer does not take it;
+ * every message between nodes may be lost.
+ *
+ * @param options - shared key, certificate, owner, and what to call on a drop
+ * @returns the links
+ * @example
+ * createPeerLinks({ key, lifeCycle, onDropped }).send(address, message);
+ */
+export function createPeerLinks(options: CreatePeerLinksOptions): PeerLinks {
+  const links = new Map<string, Link>();
+  const metadata = new grpc.Metadata();
+  metadata.set('authorization', `Bearer ${options.key}`);
+
+  const sendOne = (client: grpc.Client, message: PeerMessage): void => {
+    const { path, requestSerialize, responseDeserialize } = PEER_METHOD;
+    const deadline = Date.now() + SEND_TIMEOUT_MILLISECONDS;
+    client.makeUnaryRequest(
+      path,
+      requestSerialize,
+      responseDeserialize,
+      message,
+      metadata,
+      { deadline },
+      (error) => {
+        if (error) options.onDropped();
+      },
+    );
+  };
+  const runLink = (link: Link): void => {
+    csp.go(function* (): Generator<unknown, void, PeerMessage | null> {
+      for (;;) {
+        const message = yield csp.take(link.messages);
+        if (message === null) break;
+        sendOne(link.client, message);
+      }
+      link.client.close();
+    });
+  };
+  const openLink = (address: string): Link => {
+    const client = new grpc.Client(address, createCredentials(options.tls), {
+      ...PEER_CHANNEL_OPTIONS,
+      'grpc.initial_reconnect_backoff_ms': FIRST_RECONNECT_MILLISECONDS,
+      'grpc.max_reconnect_backoff_ms': LONGEST_RECONNECT_MILLISECONDS,
+    });
+    const messages = csp.chan<PeerMessage>(csp.buffers.fixed(MESSAGES_PER_LINK));
+    const link = { client, messages, usedAt: Date.now() };
+    links.set(address, link);
+    runLink(link);
+    return link;
+  };
+  const closeIdle = (): void => {
+    for (const [address, link] of links) {
+      if (Date.now() - link.usedAt < IDLE_MILLISECONDS) continue;
+      links.delete(address);
+      link.messages.close();
+    }
+  };
+  const sweep = setInterval(closeIdle, SWEEP_MILLISECONDS);
+  options.lifeCycle.own({
+    name: 'peer-links',
+    close: () => {
+      clearInterval(sweep);
+      for (const link of links.values()) {
+        link.messages.close();
+        link.client.close();
+      }
+      links.clear();
+    },
+  });
+
+  return {
+    send: (address, message) => {
+      const link = links.get(address) ?? openLink(address);
+      link.usedAt = Date.now();
+      if (!csp.offer(link.messages, message)) options.onDropped();
+    },
+    count: () => links.size,
+  };
+}
--- /dev/null
+++ b/src/request/authorizeCaller/index.ts
@@ -0,0 +1,60 @@
+/**
+ * Authorization of callers by bearer key.
+ */
+import { timingSafeEqual } from 'node:crypto';
+import type { Account, CompiledVersion } from '../../version/compileVersion/index.js';
+import { digestText } from '../../version/digestText/index.js';
+
+const BEARER = /^Bearer ([\x21-\x7e]{1,512})$/;
+
+/**
+ * Reads the key of an Authorization header.
+ *
+ * @param header - value of the header, if present
+ * @returns the key, or undefined when the header holds none
+ * @example
+ * readBearerKey('Bearer secret'); // 'secret'
+ */
+export function readBearerKey(header: string | undefined): string | undefined {
+  return header === undefined ? undefined : BEARER.exec(header)?.[1];
+}
+
+/**
+ * Compares two texts in time that does not depend on where they differ.
+ *
+ * @param left - one text
+ * @param right - the other text
+ * @returns true when they are equal
+ * @example
+ * equalsInConstantTime('a', 'a'); // true
+ */
+export function equalsInConstantTime(left: string, right: string): boolean {
+  return timingSafeEqual(
+    Buffer.from(digestText(left), 'hex'),
+    Buffer.from(digestText(right), 'hex'),
+  );
+}
+
+/**
+ * Finds the client account of a caller.
+ *
+ * Keys are stored as SHA-256; the look-up is by that digest, which a caller cannot steer towards a
+ * stored one, and the digests are then compared in constant time.
+ *
+ * @param version - the compiled configuration
+ * @param header - value of the Authorization header, if present
+ * @returns the account, or undefined when the key is missing or unknown
+ * @example
+ * authorizeCaller(version, 'Bearer secret')?.name;
+ */
+export function authorizeCaller(
+  version: CompiledVersion,
+  header: string | undefined,
+): Account | undefined {
+  const key = readBearerKey(header);
+  if (key === undefined) return undefined;
+  const account = version.accountsByKeyDigest.get(digestText(key));
+  if (!account) return undefined;
+  const stored = account.labels['key-sha256'] ?? '';
+  return equalsInConstantTime(stored, digestText(key)) ? account : undefined;
+}
--- /dev/null
+++ b/src/request/createAttempts/index.ts
@@ -0,0 +1,340 @@
+/**
+ * Attempts: one run of an answer's remaining tokens over one chain of engines.
+ */
+import { addGap, computeTimeout, type GapEstimate } from '../../connection/estimateGap/index.js';
+import type { Fleet } from '../../connection/createFleet/index.js';
+import type { NodeContext } from '../../process/node/createContext/index.js';
+import type { Stage, TokenLine } from '../../types/endpoint/index.js';
+import { chooseChain } from '../chooseChain/index.js';
+import type { Pool } from '../createPools/index.js';
+import type { PrefixMemory } from '../createPrefixMemory/index.js';
+import { formatTrace, guardToken, type TokenVerdict } from '../guardToken/index.js';
+import { setChainCosts } from '../setChainCosts/index.js';
+
+/** How an attempt ended without its last token. */
+export type AttemptFault = 'refused' | 'died' | 'stalled' | 'truncated' | 'guarded';
+
+/** A failed attempt as its owner learns of it. */
+export interface AttemptFailure {
+  readonly fault: AttemptFault;
+  /** Time at which the fault began, as far as it is known, in milliseconds. */
+  readonly faultAt: number;
+  readonly suspects: readonly string[];
+  /** True when an endpoint may have acted on the request. */
+  readonly sent: boolean;
+}
+
+/** Options of {@link Attempts.start}. */
+export interface StartAttemptOptions {
+  readonly pool: Pool;
+  readonly prompt: string;
+  readonly promptTokens: number;
+  readonly startIndex: number;
+  readonly maximumTokens: number;
+  readonly excluded: ReadonlySet<string>;
+  readonly onTokens: (lines: readonly TokenLine[]) => void;
+  readonly onFailure: (failure: AttemptFailure) => void;
+}
+
+/** An attempt that has been started. */
+export interface StartedAttempt {
+  readonly id: string;
+  /** Time that a token takes on the chain without load, in milliseconds. */
+  readonly tokenMilliseconds: number;
+}
+
+/** The attempts of one node. */
+export interface Attempts {
+  /** Starts an attempt; returns undefined when no chain can run it. */
+  readonly start: (options: StartAttemptOptions) => StartedAttempt | undefined;
+  /** Ends an attempt that is no longer wanted. */
+  readonly cancel: (attempt: string) => void;
+  readonly receiveTokens: (attempt: string, lines: readonly TokenLine[]) => void;
+  readonly receiveEnd: (attempt: string) => void;
+  readonly receiveFailure: (options: ReceiveFailureOptions) => void;
+  readonly count: () => number;
+}
+
+/** Options of {@link Attempts.receiveFailure}. */
+export interface ReceiveFailureOptions {
+  readonly attempt: string;
+  readonly sent: boolean;
+  readonly engine: string;
+  readonly leaving: boolean;
+}
+
+/** Options of {@link createAttempts}. */
+export interface CreateAttemptsOptions {
+  readonly context: NodeContext;
+  readonly fleet: Fleet;
+  readonly prefixes: PrefixMemory;
+  readonly countNodes: () => number;
+  readonly onLeaving: (endpoint: string) => void;
+  readonly judge?: typeof guardToken;
+}
+
+interface Attempt {
+  readonly id: string;
+  readonly options: StartAttemptOptions;
+  readonly stages: readonly Stage[];
+  readonly trace: string;
+  readonly startedAt: number;
+  nextIndex: number;
+  progressAt: number;
+  received: number;
+  gaps: GapEstimate;
+  timer: string;
+}
+
+const OWN_SAMPLES = 16;
+const INITIAL_STALL_MILLISECONDS = 2_000;
+const LONGEST_STALL_MILLISECONDS = 5_000;
+const SHORTEST_STALL_MILLISECONDS = 20;
+const SHORTEST_FIRST_TOKEN_MILLISECONDS = 250;
+const PROBE_TIMEOUT_MILLISECONDS = 300;
+
+/** Deviations of the gap's logarithm after which a chain counts as stalled, by what a selector weighs. */
+const STALL_DEVIATIONS = { recovery: 4.5, throughput: 6 } as const;
+
+/** Events counted when a token is dropped, by verdict. */
+const DROP_COUNTERS: Record<Exclude<TokenVerdict, 'deliver'>, string> = {
+  duplicate: 'tokens_dropped_duplicate',
+  gap: 'tokens_dropped_gap',
+  wrongLayers: 'tokens_dropped_wrong_layers',
+  endedAttempt: 'tokens_dropped_ended_attempt',
+};
+
+function computeStallTimeout(attempt: Attempt): number {
+  const { pool } = attempt.options;
+  const deviations = STALL_DEVIATIONS[pool.selector.weigh];
+  if (attempt.received === 0) {
+    return computeTimeout({
+      estimate: pool.firstTokens,
+      deviations,
+      initialMilliseconds: INITIAL_STALL_MILLISECONDS,
+      minimumMilliseconds: SHORTEST_FIRST_TOKEN_MILLISECONDS,
+      maximumMilliseconds: LONGEST_STALL_MILLISECONDS,
+    });
+  }
+  return computeTimeout({
+    estimate: attempt.gaps.samples >= OWN_SAMPLES ? attempt.gaps : pool.gaps,
+    deviations,
+    initialMilliseconds: INITIAL_STALL_MILLISECONDS,
+    minimumMilliseconds: SHORTEST_STALL_MILLISECONDS,
+    maximumMilliseconds: LONGEST_STALL_MILLISECONDS,
+  });
+}
+
+function computeTokenTime(pool: Pool, stages: readonly Stage[]): number {
+  const speeds = new Map(pool.chain.engines.map((engine) => [engine.name, engine.layersPerSecond]));
+  return stages.reduce(
+    (sum, { engine, from, to }) => sum + ((to - from) * 1_000) / (speeds.get(engine) ?? 1),
+    0,
+  );
+}
+
+/**
+ * Creates the attempts of one node.
+ *
+ * @param options - the node's context, fleet and memory of prefixes
+ * @returns the attempts
+ * @example
+ * const attempts = createAttempts({ context, fleet, prefixes, countNodes, onLeaving });
+ */
+export function createAttempts(options: CreateAttemptsOptions): Attempts {
+  const { context, fleet, prefixes, judge = guardToken } = options;
+  const attempts = new Map<string, Attempt>();
+
+  const remove = (attempt: Attempt): void => {
+    attempts.delete(attempt.id);
+    context.cancel(attempt.timer);
+    for (const stage of attempt.stages) fleet.addOwn(stage.engine, -1);
+  };
+  const fail = (attempt: Attempt, failure: AttemptFailure): void => {
+    remove(attempt);
+    attempt.options.onFailure(failure);
+  };
+  const probeStage = (stage: Stage): void => {
+    context.callEndpoint(
+      {
+        address: stage.address,
+        method: 'GET',
+        path: '/report',
+        timeoutMilliseconds: PROBE_TIMEOUT_MILLISECONDS,
+      },
+      (result) => {
+        if (result.kind === 'callFailed')
+          fleet.updateHealth(stage.engine, 'failure', context.now());
+      },
+    );
+  };
+  const endStalled = (attempt: Attempt): void => {
+    context.emit({ kind: 'cancelRun', attempt: attempt.id });
+    context.count('attempts_stalled');
+    attempt.stages.forEach((stage) => {
+      fleet.penalize(stage.engine);
+      probeStage(stage);
+    });
+    fail(attempt, {
+      fault: 'stalled',
+      faultAt: attempt.progressAt,
+      suspects: attempt.stages.map((stage) => stage.engine),
+      sent: true,
+    });
+  };
+  const watch = (attempt: Attempt, delayMilliseconds: number): void => {
+    attempt.timer = context.schedule(delayMilliseconds, () => {
+      const dueAt = attempt.progressAt + computeStallTimeout(attempt);
+      if (context.now() >= dueAt) endStalled(attempt);
+      else watch(attempt, dueAt - context.now());
+    });
+  };
+  const choose = (start: StartAttemptOptions): readonly Stage[] | undefined => {
+    const { pool, promptTokens } = start;
+    const expectedTokens = start.maximumTokens - start.startIndex;
+    setChainCosts({
+      pool: pool.chain,
+      endpoints: pool.endpoints,
+      fleet,
+      now: context.now(),
+      nodes: options.countNodes(),
+      random: context.random,
+      promptTokens,
+      expectedTokens,
+      cachedCharacters: prefixes.recall(pool.key, start.prompt),
+      excluded: start.excluded,
+    });
+    return chooseChain({ pool: pool.chain, promptTokens, expectedTokens })?.stages;
+  };
+  const noteProgress = (attempt: Attempt): void => {
+    const { pool } = attempt.options;
+    const gap = context.now() - attempt.progressAt;
+    attempt.progressAt = context.now();
+    if (attempt.received > 0) {
+      attempt.gaps = addGap(attempt.gaps, gap);
+      pool.gaps = addGap(pool.gaps, gap);
+      return;
+    }
+    pool.firstTokens = addGap(pool.firstTokens, gap);
+    const names = attempt.stages.map((stage) => stage.engine);
+    for (const name of names) fleet.updateHealth(name, 'success', context.now());
+    prefixes.record(pool.key, attempt.options.prompt, names);
+  };
+  const takeLoads = (attempt: Attempt, line: TokenLine): void => {
+    line.loads?.forEach((load, index) => {
+      const stage = attempt.stages[index];
+      if (stage) fleet.takeLoad(stage.engine, load, context.now());
+    });
+  };
+  const endGuarded = (attempt: Attempt): void => {
+    context.emit({ kind: 'cancelRun', attempt: attempt.id });
+    const suspects = attempt.stages.map((stage) => stage.engine);
+    suspects.forEach(fleet.penalize);
+    fail(attempt, { fault: 'guarded', faultAt: context.now(), suspects, sent: true });
+  };
+  const judgeLine = (attempt: Attempt, line: TokenLine): TokenVerdict => {
+    const verdict = judge({
+      line,
+      attempt: attempt.id,
+      liveAttempt: attempt.id,
+      nextIndex: attempt.nextIndex,
+      expectedTrace: attempt.trace,
+    });
+    if (verdict !== 'deliver') context.count(DROP_COUNTERS[verdict]);
+    return verdict;
+  };
+  const acceptLines = (attempt: Attempt, lines: readonly TokenLine[]): void => {
+    const accepted: TokenLine[] = [];
+    let isBroken = false;
+    for (const line of lines) {
+      const verdict = judgeLine(attempt, line);
+      if (verdict === 'duplicate') continue;
+      isBroken = verdict !== 'deliver';
+      if (isBroken) break;
+      accepted.push(line);
+      attempt.nextIndex = line.index + 1;
+      takeLoads(attempt, line);
+    }
+    if (accepted.length > 0) noteProgress(attempt);
+    attempt.received += accepted.length;
+    const isLast = accepted.at(-1)?.last === true;
+    if (isLast) remove(attempt);
+    if (accepted.length > 0) attempt.options.onTokens(accepted);
+    if (isBroken && !isLast && attempts.has(attempt.id)) endGuarded(attempt);
+  };
+
+  return {
+    start: (start) => {
+      const stages = choose(start);
+      if (!stages) return undefined;
+      const { pool } = start;
+      const now = context.now();
+      const attempt: Attempt = {
+        id: context.nextId('attempt'),
+        options: start,
+        stages,
+        trace: formatTrace(stages),
+        startedAt: now,
+        nextIndex: start.startIndex,
+        progressAt: now,
+        received: 0,
+        gaps: pool.gaps.samples > 0 ? { ...pool.gaps, samples: 1 } : pool.gaps,
+        timer: '',
+      };
+      attempts.set(attempt.id, attempt);
+      for (const { engine } of stages) {
+        fleet.addOwn(engine, 1);
+        if (fleet.find(engine)?.circuit.state !== 'closed')
+          fleet.updateHealth(engine, 'probe', now);
+      }
+      const { model, version, adapter } = pool.served;
+      context.emit({
+        kind: 'run',
+        address: stages[0]?.address ?? '',
+        run: {
+          attempt: attempt.id,
+          route: [...stages],
+          model,
+          version,
+          adapter,
+          prompt: start.prompt,
+          startIndex: start.startIndex,
+          maximumTokens: start.maximumTokens,
+          priority: pool.selector.priority,
+        },
+      });
+      watch(attempt, computeStallTimeout(attempt));
+      return { id: attempt.id, tokenMilliseconds: computeTokenTime(pool, stages) };
+    },
+    cancel: (id) => {
+      const attempt = attempts.get(id);
+      if (!attempt) return;
+      context.emit({ kind: 'cancelRun', attempt: id });
+      remove(attempt);
+    },
+    receiveTokens: (id, lines) => {
+      const attempt = attempts.get(id);
+      if (attempt) acceptLines(attempt, lines);
+      else context.count(DROP_COUNTERS.endedAttempt);
+    },
+    receiveEnd: (id) => {
+      const attempt = attempts.get(id);
+      if (!attempt) return;
+      const suspects = attempt.stages.map((stage) => stage.engine);
+      fail(attempt, { fault: 'truncated', faultAt: context.now(), suspects, sent: true });
+    },
+    receiveFailure: ({ attempt: id, sent, engine, leaving }) => {
+      const attempt = attempts.get(id);
+      if (!attempt) return;
+      const stages = attempt.stages.map((stage) => stage.engine);
+      const isNamed = stages.includes(engine);
+      const suspects = isNamed ? [engine] : stages;
+      if (leaving && isNamed) options.onLeaving(engine);
+      else if (isNamed) fleet.updateHealth(engine, 'failure', context.now());
+      else suspects.forEach(fleet.penalize);
+      if (isNamed) prefixes.forget(engine);
+      fail(attempt, { fault: sent ? 'died' : 'refused', faultAt: context.now(), suspects, sent });
+    },
+    count: () => attempts.size,
+  };
+}
--- /dev/null
+++ b/src/request/createBookings/index.ts
@@ -0,0 +1,332 @@
+/**
+ * Calls that may not be repeated: at most one send for each client account and idempotency key.
+ */
+import { MAXIMUM_STORED_ANSWER_BYTES } from '../../constants/index.js';
+import type { NodeContext } from '../../process/node/createContext/index.js';
+import type { ResultCodeName } from '../../process/resultCodes/index.js';
+import type { PlatformResult } from '../../types/platform/index.js';
+import { nameJournalKey, type Journal } from '../createJournal/index.js';
+import type { ServiceCall, ServiceCalls, ServiceOutcome } from '../createServiceCalls/index.js';
+import {
+  decideIntent,
+  readJournalRecord,
+  type IntentDecision,
+  type JournalRecord,
+} from '../decideIntent/index.js';
+
+/** How a booking ended, as the caller is told. */
+export type BookingEnd =
+  | {
+      readonly kind: 'answer';
+      readonly status: number;
+      readonly contentType: string;
+      readonly body: string;
+    }
+  | { readonly kind: 'error'; readonly code: ResultCodeName; readonly message?: string };
+
+/** A booking as a caller asks for it. */
+export interface Booking {
+  readonly account: string;
+  readonly idempotencyKey: string;
+  /** Digest of method, path and body. */
+  readonly digest: string;
+  readonly call: ServiceCall;
+}
+
+/** State of a booking on the node that runs it. */
+export type BookingState =
+  | { readonly state: 'running' | 'absent' }
+  | { readonly state: 'answered'; readonly status: number; readonly body: string };
+
+/** Options of {@link createBookings}. */
+export interface CreateBookingsOptions {
+  readonly context: NodeContext;
+  readonly journal: Journal;
+  readonly services: ServiceCalls;
+  /** Asks the node that wrote an intent for its state; undefined when it cannot say. */
+  readonly askOwner: (
+    record: JournalRecord,
+    bookingKey: string,
+    done: (state: BookingState | undefined) => void,
+  ) => void;
+  readonly decide?: typeof decideIntent;
+}
+
+/** The bookings of one node. */
+export interface Bookings {
+  readonly run: (booking: Booking, done: (end: BookingEnd) => void) => void;
+  /** State of a booking on this node, by journal key. */
+  readonly inspect: (bookingKey: string) => BookingState;
+  readonly count: () => number;
+}
+
+interface Running {
+  readonly key: string;
+  readonly booking: Booking;
+  readonly attempt: string;
+  readonly waiters: ((end: BookingEnd) => void)[];
+  settleTries: number;
+}
+
+const LARGEST_SETTLE_TRIES = 3;
+const SETTLE_DELAY_MILLISECONDS = 100;
+const JOIN_DELAY_MILLISECONDS = 200;
+const ABANDON_DELAY_MILLISECONDS = 1_000;
+const LARGEST_ABANDON_TRIES = 300;
+const RECENT_ANSWERS = 1_024;
+const CONFIRM_MILLISECONDS = 1_000;
+
+/**
+ * Creates the bookings of one node.
+ *
+ * Before a call is sent, its intent has to be durable in the platform's service; the attempt that
+ * wrote the intent alone sends the call, once. An attempt that will never send replaces its intent
+ * by `abandoned`, so that a retry with the same key can run.
+ *
+ * @param options - the node's context, journal and service calls
+ * @returns the bookings
+ * @example
+ * createBookings({ context, journal, services, askOwner }).run(booking, (end) => answer(end));
+ */
+export function createBookings(options: CreateBookingsOptions): Bookings {
+  const { context, journal, services, decide = decideIntent } = options;
+  const running = new Map<string, Running>();
+  const recent = new Map<string, Extract<BookingState, { state: 'answered' }>>();
+
+  const createRecord = (
+    active: Running,
+    state: JournalRecord['state'],
+    outcome: Partial<JournalRecord> = {},
+  ): JournalRecord => ({
+    attempt: active.attempt,
+    node: context.node,
+    incarnation: context.incarnation,
+    digest: active.booking.digest,
+    state,
+    status: 0,
+    contentType: '',
+    body: '',
+    ...outcome,
+  });
+  const end = (active: Running, result: BookingEnd): void => {
+    if (running.get(active.key) === active) running.delete(active.key);
+    for (const waiter of active.waiters.splice(0)) waiter(result);
+  };
+  const endWith = (active: Running, code: ResultCodeName): void => {
+    context.count(`bookings_${code}`);
+    end(active, { kind: 'error', code });
+  };
+  const isExpired = (active: Running): boolean => context.now() >= active.booking.call.deadlineAt;
+
+  const remember = (key: string, status: number, body: string): void => {
+    recent.set(key, { state: 'answered', status, body });
+    const [oldest] = recent.keys();
+    if (recent.size > RECENT_ANSWERS && oldest !== undefined) recent.delete(oldest);
+  };
+  /** Makes sure that a retry may run: replaces this attempt's intent, wherever it stands. */
+  const abandon = (active: Running, tries = 0): void => {
+    const again = (): void => {
+      if (tries >= LARGEST_ABANDON_TRIES) return;
+      context.schedule(ABANDON_DELAY_MILLISECONDS, () => {
+        abandon(active, tries + 1);
+      });
+    };
+    const write = (expectedRevision: number): void => {
+      journal.swap({
+        key: active.key,
+        record: createRecord(active, 'abandoned'),
+        expectedRevision,
+        done: (result) => {
+          if (result.kind !== 'swapped') again();
+        },
+      });
+    };
+    journal.read(active.key, (result) => {
+      if (result.kind !== 'entry') {
+        again();
+        return;
+      }
+      if (!result.entry) {
+        write(0);
+        return;
+      }
+      const record = readJournalRecord(result.entry.value);
+      if (record?.attempt !== active.attempt || record.state !== 'intent') return;
+      write(result.entry.revision);
+    });
+  };
+  const refuse = (active: Running, code: ResultCodeName): void => {
+    abandon(active);
+    endWith(active, code);
+  };
+
+  const storeOutcome = (
+    active: Running,
+    revision: number,
+    record: JournalRecord,
+    done: () => void,
+  ): void => {
+    let isDone = false;
+    const finish = (): void => {
+      if (isDone) return;
+      isDone = true;
+      done();
+    };
+    const timer = context.schedule(CONFIRM_MILLISECONDS, finish);
+    journal.settle({
+      key: active.key,
+      record,
+      expectedRevision: revision,
+      done: () => {
+        context.cancel(timer);
+        finish();
+      },
+    });
+  };
+  const takeOutcome = (active: Running, revision: number, outcome: ServiceOutcome): void => {
+    if (outcome.kind === 'notSent') {
+      refuse(active, 'noEndpoint');
+      return;
+    }
+    if (outcome.kind === 'unknown') {
+      storeOutcome(active, revision, createRecord(active, 'unknown'), () => {
+        endWith(active, 'outcomeUnknown');
+      });
+      return;
+    }
+    const { status, contentType, body } = outcome;
+    const isStored = Buffer.byteLength(body) <= MAXIMUM_STORED_ANSWER_BYTES;
+    const stored = { status, contentType, body: isStored ? body : '' };
+    remember(active.key, status, stored.body);
+    storeOutcome(active, revision, createRecord(active, 'answered', stored), () => {
+      context.count('bookings_answered');
+      end(active, { kind: 'answer', status, contentType, body });
+    });
+  };
+  const send = (active: Running, revision: number): void => {
+    if (isExpired(active)) {
+      refuse(active, 'overloaded');
+      return;
+    }
+    services.send(active.booking.call, (outcome) => {
+      takeOutcome(active, revision, outcome);
+    });
+  };
+  const readBack = (active: Running): void => {
+    active.settleTries += 1;
+    if (active.settleTries > LARGEST_SETTLE_TRIES || isExpired(active)) {
+      refuse(active, 'storeUnavailable');
+      return;
+    }
+    context.schedule(SETTLE_DELAY_MILLISECONDS * active.settleTries, () => {
+      journal.read(active.key, (result) => {
+        follow(active, result);
+      });
+    });
+  };
+  const join = (active: Running, record: JournalRecord): void => {
+    options.askOwner(record, active.key, (state) => {
+      if (state?.state === 'answered') {
+        const { status, body } = state;
+        end(active, { kind: 'answer', status, contentType: 'application/json', body });
+        return;
+      }
+      if (state?.state !== 'running' || isExpired(active)) {
+        readOnce(active);
+        return;
+      }
+      context.schedule(JOIN_DELAY_MILLISECONDS, () => {
+        join(active, record);
+      });
+    });
+  };
+  /** The owner cannot say: the stored record decides, and an intent that stands is in doubt. */
+  const readOnce = (active: Running): void => {
+    journal.read(active.key, (result) => {
+      const { attempt, booking } = active;
+      const decision = decide({ result, attempt, digest: booking.digest });
+      if (decision.kind === 'replay') replay(active, decision.record);
+      else if (decision.kind === 'claim') claim(active, decision.expectedRevision);
+      else endWith(active, 'outcomeUnknown');
+    });
+  };
+  const replay = (active: Running, record: JournalRecord): void => {
+    context.count('bookings_replayed');
+    const { status, contentType, body } = record;
+    end(active, { kind: 'answer', status, contentType, body });
+  };
+  const HANDLERS: {
+    [Kind in IntentDecision['kind']]: (
+      active: Running,
+      decision: Extract<IntentDecision, { kind: Kind }>,
+    ) => void;
+  } = {
+    send: (active, { revision }) => {
+      send(active, revision);
+    },
+    claim: (active, { expectedRevision }) => {
+      claim(active, expectedRevision);
+    },
+    readBack: (active) => {
+      readBack(active);
+    },
+    keyReused: (active) => {
+      endWith(active, 'keyReused');
+    },
+    replay: (active, { record }) => {
+      replay(active, record);
+    },
+    join: (active, { record }) => {
+      join(active, record);
+    },
+    unknown: (active) => {
+      endWith(active, 'outcomeUnknown');
+    },
+    notRun: (active) => {
+      if (active.settleTries === 0) endWith(active, 'storeUnavailable');
+      else readBack(active);
+    },
+  };
+  const follow = (active: Running, result: PlatformResult): void => {
+    const { attempt, booking } = active;
+    const decision = decide({ result, attempt, digest: booking.digest });
+    const handler = HANDLERS[decision.kind] as (running: Running, next: IntentDecision) => void;
+    handler(active, decision);
+  };
+  const claim = (active: Running, expectedRevision: number): void => {
+    if (isExpired(active)) {
+      refuse(active, 'overloaded');
+      return;
+    }
+    journal.swap({
+      key: active.key,
+      record: createRecord(active, 'intent'),
+      expectedRevision,
+      done: (result) => {
+        follow(active, result);
+      },
+    });
+  };
+
+  return {
+    run: (booking, done) => {
+      const key = nameJournalKey(booking.account, booking.idempotencyKey);
+      const present = running.get(key);
+      if (present) {
+        if (present.booking.digest === booking.digest) present.waiters.push(done);
+        else done({ kind: 'error', code: 'keyReused' });
+        return;
+      }
+      const attempt = context.nextId('booking');
+      const active: Running = { key, booking, attempt, waiters: [done], settleTries: 0 };
+      running.set(key, active);
+      claim(active, 0);
+    },
+    inspect: (bookingKey) => {
+      const answered = recent.get(bookingKey);
+      if (answered) return answered;
+      return { state: running.has(bookingKey) ? 'running' : 'absent' };
+    },
+    count: () => running.size,
+  };
+}
--- /dev/null
+++ b/src/request/createPools/index.ts
@@ -0,0 +1,122 @@
+/**
+ * Pools of engines: one for each selector and model variant in use.
+ */
+import { EMPTY_GAP_ESTIMATE, type GapEstimate } from '../../connection/estimateGap/index.js';
+import type { Endpoint, Fleet } from '../../connection/createFleet/index.js';
+import type { Selector, Served } from '../../types/configuration/index.js';
+import { matchLabels } from '../../version/matchLabels/index.js';
+import { buildChainPool, type ChainPool, type LinkCost } from '../buildChainPool/index.js';
+import { createPoolGate, type PoolGate } from '../createPoolGate/index.js';
+import { createRetryBudget, type RetryBudget } from '../createRetryBudget/index.js';
+
+/** A model variant as a selector serves it. */
+export type ServedModel = Extract<Served, { kind: 'model' }>;
+
+/** Engines that serve one model variant to one selector, with their limits and estimates. */
+export interface Pool {
+  readonly key: string;
+  readonly selector: Selector;
+  readonly served: ServedModel;
+  readonly gate: PoolGate;
+  readonly budget: RetryBudget;
+  /** Estimate of the time between tokens over all answers of the pool. */
+  gaps: GapEstimate;
+  /** Estimate of the time to the first token over all answers of the pool. */
+  firstTokens: GapEstimate;
+  epoch: number;
+  chain: ChainPool;
+  endpoints: readonly Endpoint[];
+}
+
+/** Options of {@link createPools}. */
+export interface CreatePoolsOptions {
+  readonly fleet: Fleet;
+  readonly availabilityZone: string;
+  readonly findLink: (fromZone: string, toZone: string) => LinkCost;
+}
+
+/** The pools of one node. */
+export interface Pools {
+  readonly find: (selector: Selector, served: ServedModel) => Pool;
+  readonly list: () => Pool[];
+}
+
+/** Tells whether an engine holds a model variant. */
+function holdsVariant(endpoint: Endpoint, served: ServedModel): boolean {
+  const { report } = endpoint;
+  if (endpoint.kind !== 'engine' || !report || report.loading) return false;
+  if (report.model !== served.model || report.version !== served.version) return false;
+  return served.adapter === '' || report.adapters.includes(served.adapter);
+}
+
+function buildChain(
+  options: CreatePoolsOptions,
+  served: ServedModel,
+  endpoints: readonly Endpoint[],
+): ChainPool {
+  return buildChainPool({
+    layers: served.layers,
+    homeZone: options.availabilityZone,
+    findLink: options.findLink,
+    engines: endpoints.map(({ name, vm, report }) => ({
+      name,
+      address: vm.address,
+      from: report?.from ?? 0,
+      to: report?.to ?? 0,
+      availabilityZone: vm.availabilityZone,
+      layersPerSecond: report?.layersPerSecond ?? 1,
+    })),
+  });
+}
+
+/**
+ * Creates the pools of one node.
+ *
+ * A pool's tables are rebuilt when the fleet's epoch has changed; its limits and estimates last.
+ *
+ * @param options - the fleet, the node's availability zone, and the links between zones
+ * @returns the pools
+ * @example
+ * createPools({ fleet, availabilityZone, findLink }).find(selector, served).chain;
+ */
+export function createPools(options: CreatePoolsOptions): Pools {
+  const pools = new Map<string, Pool>();
+  const listEndpoints = (selector: Selector, served: ServedModel): Endpoint[] =>
+    options.fleet.list().filter((endpoint) => {
+      const { report } = endpoint;
+      if (!report || report.from >= report.to || report.to > served.layers) return false;
+      return holdsVariant(endpoint, served) && matchLabels(selector.endpoints, endpoint.labels);
+    });
+  const refresh = (pool: Pool): Pool => {
+    const epoch = options.fleet.epoch();
+    if (pool.epoch === epoch) return pool;
+    pool.epoch = epoch;
+    pool.endpoints = listEndpoints(pool.selector, pool.served);
+    pool.chain = buildChain(options, pool.served, pool.endpoints);
+    return pool;
+  };
+  return {
+    find: (selector, served) => {
+      const { model, version, adapter, layers } = served;
+      const scope = JSON.stringify(selector.endpoints);
+      const key = `${selector.name}/${model}/${version}/${adapter}/${layers.toString()}/${scope}`;
+      const present = pools.get(key);
+      if (present) return refresh(present);
+      const pool: Pool = {
+        key,
+        selector,
+        served,
+        gate: createPoolGate({ tolerance: selector.weigh === 'throughput' ? 4 : 2 }),
+        budget: createRetryBudget(),
+        gaps: EMPTY_GAP_ESTIMATE,
+        firstTokens: EMPTY_GAP_ESTIMATE,
+        epoch: 0,
+        chain: buildChain(options, served, []),
+        endpoints: [],
+      };
+      pools.set(key, pool);
+      return refresh(pool);
+    },
+    list: () => [...pools.values()],
+  };
+}
--- /dev/null
+++ b/src/request/createPrefixMemory/index.ts
@@ -0,0 +1,76 @@
+/**
+ * Memory of the engines that lately ran a prompt's prefix.
+ */
+import { hashText } from '../../process/hashRendezvous/index.js';
+
+/** Which engines are likely to hold the cached prefix of a prompt. */
+export interface PrefixMemory {
+  /** Returns the number of prompt characters that each engine is likely to have cached. */
+  readonly recall: (scope: string, prompt: string) => ReadonlyMap<string, number>;
+  readonly record: (scope: string, prompt: string, engines: readonly string[]) => void;
+  readonly forget: (engine: string) => void;
+}
+
+const BLOCK_CHARACTERS = 64;
+const LARGEST_BLOCKS = 64;
+const ENGINES_PER_BLOCK = 12;
+
+function listBlocks(scope: string, prompt: string): number[] {
+  const count = Math.min(Math.floor(prompt.length / BLOCK_CHARACTERS), LARGEST_BLOCKS);
+  const blocks: number[] = [];
+  let hash = hashText(scope);
+  for (let index = 0; index < count; index += 1) {
+    const block = prompt.slice(index * BLOCK_CHARACTERS, (index + 1) * BLOCK_CHARACTERS);
+    hash = hashText(`${hash.toString(36)}/${block}`);
+    blocks.push(hash);
+  }
+  return blocks;
+}
+
+/**
+ * Creates an empty memory.
+ *
+ * Prompts are cut into blocks; each block's hash covers all blocks before it. The memory keeps the
+ * engines that last ran each block, up to a number of blocks, oldest forgotten first. It needs no
+ * cache events, which come late and with gaps.
+ *
+ * @param capacity - largest number of blocks kept
+ * @returns the memory
+ * @example
+ * createPrefixMemory(4096).recall('fit-assistant', prompt).get('engine-1');
+ */
+export function createPrefixMemory(capacity: number): PrefixMemory {
+  const blocks = new Map<number, readonly string[]>();
+  return {
+    recall: (scope, prompt) => {
+      const recalled = new Map<string, number>();
+      for (const [index, hash] of listBlocks(scope, prompt).entries()) {
+        const engines = blocks.get(hash);
+        if (!engines) break;
+        for (const engine of engines) recalled.set(engine, (index + 1) * BLOCK_CHARACTERS);
+      }
+      return recalled;
+    },
+    record: (scope, prompt, engines) => {
+      for (const hash of listBlocks(scope, prompt)) {
+        const known = blocks.get(hash) ?? [];
+        const merged = [...new Set([...engines, ...known])].slice(0, ENGINES_PER_BLOCK);
+        blocks.delete(hash);
+        blocks.set(hash, merged);
+      }
+      for (const hash of blocks.keys()) {
+        if (blocks.size <= capacity) break;
+        blocks.delete(hash);
+      }
+    },
+    forget: (engine) => {
+      for (const [hash, engines] of blocks) {
+        if (!engines.includes(engine)) continue;
+        blocks.set(
+          hash,
+          engines.filter((name) => name !== engine),
+        );
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/request/createRateLimiter/index.ts
@@ -0,0 +1,126 @@
+/**
+ * Limits on the requests of client accounts.
+ */
+import { shareLimit } from '../shareLimit/index.js';
+
+/** Options of {@link RateLimiter.admit}. */
+export interface AdmitOptions {
+  readonly account: string;
+  /** Limit over all nodes, in requests a second. */
+  readonly limit: number;
+  readonly homeNodes: number;
+  readonly now: number;
+}
+
+/** Demand on one node, as gossip spreads it. */
+export interface Demand {
+  readonly account: string;
+  readonly requestsPerSecond: number;
+}
+
+/** Limits of the client accounts that use a node. */
+export interface RateLimiter {
+  /** Returns 0 when the request is admitted, else the time to wait, in milliseconds. */
+  readonly admit: (options: AdmitOptions) => number;
+  readonly takePeerDemand: (node: string, demand: Demand, now: number) => void;
+  /** Lists the demand of limited accounts on this node. */
+  readonly listDemands: (now: number) => Demand[];
+}
+
+interface Bucket {
+  tokens: number;
+  filledAt: number;
+  demand: number;
+  demandAt: number;
+  arrivals: number;
+  readonly peers: Map<string, { readonly rate: number; readonly at: number }>;
+}
+
+const DEMAND_WINDOW_MILLISECONDS = 1_000;
+const DEMAND_WEIGHT = 0.5;
+const FORGET_MILLISECONDS = 6_000;
+const BURST_SECONDS = 0.5;
+
+function foldDemand(bucket: Bucket, now: number): void {
+  const elapsed = now - bucket.demandAt;
+  if (elapsed < DEMAND_WINDOW_MILLISECONDS) return;
+  const rate = (bucket.arrivals * 1_000) / elapsed;
+  bucket.demand =
+    bucket.demand === 0 ? rate : bucket.demand + DEMAND_WEIGHT * (rate - bucket.demand);
+  if (bucket.demand < 0.01) bucket.demand = 0;
+  bucket.arrivals = 0;
+  bucket.demandAt = now;
+}
+
+function computeRate(bucket: Bucket, options: AdmitOptions): number {
+  const peerDemands = [...bucket.peers.values()]
+    .filter(({ at }) => options.now - at < FORGET_MILLISECONDS)
+    .map(({ rate }) => rate);
+  return shareLimit({
+    limit: options.limit,
+    ownDemand: bucket.demand,
+    peerDemands,
+    initialShare: 1 / Math.max(1, options.homeNodes),
+  });
+}
+
+/**
+ * Creates the limits of one node.
+ *
+ * Each account has a token bucket filled at this node's part of its limit; the part follows the
+ * demand on every node that the account uses, which nodes tell each other by gossip.
+ *
+ * @returns the limiter
+ * @example
+ * const limiter = createRateLimiter();
+ * limiter.admit({ account: 'kiosk', limit: 10, homeNodes: 3, now: 0 }); // 0
+ */
+export function createRateLimiter(): RateLimiter {
+  const buckets = new Map<string, Bucket>();
+  const find = (account: string, now: number): Bucket => {
+    const present = buckets.get(account);
+    if (present) return present;
+    const created: Bucket = {
+      tokens: 1,
+      filledAt: now,
+      demand: 0,
+      demandAt: now,
+      arrivals: 0,
+      peers: new Map(),
+    };
+    buckets.set(account, created);
+    return created;
+  };
+
+  return {
+    admit: (options) => {
+      if (options.limit === Infinity) return 0;
+      const { account, now } = options;
+      const bucket = find(account, now);
+      foldDemand(bucket, now);
+      bucket.arrivals += 1;
+      const rate = computeRate(bucket, options);
+      const filled = bucket.tokens + (rate * (now - bucket.filledAt)) / 1_000;
+      bucket.tokens = Math.min(filled, Math.max(1, rate * BURST_SECONDS));
+      bucket.filledAt = now;
+      if (bucket.tokens < 1) return ((1 - bucket.tokens) * 1_000) / rate;
+      bucket.tokens -= 1;
+      return 0;
+    },
+    takePeerDemand: (node, demand, now) => {
+      const { peers } = find(demand.account, now);
+      if (demand.requestsPerSecond === 0) peers.delete(node);
+      else peers.set(node, { rate: demand.requestsPerSecond, at: now });
+    },
+    listDemands: (now) => {
+      const demands: Demand[] = [];
+      for (const [account, bucket] of buckets) {
+        foldDemand(bucket, now);
+        if (bucket.demand === 0 && bucket.peers.size === 0) buckets.delete(account);
+        if (bucket.demand === 0) continue;
+        demands.push({ account, requestsPerSecond: Math.round(bucket.demand * 100) / 100 });
+      }
+      return demands;
+    },
+  };
+}
--- /dev/null
+++ b/src/request/createRetryBudget/index.ts
@@ -0,0 +1,46 @@
+/**
+ * Budget of retries for one pool.
+ */
+
+/** Budget that paces retries. */
+export interface RetryBudget {
+  readonly addRequest: () => void;
+  /** Takes one retry; returns 0 when it may start now, else the time to wait in milliseconds. */
+  readonly take: (now: number) => number;
+}
+
+const RETRIES_PER_REQUEST = 0.1;
+const LARGEST_RESERVE = 100;
+const INITIAL_RESERVE = 20;
+const LEAST_RETRIES_PER_SECOND = 2;
+
+/**
+ * Creates a retry budget.
+ *
+ * Every request earns a tenth of a retry, so that a fault raises the offered load by a tenth at the
+ * most once the reserve is used. A trickle keeps answers that have begun from waiting without end.
+ *
+ * @returns the budget
+ * @example
+ * createRetryBudget().take(0); // 0
+ */
+export function createRetryBudget(): RetryBudget {
+  let reserve = INITIAL_RESERVE;
+  let trickleAt = 0;
+  return {
+    addRequest: () => {
+      reserve = Math.min(LARGEST_RESERVE, reserve + RETRIES_PER_REQUEST);
+    },
+    take: (now) => {
+      if (reserve >= 1) {
+        reserve -= 1;
+        return 0;
+      }
+      if (now >= trickleAt) {
+        trickleAt = now + 1_000 / LEAST_RETRIES_PER_SECOND;
+        return 0;
+      }
+      return trickleAt - now;
+    },
+  };
+}
--- /dev/null
+++ b/src/request/createTickets/index.ts
@@ -0,0 +1,129 @@
+/**
+ * Tickets: idempotency keys that only the incarnation of the node that minted them may run.
+ *
+ * A call under a ticket needs no durable intent, so it can run while the platform is out: a ticket
+ * that outlives its incarnation can never run again.
+ */
+import { createHmac } from 'node:crypto';
+import type { NodeContext } from '../../process/node/createContext/index.js';
+import type { Booking, BookingEnd } from '../createBookings/index.js';
+import { equalsInConstantTime } from '../authorizeCaller/index.js';
+import type { ServiceCalls } from '../createServiceCalls/index.js';
+
+/** A ticket that has been read. */
+export interface Ticket {
+  readonly node: string;
+  readonly incarnation: number;
+  readonly sequence: string;
+  readonly signature: string;
+}
+
+/** Options of {@link createTickets}. */
+export interface CreateTicketsOptions {
+  readonly context: NodeContext;
+  readonly services: ServiceCalls;
+  /** Secret of this incarnation, known to no other process. */
+  readonly secret: string;
+}
+
+/** The tickets of one incarnation. */
+export interface Tickets {
+  readonly mint: (account: string, count: number) => string[];
+  /** Runs a call under a ticket of this incarnation, once. */
+  readonly run: (ticket: Ticket, booking: Booking, done: (end: BookingEnd) => void) => void;
+}
+
+interface Used {
+  readonly digest: string;
+  end: BookingEnd | undefined;
+  readonly waiters: ((end: BookingEnd) => void)[];
+}
+
+const TICKET = /^ticket~([A-Za-z0-9._-]+)~([0-9a-z]+)~([0-9a-z]+)~([0-9a-f]{32})$/;
+const RADIX = 36;
+
+/**
+ * Reads a ticket.
+ *
+ * @param idempotencyKey - a caller's idempotency key
+ * @returns the ticket, or undefined when the key is not one
+ * @example
+ * readTicket('booking-1'); // undefined
+ */
+export function readTicket(idempotencyKey: string): Ticket | undefined {
+  const [, node, incarnation, sequence, signature] = TICKET.exec(idempotencyKey) ?? [];
+  if (node === undefined || sequence === undefined || signature === undefined) return undefined;
+  return { node, incarnation: Number.parseInt(incarnation ?? '0', RADIX), sequence, signature };
+}
+
+/**
+ * Creates the tickets of one incarnation.
+ *
+ * The table of used tickets lives and ends with the incarnation, as the tickets do. It is bounded
+ * by the tickets minted: a ticket that is not in the table and verifies has not been used.
+ *
+ * @param options - the node's context, its service calls and the incarnation's secret
+ * @returns the tickets
+ * @example
+ * const [ticket] = createTickets({ context, services, secret }).mint('kiosk', 1);
+ */
+export function createTickets(options: CreateTicketsOptions): Tickets {
+  const { context, services, secret } = options;
+  const used = new Map<string, Used>();
+  let sequence = 0;
+
+  const sign = (account: string, number: string): string =>
+    createHmac('sha256', secret).update(`${account}/${number}`).digest('hex').slice(0, 32);
+  const finish = (entry: Used, end: BookingEnd): void => {
+    entry.end = end;
+    for (const waiter of entry.waiters.splice(0)) waiter(end);
+  };
+  const send = (entry: Used, booking: Booking): void => {
+    services.send(booking.call, (outcome) => {
+      if (outcome.kind === 'reply') {
+        finish(entry, { ...outcome, kind: 'answer' });
+        return;
+      }
+      const code = outcome.kind === 'notSent' ? 'noEndpoint' : 'outcomeUnknown';
+      finish(entry, { kind: 'error', code });
+    });
+  };
+
+  return {
+    mint: (account, count) =>
+      Array.from({ length: count }, () => {
+        sequence += 1;
+        const number = sequence.toString(RADIX);
+        const incarnation = context.incarnation.toString(RADIX);
+        return `ticket~${context.node}~${incarnation}~${number}~${sign(account, number)}`;
+      }),
+    run: (ticket, booking, done) => {
+      const isOwn = ticket.node === context.node && ticket.incarnation === context.incarnation;
+      const isSigned = equalsInConstantTime(
+        ticket.signature,
+        sign(booking.account, ticket.sequence),
+      );
+      if (!isOwn || !isSigned) {
+        done({ kind: 'error', code: 'outcomeUnknown' });
+        return;
+      }
+      const present = used.get(ticket.sequence);
+      if (present && present.digest !== booking.digest) {
+        done({ kind: 'error', code: 'keyReused' });
+        return;
+      }
+      const isRetryable = present?.end?.kind === 'error' && present.end.code === 'noEndpoint';
+      if (present?.end && !isRetryable) {
+        done(present.end);
+        return;
+      }
+      if (present && !present.end) {
+        present.waiters.push(done);
+        return;
+      }
+      const entry: Used = { digest: booking.digest, end: undefined, waiters: [done] };
+      used.set(ticket.sequence, entry);
+      send(entry, booking);
+    },
+  };
+}
--- /dev/null
+++ b/src/request/listAddresses/index.ts
@@ -0,0 +1,62 @@
+/**
+ * The answer that tells callers which nodes to use.
+ */
+import { rankRendezvous } from '../../process/hashRendezvous/index.js';
+import type { Member } from '../../types/peer/index.js';
+
+/** One node that a caller may use. */
+export interface CallerAddress {
+  readonly address: string;
+  readonly availabilityZone: string;
+  readonly weight: number;
+}
+
+/** The answer to a caller that asks for addresses. */
+export interface AddressAnswer {
+  readonly version: number;
+  readonly expiresInSeconds: number;
+  readonly addresses: readonly CallerAddress[];
+}
+
+/** Options of {@link listAddresses}. */
+export interface ListAddressesOptions {
+  readonly account: string;
+  readonly homeNodes: number;
+  readonly members: readonly Member[];
+  /** Availability zone of the caller, as far as it is known. */
+  readonly availabilityZone: string;
+  readonly revision: number;
+  readonly expiresInSeconds: number;
+}
+
+const NEAR_WEIGHT = 100;
+const FAR_WEIGHT = 50;
+
+/**
+ * Lists the nodes that a client account should use.
+ *
+ * Rendezvous hashing gives an account the same few home nodes for as long as they live; home nodes
+ * in the caller's availability zone come first. Nodes that leave or are suspected are left out.
+ *
+ * @param options - the account, the members as this node sees them, and the expiry in seconds
+ * @returns the answer
+ * @example
+ * listAddresses({ account: 'kiosk', homeNodes: 3, members, availabilityZone: 'mission', revision: 4, expiresInSeconds: 30 });
+ */
+export function listAddresses(options: ListAddressesOptions): AddressAnswer {
+  const { account, homeNodes, availabilityZone, revision, expiresInSeconds } = options;
+  const alive = new Map(
+    options.members
+      .filter((member) => member.state === 'alive')
+      .map((member) => [member.node, member]),
+  );
+  const homes = rankRendezvous(account, [...alive.keys()]).slice(0, Math.max(1, homeNodes));
+  const isNear = (node: string): boolean => alive.get(node)?.availabilityZone === availabilityZone;
+  const ordered = [...homes.filter(isNear), ...homes.filter((node) => !isNear(node))];
+  const addresses = ordered.map((node) => ({
+    address: alive.get(node)?.callerAddress ?? '',
+    availabilityZone: alive.get(node)?.availabilityZone ?? '',
+    weight: isNear(node) ? NEAR_WEIGHT : FAR_WEIGHT,
+  }));
+  return { version: revision, expiresInSeconds, addresses };
+}
--- /dev/null
+++ b/src/request/setChainCosts/index.ts
@@ -0,0 +1,69 @@
+/**
+ * Costs of engines for one chain choice.
+ */
+import type { Endpoint, Fleet } from '../../connection/createFleet/index.js';
+import type { Random } from '../../process/createRandom/index.js';
+import type { ChainPool } from '../buildChainPool/index.js';
+
+/** Options of {@link setChainCosts}. */
+export interface SetChainCostsOptions {
+  readonly pool: ChainPool;
+  /** Endpoints in the order of the pool's engines. */
+  readonly endpoints: readonly Endpoint[];
+  readonly fleet: Pick<Fleet, 'estimate' | 'isUsable'>;
+  readonly now: number;
+  /** Number of nodes that choose engines. */
+  readonly nodes: number;
+  readonly random: Random;
+  readonly promptTokens: number;
+  readonly expectedTokens: number;
+  /** Characters of the prompt that an engine is likely to have cached, by engine. */
+  readonly cachedCharacters: ReadonlyMap<string, number>;
+  readonly excluded: ReadonlySet<string>;
+  /** Part by which costs are varied at random, so that nodes do not choose alike. */
+  readonly jitter?: number;
+}
+
+/** Number of prompt tokens that an engine processes in the time of one generated token. */
+const PROMPT_TOKENS_PER_STEP = 32;
+
+/** Active sequences that double the time of a step. */
+const SEQUENCES_DOUBLING_STEP = 2;
+
+/** Characters of text in one token, on average. */
+const CHARACTERS_PER_TOKEN = 4;
+
+const DEFAULT_JITTER = 0.05;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/**
+ * Sets the costs that a chain choice reads.
+ *
+ * A layer costs its time on the accelerator, slowed by the load there, for each token to generate
+ * and for each prompt token that is not cached. Unusable and excluded engines cost infinity.
+ *
+ * @param options - the pool, what is known of its engines, and the size of the request
+ * @returns nothing; `entryCost` and `layerCost` of the pool are overwritten
+ * @example
+ * setChainCosts({ pool, endpoints, fleet, now, nodes: 6, random, promptTokens: 100, expectedTokens: 64, cachedCharacters: new Map(), excluded: new Set() });
+ */
+export function setChainCosts(options: SetChainCostsOptions): void {
+  const { pool, endpoints, fleet, now, random, excluded } = options;
+  const jitter = options.jitter ?? DEFAULT_JITTER;
+  for (let index = 0; index < endpoints.length; index += 1) {
+    const endpoint = endpoints[index];
+    const engine = pool.engines[index];
+    pool.entryCost[index] = 0;
+    pool.layerCost[index] = Infinity;
+    if (!endpoint || !engine || excluded.has(endpoint.name)) continue;
+    if (!fleet.isUsable(endpoint, now)) continue;
+    const load = fleet.estimate(endpoint, now, options.nodes);
+    const cached = (options.cachedCharacters.get(endpoint.name) ?? 0) / CHARACTERS_PER_TOKEN;
+    const uncached = Math.max(0, options.promptTokens - cached);
+    const steps = options.expectedTokens + uncached / PROMPT_TOKENS_PER_STEP;
+    const slowdown = 1 + load / SEQUENCES_DOUBLING_STEP;
+    const variation = 1 + jitter * (2 * random() - 1);
+    const layerMilliseconds = MILLISECONDS_PER_SECOND / engine.layersPerSecond;
+    pool.layerCost[index] = layerMilliseconds * steps * slowdown * endpoint.penalty * variation;
+  }
+}
--- /dev/null
+++ b/src/types/peer/index.ts
@@ -0,0 +1,102 @@
+/**
+ * Schemas and types of the messages between the system's own nodes.
+ */
+import { z } from 'zod';
+import { headSchema } from '../configuration/index.js';
+
+/** State of a member as its peers see it. */
+export const memberStateSchema = z.enum(['alive', 'leaving', 'suspect', 'dead']);
+export type MemberState = z.infer<typeof memberStateSchema>;
+
+/** What is known of one node. The higher incarnation wins; within one, the worse state wins. */
+export const memberSchema = z.object({
+  node: z.string(),
+  incarnation: z.number(),
+  state: memberStateSchema,
+  peerAddress: z.string(),
+  callerAddress: z.string(),
+  availabilityZone: z.string(),
+  revision: z.number().default(0),
+});
+export type Member = z.infer<typeof memberSchema>;
+
+/** A versioned fact spread by gossip; the higher version wins. */
+export const factSchema = z.object({
+  key: z.string(),
+  version: z.number(),
+  value: z.string(),
+});
+export type Fact = z.infer<typeof factSchema>;
+
+const packet = {
+  from: z.string(),
+  revision: z.number(),
+  members: z.array(memberSchema),
+  facts: z.array(factSchema),
+};
+
+/** Every message between nodes. */
+export const peerMessageSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('ping'), sequence: z.number(), digest: z.number(), ...packet }),
+  z.object({ kind: z.literal('ack'), sequence: z.number(), digest: z.number(), ...packet }),
+  z.object({
+    kind: z.literal('indirectPing'),
+    sequence: z.number(),
+    target: z.string(),
+    ...packet,
+  }),
+  z.object({ kind: z.literal('synchronize'), answer: z.boolean(), ...packet }),
+  z.object({
+    kind: z.literal('configurationRequest'),
+    from: z.string(),
+    known: z.array(z.string()),
+  }),
+  z.object({
+    kind: z.literal('configurationOffer'),
+    from: z.string(),
+    offer: z.string(),
+    head: headSchema,
+    shards: z.array(z.object({ digest: z.string(), text: z.string() })),
+  }),
+  z.object({ kind: z.literal('configurationTaken'), from: z.string(), offer: z.string() }),
+  z.object({
+    kind: z.literal('bookingQuery'),
+    from: z.string(),
+    query: z.string(),
+    bookingKey: z.string(),
+  }),
+  z.object({
+    kind: z.literal('bookingAnswer'),
+    from: z.string(),
+    query: z.string(),
+    state: z.enum(['running', 'answered', 'absent']),
+    status: z.number(),
+    body: z.string(),
+  }),
+  z.object({
+    kind: z.literal('ticketCall'),
+    from: z.string(),
+    query: z.string(),
+    account: z.string(),
+    idempotencyKey: z.string(),
+    digest: z.string(),
+    service: z.string(),
+    selector: z.string(),
+    method: z.string(),
+    path: z.string(),
+    headers: z.record(z.string(), z.string()),
+    body: z.string(),
+    remainingMilliseconds: z.number(),
+  }),
+  z.object({
+    kind: z.literal('ticketReply'),
+    from: z.string(),
+    query: z.string(),
+    status: z.number(),
+    contentType: z.string(),
+    body: z.string(),
+    /** Name of the result code when the call has no reply, else empty. */
+    code: z.string(),
+  }),
+]);
+export type PeerMessage = z.infer<typeof peerMessageSchema>;
--- /dev/null
+++ b/src/types/postject/index.d.ts
@@ -0,0 +1,9 @@
+/** Types of the part of `postject` that the build uses; the package ships none. */
+declare module 'postject' {
+  export function inject(
+    file: string,
+    resource: string,
+    data: Buffer,
+    options: { readonly sentinelFuse: string },
+  ): Promise<void>;
+}
--- /dev/null
+++ b/src/version/compileVersion/index.ts
@@ -0,0 +1,61 @@
+/**
+ * Compilation of a configuration into the tables that requests read.
+ */
+import type { Configuration, Labels, Selector } from '../../types/configuration/index.js';
+
+/** A client account as requests use it. */
+export interface Account {
+  readonly name: string;
+  readonly labels: Labels;
+  readonly class: string;
+  readonly weight: number;
+  /** Accepted requests a second over all nodes; infinite without a limit. */
+  readonly requestsPerSecond: number;
+  readonly homeNodes: number;
+}
+
+/** A configuration compiled once and swapped as a whole. */
+export interface CompiledVersion {
+  readonly revision: number;
+  readonly accountsByKeyDigest: ReadonlyMap<string, Account>;
+  readonly selectors: readonly Selector[];
+  readonly labelsByObject: ReadonlyMap<string, Labels>;
+}
+
+const DEFAULT_HOME_NODES = 3;
+
+function compileAccount(name: string, labels: Labels): Account {
+  const limit = labels['requests-per-second'];
+  return {
+    name,
+    labels,
+    class: labels.class ?? 'standard',
+    weight: Math.max(Number(labels.weight ?? 1), 0.001),
+    requestsPerSecond: limit === undefined ? Number.POSITIVE_INFINITY : Number(limit),
+    homeNodes: Number(labels.nodes ?? DEFAULT_HOME_NODES),
+  };
+}
+
+/**
+ * Compiles a configuration.
+ *
+ * @param configuration - one accepted configuration
+ * @returns the tables, which share no mutable state with the configuration
+ * @example
+ * compileVersion(configuration).accountsByKeyDigest.get(digest);
+ */
+export function compileVersion(configuration: Configuration): CompiledVersion {
+  const accountsByKeyDigest = new Map<string, Account>();
+  const labelsByObject = new Map<string, Labels>();
+  for (const object of configuration.objects) {
+    if (object.kind !== 'account') {
+      labelsByObject.set(`${object.kind}/${object.name}`, object.labels);
+      continue;
+    }
+    const digest = object.labels['key-sha256'];
+    if (digest === undefined) continue;
+    accountsByKeyDigest.set(digest, compileAccount(object.name, object.labels));
+  }
+  const { revision, selectors } = configuration;
+  return { revision, accountsByKeyDigest, selectors, labelsByObject };
+}
--- /dev/null
+++ b/src/version/matchLabels/index.ts
@@ -0,0 +1,25 @@
+/**
+ * Matching of labels by selectors.
+ */
+import type { Labels } from '../../types/configuration/index.js';
+
+/**
+ * Tells whether labels satisfy a match.
+ *
+ * Every label of the match has to be present with one of its values; values are separated by `|`.
+ *
+ * @param match - required labels; an empty match is satisfied by everything
+ * @param labels - the labels to test
+ * @returns true when every required label is satisfied
+ * @example
+ * matchLabels({ class: 'kiosk|clinic' }, { class: 'kiosk' }); // true
+ */
+export function matchLabels(match: Labels, labels: Labels): boolean {
+  for (const key in match) {
+    const value = labels[key];
+    if (value === undefined) return false;
+    const wanted = match[key] ?? '';
+    if (wanted !== value && !wanted.split('|').includes(value)) return false;
+  }
+  return true;
+}
--- /dev/null
+++ b/src/version/planLayers/index.ts
@@ -0,0 +1,84 @@
+/**
+ * Plan of which engine holds which layers.
+ */
+import type { Selector } from '../../types/configuration/index.js';
+import type { EngineState } from '../../types/endpoint/index.js';
+
+/** An engine that a plan may use. */
+export interface PlannedEngine {
+  readonly name: string;
+  /** Layers that the engine can hold. */
+  readonly capacity: number;
+  /** A range that the operators' label fixes, if any. */
+  readonly fixed?: { readonly from: number; readonly to: number };
+  /** The state that the engine reports, if any. */
+  readonly reported?: EngineState;
+}
+
+type ModelSelector = Selector & { readonly serve: { readonly kind: 'model' } };
+
+interface Range {
+  readonly from: number;
+  readonly to: number;
+}
+
+function keepsRange(engine: PlannedEngine, layers: number): Range | undefined {
+  const { reported, capacity } = engine;
+  if (!reported || reported.to <= reported.from) return undefined;
+  if (reported.to > layers || reported.to - reported.from > capacity) return undefined;
+  return { from: reported.from, to: reported.to };
+}
+
+function coverLayers(cover: number[], range: Range): void {
+  for (let layer = range.from; layer < range.to; layer += 1) cover[layer] = (cover[layer] ?? 0) + 1;
+}
+
+function findLeastCovered(cover: readonly number[], capacity: number): Range {
+  const width = Math.min(capacity, cover.length);
+  let best = 0;
+  let bestNeed = Number.POSITIVE_INFINITY;
+  for (let slot = 0; slot * width < cover.length; slot += 1) {
+    const from = Math.min(slot * width, cover.length - width);
+    const need = cover.slice(from, from + width).reduce((sum, count) => sum + count, 0);
+    if (need >= bestNeed) continue;
+    bestNeed = need;
+    best = from;
+  }
+  return { from: best, to: best + width };
+}
+
+/**
+ * Plans the state that each engine of a selector has to hold.
+ *
+ * A range fixed by label wins; an engine keeps a valid range that it reports; an engine without one
+ * takes the least covered layers. The plan depends only on its arguments.
+ *
+ * @param selector - a selector that serves a model
+ * @param engines - the engines that the selector matches
+ * @returns the state of each engine, by engine name
+ * @example
+ * planLayers(selector, [{ name: 'engine-1', capacity: 16 }]).get('engine-1');
+ */
+export function planLayers(
+  selector: ModelSelector,
+  engines: readonly PlannedEngine[],
+): Map<string, EngineState> {
+  const { model, version, adapter, layers } = selector.serve;
+  const adapters = adapter === '' ? [] : [adapter];
+  const cover = Array.from({ length: layers }, () => 0);
+  const plan = new Map<string, EngineState>();
+  const ordered = [...engines].sort((left, right) => left.name.localeCompare(right.name));
+  const place = (engine: PlannedEngine, range: Range): void => {
+    coverLayers(cover, range);
+    plan.set(engine.name, { model, version, adapters, ...range });
+  };
+  for (const engine of ordered) {
+    const range = engine.fixed ?? keepsRange(engine, layers);
+    if (range) place(engine, range);
+  }
+  for (const engine of ordered) {
+    if (plan.has(engine.name)) continue;
+    place(engine, findLeastCovered(cover, engine.capacity));
+  }
+  return plan;
+}
--- /dev/null
+++ b/src/version/selectServed/index.ts
@@ -0,0 +1,54 @@
+/**
+ * Choice of the selector that serves a request.
+ */
+import type { Selector } from '../../types/configuration/index.js';
+import type { Account, CompiledVersion } from '../compileVersion/index.js';
+import { matchLabels } from '../matchLabels/index.js';
+
+/** Options of {@link selectServed}. */
+export interface SelectServedOptions {
+  readonly version: CompiledVersion;
+  readonly account: Account;
+  readonly kind: 'model' | 'service';
+  /** Name of the model or of the service. */
+  readonly name: string;
+  /** A number from 0 up to 1 that picks among selectors by their share. */
+  readonly draw: number;
+}
+
+/**
+ * Lists the selectors that admit a client account to a model or service.
+ *
+ * @param options - the compiled version, the account, and what it asks for
+ * @returns the selectors that match, in order
+ * @example
+ * listSelectors({ version, account, kind: 'model', name: 'fit-assistant' });
+ */
+export function listSelectors(options: Omit<SelectServedOptions, 'draw'>): Selector[] {
+  return options.version.selectors.filter(({ serve, callers }) => {
+    const served = serve.kind === 'model' ? serve.model : serve.service;
+    if (serve.kind !== options.kind || served !== options.name) return false;
+    return matchLabels(callers, options.account.labels);
+  });
+}
+
+/**
+ * Chooses one of the matching selectors by share.
+ *
+ * Two selectors with shares 95 and 5 split requests in that proportion, for example for a canary.
+ *
+ * @param options - the compiled version, the account, what it asks for, and the draw
+ * @returns the selector, or undefined when none matches
+ * @example
+ * selectServed({ version, account, kind: 'service', name: 'booking', draw: random() });
+ */
+export function selectServed(options: SelectServedOptions): Selector | undefined {
+  const matching = listSelectors(options);
+  const total = matching.reduce((sum, selector) => sum + selector.share, 0);
+  let remaining = options.draw * total;
+  for (const selector of matching) {
+    remaining -= selector.share;
+    if (remaining < 0) return selector;
+  }
+  return matching[0];
+}
--- /dev/null
+++ b/src/version/splitShards/index.ts
@@ -0,0 +1,56 @@
+/**
+ * Division of a configuration into immutable stored shards.
+ */
+import { MAXIMUM_SHARD_BYTES } from '../../constants/index.js';
+import { hashText } from '../../process/hashRendezvous/index.js';
+import type { Configuration, Shard } from '../../types/configuration/index.js';
+import { digestText } from '../digestText/index.js';
+
+/** A shard as it is stored: its name, its text and the digest of the text. */
+export interface StoredShard {
+  readonly name: string;
+  readonly digest: string;
+  readonly text: string;
+}
+
+const SELECTOR_SHARD = 'selectors';
+
+function buildShards(configuration: Configuration, count: number): StoredShard[] {
+  const shards = new Map<string, Shard>();
+  shards.set(SELECTOR_SHARD, { objects: [], selectors: configuration.selectors });
+  for (const object of configuration.objects) {
+    const position = hashText(`${object.kind}/${object.name}`) % count;
+    const name = `objects-${count.toString()}-${position.toString()}`;
+    const shard = shards.get(name) ?? { objects: [], selectors: [] };
+    shard.objects.push(object);
+    shards.set(name, shard);
+  }
+  return [...shards.entries()].map(([name, shard]) => {
+    const text = JSON.stringify(shard);
+    return { name, digest: digestText(text), text };
+  });
+}
+
+/**
+ * Divides a configuration into shards below the stored limit.
+ *
+ * Objects are placed by a hash of their name, so that a change rewrites one shard. The number of
+ * shards is a power of two and doubles until each shard fits.
+ *
+ * @param configuration - the configuration to divide
+ * @param maximumBytes - the largest shard, in bytes
+ * @returns the shards with their digests
+ * @example
+ * splitShards(configuration).map((shard) => shard.digest);
+ */
+export function splitShards(
+  configuration: Configuration,
+  maximumBytes: number = MAXIMUM_SHARD_BYTES,
+): StoredShard[] {
+  for (let count = 16; count <= 4_096; count *= 2) {
+    const shards = buildShards(configuration, count);
+    const objectShards = shards.filter((shard) => shard.name !== SELECTOR_SHARD);
+    if (objectShards.every((shard) => Buffer.byteLength(shard.text) <= maximumBytes)) return shards;
+  }
+  return buildShards(configuration, 4_096);
+}
