--- a/bench/createCaller/index.ts
+++ b/bench/createCaller/index.ts
@@ -300,7 +300,10 @@
           method,
           path,
           body,
-          headers: { 'idempotency-key': key },
+          headers: {
+            'idempotency-key': key,
+            ...(attempt > 0 && { 'idempotency-retry': 'true' }),
+          },
           preference: attempt,
         });
         if (answer.status < 500 && answer.status !== 429) return { ...answer, tries: attempt + 1 };
--- a/src/process/configuration/createConfiguration/index.ts
+++ b/src/process/configuration/createConfiguration/index.ts
@@ -25,7 +25,7 @@
   readonly findMember: (node: string) => Member | undefined;
   readonly onApplied: (configuration: Configuration) => void;
   /** Tells whether an offered revision replaces the one in force. */
-  readonly isNewer?: (offered: number, inForce: number) => boolean;
+  readonly isNewer?: ((offered: number, inForce: number) => boolean) | undefined;
 }
 
 /** Messages that the configuration takes. */
--- a/src/process/membership/createMembership/index.ts
+++ b/src/process/membership/createMembership/index.ts
@@ -21,7 +21,7 @@
   readonly onFact: (fact: Fact) => void;
   /** Called when a peer has a higher configuration revision. */
   readonly onHigherRevision: (peer: Member) => void;
-  readonly merge?: typeof mergeMember;
+  readonly merge?: typeof mergeMember | undefined;
 }
 
 /** Messages that membership takes. */
--- a/src/process/node/askPeers/index.ts
+++ b/src/process/node/askPeers/index.ts
@@ -152,7 +152,8 @@
       deadlineAt,
       isRepeatable: false,
     };
-    options.tickets.run(ticket, { account, idempotencyKey, digest, call }, (end) => {
+    const booking = { account, idempotencyKey, digest, call, isRetry: false };
+    options.tickets.run(ticket, booking, (end) => {
       const reply =
         end.kind === 'answer'
           ? { status: end.status, contentType: end.contentType, body: end.body, code: '' }
--- a/src/process/node/createNode/index.ts
+++ b/src/process/node/createNode/index.ts
@@ -10,6 +10,8 @@
 import { createPrefixMemory } from '../../../request/createPrefixMemory/index.js';
 import { createRateLimiter } from '../../../request/createRateLimiter/index.js';
 import { createServiceCalls } from '../../../request/createServiceCalls/index.js';
+import type { decideIntent } from '../../../request/decideIntent/index.js';
+import type { guardToken } from '../../../request/guardToken/index.js';
 import { createTickets } from '../../../request/createTickets/index.js';
 import type { LinkCost } from '../../../request/buildChainPool/index.js';
 import type { Configuration } from '../../../types/configuration/index.js';
@@ -21,6 +23,7 @@
 import { createConfiguration } from '../../configuration/createConfiguration/index.js';
 import { createLeaving } from '../../leaving/createLeaving/index.js';
 import { createMembership } from '../../membership/createMembership/index.js';
+import type { mergeMember } from '../../membership/mergeMember/index.js';
 import { createRegistration } from '../../membership/registerNode/index.js';
 import { createOrders } from '../../orders/createOrders/index.js';
 import { createPeerQuestions } from '../askPeers/index.js';
@@ -47,6 +50,18 @@
   readonly addressExpirySeconds?: number;
   readonly drainLimitMilliseconds?: number;
   readonly loadsPerSecond?: number;
+  /** Decisions to take in another way, for comparisons with naive versions. */
+  readonly decisions?: NodeDecisions | undefined;
+}
+
+/** Decisions that can be replaced. */
+export interface NodeDecisions {
+  readonly decideIntent?: typeof decideIntent;
+  readonly guardToken?: typeof guardToken;
+  readonly mergeMember?: typeof mergeMember;
+  readonly isNewerRevision?: (offered: number, inForce: number) => boolean;
+  /** Part of the claim's lease in which it no longer counts, in milliseconds. */
+  readonly claimMarginMilliseconds?: number;
 }
 
 /** A node. Time is in milliseconds since the epoch and never falls. */
@@ -72,6 +87,7 @@
  * const effects = createNode(options).receive({ kind: 'start' }, 0);
  */
 export function createNode(options: CreateNodeOptions): Node {
+  const { decisions = {} } = options;
   const control = createContext(options);
   const { context } = control;
   const fleet = createFleet();
@@ -103,6 +119,7 @@
     onHigherRevision: (peer) => {
       configuration.requestFrom(peer);
     },
+    merge: decisions.mergeMember,
   });
   const checkLeaving = (vms: readonly Vm[]): void => {
     const own = vms.find(({ name }) => name === options.vm);
@@ -120,6 +137,7 @@
     context,
     findMember: membership.find,
     onApplied: applyConfiguration,
+    isNewer: decisions.isNewerRevision,
   });
   const polling = createPolling({
     context,
@@ -135,6 +153,7 @@
     prefixes,
     countNodes: () => membership.listAlive().length,
     onLeaving: polling.markLeaving,
+    judge: decisions.guardToken,
   });
   const modelRequests = createModelRequests({ context, pools, attempts });
   const services = createServiceCalls({ context, fleet, onLeaving: polling.markLeaving });
@@ -147,13 +166,20 @@
     getBookings: (): Bookings => bookings,
     tickets,
   });
-  const bookings = createBookings({ context, journal, services, askOwner: questions.askOwner });
+  const bookings = createBookings({
+    context,
+    journal,
+    services,
+    askOwner: questions.askOwner,
+    decide: decisions.decideIntent,
+  });
   const orders = createOrders({
     context,
     fleet,
     getVersion,
     listAlive: membership.listAlive,
     loadsPerSecond: options.loadsPerSecond ?? 2,
+    claimMarginMilliseconds: decisions.claimMarginMilliseconds,
   });
   const registration = createRegistration({ context, membership });
   const leaving = createLeaving({
--- a/src/process/node/routeCaller/index.ts
+++ b/src/process/node/routeCaller/index.ts
@@ -19,6 +19,7 @@
 import { selectServed } from '../../../version/selectServed/index.js';
 import type { Membership } from '../../membership/createMembership/index.js';
 import type { PeerQuestions } from '../askPeers/index.js';
+import type { RequestOutcome } from '../../resultCodes/index.js';
 import type { NodeContext } from '../createContext/index.js';
 
 /** A request of a caller. */
@@ -62,6 +63,16 @@
 const LARGEST_TICKETS = 100;
 const PASSED_HEADERS = ['content-type', 'accept', 'accept-language'];
 
+/** Tells whether a caller says that an earlier try with the same key may have run. */
+function isRetry(event: CallerRequest): boolean {
+  return event.headers['idempotency-retry'] === 'true';
+}
+
+/** Outcome of a refusal before the journal is read: a retry cannot be told that nothing ran. */
+function readEarlyOutcome(event: CallerRequest): RequestOutcome | undefined {
+  return isRetry(event) ? 'unknown' : undefined;
+}
+
 function readRemaining(text: string | undefined): number {
   const remaining = Number(text ?? DEFAULT_DEADLINE_MILLISECONDS);
   return Number.isFinite(remaining) && remaining > 0 ? remaining : DEFAULT_DEADLINE_MILLISECONDS;
@@ -86,7 +97,7 @@
       const isRetryable = end.code === 'storeUnavailable' || end.code === 'noEndpoint';
       const retryAfterMilliseconds = isRetryable ? 1_000 : undefined;
       context.emit(
-        answerError({ request, code: end.code, message: end.message, retryAfterMilliseconds }),
+        answerError({ request, code: end.code, outcome: end.outcome, retryAfterMilliseconds }),
       );
       return;
     }
@@ -155,7 +166,8 @@
     });
     if (!selector) {
       const message = `no selector serves the service '${service}' to this client account`;
-      context.emit(answerError({ request, code: 'notFound', message }));
+      const outcome = readEarlyOutcome(event);
+      context.emit(answerError({ request, code: 'notFound', message, outcome }));
       return;
     }
     const isRepeatable = SAFE_METHODS.has(method);
@@ -194,7 +206,13 @@
       return;
     }
     const digest = digestText(`${method}\n${service}\n${path}\n${body}`);
-    const booking = { account: account.name, idempotencyKey, digest, call };
+    const booking = {
+      account: account.name,
+      idempotencyKey,
+      digest,
+      call,
+      isRetry: isRetry(event),
+    };
     const answer = (end: BookingEnd): void => {
       answerEnd(request, end);
     };
@@ -239,7 +257,7 @@
     context.emit(answerError({ request, code }));
     return undefined;
   };
-  const isWithinLimit = (request: string, account: Account): boolean => {
+  const isWithinLimit = (event: CallerRequest, account: Account): boolean => {
     const retryAfterMilliseconds = options.limiter.admit({
       account: account.name,
       limit: account.requestsPerSecond,
@@ -248,7 +266,9 @@
     });
     if (retryAfterMilliseconds === 0) return true;
     context.count('requests_rateLimited');
-    context.emit(answerError({ request, code: 'rateLimited', retryAfterMilliseconds }));
+    const { request } = event;
+    const outcome = readEarlyOutcome(event);
+    context.emit(answerError({ request, code: 'rateLimited', outcome, retryAfterMilliseconds }));
     return false;
   };
 
@@ -257,19 +277,22 @@
     if (answerHealth(event)) return;
     const route = findRoute(event);
     if (!route) return;
+    const outcome = readEarlyOutcome(event);
     const version = options.getVersion();
     if (version.revision === 0) {
       const message = 'this node has no configuration yet';
       const retryAfterMilliseconds = 1_000;
-      context.emit(answerError({ request, code: 'noEndpoint', message, retryAfterMilliseconds }));
+      context.emit(
+        answerError({ request, code: 'noEndpoint', message, outcome, retryAfterMilliseconds }),
+      );
       return;
     }
     const account = authorizeCaller(version, event.headers.authorization);
     if (!account) {
-      context.emit(answerError({ request, code: 'unauthorized' }));
+      context.emit(answerError({ request, code: 'unauthorized', outcome }));
       return;
     }
-    if (route.isLimited && !isWithinLimit(request, account)) return;
+    if (route.isLimited && !isWithinLimit(event, account)) return;
     route.handle({ event, account, version });
   };
 }
--- a/src/process/orders/createOrders/index.ts
+++ b/src/process/orders/createOrders/index.ts
@@ -11,7 +11,7 @@
 import { findOwner } from '../../hashRendezvous/index.js';
 import type { NodeContext } from '../../node/createContext/index.js';
 import { decideOrders, holdsState, type OrderedEngine } from '../decideOrders/index.js';
-import { createClaim, type Claim } from '../holdClaim/index.js';
+import { createClaim } from '../holdClaim/index.js';
 import { planFleet } from '../planFleet/index.js';
 
 /** Options of {@link createOrders}. */
@@ -22,7 +22,7 @@
   readonly listAlive: () => readonly string[];
   /** Loads a second that the weight store serves. */
   readonly loadsPerSecond: number;
-  readonly claim?: Claim;
+  readonly claimMarginMilliseconds?: number | undefined;
 }
 
 /** What operators see of the orders. */
@@ -62,7 +62,8 @@
  */
 export function createOrders(options: CreateOrdersOptions): Orders {
   const { context, fleet } = options;
-  const claim = options.claim ?? createClaim({ context, key: CLAIM_KEY });
+  const { claimMarginMilliseconds: marginMilliseconds } = options;
+  const claim = createClaim({ context, key: CLAIM_KEY, marginMilliseconds });
   const busyUntil = new Map<string, number>();
   let nextLoadAt = 0;
   let status: OrderStatus = { fencing: 0, backlog: 0, blocked: [] };
--- a/src/process/orders/holdClaim/index.ts
+++ b/src/process/orders/holdClaim/index.ts
@@ -19,7 +19,7 @@
   readonly context: NodeContext;
   readonly key: string;
   /** Part of the lease at its end in which the claim no longer counts, in milliseconds. */
-  readonly marginMilliseconds?: number;
+  readonly marginMilliseconds?: number | undefined;
 }
 
 /**
--- a/src/request/answerError/index.ts
+++ b/src/request/answerError/index.ts
@@ -1,15 +1,21 @@
 /**
  * Answers that report an error to a caller.
  */
-import { RESULT_CODES, type ResultCodeName } from '../../process/resultCodes/index.js';
+import {
+  RESULT_CODES,
+  type RequestOutcome,
+  type ResultCodeName,
+} from '../../process/resultCodes/index.js';
 import type { NodeEffect } from '../../types/node/index.js';
 
 /** Options of {@link answerError}. */
 export interface AnswerErrorOptions {
   readonly request: string;
   readonly code: ResultCodeName;
-  readonly message?: string;
-  readonly retryAfterMilliseconds?: number;
+  readonly message?: string | undefined;
+  readonly retryAfterMilliseconds?: number | undefined;
+  /** Outcome when it differs from the code's own, as for a retry whose earlier try may have run. */
+  readonly outcome?: RequestOutcome | undefined;
 }
 
 /**
@@ -17,13 +23,20 @@
  *
  * @param code - name of the result code
  * @param message - what is wrong, where, and what to do
+ * @param outcome - outcome when it differs from the code's own
  * @returns the JSON text `{ error: { code, name, message, outcome } }`
  * @example
  * formatError('notFound', 'no model is named x');
  */
-export function formatError(code: ResultCodeName, message?: string): string {
-  const { code: number, name, outcome, meaning } = RESULT_CODES[code];
-  return JSON.stringify({ error: { code: number, name, message: message ?? meaning, outcome } });
+export function formatError(
+  code: ResultCodeName,
+  message?: string,
+  outcome?: RequestOutcome,
+): string {
+  const { code: number, name, outcome: usual, meaning } = RESULT_CODES[code];
+  return JSON.stringify({
+    error: { code: number, name, message: message ?? meaning, outcome: outcome ?? usual },
+  });
 }
 
 /**
@@ -35,13 +48,19 @@
  * context.emit(answerError({ request, code: 'overloaded', retryAfterMilliseconds: 500 }));
  */
 export function answerError(options: AnswerErrorOptions): NodeEffect {
-  const { request, code, message, retryAfterMilliseconds } = options;
+  const { request, code, message, retryAfterMilliseconds, outcome } = options;
   const headers: Record<string, string> = { 'content-type': 'application/json' };
   if (retryAfterMilliseconds !== undefined) {
     headers['retry-after'] = Math.max(1, Math.ceil(retryAfterMilliseconds / 1_000)).toString();
   }
   const { httpStatus } = RESULT_CODES[code];
-  return { kind: 'answer', request, status: httpStatus, headers, body: formatError(code, message) };
+  return {
+    kind: 'answer',
+    request,
+    status: httpStatus,
+    headers,
+    body: formatError(code, message, outcome),
+  };
 }
 
 /**
--- a/src/request/createAttempts/index.ts
+++ b/src/request/createAttempts/index.ts
@@ -70,7 +70,7 @@
   readonly prefixes: PrefixMemory;
   readonly countNodes: () => number;
   readonly onLeaving: (endpoint: string) => void;
-  readonly judge?: typeof guardToken;
+  readonly judge?: typeof guardToken | undefined;
 }
 
 interface Attempt {
--- a/src/request/createBookings/index.ts
+++ b/src/request/createBookings/index.ts
@@ -3,7 +3,7 @@
  */
 import { MAXIMUM_STORED_ANSWER_BYTES } from '../../constants/index.js';
 import type { NodeContext } from '../../process/node/createContext/index.js';
-import type { ResultCodeName } from '../../process/resultCodes/index.js';
+import type { RequestOutcome, ResultCodeName } from '../../process/resultCodes/index.js';
 import type { PlatformResult } from '../../types/platform/index.js';
 import { nameJournalKey, type Journal } from '../createJournal/index.js';
 import type { ServiceCall, ServiceCalls, ServiceOutcome } from '../createServiceCalls/index.js';
@@ -22,7 +22,12 @@
       readonly contentType: string;
       readonly body: string;
     }
-  | { readonly kind: 'error'; readonly code: ResultCodeName; readonly message?: string };
+  | {
+      readonly kind: 'error';
+      readonly code: ResultCodeName;
+      /** Outcome when it differs from the code's own. */
+      readonly outcome?: RequestOutcome;
+    };
 
 /** A booking as a caller asks for it. */
 export interface Booking {
@@ -31,6 +36,8 @@
   /** Digest of method, path and body. */
   readonly digest: string;
   readonly call: ServiceCall;
+  /** True when the caller says that an earlier try may have run. */
+  readonly isRetry: boolean;
 }
 
 /** State of a booking on the node that runs it. */
@@ -49,7 +56,7 @@
     bookingKey: string,
     done: (state: BookingState | undefined) => void,
   ) => void;
-  readonly decide?: typeof decideIntent;
+  readonly decide?: typeof decideIntent | undefined;
 }
 
 /** The bookings of one node. */
@@ -66,6 +73,8 @@
   readonly attempt: string;
   readonly waiters: ((end: BookingEnd) => void)[];
   settleTries: number;
+  /** True once the platform has confirmed this attempt's intent. */
+  isOwner: boolean;
 }
 
 const LARGEST_SETTLE_TRIES = 3;
@@ -112,9 +121,11 @@
     if (running.get(active.key) === active) running.delete(active.key);
     for (const waiter of active.waiters.splice(0)) waiter(result);
   };
+  /** A retry that cannot read the journal must not be told that nothing ran. */
   const endWith = (active: Running, code: ResultCodeName): void => {
+    const isHidden = active.booking.isRetry && !active.isOwner && code !== 'keyReused';
     context.count(`bookings_${code}`);
-    end(active, { kind: 'error', code });
+    end(active, { kind: 'error', code, ...(isHidden && { outcome: 'unknown' }) });
   };
   const isExpired = (active: Running): boolean => context.now() >= active.booking.call.deadlineAt;
 
@@ -204,6 +215,7 @@
     });
   };
   const send = (active: Running, revision: number): void => {
+    active.isOwner = true;
     if (isExpired(active)) {
       refuse(active, 'overloaded');
       return;
@@ -318,7 +330,14 @@
         return;
       }
       const attempt = context.nextId('booking');
-      const active: Running = { key, booking, attempt, waiters: [done], settleTries: 0 };
+      const active: Running = {
+        key,
+        booking,
+        attempt,
+        waiters: [done],
+        settleTries: 0,
+        isOwner: false,
+      };
       running.set(key, active);
       claim(active, 0);
     },
--- /dev/null
+++ b/standins/createEventQueue/index.ts
@@ -0,0 +1,94 @@
+/**
+ * A queue of actions ordered by virtual time.
+ */
+
+/** A queue of actions; times are in milliseconds. */
+export interface EventQueue {
+  readonly now: () => number;
+  readonly schedule: (delayMilliseconds: number, action: () => void) => void;
+  /** Runs every action that is due until a time. */
+  readonly runUntil: (timeMilliseconds: number) => void;
+}
+
+interface Entry {
+  readonly at: number;
+  readonly order: number;
+  readonly action: () => void;
+}
+
+function isBefore(left: Entry, right: Entry): boolean {
+  return left.at < right.at || (left.at === right.at && left.order < right.order);
+}
+
+/**
+ * Creates an empty queue.
+ *
+ * Actions at the same time run in the order in which they were scheduled. It is a binary heap.
+ *
+ * @param startMilliseconds - time to start at
+ * @returns the queue
+ * @example
+ * const queue = createEventQueue(0);
+ * queue.schedule(5, () => undefined);
+ * queue.runUntil(10);
+ */
+export function createEventQueue(startMilliseconds: number): EventQueue {
+  const heap: Entry[] = [];
+  let now = startMilliseconds;
+  let order = 0;
+
+  const swap = (left: number, right: number): void => {
+    const held = heap[left] as Entry;
+    heap[left] = heap[right] as Entry;
+    heap[right] = held;
+  };
+  const isEarlier = (left: number, right: number): boolean =>
+    isBefore(heap[left] as Entry, heap[right] as Entry);
+  const rise = (start: number): void => {
+    let index = start;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!isEarlier(index, parent)) return;
+      swap(index, parent);
+      index = parent;
+    }
+  };
+  const sink = (): void => {
+    let index = 0;
+    for (;;) {
+      const left = 2 * index + 1;
+      if (left >= heap.length) return;
+      const right = left + 1;
+      const child = right < heap.length && isEarlier(right, left) ? right : left;
+      if (!isEarlier(child, index)) return;
+      swap(index, child);
+      index = child;
+    }
+  };
+  const takeFirst = (): Entry | undefined => {
+    const [first] = heap;
+    const last = heap.pop();
+    if (!first || !last || heap.length === 0) return first;
+    heap[0] = last;
+    sink();
+    return first;
+  };
+
+  return {
+    now: () => now,
+    schedule: (delayMilliseconds, action) => {
+      order += 1;
+      heap.push({ at: now + Math.max(0, delayMilliseconds), order, action });
+      rise(heap.length - 1);
+    },
+    runUntil: (timeMilliseconds) => {
+      while (heap[0] && heap[0].at <= timeMilliseconds) {
+        const entry = takeFirst();
+        if (!entry) break;
+        now = entry.at;
+        entry.action();
+      }
+      now = timeMilliseconds;
+    },
+  };
+}
--- /dev/null
+++ b/tests/bookings.test.ts
@@ -0,0 +1,187 @@
+/**
+ * Bookings run at most once: crash points enumerated, faults mixed, and a twin without the guard.
+ */
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { createRandom } from '../src/process/createRandom/index.js';
+import type { NodeDecisions } from '../src/process/node/createNode/index.js';
+import { decideIntent } from '../src/request/decideIntent/index.js';
+import { createVirtualFleet } from '../standins/createVirtualFleet/index.js';
+import type { CallFate, VirtualSystem } from '../standins/createVirtualSystem/index.js';
+import { readOutcome, sendBooking, startSystem } from './support/index.js';
+
+type Disturb = (system: VirtualSystem, node: string) => void;
+
+const DISTURBANCES: Record<string, Disturb> = {
+  kill: (system, node) => {
+    system.kill(node);
+  },
+  killAndRestart: (system, node) => {
+    system.kill(node);
+    system.queue.schedule(500, () => {
+      system.start(node);
+    });
+  },
+  pausePastLease: (system, node) => {
+    system.pause(node, 15_000);
+  },
+};
+
+/** Sends whatever the platform answers, as a router without intents would. */
+const naive: NodeDecisions = {
+  decideIntent: (options) => {
+    const decision = decideIntent(options);
+    if (decision.kind === 'keyReused' || decision.kind === 'replay') return decision;
+    return { kind: 'send', revision: 0 };
+  },
+};
+
+/** Runs one booking that is disturbed at its n-th effect and retried elsewhere. */
+function runDisturbed(point: number, disturb: Disturb, decisions: NodeDecisions = {}) {
+  const fleet = createVirtualFleet({ engines: [] });
+  let effects = 0;
+  let isArmed = false;
+  const system = startSystem(fleet, {
+    nodes: 3,
+    decisions,
+    onEffect: (node, effect) => {
+      if (!isArmed || node !== 'node-1' || effect.kind === 'log') return;
+      effects += 1;
+      if (effects === point) disturb(system, node);
+    },
+  });
+  isArmed = true;
+  sendBooking(system, 'node-1', 'first', 'key');
+  system.run(6_000);
+  const first = readOutcome(system.answers.get('first'));
+  const countAtFirst = fleet.service.counts.get('key') ?? 0;
+  sendBooking(system, 'node-2', 'second', 'key', true);
+  system.run(20_000);
+  const second = readOutcome(system.answers.get('second'));
+  return { first, second, countAtFirst, count: fleet.service.counts.get('key') ?? 0, effects };
+}
+
+for (const [name, disturb] of Object.entries(DISTURBANCES)) {
+  test(`no crash point of a booking runs it twice or lies about it: ${name}`, () => {
+    const undisturbed = runDisturbed(0, disturb);
+    assert.equal(undisturbed.first, 'answered');
+    assert.equal(undisturbed.second, 'answered');
+    for (let point = 1; point <= undisturbed.effects; point += 1) {
+      const run = runDisturbed(point, disturb);
+      assert.ok(run.count <= 1, `point ${point.toString()} ran ${run.count.toString()} times`);
+      if (run.first === 'not-run') assert.equal(run.countAtFirst, 0, `point ${point.toString()}`);
+      if (run.second === 'not-run') assert.equal(run.count, 0, `point ${point.toString()}`);
+      if (run.second === 'answered') assert.equal(run.count, 1, `point ${point.toString()}`);
+      assert.notEqual(run.second, 'none', `point ${point.toString()} gave no answer`);
+    }
+  });
+}
+
+test('the crash points run a booking twice when the intent is not heeded', () => {
+  const { effects } = runDisturbed(0, () => undefined, naive);
+  const runs = Array.from({ length: effects }, (_, index) =>
+    runDisturbed(index + 1, DISTURBANCES.kill ?? (() => undefined), naive),
+  );
+  assert.ok(runs.some(({ count }) => count > 1));
+});
+
+interface MixedOptions {
+  readonly seed: number;
+  readonly decisions?: NodeDecisions;
+}
+
+const KEYS = 60;
+const TRIES = 4;
+
+function drawFate(random: () => number): CallFate {
+  const draw = random();
+  if (draw < 0.08) return 'lostReply';
+  if (draw < 0.14) return 'lostCall';
+  return draw < 0.2 ? 'refused' : 'done';
+}
+
+/** Mixes lost replies, outages, kills, pauses and callers that retry elsewhere. */
+function runMixed({ seed, decisions }: MixedOptions) {
+  const random = createRandom(seed);
+  const fleet = createVirtualFleet({ engines: [], seed });
+  let isFaulty = false;
+  const system = startSystem(fleet, {
+    nodes: 3,
+    seed,
+    decisions,
+    decideFate: () => (isFaulty ? drawFate(random) : 'done'),
+  });
+  isFaulty = true;
+  fleet.service.decideFate = () => {
+    const draw = random();
+    if (draw < 0.1) return 'lostReply';
+    return draw < 0.15 ? 'refused' : 'answered';
+  };
+  const violations: string[] = [];
+  const book = (key: string, tries: number): void => {
+    const node = system.names[Math.floor(random() * 3)] ?? '';
+    const request = sendBooking(system, node, `${key}-${tries.toString()}`, key, tries > 0);
+    system.queue.schedule(2_000 + random() * 4_000, () => {
+      const outcome = readOutcome(system.answers.get(request));
+      const count = fleet.service.counts.get(key) ?? 0;
+      if (outcome === 'not-run' && count > 0) violations.push(`${request} told not-run`);
+      if (outcome === 'answered' && count !== 1) violations.push(`${request} answered`);
+      if (outcome !== 'answered' && tries < TRIES) book(key, tries + 1);
+    });
+  };
+  for (let index = 0; index < KEYS; index += 1) {
+    system.queue.schedule(random() * 20_000, () => {
+      book(`key-${index.toString()}`, 0);
+    });
+  }
+  for (let index = 0; index < 8; index += 1) {
+    const node = system.names[index % 3] ?? '';
+    system.queue.schedule(random() * 25_000, () => {
+      if (random() < 0.5) system.pause(node, 12_000);
+      else DISTURBANCES.killAndRestart?.(system, node);
+    });
+  }
+  system.run(120_000);
+  const counts = [...fleet.service.counts.values()];
+  return { violations, twice: counts.filter((count) => count > 1).length, run: counts.length };
+}
+
+for (const seed of [1, 2, 3, 4]) {
+  test(`mixed faults run every booking at most once and tell the truth, seed ${seed.toString()}`, () => {
+    const { violations, twice, run } = runMixed({ seed });
+    assert.deepEqual(violations, []);
+    assert.equal(twice, 0);
+    assert.ok(run > KEYS / 2, `only ${run.toString()} bookings ran`);
+  });
+}
+
+test('the same mixed faults run bookings twice when the intent is not heeded', () => {
+  assert.ok(runMixed({ seed: 1, decisions: naive }).twice > 0);
+});
+
+test('two nodes with the same key at once run it once and give both the answer', () => {
+  const fleet = createVirtualFleet({ engines: [] });
+  const system = startSystem(fleet, { nodes: 3 });
+  sendBooking(system, 'node-1', 'left', 'key');
+  sendBooking(system, 'node-2', 'right', 'key');
+  system.run(3_000);
+  assert.equal(fleet.service.counts.get('key'), 1);
+  assert.equal(system.answers.get('left')?.body, system.answers.get('right')?.body);
+  assert.equal(readOutcome(system.answers.get('right')), 'answered');
+});
+
+test('a store that is down refuses at once with not-run, and a retry is told that it is unknown', () => {
+  const fleet = createVirtualFleet({ engines: [] });
+  let isDown = false;
+  const system = startSystem(fleet, {
+    nodes: 2,
+    decideFate: () => (isDown ? 'refused' : 'done'),
+  });
+  isDown = true;
+  sendBooking(system, 'node-1', 'first', 'key');
+  sendBooking(system, 'node-2', 'retry', 'key', true);
+  system.run(100);
+  assert.equal(readOutcome(system.answers.get('first')), 'not-run');
+  assert.equal(readOutcome(system.answers.get('retry')), 'unknown');
+  assert.equal(fleet.service.counts.size, 0);
+});
--- /dev/null
+++ b/tests/support/index.ts
@@ -0,0 +1,140 @@
+/**
+ * Helpers of the tests that run whole nodes under a virtual clock.
+ */
+import { digestText } from '../../src/version/digestText/index.js';
+import type { Operation } from '../../src/types/configuration/index.js';
+import {
+  createVirtualSystem,
+  type CreateVirtualSystemOptions,
+  type VirtualAnswer,
+  type VirtualSystem,
+} from '../../standins/createVirtualSystem/index.js';
+import type { VirtualFleet } from '../../standins/createVirtualFleet/index.js';
+
+/** Key of the client account `caller`. */
+export const CALLER_KEY = 'key-of-the-caller';
+
+const LAYERS = 48;
+
+/** The steps that configure a model `m`, a service `s` and the client account `caller`. */
+export function listOperations(version = '1', layers = LAYERS): Operation[] {
+  const common = { callers: {}, priority: 5, share: 100, weigh: 'recovery', changedAt: 0 } as const;
+  return [
+    {
+      kind: 'setLabels',
+      object: 'account',
+      name: 'caller',
+      labels: { class: 'kiosk', 'key-sha256': digestText(CALLER_KEY) },
+    },
+    {
+      kind: 'putSelector',
+      selector: {
+        ...common,
+        name: 'models',
+        endpoints: { role: 'm' },
+        serve: { kind: 'model', model: 'm', version, adapter: '', layers },
+      },
+    },
+    {
+      kind: 'putSelector',
+      selector: {
+        ...common,
+        name: 'services',
+        endpoints: { role: 's' },
+        serve: { kind: 'service', service: 's' },
+      },
+    },
+  ];
+}
+
+/** Sends a change to a node's operators' interface. */
+export function sendChange(
+  system: VirtualSystem,
+  node: string,
+  id: string,
+  operations: readonly Operation[],
+  baseRevision = 0,
+): string {
+  const request = `change-${id}`;
+  const body = JSON.stringify({
+    allowUnmatched: true,
+    change: { id: `change-id-${id}`, baseRevision, operations },
+  });
+  system.feed(node, {
+    kind: 'operatorRequest',
+    request,
+    method: 'POST',
+    path: '/v1/changes',
+    body,
+  });
+  return request;
+}
+
+/** Starts every node of a system, applies the configuration and lets it settle. */
+export function startSystem(
+  fleet: VirtualFleet,
+  options: Omit<CreateVirtualSystemOptions, 'createEndpoints'>,
+): VirtualSystem {
+  const system = createVirtualSystem({ ...options, createEndpoints: fleet.createEndpoints });
+  system.platform.setVms(fleet.vms);
+  system.names.forEach(system.start);
+  system.run(3_000);
+  sendChange(system, 'node-1', 'first', listOperations());
+  system.run(8_000);
+  return system;
+}
+
+/** Sends a caller's request to a node and returns its identifier. */
+export function sendRequest(
+  system: VirtualSystem,
+  node: string,
+  request: string,
+  path: string,
+  body: string,
+  headers: Record<string, string> = {},
+): string {
+  system.feed(node, {
+    kind: 'callerRequest',
+    request,
+    method: 'POST',
+    path,
+    headers: { authorization: `Bearer ${CALLER_KEY}`, ...headers },
+    body,
+  });
+  return request;
+}
+
+/** Books under an idempotency key; `isRetry` is what the caller says of earlier tries. */
+export function sendBooking(
+  system: VirtualSystem,
+  node: string,
+  request: string,
+  key: string,
+  isRetry = false,
+): string {
+  const headers = {
+    'idempotency-key': key,
+    'x-deadline-milliseconds': '5000',
+    ...(isRetry && { 'idempotency-retry': 'true' }),
+  };
+  return sendRequest(system, node, request, '/v1/services/s/book', `{"key":"${key}"}`, headers);
+}
+
+/** Outcome that an answer promises: `answered` for a success. */
+export function readOutcome(answer: VirtualAnswer | undefined): string {
+  if (!answer?.isOver) return 'none';
+  return /"outcome":"([a-z-]+)"/.exec(answer.body)?.[1] ?? 'answered';
+}
+
+/** Text of a streamed answer. */
+export function readStreamText(answer: VirtualAnswer | undefined): string {
+  const events = answer?.body.split('\n\n') ?? [];
+  return events
+    .map((event) => /^data: (\{.*\})$/m.exec(event)?.[1])
+    .map((data) => (data === undefined ? '' : (JSON.parse(data) as StreamChunk).choices[0]?.text))
+    .join('');
+}
+
+interface StreamChunk {
+  readonly choices: { readonly text: string }[];
+}
