--- /dev/null
+++ b/src/connection/estimateGap/test.ts
@@ -0,0 +1,22 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { addGap, computeTimeout, EMPTY_GAP_ESTIMATE } from './index.js';
+
+const BOUNDS = { initialMilliseconds: 2_000, minimumMilliseconds: 20, maximumMilliseconds: 5_000 };
+
+function feed(gaps: readonly number[]) {
+  return gaps.reduce(addGap, EMPTY_GAP_ESTIMATE);
+}
+
+test('the timeout follows the link: a steady one is given up on soon, a jittery one later', () => {
+  const steady = feed(Array.from({ length: 200 }, () => 20));
+  const jittery = feed(Array.from({ length: 200 }, (_, index) => (index % 4 === 0 ? 45 : 15)));
+  const steadyTimeout = computeTimeout({ estimate: steady, deviations: 4.5, ...BOUNDS });
+  const jitteryTimeout = computeTimeout({ estimate: jittery, deviations: 4.5, ...BOUNDS });
+  assert.ok(steadyTimeout < 30, steadyTimeout.toString());
+  assert.ok(jitteryTimeout > 60, jitteryTimeout.toString());
+});
+
+test('a link with few gaps has the initial timeout', () => {
+  assert.equal(computeTimeout({ estimate: feed([5, 5]), deviations: 4.5, ...BOUNDS }), 2_000);
+});
--- /dev/null
+++ b/src/connection/limitConcurrency/test.ts
@@ -0,0 +1,26 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { adaptLimit, createConcurrencyLimit, type ConcurrencyLimit } from './index.js';
+
+function feed(state: ConcurrencyLimit, latencyMilliseconds: number, count: number) {
+  let next = state;
+  for (let index = 0; index < count; index += 1) {
+    const inFlight = next.limit;
+    const bounds = { tolerance: 2, minimum: 4, maximum: 4_096 };
+    next = adaptLimit({ state: next, latencyMilliseconds, inFlight, ...bounds });
+  }
+  return next;
+}
+
+test('the limit grows while latency is low and shrinks when it rises', () => {
+  const grown = feed(createConcurrencyLimit(16), 10, 200);
+  assert.ok(grown.limit > 64, grown.limit.toString());
+  const shrunk = feed(grown, 80, 200);
+  assert.ok(shrunk.limit < grown.limit / 2, shrunk.limit.toString());
+});
+
+test('a limit that is not used does not grow', () => {
+  const state = { limit: 100, baseLatency: 10, recentLatency: 10 };
+  const bounds = { tolerance: 2, minimum: 4, maximum: 4_096 };
+  assert.equal(adaptLimit({ state, latencyMilliseconds: 10, inFlight: 3, ...bounds }).limit, 100);
+});
--- /dev/null
+++ b/src/process/orders/decideOrders/test.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import type { EngineReport, EngineState } from '../../../types/endpoint/index.js';
+import { decideOrders, type OrderedEngine } from './index.js';
+
+const IDLE: EngineReport = {
+  incarnation: '1',
+  model: '',
+  version: '',
+  adapters: [],
+  from: 0,
+  to: 0,
+  active: 0,
+  layersPerSecond: 1,
+  leaving: false,
+  loading: false,
+  checksFencing: true,
+  fencing: 0,
+};
+
+function hold(name: string, from: number, to: number, version = '1'): OrderedEngine {
+  return { name, isBusy: false, report: { ...IDLE, model: 'm', version, from, to } };
+}
+
+function want(from: number, to: number, version = '2'): EngineState {
+  return { model: 'm', version, adapters: [], from, to };
+}
+
+function decide(engines: OrderedEngine[], desired: Record<string, EngineState>, allowance = 9) {
+  return decideOrders({ engines, desired: new Map(Object.entries(desired)), allowance });
+}
+
+test('the last holder of a layer is held back, one of two holders is not', () => {
+  const desired = { a: want(0, 24), b: want(0, 24), c: want(24, 48) };
+  const engines = [hold('a', 0, 24), hold('b', 0, 24), hold('c', 24, 48)];
+  const { orders, blocked } = decide(engines, desired);
+  assert.deepEqual(
+    orders.map(({ engine }) => engine),
+    ['a'],
+  );
+  assert.deepEqual(blocked, ['b', 'c']);
+});
+
+test('the old version may go once the new one is ready on every layer', () => {
+  const desired = { a: want(0, 24), b: want(24, 48), c: want(24, 48) };
+  const engines = [hold('a', 0, 24, '2'), hold('b', 24, 48, '2'), hold('c', 24, 48)];
+  assert.deepEqual(
+    decide(engines, desired).orders.map(({ engine }) => engine),
+    ['c'],
+  );
+});
+
+test('engines that hold nothing come first, and the allowance bounds the orders', () => {
+  const desired = { a: want(0, 24), b: want(0, 24), z: want(24, 48) };
+  const engines = [hold('a', 0, 24), hold('b', 0, 24), { name: 'z', isBusy: false, report: IDLE }];
+  assert.deepEqual(
+    decide(engines, desired, 1).orders.map(({ engine }) => engine),
+    ['z'],
+  );
+});
+
+test('an engine that holds what it should, is busy or is loading gets no order', () => {
+  const done = hold('a', 0, 48, '2');
+  const busy = { ...hold('b', 0, 48), isBusy: true };
+  const loading = { ...hold('c', 0, 48), report: { ...IDLE, loading: true } };
+  const desired = { a: want(0, 48), b: want(0, 48), c: want(0, 48) };
+  assert.deepEqual(decide([done, busy, loading], desired).orders, []);
+});
--- a/standins/createEventQueue/index.ts
+++ b/standins/createEventQueue/index.ts
@@ -37,13 +37,17 @@
   let now = startMilliseconds;
   let order = 0;
 
+  const read = (index: number): Entry => {
+    const entry = heap[index];
+    if (!entry) throw new RangeError('the queue has no such entry');
+    return entry;
+  };
   const swap = (left: number, right: number): void => {
-    const held = heap[left] as Entry;
-    heap[left] = heap[right] as Entry;
+    const held = read(left);
+    heap[left] = read(right);
     heap[right] = held;
   };
-  const isEarlier = (left: number, right: number): boolean =>
-    isBefore(heap[left] as Entry, heap[right] as Entry);
+  const isEarlier = (left: number, right: number): boolean => isBefore(read(left), read(right));
   const rise = (start: number): void => {
     let index = start;
     while (index > 0) {
