Heal partitions, order engines that others poll, and free stuck version changes

Causes, each found by a new checker and each with a test that failed first: - After a healed cut both sides kept each other dead: a probe of a dead member did not say that it was thought dead, so it never refuted. The probe now carries that record. - Orders were held back for every engine polled by another node, because its report looked old. The claim's holder now polls the engines that differ itself. - Versions changed in quick succession left every engine the last holder of its own version, for ever. Only a variant that is ready on every layer is protected now. - A new version was asked of engines before any held it. Requests go to a version that is ready on every layer until the declared one is. - A start during an outage found no peer. `peers.seeds` names some.

--- a/src/process/membership/createMembership/index.ts
+++ b/src/process/membership/createMembership/index.ts
@@ -36,6 +36,8 @@
   readonly receive: (message: MembershipMessage) => void;
   /** Adds members learnt from the platform's registrations. */
   readonly introduce: (members: readonly Member[]) => void;
+  /** Makes this node known at addresses from the settings; used while it knows no peer. */
+  readonly contact: (addresses: readonly string[]) => void;
   readonly self: () => Member;
   readonly list: () => Member[];
   readonly find: (node: string) => Member | undefined;
@@ -129,7 +131,10 @@
   };
   const sendPing = (peer: Member, sequence: number): void => {
     const digest = computeDigest();
-    send(peer.peerAddress, { kind: 'ping', sequence, digest, ...createPacket() });
+    const packet = createPacket();
+    const isDoubted = peer.state === 'suspect' || peer.state === 'dead';
+    const members = isDoubted ? [...packet.members, peer] : packet.members;
+    send(peer.peerAddress, { kind: 'ping', sequence, digest, ...packet, members });
   };
   const choosePeers = (count: number): Member[] =>
     listPeers()
@@ -220,8 +225,8 @@
       rumors.add({ kind: 'member', member: sender });
     }
   };
-  const sendEverything = (peer: Member, answer: boolean): void => {
-    send(peer.peerAddress, {
+  const sendEverything = (address: string, answer: boolean): void => {
+    send(address, {
       kind: 'synchronize',
       answer,
       from: context.node,
@@ -238,7 +243,7 @@
     mismatches = 0;
     synchronizedAt = context.now();
     context.count('gossip_synchronized');
-    sendEverything(peer, true);
+    sendEverything(peer.peerAddress, true);
   };
   const prober = createProber({
     context,
@@ -300,7 +305,7 @@
     synchronize: (message) => {
       takePacket(message);
       const peer = members.get(message.from);
-      if (message.answer && peer) sendEverything(peer, false);
+      if (message.answer && peer) sendEverything(peer.peerAddress, false);
     },
   };
   const forgetOldFacts = (): void => {
@@ -332,7 +337,12 @@
       const [peer] = choosePeers(1);
       if (!isFirst || !peer) return;
       rumors.add({ kind: 'member', member: own });
-      sendEverything(peer, true);
+      sendEverything(peer.peerAddress, true);
+    },
+    contact: (addresses) => {
+      for (const address of addresses) {
+        if (address !== options.peerAddress) sendEverything(address, true);
+      }
     },
     self: () => ({ ...own, revision: options.getRevision() }),
     list: () => [{ ...own, revision: options.getRevision() }, ...members.values()],
--- a/src/process/membership/registerNode/index.ts
+++ b/src/process/membership/registerNode/index.ts
@@ -9,6 +9,8 @@
 export interface CreateRegistrationOptions {
   readonly context: NodeContext;
   readonly membership: Membership;
+  /** Addresses of peers from the settings, for a start while the platform is out. */
+  readonly seeds: readonly string[];
 }
 
 /** The registration of one node. */
@@ -84,6 +86,7 @@
         membership.introduce(members.filter(({ node }) => node !== context.node));
       }
       const isLonely = membership.listAlive().every((node) => node === context.node);
+      if (isLonely) membership.contact(options.seeds);
       const interval = isLonely ? LONELY_READ_MILLISECONDS : READ_MILLISECONDS;
       context.schedule(interval * (0.5 + context.random()), readPeers);
     });
--- a/src/process/node/createNode/index.ts
+++ b/src/process/node/createNode/index.ts
@@ -46,6 +46,8 @@
   readonly secret: string;
   readonly callerAddress: string;
   readonly peerAddress: string;
+  /** Addresses of peers to contact when the platform names none. */
+  readonly seeds?: readonly string[];
   readonly findLink?: (fromZone: string, toZone: string) => LinkCost;
   readonly addressExpirySeconds?: number;
   readonly drainLimitMilliseconds?: number;
@@ -179,9 +181,10 @@
     getVersion,
     listAlive: membership.listAlive,
     loadsPerSecond: options.loadsPerSecond ?? 2,
+    pollNow: polling.pollNow,
     claimMarginMilliseconds: decisions.claimMarginMilliseconds,
   });
-  const registration = createRegistration({ context, membership });
+  const registration = createRegistration({ context, membership, seeds: options.seeds ?? [] });
   const leaving = createLeaving({
     context,
     answersExpireMilliseconds: (options.addressExpirySeconds ?? 30) * 1_000,
--- a/src/process/node/pollEndpoints/index.ts
+++ b/src/process/node/pollEndpoints/index.ts
@@ -26,6 +26,8 @@
 export interface Polling {
   readonly start: () => void;
   readonly takeFact: (fact: Fact) => void;
+  /** Polls one engine at once, whoever owns its polling. */
+  readonly pollNow: (engine: string) => void;
   /** Marks an endpoint as leaving here and everywhere. */
   readonly markLeaving: (endpoint: string) => void;
 }
@@ -200,6 +202,10 @@
       const handler = FACT_HANDLERS[fact.key.slice(0, separator)];
       handler?.(fact.key.slice(separator + 1), fact);
     },
+    pollNow: (name) => {
+      const endpoint = fleet.find(name);
+      if (endpoint) pollEngine(endpoint);
+    },
     markLeaving,
   };
 }
--- a/src/process/orders/createOrders/index.ts
+++ b/src/process/orders/createOrders/index.ts
@@ -20,6 +20,8 @@
   readonly fleet: Fleet;
   readonly getVersion: () => CompiledVersion;
   readonly listAlive: () => readonly string[];
+  /** Polls one engine at once; orders are decided on reports that this node has read itself. */
+  readonly pollNow: (engine: string) => void;
   /** Loads a second that the weight store serves. */
   readonly loadsPerSecond: number;
   readonly claimMarginMilliseconds?: number | undefined;
@@ -124,10 +126,12 @@
     }
     const desired = planFleet(options.getVersion().selectors, fleet.list());
     const engines = fleet.list().filter(hasReport);
-    const backlog = engines.filter(({ name, report }) => {
+    const differing = engines.filter(({ name, report }) => {
       const state = desired.get(name);
       return state !== undefined && !holdsState(report, state);
-    }).length;
+    });
+    for (const { name } of differing) options.pollNow(name);
+    const backlog = differing.length;
     const { orders, blocked } = decideOrders({
       desired,
       engines: engines.map(describeEngine),
--- a/src/process/orders/decideOrders/index.ts
+++ b/src/process/orders/decideOrders/index.ts
@@ -68,6 +68,17 @@
   return planned.length === 0 || planned.every((state) => coversRange(holders, state));
 }
 
+/** Tells whether a variant is ready on every layer, so that requests can be served by it. */
+function isServable(
+  { model, version, adapters }: EngineState,
+  desired: ReadonlyMap<string, EngineState>,
+  holders: readonly EngineReport[],
+): boolean {
+  const ends = [...desired.values()].filter((state) => state.model === model);
+  const to = Math.max(0, ...ends.map((state) => state.to));
+  return coversRange(holders, { model, version, adapters, from: 0, to });
+}
+
 function isIdle(report: EngineReport): boolean {
   return report.from >= report.to || report.model === '';
 }
@@ -81,9 +92,11 @@
   const { report } = engine;
   if (isIdle(report)) return true;
   const { model, version, adapters, from, to } = report;
+  const range = { model, version, adapters, from, to };
+  if (!isServable(range, desired, [...others, report])) return true;
   const isSameRange = state.model === model && state.version === version;
   if (isSameRange && state.from === from && state.to === to) return true;
-  if (coversRange(others, { model, version, adapters, from, to })) return true;
+  if (coversRange(others, range)) return true;
   return isReadyElsewhere(model, desired, others);
 }
 
@@ -92,7 +105,8 @@
  *
  * Desired and reported states are compared; an engine gets one absolute order at a time. An order
  * that takes layers from their last ready holder is held back until another engine holds them or the
- * desired variant of the model is ready everywhere. Engines that hold nothing come first.
+ * desired variant of the model is ready everywhere. A variant that cannot be served anyway, because
+ * one of its layers has no holder, is not protected. Engines that hold nothing come first.
  *
  * @param options - desired states, reported states and the number of orders allowed now
  * @returns the orders and the engines held back
--- a/src/process/orders/holdClaim/index.ts
+++ b/src/process/orders/holdClaim/index.ts
@@ -91,7 +91,7 @@
   return {
     pursue: (isWanted) => {
       if (isCalling) return;
-      if (lease !== '' && context.now() >= validUntil) drop();
+      if (lease !== '' && !isHeld() && context.now() >= validUntil) drop();
       if (!isWanted) return;
       if (lease === '') acquire();
       else if (context.now() > validUntil - LEASE_MILLISECONDS * 0.7) renew();
--- a/src/process/runtime/startNode/index.ts
+++ b/src/process/runtime/startNode/index.ts
@@ -242,6 +242,7 @@
     secret: randomBytes(32).toString('hex'),
     callerAddress,
     peerAddress,
+    seeds: settings.peers.seeds,
     findLink: createLinkTable(settings),
     addressExpirySeconds: settings.addressExpirySeconds,
     drainLimitMilliseconds: settings.drainLimitSeconds * 1_000,
--- a/src/process/settings/settingsSchema/index.ts
+++ b/src/process/settings/settingsSchema/index.ts
@@ -42,7 +42,11 @@
     maximumBodyBytes: z.number().int().positive().default(1_048_576),
   }),
   operators: z.strictObject({ ...listenerShape, key: secretSchema }),
-  peers: z.strictObject({ ...listenerShape, key: secretSchema }),
+  peers: z.strictObject({
+    ...listenerShape,
+    key: secretSchema,
+    seeds: z.array(addressSchema).default([]),
+  }),
   platform: z.strictObject({ address: addressSchema, key: secretSchema.optional() }),
   links: z
     .array(
--- a/src/request/createModelRequests/index.ts
+++ b/src/request/createModelRequests/index.ts
@@ -87,12 +87,7 @@
   const wanted = { version, account, kind: 'model' as const, name: completion.model };
   const { resume } = completion;
   if (!resume) return selectServed({ ...wanted, draw: context.random() });
-  return listSelectors(wanted).find(
-    ({ serve }) =>
-      serve.kind === 'model' &&
-      serve.version === resume.version &&
-      serve.adapter === resume.adapter,
-  );
+  return listSelectors(wanted).find(({ name }) => name === resume.selector);
 }
 
 /**
@@ -275,14 +270,18 @@
   ): ActiveRequest => {
     const { request: id, account, completion } = start;
     const answerId = `answer-${completion.digest}`;
-    const { version, adapter } = served;
+    const { resume } = completion;
+    const pool = resume
+      ? pools.find(selector, { ...served, version: resume.version, adapter: resume.adapter })
+      : pools.findServable(selector, served);
+    const { version, adapter } = pool.served;
     const promptTokens = Math.ceil(completion.prompt.length / CHARACTERS_PER_TOKEN);
     const now = context.now();
     return {
       id,
       account,
       completion,
-      pool: pools.find(selector, served),
+      pool,
       template: createStreamTemplate({
         form: completion.form,
         answerId,
--- a/src/request/createPools/index.ts
+++ b/src/request/createPools/index.ts
@@ -38,6 +38,11 @@
 /** The pools of one node. */
 export interface Pools {
   readonly find: (selector: Selector, served: ServedModel) => Pool;
+  /**
+   * Finds the variant to serve: the wanted one, or another version of the same model that engines
+   * hold on every layer while the wanted one is not ready on all of them.
+   */
+  readonly findServable: (selector: Selector, served: ServedModel) => Pool;
   readonly list: () => Pool[];
 }
 
@@ -49,6 +54,14 @@
   return served.adapter === '' || report.adapters.includes(served.adapter);
 }
 
+/** Tells whether every layer has an engine. */
+function coversEveryLayer({ segmentStart }: ChainPool): boolean {
+  for (let segment = 0; segment + 1 < segmentStart.length; segment += 1) {
+    if (segmentStart[segment] === segmentStart[segment + 1]) return false;
+  }
+  return segmentStart.length > 1;
+}
+
 function buildChain(
   options: CreatePoolsOptions,
   served: ServedModel,
@@ -95,27 +108,42 @@
     pool.chain = buildChain(options, pool.served, pool.endpoints);
     return pool;
   };
+  const find: Pools['find'] = (selector, served) => {
+    const { model, version, adapter, layers } = served;
+    const scope = JSON.stringify(selector.endpoints);
+    const key = `${selector.name}/${model}/${version}/${adapter}/${layers.toString()}/${scope}`;
+    const present = pools.get(key);
+    if (present) return refresh(present);
+    const pool: Pool = {
+      key,
+      selector,
+      served,
+      gate: createPoolGate({ tolerance: selector.weigh === 'throughput' ? 4 : 2 }),
+      budget: createRetryBudget(),
+      gaps: EMPTY_GAP_ESTIMATE,
+      firstTokens: EMPTY_GAP_ESTIMATE,
+      epoch: 0,
+      chain: buildChain(options, served, []),
+      endpoints: [],
+    };
+    pools.set(key, pool);
+    return refresh(pool);
+  };
+  const listVersions = (selector: Selector, served: ServedModel): string[] => {
+    const matching = options.fleet.list().filter(({ labels, report }) => {
+      return report?.model === served.model && matchLabels(selector.endpoints, labels);
+    });
+    return [...new Set(matching.map(({ report }) => report?.version ?? ''))].sort();
+  };
   return {
-    find: (selector, served) => {
-      const { model, version, adapter, layers } = served;
-      const scope = JSON.stringify(selector.endpoints);
-      const key = `${selector.name}/${model}/${version}/${adapter}/${layers.toString()}/${scope}`;
-      const present = pools.get(key);
-      if (present) return refresh(present);
-      const pool: Pool = {
-        key,
-        selector,
-        served,
-        gate: createPoolGate({ tolerance: selector.weigh === 'throughput' ? 4 : 2 }),
-        budget: createRetryBudget(),
-        gaps: EMPTY_GAP_ESTIMATE,
-        firstTokens: EMPTY_GAP_ESTIMATE,
-        epoch: 0,
-        chain: buildChain(options, served, []),
-        endpoints: [],
-      };
-      pools.set(key, pool);
-      return refresh(pool);
+    find,
+    findServable: (selector, served) => {
+      const wanted = find(selector, served);
+      if (coversEveryLayer(wanted.chain)) return wanted;
+      const others = listVersions(selector, served)
+        .filter((version) => version !== served.version)
+        .map((version) => find(selector, { ...served, version }));
+      return others.find(({ chain }) => coversEveryLayer(chain)) ?? wanted;
     },
     list: () => [...pools.values()],
   };
--- a/standins/createVirtualFleet/index.ts
+++ b/standins/createVirtualFleet/index.ts
@@ -7,6 +7,7 @@
   type EngineOrder,
   type EngineReport,
   type RunRequest,
+  type TokenLine,
 } from '../../src/types/endpoint/index.js';
 import type { NodeEvent } from '../../src/types/node/index.js';
 import type { Vm } from '../../src/types/platform/index.js';
@@ -43,6 +44,8 @@
   readonly jitter?: number;
   readonly reportLagMilliseconds?: number;
   readonly loadMilliseconds?: number;
+  /** Replaces the lines that a chain sends for one token, to send wrong ones. */
+  readonly corrupt?: (line: TokenLine) => TokenLine[];
   /** Called for each token that an engine chain has produced. */
   readonly onToken?: () => void;
 }
@@ -212,11 +215,8 @@
       const loads = stages.map(({ engine }) => engine?.active ?? 0);
       const text = index < count ? generateToken(run, index) : '';
       if (last) finish(undefined);
-      emit({
-        kind: 'tokens',
-        attempt,
-        lines: [{ index, trace, text, loads, ...(last && { last }) }],
-      });
+      const line: TokenLine = { index, trace, text, loads, ...(last && { last }) };
+      emit({ kind: 'tokens', attempt, lines: options.corrupt?.(line) ?? [line] });
       if (!last) step(index + 1, 0);
     };
     for (const { engine } of stages) if (engine) engine.active += 1;
--- a/standins/createVirtualSystem/index.ts
+++ b/standins/createVirtualSystem/index.ts
@@ -234,6 +234,7 @@
         addressExpirySeconds: options.addressExpirySeconds ?? 5,
         loadsPerSecond: 100,
         decisions: options.decisions,
+        seeds: ['peer:node-1', 'peer:node-2'],
       });
       feed(name, { kind: 'start' });
     },
--- /dev/null
+++ b/tests/configuration.test.ts
@@ -0,0 +1,183 @@
+/**
+ * An accepted change is in force everywhere within seconds and never reverts.
+ */
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { createRandom } from '../src/process/createRandom/index.js';
+import type { NodeDecisions } from '../src/process/node/createNode/index.js';
+import type { Operation } from '../src/types/configuration/index.js';
+import { createVirtualFleet } from '../standins/createVirtualFleet/index.js';
+import type { CallFate, VirtualSystem } from '../standins/createVirtualSystem/index.js';
+import { readOutcome, sendChange, startSystem } from './support/index.js';
+
+const LIMIT_MILLISECONDS = 17_000;
+
+interface Applied {
+  readonly revision: number;
+  readonly at: number;
+}
+
+interface Watched {
+  readonly system: VirtualSystem;
+  /** Revisions in the order in which each start of a node applied them. */
+  readonly applied: Map<string, Applied[]>;
+}
+
+interface Conditions {
+  isDown: boolean;
+  fate?: (random: () => number) => CallFate;
+}
+
+function startWatched(
+  nodes: number,
+  seed: number,
+  conditions: Conditions,
+  decisions?: NodeDecisions,
+): Watched {
+  const random = createRandom(seed);
+  const applied: Watched['applied'] = new Map();
+  const system = startSystem(createVirtualFleet({ engines: [] }), {
+    nodes,
+    seed,
+    decisions,
+    decideFate: () => (conditions.isDown ? 'refused' : (conditions.fate?.(random) ?? 'done')),
+    onEffect: (node, effect, at) => {
+      if (effect.kind !== 'log' || effect.event !== 'configuration-applied') return;
+      applied.set(node, [
+        ...(applied.get(node) ?? []),
+        { revision: Number(effect.fields.revision), at },
+      ]);
+    },
+  });
+  return { system, applied };
+}
+
+function label(name: string, value: string): Operation[] {
+  return [{ kind: 'setLabels', object: 'account', name, labels: { class: value } }];
+}
+
+function readRevision(system: VirtualSystem, request: string): number {
+  const answer = system.answers.get(request);
+  if (readOutcome(answer) !== 'answered') return 0;
+  return (JSON.parse(answer?.body ?? '{}') as { revision: number }).revision;
+}
+
+function findLatest({ applied }: Watched, node: string): number {
+  return applied.get(node)?.at(-1)?.revision ?? 0;
+}
+
+function listFalls({ applied }: Watched): string[] {
+  return [...applied.entries()].flatMap(([node, list]) =>
+    list.flatMap(({ revision }, index) =>
+      revision < (list[index - 1]?.revision ?? 0) ? [`${node} fell to ${revision.toString()}`] : [],
+    ),
+  );
+}
+
+test('a change is in force on six nodes within two seconds of its acceptance', () => {
+  const watched = startWatched(6, 1, { isDown: false });
+  const acceptedAt = watched.system.queue.now();
+  const request = sendChange(watched.system, 'node-4', 'one', label('a', 'kiosk'), 1);
+  watched.system.run(2_000);
+  assert.equal(readRevision(watched.system, request), 2);
+  for (const node of watched.system.names) {
+    const last = watched.applied.get(node)?.at(-1);
+    assert.ok(last);
+    assert.equal(last.revision, 2, node);
+    assert.ok(last.at - acceptedAt <= 2_000);
+  }
+});
+
+test('a change survives an outage and the death of the node that accepted it, and joins learn it', () => {
+  const conditions = { isDown: false };
+  const watched = startWatched(6, 2, conditions);
+  const { system } = watched;
+  const request = sendChange(system, 'node-1', 'one', label('a', 'kiosk'), 1);
+  while (!system.answers.get(request)?.isOver) system.run(1);
+  conditions.isDown = true;
+  system.kill('node-1');
+  system.run(5_000);
+  for (const node of system.names.slice(1)) assert.equal(findLatest(watched, node), 2, node);
+});
+
+test('racing operators: every accepted change is there at the end, a refused one is not', () => {
+  const random = createRandom(3);
+  const draw = (): CallFate => {
+    const value = random();
+    if (value < 0.1) return 'lostReply';
+    return value < 0.15 ? 'lostCall' : 'done';
+  };
+  const watched = startWatched(6, 3, { isDown: false, fate: draw });
+  const { system } = watched;
+  const requests = Array.from({ length: 24 }, (_, index) => {
+    const node = system.names[index % 6] ?? '';
+    const operations = label(`account-${(index % 16).toString()}`, `class-${index.toString()}`);
+    const id = `race-${index.toString()}`;
+    system.queue.schedule(random() * 3_000, () => {
+      sendChange(system, node, id, operations, 1);
+    });
+    return { request: `change-${id}`, operations };
+  });
+  system.run(60_000);
+  const accepted = requests.filter(({ request }) => readRevision(system, request) > 0);
+  const outcomes = requests.map(({ request }) => readOutcome(system.answers.get(request)));
+  assert.ok(!outcomes.includes('none'));
+  assert.ok(accepted.length >= 16, `${accepted.length.toString()} accepted`);
+  const head = system.platform.entries('configuration/head')[0]?.value ?? '{}';
+  const { changes, revision } = JSON.parse(head) as { changes: string[]; revision: number };
+  assert.equal(new Set(changes).size, changes.length, 'no change is applied twice');
+  for (const { request } of accepted)
+    assert.ok(changes.includes(request.replace('change-', 'change-id-')));
+  for (const node of system.names) assert.equal(findLatest(watched, node), revision, node);
+  assert.deepEqual(listFalls(watched), []);
+});
+
+/** The store comes back from an outage with an older head, as after a restore. */
+function restoreOldHead(decisions?: NodeDecisions): { watched: Watched; revision: number } {
+  const watched = startWatched(3, 4, { isDown: false }, decisions);
+  const { system } = watched;
+  const old = system.platform.entries('configuration/head')[0];
+  sendChange(system, 'node-1', 'one', label('a', 'kiosk'), 1);
+  system.run(LIMIT_MILLISECONDS);
+  const present = system.platform.entries('configuration/head')[0];
+  system.platform.call({
+    kind: 'compareAndSwap',
+    key: 'configuration/head',
+    expectedRevision: present?.revision ?? 0,
+    value: old?.value ?? '',
+  });
+  system.run(LIMIT_MILLISECONDS);
+  return { watched, revision: findLatest(watched, 'node-2') };
+}
+
+test('a lower revision in the store is never applied, and the next change goes above it', () => {
+  const { watched, revision } = restoreOldHead();
+  assert.equal(revision, 2);
+  assert.deepEqual(listFalls(watched), []);
+  const request = sendChange(watched.system, 'node-2', 'two', label('b', 'kiosk'), 2);
+  watched.system.run(LIMIT_MILLISECONDS);
+  assert.equal(readRevision(watched.system, request), 3);
+  for (const node of watched.system.names) assert.equal(findLatest(watched, node), 3, node);
+});
+
+test('the same restore reverts nodes that apply any revision that differs', () => {
+  const { watched } = restoreOldHead({
+    isNewerRevision: (offered, inForce) => offered !== inForce,
+  });
+  assert.notDeepEqual(listFalls(watched), []);
+});
+
+test('a node that starts in an outage gets the configuration from its peers', () => {
+  const conditions = { isDown: false };
+  const watched = startWatched(4, 5, conditions);
+  const { system } = watched;
+  system.kill('node-4');
+  system.run(20_000);
+  sendChange(system, 'node-1', 'one', label('a', 'kiosk'), 1);
+  system.run(3_000);
+  conditions.isDown = true;
+  system.run(5_000);
+  system.start('node-4');
+  system.run(8_000);
+  assert.equal(findLatest(watched, 'node-4'), 2);
+});
--- /dev/null
+++ b/tests/orders.test.ts
@@ -0,0 +1,192 @@
+/**
+ * Orders to engines: the desired state is reached and no stale holder's order lasts.
+ */
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import type { NodeDecisions } from '../src/process/node/createNode/index.js';
+import {
+  createVirtualEngine,
+  createVirtualFleet,
+  type VirtualEngine,
+  type VirtualFleet,
+} from '../standins/createVirtualFleet/index.js';
+import type { VirtualSystem } from '../standins/createVirtualSystem/index.js';
+import { generateAnswer } from '../standins/generateToken/index.js';
+import { listOperations, sendChange, sendRequest, startSystem } from './support/index.js';
+
+const RANGES = [0, 24];
+const REPLICAS = 3;
+const SETTLE_MILLISECONDS = 6_000;
+
+function createEngines(checksFencing: boolean): VirtualEngine[] {
+  return RANGES.flatMap((from) =>
+    Array.from({ length: REPLICAS }, (_, index) =>
+      createVirtualEngine({
+        name: `e-${from.toString()}-${index.toString()}`,
+        from,
+        to: from + 24,
+        checksFencing,
+      }),
+    ),
+  );
+}
+
+function createFleet(checksFencing = true): VirtualFleet {
+  return createVirtualFleet({ engines: createEngines(checksFencing), loadMilliseconds: 500 });
+}
+
+function changeVersion(system: VirtualSystem, node: string, version: string, base: number): void {
+  sendChange(system, node, `version-${version}`, listOperations(version), base);
+}
+
+function countVersions(fleet: VirtualFleet, version: string): number {
+  return [...fleet.engines.values()].filter(({ report }) => report.version === version).length;
+}
+
+function countOrders(fleet: VirtualFleet): number {
+  return [...fleet.engines.values()].reduce((sum, { orders }) => sum + orders.length, 0);
+}
+
+/** Smallest number of ready holders of any range, of any version. */
+function countLeastHolders(fleet: VirtualFleet): number {
+  return Math.min(
+    ...RANGES.map(
+      (from) =>
+        [...fleet.engines.values()].filter(
+          ({ report }) => report.from <= from && from < report.to && !report.loading,
+        ).length,
+    ),
+  );
+}
+
+for (const checksFencing of [true, false]) {
+  test(`a new version reaches every engine with one order each, fencing ${String(checksFencing)}`, () => {
+    const fleet = createFleet(checksFencing);
+    const system = startSystem(fleet, { nodes: 3 });
+    changeVersion(system, 'node-1', '2', 1);
+    let least = Infinity;
+    for (let step = 0; step < 300; step += 1) {
+      system.run(100);
+      least = Math.min(least, countLeastHolders(fleet));
+    }
+    assert.equal(countVersions(fleet, '2'), 6);
+    assert.equal(countOrders(fleet), 6);
+    assert.ok(least >= 1, 'a layer range was without a holder');
+  });
+}
+
+test('the only holders of a range are not taken away, and the orders say that they are blocked', () => {
+  const fleet = createVirtualFleet({
+    engines: [
+      createVirtualEngine({ name: 'left', from: 0, to: 24 }),
+      createVirtualEngine({ name: 'right', from: 24, to: 48 }),
+    ],
+  });
+  const system = startSystem(fleet, { nodes: 1 });
+  changeVersion(system, 'node-1', '2', 1);
+  system.run(20_000);
+  assert.equal(countVersions(fleet, '1'), 2);
+  const request = 'status';
+  system.feed('node-1', {
+    kind: 'operatorRequest',
+    request,
+    method: 'GET',
+    path: '/v1/status',
+    body: '',
+  });
+  assert.match(system.answers.get(request)?.body ?? '', /"blocked":\["left","right"\]/);
+});
+
+function findHolder(system: VirtualSystem): string {
+  const claim = system.platform.entries('orders/claim')[0];
+  assert.ok(claim, 'nobody holds the claim');
+  return (JSON.parse(claim.value) as { node: string }).node;
+}
+
+/** Pauses the holder past its lease while the version changes twice, then lets it go on. */
+function pauseHolder(checksFencing: boolean, decisions?: NodeDecisions) {
+  const fleet = createFleet(checksFencing);
+  const senders = new Map<string, string>();
+  const system = startSystem(fleet, {
+    nodes: 3,
+    decisions,
+    onEffect: (node, effect) => {
+      if (effect.kind !== 'callEndpoint' || effect.path !== '/orders') return;
+      senders.set((JSON.parse(effect.body) as { id: string }).id, node);
+    },
+  });
+  system.run(SETTLE_MILLISECONDS);
+  const holder = findHolder(system);
+  const others = system.names.filter((name) => name !== holder);
+  changeVersion(system, holder, '2', 1);
+  system.run(1_500);
+  system.pause(holder, 45_000);
+  changeVersion(system, others[0] ?? '', '3', 2);
+  system.run(100_000);
+  return { fleet, system, holder };
+}
+
+for (const checksFencing of [true, false]) {
+  test(`a holder that was paused past its lease changes nothing for long, fencing ${String(checksFencing)}`, () => {
+    const { fleet } = pauseHolder(checksFencing);
+    assert.equal(countVersions(fleet, '3'), 6);
+  });
+}
+
+/** Two holders at once: the lease ends for the platform while its holder goes on. */
+function losePlatform(decisions?: NodeDecisions): number {
+  const fleet = createFleet(false);
+  let cutNode = '';
+  const system = startSystem(fleet, {
+    nodes: 3,
+    decisions,
+    decideFate: (node, call) =>
+      node === cutNode && call.kind === 'renewLease' ? 'refused' : 'done',
+  });
+  system.run(SETTLE_MILLISECONDS);
+  cutNode = findHolder(system);
+  system.run(9_000);
+  let stale = 0;
+  for (let round = 0; round < 20; round += 1) {
+    const before = countOrders(fleet);
+    changeVersion(system, cutNode, `x${round.toString()}`, round + 1);
+    system.run(600);
+    const isClaimed = system.platform.entries('orders/claim').length > 0;
+    if (!isClaimed && countOrders(fleet) > before) stale += 1;
+  }
+  return stale;
+}
+
+test('no order is sent in the margin before the lease ends', () => {
+  assert.equal(losePlatform(), 0);
+});
+
+test('orders are sent after the lease has ended when the margin is negative', () => {
+  assert.ok(losePlatform({ claimMarginMilliseconds: -60_000 }) > 0);
+});
+
+test('callers are answered throughout a change of version, by one version each', () => {
+  const fleet = createFleet();
+  const system = startSystem(fleet, { nodes: 3 });
+  changeVersion(system, 'node-1', '2', 1);
+  const versions = new Set<string>();
+  for (let index = 0; index < 60; index += 1) {
+    const request = `request-${index.toString()}`;
+    const body = JSON.stringify({ model: 'm', prompt: request });
+    sendRequest(system, system.names[index % 3] ?? '', request, '/v1/completions', body);
+    system.run(300);
+  }
+  system.run(5_000);
+  for (let index = 0; index < 60; index += 1) {
+    const prompt = `request-${index.toString()}`;
+    const body = system.answers.get(prompt)?.body ?? '';
+    const text = (JSON.parse(body) as { choices: { text: string }[] }).choices[0]?.text;
+    const version = ['1', '2'].find(
+      (candidate) =>
+        text === generateAnswer({ model: 'm', version: candidate, adapter: '', prompt }, 64),
+    );
+    assert.ok(version !== undefined, `${prompt}: ${body}`);
+    versions.add(version);
+  }
+  assert.deepEqual([...versions].sort(), ['1', '2']);
+});
