Measure limits, overload, recovery and joining on whole nodes

Cause: the decisions under load and faults had no figures. Change: open-loop load on six whole nodes over forty engines under the virtual clock, and seven measurements of it: overload, fairness, limits, retry-budget, recovery, false-alarms, joining.

--- a/bench/measurements.ts
+++ b/bench/measurements.ts
@@ -1,6 +1,10 @@
 /**
  * The measurements by name.
  */
+import { measureJoining } from './joining/index.js';
+import { measureLimits, measureRetryBudget } from './limits/index.js';
+import { measureFairness, measureOverload } from './overload/index.js';
+import { measureFalseAlarms, measureRecovery } from './recovery/index.js';
 import { measureRoutingCost } from './routingCost/index.js';
 import { measurePrefix, measureThroughput } from './throughput/index.js';
 import type { Measurement } from './types.js';
@@ -10,4 +14,11 @@
   'routing-cost': measureRoutingCost,
   throughput: measureThroughput,
   prefix: measurePrefix,
+  overload: measureOverload,
+  fairness: measureFairness,
+  limits: measureLimits,
+  'retry-budget': measureRetryBudget,
+  recovery: measureRecovery,
+  'false-alarms': measureFalseAlarms,
+  joining: measureJoining,
 };
--- /dev/null
+++ b/bench/virtualLoad/index.ts
@@ -0,0 +1,230 @@
+/**
+ * Open-loop load on whole nodes under a virtual clock.
+ */
+import { createRandom } from '../../src/process/createRandom/index.js';
+import type { Operation } from '../../src/types/configuration/index.js';
+import type { NodeEffect } from '../../src/types/node/index.js';
+import { digestText } from '../../src/version/digestText/index.js';
+import {
+  createVirtualSystem,
+  type CreateVirtualSystemOptions,
+  type VirtualSystem,
+} from '../../standins/createVirtualSystem/index.js';
+import {
+  createVirtualEngine,
+  createVirtualFleet,
+  type CreateVirtualFleetOptions,
+  type VirtualEngine,
+  type VirtualFleet,
+} from '../../standins/createVirtualFleet/index.js';
+import { generateAnswer } from '../../standins/generateToken/index.js';
+
+/** A client account that sends load. */
+export interface LoadAccount {
+  readonly name: string;
+  readonly class?: string;
+  readonly weight?: number;
+  /** Limit by label, in requests a second. */
+  readonly limit?: number;
+  /** Offered load, in requests a second. */
+  readonly rate: number;
+}
+
+/** Options of {@link startVirtualLoad}. */
+export interface StartVirtualLoadOptions {
+  readonly accounts: readonly LoadAccount[];
+  readonly engines?: readonly VirtualEngine[];
+  readonly fleetOptions?: Partial<CreateVirtualFleetOptions>;
+  readonly system?: Partial<CreateVirtualSystemOptions>;
+  readonly weigh?: 'recovery' | 'throughput';
+  readonly deadlineMilliseconds?: number;
+  readonly seed?: number;
+  /** Number of nodes that an account uses; all by default. */
+  readonly nodesUsed?: number;
+}
+
+/** One request of the load. Times are in milliseconds. */
+export interface LoadRequest {
+  readonly id: string;
+  readonly account: string;
+  readonly prompt: string;
+  readonly sentAt: number;
+  firstAt: number;
+  endedAt: number;
+  lastAt: number;
+  readonly gaps: number[];
+}
+
+/** A system under load. */
+export interface VirtualLoad {
+  readonly system: VirtualSystem;
+  readonly fleet: VirtualFleet;
+  readonly requests: readonly LoadRequest[];
+  readonly observations: Extract<NodeEffect, { kind: 'observe' }>[];
+  readonly counters: Map<string, number>;
+  readonly effects: { readonly node: string; readonly effect: NodeEffect; readonly at: number }[];
+  /** Offers the accounts' rates for a time. */
+  readonly offer: (milliseconds: number) => void;
+  /** Tells whether a request got its whole, right answer. */
+  readonly isWhole: (request: LoadRequest) => boolean;
+}
+
+const LAYERS = 48;
+const RANGES = [0, 12, 24, 36];
+const REPLICAS = 10;
+const SETTLE_MILLISECONDS = 11_000;
+const MAXIMUM_TOKENS = 64;
+
+/** Forty engines of one speed in four ranges. */
+export function createFortyEngines(layersPerSecond = 4_000): VirtualEngine[] {
+  return RANGES.flatMap((from) =>
+    Array.from({ length: REPLICAS }, (_, index) =>
+      createVirtualEngine({
+        name: `e-${from.toString()}-${index.toString()}`,
+        from,
+        to: from + 12,
+        layersPerSecond,
+      }),
+    ),
+  );
+}
+
+function listOperations(options: StartVirtualLoadOptions): Operation[] {
+  const accounts = options.accounts.map(({ name, limit, weight = 1, ...rest }): Operation => {
+    const labels = {
+      class: rest.class ?? 'standard',
+      weight: weight.toString(),
+      'key-sha256': digestText(`key-${name}`),
+      ...(limit !== undefined && { 'requests-per-second': limit.toString() }),
+    };
+    return { kind: 'setLabels', object: 'account', name, labels };
+  });
+  const selector = {
+    name: 'models',
+    callers: {},
+    endpoints: { role: 'm' },
+    serve: { kind: 'model', model: 'm', version: '1', adapter: '', layers: LAYERS },
+    priority: 5,
+    share: 100,
+    weigh: options.weigh ?? 'recovery',
+    changedAt: 0,
+  } as const;
+  return [...accounts, { kind: 'putSelector', selector }];
+}
+
+/**
+ * Starts six nodes over forty engines with the accounts' configuration.
+ *
+ * @param options - accounts, fleet and faults
+ * @returns the load; call `offer` to send
+ * @example
+ * const load = startVirtualLoad({ accounts: [{ name: 'a', rate: 20 }] });
+ * load.offer(10_000);
+ */
+export function startVirtualLoad(options: StartVirtualLoadOptions): VirtualLoad {
+  const { seed = 1, deadlineMilliseconds = 5_000 } = options;
+  const random = createRandom(seed);
+  const engines = options.engines ?? createFortyEngines();
+  const fleet = createVirtualFleet({ engines, services: 0, seed, ...options.fleetOptions });
+  const byId = new Map<string, LoadRequest>();
+  const requests: LoadRequest[] = [];
+  const observations: VirtualLoad['observations'] = [];
+  const counters = new Map<string, number>();
+  const effects: VirtualLoad['effects'] = [];
+
+  const takeEffect = (node: string, effect: NodeEffect, at: number): void => {
+    if (effect.kind === 'observe') observations.push(effect);
+    if (effect.kind === 'count') {
+      counters.set(effect.counter, (counters.get(effect.counter) ?? 0) + 1);
+    }
+    if (effect.kind === 'run') effects.push({ node, effect, at });
+    if (!('request' in effect)) return;
+    const request = byId.get(effect.request);
+    if (!request) return;
+    if (effect.kind === 'streamEnd' || effect.kind === 'answer') request.endedAt = at;
+    if (effect.kind !== 'streamData' || !effect.data.startsWith('id: ')) return;
+    if (request.firstAt < 0) request.firstAt = at;
+    else request.gaps.push(at - request.lastAt);
+    request.lastAt = at;
+  };
+  const system = createVirtualSystem({
+    nodes: 6,
+    seed,
+    createEndpoints: fleet.createEndpoints,
+    onEffect: takeEffect,
+    ...options.system,
+  });
+  system.platform.setVms(fleet.vms);
+  system.names.forEach(system.start);
+  system.run(3_000);
+  const change = { id: 'change-load', baseRevision: 0, operations: listOperations(options) };
+  system.feed('node-1', {
+    kind: 'operatorRequest',
+    request: 'configure',
+    method: 'POST',
+    path: '/v1/changes',
+    body: JSON.stringify({ allowUnmatched: true, change }),
+  });
+  system.run(SETTLE_MILLISECONDS);
+
+  const send = (account: string): void => {
+    const id = `load-${requests.length.toString()}`;
+    const prompt = `question ${id} of ${account}`;
+    const request: LoadRequest = {
+      id,
+      account,
+      prompt,
+      sentAt: system.queue.now(),
+      firstAt: -1,
+      endedAt: -1,
+      lastAt: -1,
+      gaps: [],
+    };
+    requests.push(request);
+    byId.set(id, request);
+    const used = options.nodesUsed ?? system.names.length;
+    system.feed(system.names[Math.floor(random() * used)] ?? '', {
+      kind: 'callerRequest',
+      request: id,
+      method: 'POST',
+      path: '/v1/completions',
+      headers: {
+        authorization: `Bearer key-${account}`,
+        'x-deadline-milliseconds': deadlineMilliseconds.toString(),
+      },
+      body: JSON.stringify({ model: 'm', prompt, stream: true, max_tokens: MAXIMUM_TOKENS }),
+    });
+  };
+  const scheduleArrivals = ({ name, rate }: LoadAccount, until: number): void => {
+    if (rate === 0) return;
+    const wait = (-Math.log(1 - random()) * 1_000) / rate;
+    if (system.queue.now() + wait > until) return;
+    system.queue.schedule(wait, () => {
+      send(name);
+      scheduleArrivals({ name, rate }, until);
+    });
+  };
+
+  return {
+    system,
+    fleet,
+    requests,
+    observations,
+    counters,
+    effects,
+    offer: (milliseconds) => {
+      const until = system.queue.now() + milliseconds;
+      for (const account of options.accounts) scheduleArrivals(account, until);
+      system.run(milliseconds);
+    },
+    isWhole: ({ id, prompt }) => {
+      const answer = system.answers.get(id);
+      if (!answer?.isOver || !answer.body.includes('[DONE]')) return false;
+      const texts = [...answer.body.matchAll(/"text":("(?:[^"\\]|\\.)*")/g)].map(
+        ([, text = '""']) => JSON.parse(text) as string,
+      );
+      const variant = { model: 'm', version: '1', adapter: '', prompt };
+      return texts.join('') === generateAnswer(variant, MAXIMUM_TOKENS);
+    },
+  };
+}
