Keep an account's demand while its first second is still being counted

Cause: a limited account's bucket was thrown away when its demand was still 0, which it is until the first whole second has been counted, so that each node kept to its first part of the limit for ever. Ruled out: lost demand gossip (a node that serves alone was off too). Change: a bucket with arrivals is kept.

--- a/src/request/createRateLimiter/index.ts
+++ b/src/request/createRateLimiter/index.ts
@@ -116,7 +116,8 @@
       const demands: Demand[] = [];
       for (const [account, bucket] of buckets) {
         foldDemand(bucket, now);
-        if (bucket.demand === 0 && bucket.peers.size === 0) buckets.delete(account);
+        const isIdle = bucket.demand === 0 && bucket.arrivals === 0;
+        if (isIdle && bucket.peers.size === 0) buckets.delete(account);
         if (bucket.demand === 0) continue;
         demands.push({ account, requestsPerSecond: Math.round(bucket.demand * 100) / 100 });
       }
