Probe a failed engine by its report, not by callers' requests

Alarms without a fault came from a deviation estimate near zero on a steady link. Change: a node reads the report of an engine that failed it, and sends a request only when a report has come and the backoff has ended; timeouts allow for a deviation of at least 0.2.

--- a/src/connection/createFleet/index.ts
+++ b/src/connection/createFleet/index.ts
@@ -30,6 +30,8 @@
   /** Multiplies the cost of the endpoint after stalls; 1 when healthy. */
   penalty: number;
   circuit: Circuit;
+  /** False from a failure until this node has read a report from the engine again. */
+  isReachable: boolean;
   leaving: boolean;
 }
 
@@ -45,6 +47,8 @@
   readonly takeLoad: (name: string, load: number, now: number) => void;
   readonly markLeaving: (name: string) => boolean;
   readonly updateHealth: (name: string, event: CircuitEvent, now: number) => void;
+  /** Notes that this node has read a report from the engine. */
+  readonly noteReachable: (name: string) => void;
   readonly penalize: (name: string) => void;
   readonly addOwn: (name: string, change: number) => void;
   readonly estimate: (endpoint: Endpoint, now: number, nodes: number) => number;
@@ -123,6 +127,7 @@
       own: 0,
       penalty: 1,
       circuit: CLOSED_CIRCUIT,
+      isReachable: true,
       leaving: false,
     };
     endpoint.vm = vm;
@@ -176,8 +181,13 @@
       const endpoint = endpoints.get(name);
       if (!endpoint) return;
       endpoint.circuit = updateCircuit(endpoint.circuit, event, now);
+      if (event === 'failure') endpoint.isReachable = false;
       if (event === 'success') endpoint.penalty = Math.max(1, endpoint.penalty * 0.9);
     },
+    noteReachable: (name) => {
+      const endpoint = endpoints.get(name);
+      if (endpoint) endpoint.isReachable = true;
+    },
     penalize: (name) => {
       const endpoint = endpoints.get(name);
       if (!endpoint) return;
@@ -195,6 +205,9 @@
         ageMilliseconds: now - endpoint.reportedAt,
         nodes,
       }),
-    isUsable: (endpoint, now) => !endpoint.leaving && admitsCall(endpoint.circuit, now),
+    isUsable: (endpoint, now) => {
+      if (endpoint.leaving || !admitsCall(endpoint.circuit, now)) return false;
+      return endpoint.kind === 'service' || endpoint.isReachable;
+    },
   };
 }
--- a/src/connection/estimateGap/index.ts
+++ b/src/connection/estimateGap/index.ts
@@ -25,6 +25,9 @@
 const SMALLEST_GAP_MILLISECONDS = 0.05;
 const INITIAL_VARIANCE = 0.25;
 
+/** Least deviation of the logarithm that a timeout allows for, so that a queue raises no alarm. */
+const LEAST_DEVIATION = 0.2;
+
 /** The estimate before any gap was seen. */
 export const EMPTY_GAP_ESTIMATE: GapEstimate = { mean: 0, variance: INITIAL_VARIANCE, samples: 0 };
 
@@ -62,6 +65,7 @@
 export function computeTimeout(options: ComputeTimeoutOptions): number {
   const { estimate, deviations, minimumMilliseconds, maximumMilliseconds } = options;
   if (estimate.samples < MINIMUM_SAMPLES) return options.initialMilliseconds;
-  const timeout = Math.exp(estimate.mean + deviations * Math.sqrt(estimate.variance));
+  const deviation = Math.max(Math.sqrt(estimate.variance), LEAST_DEVIATION);
+  const timeout = Math.exp(estimate.mean + deviations * deviation);
   return Math.min(Math.max(timeout, minimumMilliseconds), maximumMilliseconds);
 }
--- a/src/process/node/pollEndpoints/index.ts
+++ b/src/process/node/pollEndpoints/index.ts
@@ -66,7 +66,8 @@
 /**
  * Creates the polling of one node.
  *
- * Each engine is polled by one owner, by rendezvous hashing over live nodes; what it reports spreads
+ * After a failure, a node polls the engine itself and sends it no request until a report has come.
+ * Each engine is otherwise polled by one owner, by rendezvous hashing over live nodes; what it reports spreads
  * by gossip: the state when it changes, the load when its quantized value changes. The VM list is
  * read more rarely the more nodes there are; news in it spreads by gossip too.
  *
@@ -109,9 +110,7 @@
     if (isNews) tellReport(name, report);
     tellLoad(name, report.active);
     if (report.leaving) markLeaving(name);
-    if (fleet.find(name)?.circuit.state !== 'closed') {
-      fleet.updateHealth(name, 'success', context.now());
-    }
+    fleet.noteReachable(name);
   };
   const noteSilence = (name: string): void => {
     const count = (silences.get(name) ?? 0) + 1;
@@ -138,7 +137,7 @@
     for (const endpoint of fleet.list()) {
       if (endpoint.kind !== 'engine') continue;
       const isOwn = findOwner(endpoint.name, alive) === context.node;
-      if (isOwn || !endpoint.report) pollEngine(endpoint);
+      if (isOwn || !endpoint.report || !endpoint.isReachable) pollEngine(endpoint);
     }
     context.schedule(REPORT_INTERVAL_MILLISECONDS, pollEngines);
   };
