Measure stalls in units of the chain's own time

Cause: a stall before the first token was seen only after 250 ms, whatever the chain, and gaps of fast and slow chains were mixed in one estimate. Change: gaps and first tokens are estimated as multiples of the time that the chosen chain takes without load (its layers, links and prompt); timeouts are multiples too.

--- a/src/connection/estimateGap/index.ts
+++ b/src/connection/estimateGap/index.ts
@@ -14,15 +14,15 @@
   readonly estimate: GapEstimate;
   /** Number of standard deviations of the logarithm above its mean. */
   readonly deviations: number;
-  /** Timeout until enough gaps were seen, in milliseconds. */
-  readonly initialMilliseconds: number;
-  readonly minimumMilliseconds: number;
-  readonly maximumMilliseconds: number;
+  /** Timeout until enough gaps were seen, in the unit of the gaps. */
+  readonly initial: number;
+  readonly minimum: number;
+  readonly maximum: number;
 }
 
 const WEIGHT = 1 / 64;
 const MINIMUM_SAMPLES = 16;
-const SMALLEST_GAP_MILLISECONDS = 0.05;
+const SMALLEST_GAP = 0.01;
 const INITIAL_VARIANCE = 0.25;
 
 /** Least deviation of the logarithm that a timeout allows for, so that a queue raises no alarm. */
@@ -38,13 +38,13 @@
  * the quantiles of a skewed distribution with constant memory.
  *
  * @param estimate - the estimate so far
- * @param gapMilliseconds - the new gap in milliseconds
+ * @param gap - the new gap; the unit is the caller's
  * @returns the new estimate
  * @example
  * addGap(EMPTY_GAP_ESTIMATE, 25);
  */
-export function addGap(estimate: GapEstimate, gapMilliseconds: number): GapEstimate {
-  const value = Math.log(Math.max(gapMilliseconds, SMALLEST_GAP_MILLISECONDS));
+export function addGap(estimate: GapEstimate, gap: number): GapEstimate {
+  const value = Math.log(Math.max(gap, SMALLEST_GAP));
   const samples = estimate.samples + 1;
   if (samples === 1) return { mean: value, variance: INITIAL_VARIANCE, samples };
   const weight = Math.max(WEIGHT, 1 / samples);
@@ -58,14 +58,14 @@
  * Computes the time after which a silent link counts as stalled.
  *
  * @param options - the estimate, the quantile as deviations, and the bounds
- * @returns the timeout in milliseconds
+ * @returns the timeout, in the unit of the gaps
  * @example
- * computeTimeout({ estimate, deviations: 5, initialMilliseconds: 2000, minimumMilliseconds: 50, maximumMilliseconds: 5000 });
+ * computeTimeout({ estimate, deviations: 5, initial: 2000, minimum: 50, maximum: 5000 });
  */
 export function computeTimeout(options: ComputeTimeoutOptions): number {
-  const { estimate, deviations, minimumMilliseconds, maximumMilliseconds } = options;
-  if (estimate.samples < MINIMUM_SAMPLES) return options.initialMilliseconds;
+  const { estimate, deviations, minimum, maximum } = options;
+  if (estimate.samples < MINIMUM_SAMPLES) return options.initial;
   const deviation = Math.max(Math.sqrt(estimate.variance), LEAST_DEVIATION);
   const timeout = Math.exp(estimate.mean + deviations * deviation);
-  return Math.min(Math.max(timeout, minimumMilliseconds), maximumMilliseconds);
+  return Math.min(Math.max(timeout, minimum), maximum);
 }
--- a/src/connection/estimateGap/test.ts
+++ b/src/connection/estimateGap/test.ts
@@ -2,7 +2,7 @@
 import test from 'node:test';
 import { addGap, computeTimeout, EMPTY_GAP_ESTIMATE } from './index.js';
 
-const BOUNDS = { initialMilliseconds: 2_000, minimumMilliseconds: 20, maximumMilliseconds: 5_000 };
+const BOUNDS = { initial: 2_000, minimum: 20, maximum: 5_000 };
 
 function feed(gaps: readonly number[]) {
   return gaps.reduce(addGap, EMPTY_GAP_ESTIMATE);
--- a/src/request/createAttempts/index.ts
+++ b/src/request/createAttempts/index.ts
@@ -9,7 +9,7 @@
 import type { Pool } from '../createPools/index.js';
 import type { PrefixMemory } from '../createPrefixMemory/index.js';
 import { formatTrace, guardToken, type TokenVerdict } from '../guardToken/index.js';
-import { setChainCosts } from '../setChainCosts/index.js';
+import { PROMPT_TOKENS_PER_STEP, setChainCosts } from '../setChainCosts/index.js';
 
 /** How an attempt ended without its last token. */
 export type AttemptFault = 'refused' | 'died' | 'stalled' | 'truncated' | 'guarded';
@@ -82,16 +82,25 @@
   nextIndex: number;
   progressAt: number;
   received: number;
+  /** Estimate of the time between tokens, as a multiple of the chain's time without load. */
   gaps: GapEstimate;
+  /** Time that a token takes on the chain without load, in milliseconds. */
+  readonly tokenMilliseconds: number;
+  /** Time that the first token takes on the chain without load or cache, in milliseconds. */
+  readonly firstTokenMilliseconds: number;
   timer: string;
 }
 
 const OWN_SAMPLES = 16;
-const INITIAL_STALL_MILLISECONDS = 2_000;
 const LONGEST_STALL_MILLISECONDS = 5_000;
-const SHORTEST_STALL_MILLISECONDS = 20;
-const SHORTEST_FIRST_TOKEN_MILLISECONDS = 250;
+const SHORTEST_STALL_MILLISECONDS = 25;
 const PROBE_TIMEOUT_MILLISECONDS = 300;
+const HOP_MILLISECONDS = 0.5;
+
+/** Bounds of a stall timeout, as multiples of a chain's time without load. */
+const INITIAL_STALL_FACTOR = 40;
+const LEAST_STALL_FACTOR = 1.5;
+const LARGEST_STALL_FACTOR = 200;
 
 /** Deviations of the gap's logarithm after which a chain counts as stalled, by what a selector weighs. */
 const STALL_DEVIATIONS = { recovery: 4.5, throughput: 6 } as const;
@@ -104,32 +113,29 @@
   endedAttempt: 'tokens_dropped_ended_attempt',
 };
 
+/** Time of silence after which an attempt counts as stalled, in milliseconds. */
 function computeStallTimeout(attempt: Attempt): number {
   const { pool } = attempt.options;
-  const deviations = STALL_DEVIATIONS[pool.selector.weigh];
-  if (attempt.received === 0) {
-    return computeTimeout({
-      estimate: pool.firstTokens,
-      deviations,
-      initialMilliseconds: INITIAL_STALL_MILLISECONDS,
-      minimumMilliseconds: SHORTEST_FIRST_TOKEN_MILLISECONDS,
-      maximumMilliseconds: LONGEST_STALL_MILLISECONDS,
-    });
-  }
-  return computeTimeout({
-    estimate: attempt.gaps.samples >= OWN_SAMPLES ? attempt.gaps : pool.gaps,
-    deviations,
-    initialMilliseconds: INITIAL_STALL_MILLISECONDS,
-    minimumMilliseconds: SHORTEST_STALL_MILLISECONDS,
-    maximumMilliseconds: LONGEST_STALL_MILLISECONDS,
+  const isFirst = attempt.received === 0;
+  const ownOrPool = attempt.gaps.samples >= OWN_SAMPLES ? attempt.gaps : pool.gaps;
+  const factor = computeTimeout({
+    estimate: isFirst ? pool.firstTokens : ownOrPool,
+    deviations: STALL_DEVIATIONS[pool.selector.weigh],
+    initial: INITIAL_STALL_FACTOR,
+    minimum: LEAST_STALL_FACTOR,
+    maximum: LARGEST_STALL_FACTOR,
   });
+  const usual = isFirst ? attempt.firstTokenMilliseconds : attempt.tokenMilliseconds;
+  const timeout = Math.max(factor * usual, SHORTEST_STALL_MILLISECONDS);
+  return Math.min(timeout, LONGEST_STALL_MILLISECONDS);
 }
 
+/** Time that a token takes on a chain without load: its layers and the links between its stages. */
 function computeTokenTime(pool: Pool, stages: readonly Stage[]): number {
   const speeds = new Map(pool.chain.engines.map((engine) => [engine.name, engine.layersPerSecond]));
   return stages.reduce(
     (sum, { engine, from, to }) => sum + ((to - from) * 1_000) / (speeds.get(engine) ?? 1),
-    0,
+    HOP_MILLISECONDS * (stages.length + 1),
   );
 }
 
@@ -211,11 +217,11 @@
     const gap = context.now() - attempt.progressAt;
     attempt.progressAt = context.now();
     if (attempt.received > 0) {
-      attempt.gaps = addGap(attempt.gaps, gap);
-      pool.gaps = addGap(pool.gaps, gap);
+      attempt.gaps = addGap(attempt.gaps, gap / attempt.tokenMilliseconds);
+      pool.gaps = addGap(pool.gaps, gap / attempt.tokenMilliseconds);
       return;
     }
-    pool.firstTokens = addGap(pool.firstTokens, gap);
+    pool.firstTokens = addGap(pool.firstTokens, gap / attempt.firstTokenMilliseconds);
     const names = attempt.stages.map((stage) => stage.engine);
     for (const name of names) fleet.updateHealth(name, 'success', context.now());
     prefixes.record(pool.key, attempt.options.prompt, names);
@@ -269,6 +275,8 @@
       if (!stages) return undefined;
       const { pool } = start;
       const now = context.now();
+      const tokenMilliseconds = computeTokenTime(pool, stages);
+      const prefillSteps = start.promptTokens / PROMPT_TOKENS_PER_STEP;
       const attempt: Attempt = {
         id: context.nextId('attempt'),
         options: start,
@@ -279,6 +287,8 @@
         progressAt: now,
         received: 0,
         gaps: pool.gaps.samples > 0 ? { ...pool.gaps, samples: 1 } : pool.gaps,
+        tokenMilliseconds,
+        firstTokenMilliseconds: tokenMilliseconds * (1 + prefillSteps),
         timer: '',
       };
       attempts.set(attempt.id, attempt);
@@ -304,7 +314,7 @@
         },
       });
       watch(attempt, computeStallTimeout(attempt));
-      return { id: attempt.id, tokenMilliseconds: computeTokenTime(pool, stages) };
+      return { id: attempt.id, tokenMilliseconds };
     },
     cancel: (id) => {
       const attempt = attempts.get(id);
--- a/src/request/createPools/index.ts
+++ b/src/request/createPools/index.ts
@@ -19,9 +19,9 @@
   readonly served: ServedModel;
   readonly gate: PoolGate;
   readonly budget: RetryBudget;
-  /** Estimate of the time between tokens over all answers of the pool. */
+  /** Estimate of the time between tokens, as a multiple of a chain's time without load. */
   gaps: GapEstimate;
-  /** Estimate of the time to the first token over all answers of the pool. */
+  /** Estimate of the time to the first token, as a multiple of a chain's time without load. */
   firstTokens: GapEstimate;
   epoch: number;
   chain: ChainPool;
--- a/src/request/setChainCosts/index.ts
+++ b/src/request/setChainCosts/index.ts
@@ -25,7 +25,7 @@
 }
 
 /** Number of prompt tokens that an engine processes in the time of one generated token. */
-const PROMPT_TOKENS_PER_STEP = 32;
+export const PROMPT_TOKENS_PER_STEP = 32;
 
 /** Active sequences that double the time of a step. */
 const SEQUENCES_DOUBLING_STEP = 2;
