Let the concurrency limit follow slowdown while answers run, and share it between nodes

Cause of the collapse under overload: the limit began at 64 a node, ten times what the fleet could answer in time, and learnt only from answers that ended; none did. Then, seen one by one: the base latency drifted up with the number of samples, nodes that had more got more (limits from 4 to 117 for one pool), the expected wait counted the flood's queue against a small account, and expired requests counted as served work. `throughput` accepts a slowdown of 3.

--- a/src/connection/limitConcurrency/index.ts
+++ b/src/connection/limitConcurrency/index.ts
@@ -22,7 +22,9 @@
 
 const RECENT_WEIGHT = 0.1;
 const BASE_RISE_WEIGHT = 0.002;
-const LIMIT_WEIGHT = 0.1;
+const SAMPLES_PER_ROUND = 1;
+const GROWTH_PER_ROUND = 1;
+const SHRINK_WEIGHT = 0.5;
 
 /**
  * Creates a limit that has seen no latency.
@@ -36,16 +38,20 @@
   return { limit, baseLatency: 0, recentLatency: 0 };
 }
 
-function followBase(base: number, latency: number): number {
+/** The base is the least latency seen; it rises only while the limit cannot shrink any further. */
+function followBase({ state, latencyMilliseconds: latency, minimum }: AdaptLimitOptions): number {
+  const { baseLatency: base, limit } = state;
   if (base === 0 || latency < base) return latency;
-  return base + BASE_RISE_WEIGHT * (latency - base);
+  return limit > minimum ? base : base + BASE_RISE_WEIGHT * (latency - base);
 }
 
 /**
  * Adapts a limit to one more latency.
  *
- * The gradient is the accepted latency over the recent one, between one half and one; the limit is
- * multiplied by it and grows by its square root. It does not grow while it is not used.
+ * The gradient is the accepted latency over the recent one, between one half and one. In the time of
+ * one sample from each running request the limit grows by one while latency is accepted, and shrinks
+ * by a part of itself otherwise, so that nodes that share a pool come to equal limits. It does not
+ * grow while it is not used.
  *
  * @param options - the state, the new latency and the bounds
  * @returns the next state
@@ -54,7 +60,7 @@
  */
 export function adaptLimit(options: AdaptLimitOptions): ConcurrencyLimit {
   const { state, latencyMilliseconds, inFlight, tolerance } = options;
-  const baseLatency = followBase(state.baseLatency, latencyMilliseconds);
+  const baseLatency = followBase(options);
   const recentLatency =
     state.recentLatency === 0
       ? latencyMilliseconds
@@ -62,8 +68,9 @@
   const gradient = Math.min(1, Math.max(0.5, (tolerance * baseLatency) / recentLatency));
   const isIdle = inFlight < state.limit / 2;
   if (isIdle && gradient === 1) return { limit: state.limit, baseLatency, recentLatency };
-  const target = state.limit * gradient + Math.sqrt(state.limit);
-  const next = state.limit + LIMIT_WEIGHT * (target - state.limit);
+  const round = Math.min(1, SAMPLES_PER_ROUND / state.limit);
+  const step = gradient === 1 ? GROWTH_PER_ROUND : -SHRINK_WEIGHT * (1 - gradient) * state.limit;
+  const next = state.limit + round * step;
   const limit = Math.min(options.maximum, Math.max(options.minimum, next));
   return { limit, baseLatency, recentLatency };
 }
--- a/src/process/membership/createMembership/index.ts
+++ b/src/process/membership/createMembership/index.ts
@@ -9,6 +9,12 @@
 import { createProber } from '../probeMembers/index.js';
 import { createRumors } from '../spreadRumors/index.js';
 
+/** Concurrency limit of one pool, by hash of the pool's key. */
+export interface PoolLimit {
+  readonly pool: number;
+  readonly limit: number;
+}
+
 /** Options of {@link createMembership}. */
 export interface CreateMembershipOptions {
   readonly context: NodeContext;
@@ -17,6 +23,10 @@
   readonly availabilityZone: string;
   /** Configuration revision that this node has in force. */
   readonly getRevision: () => number;
+  /** Concurrency limits of this node's busy pools. */
+  readonly getLimits: () => PoolLimit[];
+  /** Called with the limits of a peer's busy pools. */
+  readonly onLimits: (limits: readonly PoolLimit[]) => void;
   /** Called for each fact that is news to this node. */
   readonly onFact: (fact: Fact) => void;
   /** Called when a peer has a higher configuration revision. */
@@ -52,7 +62,7 @@
 
 type Packet = Pick<
   Extract<PeerMessage, { kind: 'ping' }>,
-  'from' | 'revision' | 'members' | 'facts'
+  'from' | 'revision' | 'members' | 'facts' | 'limits'
 >;
 
 const SUSPECT_MILLISECONDS = 4_000;
@@ -124,6 +134,7 @@
   const createPacket = (): Packet => ({
     from: context.node,
     revision: options.getRevision(),
+    limits: options.getLimits(),
     ...rumors.take(countAlive()),
   });
   const send = (address: string, message: PeerMessage): void => {
@@ -215,6 +226,7 @@
     packet.facts.forEach((fact) => {
       takeFact(fact);
     });
+    options.onLimits(packet.limits);
     const sender = members.get(packet.from);
     if (!sender) return;
     if (packet.revision !== sender.revision) {
@@ -231,6 +243,7 @@
       answer,
       from: context.node,
       revision: options.getRevision(),
+      limits: [],
       members: [own, ...members.values()],
       facts: [...facts.values()].filter(isKept),
     });
--- a/src/process/node/createNode/index.ts
+++ b/src/process/node/createNode/index.ts
@@ -114,6 +114,10 @@
     callerAddress: options.callerAddress,
     availabilityZone: options.availabilityZone,
     getRevision: () => version.revision,
+    getLimits: () => pools.listBusyLimits(),
+    onLimits: (limits) => {
+      pools.takeLimits(limits);
+    },
     onFact: (fact) => {
       if (fact.key.startsWith('demand/')) takeDemand(fact);
       else polling.takeFact(fact);
--- a/src/request/createFairQueue/index.ts
+++ b/src/request/createFairQueue/index.ts
@@ -20,11 +20,15 @@
   readonly size: () => number;
   /** Work that waits, in tokens. */
   readonly waitingCost: () => number;
+  /** Work that would be served before a new item of a flow, in tokens. */
+  readonly costBefore: (flow: string) => number;
 }
 
 interface Flow<Item> {
   readonly items: { readonly item: Item; readonly start: number }[];
   finish: number;
+  /** Work of the flow that waits, in tokens. */
+  cost: number;
 }
 
 /**
@@ -46,6 +50,8 @@
   let cost = 0;
 
   const forget = (item: Item): void => {
+    const flow = flows.get(item.flow);
+    if (flow) flow.cost -= item.cost;
     count -= 1;
     cost -= item.cost;
   };
@@ -67,9 +73,10 @@
 
   return {
     push: (item) => {
-      const flow = flows.get(item.flow) ?? { items: [], finish: 0 };
+      const flow = flows.get(item.flow) ?? { items: [], finish: 0, cost: 0 };
       const start = Math.max(virtualTime, flow.finish);
       flow.finish = start + item.cost / item.weight;
+      flow.cost += item.cost;
       flow.items.push({ item, start });
       flows.set(item.flow, flow);
       count += 1;
@@ -94,5 +101,18 @@
     },
     size: () => count,
     waitingCost: () => cost,
+    costBefore: (name) => {
+      const own = flows.get(name);
+      const start = Math.max(virtualTime, own?.finish ?? 0);
+      let before = own?.cost ?? 0;
+      for (const flow of flows.values()) {
+        if (flow === own) continue;
+        for (const entry of flow.items) {
+          if (entry.start > start) break;
+          before += entry.item.cost;
+        }
+      }
+      return before;
+    },
   };
 }
--- a/src/request/createModelRequests/index.ts
+++ b/src/request/createModelRequests/index.ts
@@ -62,7 +62,9 @@
   isStreaming: boolean;
   faultAt: number;
   deliveredAt: number;
-  firstTokenAt: number;
+  /** Start and number of the tokens that the next slowdown is computed over. */
+  sampledAt: number;
+  sampledTokens: number;
   /** Time that a token takes on the chain without load; 0 once the answer was resumed. */
   unloadedMilliseconds: number;
   deadlineTimer: string;
@@ -70,7 +72,7 @@
 }
 
 const CHARACTERS_PER_TOKEN = 4;
-const SLOWDOWN_GAPS = 4;
+const SLOWDOWN_TOKENS = 4;
 const NO_CHAIN_RETRY_MILLISECONDS = 100;
 const NO_ENDPOINT_RETRY_MILLISECONDS = 1_000;
 
@@ -90,6 +92,11 @@
   return listSelectors(wanted).find(({ name }) => name === resume.selector);
 }
 
+/** Flow of a client account in a pool's queue. */
+function nameFlow(account: Account): string {
+  return `${account.class}/${account.name}`;
+}
+
 /**
  * Creates the model requests of one node.
  *
@@ -102,14 +109,16 @@
   const { context, pools, attempts } = options;
   const requests = new Map<string, ActiveRequest>();
 
-  const remove = (active: ActiveRequest): void => {
+  const remove = (active: ActiveRequest, isWhole = false): void => {
     requests.delete(active.id);
     context.cancel(active.deadlineTimer);
     context.cancel(active.retryTimer);
     attempts.cancel(active.attempt);
     active.pool.gate.abandon(active.id);
     if (active.admittedAt >= 0) {
-      active.pool.gate.release(active.cost, active.admittedAt, context.now());
+      const { cost, admittedAt: startedAt } = active;
+      const flow = nameFlow(active.account);
+      active.pool.gate.release({ flow, cost, startedAt, now: context.now(), isWhole });
     }
   };
   const refuse = (
@@ -188,6 +197,15 @@
     });
     retry(active);
   };
+  /** Tells the pool's limit how slow tokens come, once every few tokens. */
+  const observeSlowdown = (active: ActiveRequest, count: number): void => {
+    active.sampledTokens += count;
+    if (active.sampledTokens < SLOWDOWN_TOKENS || active.unloadedMilliseconds === 0) return;
+    const gap = (context.now() - active.sampledAt) / active.sampledTokens;
+    active.pool.gate.observe(gap / active.unloadedMilliseconds);
+    active.sampledTokens = 0;
+    active.sampledAt = context.now();
+  };
   const observeDelivery = (active: ActiveRequest, count: number): void => {
     const now = context.now();
     const { name, class: accountClass } = active.account;
@@ -197,9 +215,10 @@
     }
     if (active.deliveredAt < 0) {
       context.observe('firstToken', name, accountClass, now - active.arrivedAt);
-      active.firstTokenAt = now;
+      active.sampledAt = now;
     } else {
       context.observe('betweenTokens', name, accountClass, (now - active.deliveredAt) / count);
+      observeSlowdown(active, count);
     }
     active.deliveredAt = now;
   };
@@ -216,15 +235,8 @@
     if (active.completion.stream) context.emit({ kind: 'streamData', request: active.id, data });
     if (lines.at(-1)?.last === true) finish(active);
   };
-  const observeSlowdown = (active: ActiveRequest): void => {
-    const gaps = active.nextIndex - (active.completion.resume?.nextIndex ?? 0) - 1;
-    if (active.unloadedMilliseconds === 0 || gaps < SLOWDOWN_GAPS) return;
-    const gap = (context.now() - active.firstTokenAt) / gaps;
-    active.pool.gate.observe(gap / active.unloadedMilliseconds);
-  };
   const finish = (active: ActiveRequest): void => {
-    observeSlowdown(active);
-    remove(active);
+    remove(active, true);
     const { name, class: accountClass } = active.account;
     context.observe('wholeAnswer', name, accountClass, context.now() - active.arrivedAt);
     context.count('requests_answered');
@@ -302,7 +314,8 @@
       isStreaming: false,
       faultAt: -1,
       deliveredAt: -1,
-      firstTokenAt: -1,
+      sampledAt: -1,
+      sampledTokens: 0,
       unloadedMilliseconds: 0,
       deadlineTimer: '',
       retryTimer: '',
@@ -311,7 +324,7 @@
   const enqueue = (active: ActiveRequest): void => {
     const { id, account, cost, deadlineAt, pool } = active;
     const weight = account.weight * PRIORITY_WEIGHT ** pool.selector.priority;
-    const flow = `${account.class}/${account.name}`;
+    const flow = nameFlow(account);
     pool.gate.offer(
       {
         id,
--- a/src/request/createPools/index.ts
+++ b/src/request/createPools/index.ts
@@ -6,6 +6,7 @@
 import type { Selector, Served } from '../../types/configuration/index.js';
 import { matchLabels } from '../../version/matchLabels/index.js';
 import { buildChainPool, type ChainPool, type LinkCost } from '../buildChainPool/index.js';
+import { hashText } from '../../process/hashRendezvous/index.js';
 import { createPoolGate, type PoolGate } from '../createPoolGate/index.js';
 import { createRetryBudget, type RetryBudget } from '../createRetryBudget/index.js';
 
@@ -28,6 +29,9 @@
   endpoints: readonly Endpoint[];
 }
 
+/** Slowdown of tokens by load that is accepted, by what a selector weighs. */
+const SLOWDOWN_TOLERANCES = { recovery: 1.3, throughput: 3 } as const;
+
 /** Options of {@link createPools}. */
 export interface CreatePoolsOptions {
   readonly fleet: Fleet;
@@ -44,6 +48,10 @@
    */
   readonly findServable: (selector: Selector, served: ServedModel) => Pool;
   readonly list: () => Pool[];
+  /** Concurrency limits of the pools that are in full use, by hash of the pool's key. */
+  readonly listBusyLimits: () => { readonly pool: number; readonly limit: number }[];
+  /** Moves the limits of busy pools towards those of a peer. */
+  readonly takeLimits: (limits: readonly { pool: number; limit: number }[]) => void;
 }
 
 /** Tells whether an engine holds a model variant. */
@@ -118,7 +126,7 @@
       key,
       selector,
       served,
-      gate: createPoolGate({ tolerance: selector.weigh === 'throughput' ? 4 : 2 }),
+      gate: createPoolGate({ tolerance: SLOWDOWN_TOLERANCES[selector.weigh] }),
       budget: createRetryBudget(),
       gaps: EMPTY_GAP_ESTIMATE,
       firstTokens: EMPTY_GAP_ESTIMATE,
@@ -146,5 +154,17 @@
       return others.find(({ chain }) => coversEveryLayer(chain)) ?? wanted;
     },
     list: () => [...pools.values()],
+    listBusyLimits: () =>
+      [...pools.values()].flatMap(({ key, gate }) => {
+        const { limit, inFlight } = gate.describe();
+        const isBusy = inFlight >= limit / 2;
+        return isBusy ? [{ pool: hashText(key), limit: Math.round(limit) }] : [];
+      }),
+    takeLimits: (limits) => {
+      for (const { pool: hash, limit } of limits) {
+        const pool = [...pools.values()].find(({ key }) => hashText(key) === hash);
+        pool?.gate.shareLimit(limit);
+      }
+    },
   };
 }
--- a/src/types/peer/index.ts
+++ b/src/types/peer/index.ts
@@ -33,6 +33,8 @@
   revision: z.number(),
   members: z.array(memberSchema),
   facts: z.array(factSchema),
+  /** Concurrency limits of the sender's busy pools, by hash of the pool's key. */
+  limits: z.array(z.object({ pool: z.number(), limit: z.number() })).default([]),
 };
 
 /** Every message between nodes. */
