--- a/bench/measurements.ts
+++ b/bench/measurements.ts
@@ -8,6 +8,7 @@
 import { measureMembership } from './membership/index.js';
 import { measureFairness, measureOverload } from './overload/index.js';
 import { measureFalseAlarms, measureRecovery } from './recovery/index.js';
+import { measureIdle, measureRolling } from './rolling/index.js';
 import { measureRoutingCost } from './routingCost/index.js';
 import { measurePrefix, measureThroughput } from './throughput/index.js';
 import type { Measurement } from './types.js';
@@ -28,4 +29,6 @@
   outage: measureOutage,
   configuration: measureConfiguration,
   membership: measureMembership,
+  rolling: measureRolling,
+  idle: measureIdle,
 };
--- /dev/null
+++ b/bench/rolling/index.ts
@@ -0,0 +1,119 @@
+/**
+ * Six nodes in processes of their own, restarted one after another under load; and the cost of a node
+ * that serves nobody.
+ */
+import { readFileSync } from 'node:fs';
+import { build } from 'esbuild';
+import { readLoad, runLoad } from '../runLoad/index.js';
+import { spawnSite, type SpawnedSite } from '../spawnSite/index.js';
+import { round, type Measurement } from '../types.js';
+
+const BUNDLE = 'dist/marjoramcleat.cjs';
+const SITE = 'fit-desk';
+const NODES = 6;
+const LOAD_SECONDS = 62;
+const RATE_PART = 0.35;
+const IDLE_MILLISECONDS = 20_000;
+const CONTROL_PERCENT = 1.8;
+const CONTROL_MEGABYTES = 64;
+
+const sleep = (milliseconds: number): Promise<void> =>
+  new Promise((done) => {
+    setTimeout(done, milliseconds);
+  });
+
+async function buildBundle(): Promise<void> {
+  await build({
+    entryPoints: ['src/main.ts'],
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    outfile: BUNDLE,
+    logLevel: 'error',
+  });
+}
+
+function spawnNodes(): Promise<SpawnedSite> {
+  return spawnSite({ site: SITE, nodes: NODES, command: [process.execPath, BUNDLE] });
+}
+
+async function restartAll(site: SpawnedSite, codes: (number | null)[]): Promise<void> {
+  for (let node = 0; node < NODES; node += 1) {
+    site.signal(node, 'SIGTERM');
+    codes.push(await site.waitForExit(node));
+    site.restart(node);
+    await site.waitUntilReady();
+  }
+}
+
+/** Restarts every node under load and counts what was cut off. */
+export async function measureRolling(): Promise<Measurement> {
+  await buildBundle();
+  const site = await spawnNodes();
+  const keys = JSON.parse(readFileSync(`examples/${SITE}/keys.json`, 'utf8')) as Record<
+    string,
+    string
+  >;
+  const base = readLoad(`examples/${SITE}/load.json`);
+  const accounts = base.accounts.map(({ name, requestsPerSecond }) => ({
+    name,
+    requestsPerSecond: requestsPerSecond * RATE_PART,
+  }));
+  const codes: (number | null)[] = [];
+  const settings = { ...base, accounts, seconds: LOAD_SECONDS, hangUpShare: 0 };
+  const during = (): Promise<void> => restartAll(site, codes);
+  const result = await runLoad({ settings, site, keys, during }).finally(site.close);
+  const { asked, whole, wrong, cut, bookingsAsked, bookingsAnswered, bookingsRunTwice } = result;
+  const row = { asked, whole, wrong, cut, bookingsAsked, bookingsAnswered, bookingsRunTwice };
+  const isWhole = whole === asked && bookingsAnswered === bookingsAsked && bookingsRunTwice === 0;
+  return {
+    rows: [{ ...row, exits: codes.join(' ') }],
+    targets: [
+      {
+        name: 'answers and bookings that are not whole while six nodes restart one after another',
+        target: '0, and six exits with 0',
+        measured: `${(asked - whole + bookingsAsked - bookingsAnswered).toString()}, exits ${codes.join(' ')}`,
+        isMet: isWhole && codes.length === NODES && codes.every((code) => code === 0),
+      },
+    ],
+  };
+}
+
+/** Measures what six idle nodes spend on control. */
+export async function measureIdle(): Promise<Measurement> {
+  await buildBundle();
+  const site = await spawnNodes();
+  await sleep(3_000);
+  const before = site.readUsage();
+  await sleep(IDLE_MILLISECONDS);
+  const usage = site.readUsage();
+  await site.close();
+  const rows = usage.map(({ processorSeconds, memoryMegabytes }, node) => ({
+    node: node + 1,
+    'processor %': round(
+      (100_000 * (processorSeconds - (before[node]?.processorSeconds ?? 0))) / IDLE_MILLISECONDS,
+      2,
+    ),
+    'resident MB': round(memoryMegabytes),
+  }));
+  const mean = rows.reduce((sum, row) => sum + row['processor %'], 0) / rows.length;
+  const largest = Math.max(...rows.map((row) => row['resident MB']));
+  return {
+    rows,
+    targets: [
+      {
+        name: 'processor time of an idle node with 43 endpoints, of a core, mean of six',
+        target: `at most ${CONTROL_PERCENT.toString()}%`,
+        measured: `${round(mean, 2).toString()}%`,
+        isMet: mean <= CONTROL_PERCENT,
+      },
+      {
+        name: 'resident memory of an idle node, the language runtime included',
+        target: `at most ${CONTROL_MEGABYTES.toString()} MB for control`,
+        measured: `${largest.toString()} MB`,
+        isMet: largest <= CONTROL_MEGABYTES,
+      },
+    ],
+  };
+}
--- a/src/process/resultCodes/index.ts
+++ b/src/process/resultCodes/index.ts
@@ -39,7 +39,6 @@
     'not-run',
     'A call that may not be repeated needs an Idempotency-Key.',
   ),
-  forbidden: define(1403, 'forbidden', 403, 'not-run', 'No selector admits this client account.'),
   notFound: define(1404, 'not-found', 404, 'not-run', 'No such path, model, service or object.'),
   methodNotAllowed: define(
     1405,
--- a/src/process/runtime/listenHttp/index.ts
+++ b/src/process/runtime/listenHttp/index.ts
@@ -56,22 +56,34 @@
 }
 
 /** Requests of each connection that have not been answered yet. */
-type OpenRequests = WeakMap<Duplex, number>;
+type OpenRequests = WeakMap<Duplex, Set<http.IncomingMessage>>;
 
 /** Counts a request as open until its response has ended. */
-function trackRequest(open: OpenRequests, socket: Duplex, response: http.ServerResponse): void {
-  open.set(socket, (open.get(socket) ?? 0) + 1);
+function trackRequest(
+  open: OpenRequests,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): void {
+  const requests = open.get(request.socket) ?? new Set();
+  open.set(request.socket, requests);
+  requests.add(request);
   response.once('close', () => {
-    open.set(socket, (open.get(socket) ?? 1) - 1);
+    requests.delete(request);
   });
 }
 
+/** Tells whether a request of the connection has arrived whole, so that it may have been run. */
+function hasWholeRequest(open: OpenRequests, socket: Duplex): boolean {
+  return [...(open.get(socket) ?? [])].some(({ complete }) => complete);
+}
+
 /**
- * Answers bytes that are not a request. While an earlier request of the connection is open, an
- * answer here would be taken for its answer, so that the connection is cut instead.
+ * Answers bytes that are not a request, or a request that does not arrive. While a request of the
+ * connection that has arrived whole is open, an answer here would be taken for its answer, so that
+ * the connection is cut instead.
  */
 function answerParserError(open: OpenRequests, error: NodeJS.ErrnoException, socket: Duplex): void {
-  if (!socket.writable || (open.get(socket) ?? 0) > 0) {
+  if (!socket.writable || hasWholeRequest(open, socket)) {
     socket.destroy();
     return;
   }
@@ -118,7 +130,7 @@
   const server = createServer({
     ...options,
     onRequest: (request, response) => {
-      trackRequest(open, request.socket, response);
+      trackRequest(open, request, response);
       options.onRequest(request, response);
     },
   });
--- a/src/request/createServiceCalls/index.ts
+++ b/src/request/createServiceCalls/index.ts
@@ -44,11 +44,12 @@
 }
 
 const LARGEST_TRIES = 3;
-const REFUSAL = /^\{"refused":"[a-z]+"/;
+const REFUSAL = /^\{"refused":"([a-z]+)"/;
 
-/** Tells whether a reply is an endpoint's own refusal, which promises that it did not act. */
-function isRefusal(result: EndpointResult): boolean {
-  return result.kind === 'reply' && result.status === 503 && REFUSAL.test(result.body);
+/** Reason of an endpoint's own refusal, which promises that it did not act; undefined for none. */
+function readRefusal(result: EndpointResult): string | undefined {
+  if (result.kind !== 'reply' || result.status !== 503) return undefined;
+  return REFUSAL.exec(result.body)?.[1];
 }
 
 /**
@@ -122,8 +123,9 @@
     done: (outcome: ServiceOutcome) => void,
   ): void => {
     const next = new Set([...tried, name]);
-    if (isRefusal(result)) {
-      options.onLeaving(name);
+    const refusal = readRefusal(result);
+    if (refusal !== undefined) {
+      if (refusal === 'leaving') options.onLeaving(name);
       attempt(call, next, wasSent, done);
       return;
     }
--- a/tests/configuration.test.ts
+++ b/tests/configuration.test.ts
@@ -181,3 +181,21 @@
   system.run(8_000);
   assert.equal(findLatest(watched, 'node-4'), 2);
 });
+
+test('a change whose acceptance cannot be settled is told as unknown, never as refused', () => {
+  let isLost = false;
+  const system = startSystem(createVirtualFleet({ engines: [] }), {
+    nodes: 2,
+    decideFate: (_node, call) => {
+      if (!isLost) return 'done';
+      if (call.kind !== 'compareAndSwap') return 'refused';
+      return call.key === 'configuration/head' ? 'lostReply' : 'done';
+    },
+  });
+  const request = sendChange(system, 'node-1', 'lost', label('a', 'kiosk'), 1);
+  system.queue.schedule(4, () => {
+    isLost = true;
+  });
+  system.run(60_000);
+  assert.match(system.answers.get(request)?.body ?? '', /"code":1508.*"outcome":"unknown"/);
+});
