--- a/bench/measurements.ts
+++ b/bench/measurements.ts
@@ -9,6 +9,7 @@
 import { measureFairness, measureOverload } from './overload/index.js';
 import { measureFalseAlarms, measureRecovery } from './recovery/index.js';
 import { measureIdle, measureRolling } from './rolling/index.js';
+import { measureRoles } from './roles/index.js';
 import { measureRoutingCost } from './routingCost/index.js';
 import { measurePrefix, measureThroughput } from './throughput/index.js';
 import type { Measurement } from './types.js';
@@ -29,6 +30,7 @@
   outage: measureOutage,
   configuration: measureConfiguration,
   membership: measureMembership,
+  roles: measureRoles,
   rolling: measureRolling,
   idle: measureIdle,
 };
--- a/tests/callerInterface.test.ts
+++ b/tests/callerInterface.test.ts
@@ -218,8 +218,8 @@
     path: '/v1/chat/completions',
     body: JSON.stringify({ model: 'fit-assistant', messages }),
   });
-  assert.equal(result.kind, 'reply');
-  const body = JSON.parse(result.kind === 'reply' ? result.body : '{}') as {
+  assert.ok(result.kind === 'reply');
+  const body = JSON.parse(result.body) as {
     choices: { message: { content: string } }[];
   };
   const prompt = 'user: Où régler la selle de Zoë?';
