--- /dev/null
+++ b/bench/computeCapacity/test.ts
@@ -0,0 +1,32 @@
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import test from 'node:test';
+import type { Row } from '../../src/commands/printOutput/index.js';
+import {
+  computeRoles,
+  computeStore,
+  describeSlopes,
+  slopesSchema,
+  sumControl,
+  TARGET,
+  TODAY,
+} from './index.js';
+
+const slopes = slopesSchema.parse(JSON.parse(readFileSync('docs/capacity/slopes.json', 'utf8')));
+const page = readFileSync('docs/CAPACITY.md', 'utf8').replaceAll(/ +/g, ' ');
+
+function expectRow(row: Row): void {
+  const text = `| ${Object.values(row).map(String).join(' | ')} |`;
+  assert.ok(page.includes(text), `docs/CAPACITY.md lacks: ${text}`);
+}
+
+test('the capacity page holds exactly the sums that its slopes give', () => {
+  describeSlopes(slopes).forEach(expectRow);
+  for (const [size, installation] of Object.entries({ today: TODAY, target: TARGET })) {
+    const roles = computeRoles(slopes, installation);
+    roles.forEach(expectRow);
+    const { processor, memory, bytes } = sumControl(roles);
+    const { reads, writes } = computeStore(slopes, installation);
+    expectRow({ size, processor, memory, bytes, reads, writes });
+  }
+});
--- /dev/null
+++ b/scripts/capacity.ts
@@ -0,0 +1,42 @@
+/**
+ * Prints the tables of docs/CAPACITY.md from the committed slopes: `npm run capacity`.
+ */
+import { readFileSync } from 'node:fs';
+import type { Row } from '../src/commands/printOutput/index.js';
+import {
+  computeRoles,
+  computeStore,
+  describeSlopes,
+  slopesSchema,
+  sumControl,
+  TARGET,
+  TODAY,
+} from '../bench/computeCapacity/index.js';
+
+function printMarkdown(rows: readonly Row[]): void {
+  const columns = Object.keys(rows[0] ?? {});
+  console.log(`| ${columns.join(' | ')} |\n|${columns.map(() => ' --- |').join('')}`);
+  for (const row of rows) {
+    console.log(`| ${columns.map((column) => String(row[column] ?? '')).join(' | ')} |`);
+  }
+  console.log('');
+}
+
+const slopes = slopesSchema.parse(JSON.parse(readFileSync('docs/capacity/slopes.json', 'utf8')));
+printMarkdown(describeSlopes(slopes));
+for (const [name, size] of Object.entries({ today: TODAY, target: TARGET })) {
+  const roles = computeRoles(slopes, size);
+  printMarkdown(roles);
+  const { processor, memory, bytes } = sumControl(roles);
+  const { reads, writes } = computeStore(slopes, size);
+  printMarkdown([
+    {
+      size: name,
+      'control processor %': processor,
+      'control memory MB': memory,
+      'control bytes/s': bytes,
+      'store reads/s': reads,
+      'store writes/s': writes,
+    },
+  ]);
+}
--- a/src/process/orders/createOrders/index.ts
+++ b/src/process/orders/createOrders/index.ts
@@ -67,6 +67,8 @@
   const { claimMarginMilliseconds: marginMilliseconds } = options;
   const claim = createClaim({ context, key: CLAIM_KEY, marginMilliseconds });
   const busyUntil = new Map<string, number>();
+  /** Claim, fleet and configuration for which nothing was left to order. */
+  let settled = '';
   let nextLoadAt = 0;
   let status: OrderStatus = { fencing: 0, backlog: 0, blocked: [] };
 
@@ -124,6 +126,9 @@
       status = { fencing: 0, backlog: 0, blocked: [] };
       return;
     }
+    const seen = `${fencing.toString()}/${fleet.epoch().toString()}/${options.getVersion().revision.toString()}`;
+    if (seen === settled) return;
+    settled = '';
     const desired = planFleet(options.getVersion().selectors, fleet.list());
     const engines = fleet.list().filter(hasReport);
     const differing = engines.filter(({ name, report }) => {
@@ -138,6 +143,7 @@
       allowance: countAllowance(),
     });
     status = { fencing, backlog, blocked };
+    if (backlog === 0) settled = seen;
     if (orders.length === 0) return;
     spendAllowance(orders.length);
     for (const { engine, state } of orders) send(engine, state);
