Leave a limit alone that is not half used, and accept 24 ms between tokens

Cause: pools used by 3 of 16 shrank on slow tokens that their own use did not cause, and queued later: first token p95 1,737 ms at the full example load although engines were free.

--- a/src/connection/limitConcurrency/index.ts
+++ b/src/connection/limitConcurrency/index.ts
@@ -50,8 +50,8 @@
  *
  * The gradient is the accepted latency over the recent one, between one half and one. In the time of
  * one sample from each running request the limit grows by one while latency is accepted, and shrinks
- * by a part of itself otherwise, so that nodes that share a pool come to equal limits. It does not
- * grow while it is not used.
+ * by a part of itself otherwise, so that nodes that share a pool come to equal limits. It stays as it
+ * is while less than half of it is used: latency then says nothing about it.
  *
  * @param options - the state, the new latency and the bounds
  * @returns the next state
@@ -67,7 +67,7 @@
       : state.recentLatency + RECENT_WEIGHT * (latencyMilliseconds - state.recentLatency);
   const gradient = Math.min(1, Math.max(0.5, (tolerance * baseLatency) / recentLatency));
   const isIdle = inFlight < state.limit / 2;
-  if (isIdle && gradient === 1) return { limit: state.limit, baseLatency, recentLatency };
+  if (isIdle) return { limit: state.limit, baseLatency, recentLatency };
   const round = Math.min(1, SAMPLES_PER_ROUND / state.limit);
   const step = gradient === 1 ? GROWTH_PER_ROUND : -SHRINK_WEIGHT * (1 - gradient) * state.limit;
   const next = state.limit + round * step;
--- a/src/connection/limitConcurrency/test.ts
+++ b/src/connection/limitConcurrency/test.ts
@@ -19,10 +19,11 @@
   assert.ok(shrunk.limit < grown.limit / 2, shrunk.limit.toString());
 });
 
-test('a limit that is not used does not grow', () => {
+test('a limit that is not used neither grows nor shrinks', () => {
   const state = { limit: 100, baseLatency: 10, recentLatency: 10 };
   const bounds = { tolerance: 2, minimum: 4, maximum: 4_096 };
   assert.equal(adaptLimit({ state, latencyMilliseconds: 10, inFlight: 3, ...bounds }).limit, 100);
+  assert.equal(adaptLimit({ state, latencyMilliseconds: 90, inFlight: 3, ...bounds }).limit, 100);
 });
 
 test('the base rises only while the limit cannot shrink any further', () => {
--- a/src/request/createPools/index.ts
+++ b/src/request/createPools/index.ts
@@ -35,7 +35,7 @@
 const SLOWDOWN_TOLERANCES = { recovery: 1.3, throughput: 3 } as const;
 
 /** Time between tokens that is always acceptable, in milliseconds, by what a selector weighs. */
-const BETWEEN_TOKENS_MILLISECONDS = { recovery: 30, throughput: 80 } as const;
+const BETWEEN_TOKENS_MILLISECONDS = { recovery: 24, throughput: 80 } as const;
 
 /** Options of {@link createPools}. */
 export interface CreatePoolsOptions {
