--- a/bench/relay/index.ts
+++ b/bench/relay/index.ts
@@ -2,9 +2,9 @@
  * Cost of relaying tokens on real nodes, by rate, and the latency that a node adds.
  */
 import { readFileSync } from 'node:fs';
-import { build } from 'esbuild';
 import { createEngineRuns } from '../../src/process/runtime/runEngines/index.js';
 import type { EngineReport, Stage } from '../../src/types/endpoint/index.js';
+import { BUNDLE, buildBundle } from '../buildBundle/index.js';
 import { createCaller } from '../createCaller/index.js';
 import { fitLine } from '../fitLine/index.js';
 import { readLoad, runLoad } from '../runLoad/index.js';
@@ -12,7 +12,6 @@
 import { summarizeValues } from '../summarizeValues/index.js';
 import { round, type Measurement } from '../types.js';
 
-const BUNDLE = 'dist/marjoramcleat.cjs';
 const SITE = 'fit-desk';
 const NODES = 6;
 const PARTS = [0.25, 0.5, 1];
@@ -111,15 +110,7 @@
 
 /** Measures both on the fit desk's example with six nodes. */
 export async function measureRelay(): Promise<Measurement> {
-  await build({
-    entryPoints: ['src/main.ts'],
-    bundle: true,
-    platform: 'node',
-    target: 'node20',
-    format: 'cjs',
-    outfile: BUNDLE,
-    logLevel: 'error',
-  });
+  await buildBundle();
   const keys = JSON.parse(readFileSync(`examples/${SITE}/keys.json`, 'utf8')) as Record<
     string,
     string
--- a/bench/rolling/index.ts
+++ b/bench/rolling/index.ts
@@ -3,12 +3,11 @@
  * that serves nobody.
  */
 import { readFileSync } from 'node:fs';
-import { build } from 'esbuild';
+import { BUNDLE, buildBundle } from '../buildBundle/index.js';
 import { readLoad, runLoad } from '../runLoad/index.js';
 import { spawnSite, type SpawnedSite } from '../spawnSite/index.js';
 import { round, type Measurement } from '../types.js';
 
-const BUNDLE = 'dist/marjoramcleat.cjs';
 const SITE = 'fit-desk';
 const NODES = 6;
 const LOAD_SECONDS = 62;
@@ -22,18 +21,6 @@
     setTimeout(done, milliseconds);
   });
 
-async function buildBundle(): Promise<void> {
-  await build({
-    entryPoints: ['src/main.ts'],
-    bundle: true,
-    platform: 'node',
-    target: 'node20',
-    format: 'cjs',
-    outfile: BUNDLE,
-    logLevel: 'error',
-  });
-}
-
 function spawnNodes(): Promise<SpawnedSite> {
   return spawnSite({ site: SITE, nodes: NODES, command: [process.execPath, BUNDLE] });
 }
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -3,10 +3,9 @@
  */
 import { execFileSync } from 'node:child_process';
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
-import { build } from 'esbuild';
+import { BUNDLE, buildBundle } from '../bench/buildBundle/index.js';
 import { inject } from 'postject';
 
-const BUNDLE = 'dist/marjoramcleat.cjs';
 const CONFIGURATION = 'dist/executable.json';
 const BLOB = 'dist/marjoramcleat.blob';
 const BINARY = 'dist/marjoramcleat';
@@ -14,16 +13,7 @@
 
 mkdirSync('dist', { recursive: true });
 const { version } = JSON.parse(readFileSync('package.json', 'utf8')) as { version: string };
-await build({
-  entryPoints: ['src/main.ts'],
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  outfile: BUNDLE,
-  logLevel: 'error',
-  define: { 'process.env.MARJORAMCLEAT_VERSION': JSON.stringify(version) },
-});
+await buildBundle(version);
 writeFileSync(
   CONFIGURATION,
   JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true }),
--- a/scripts/load.ts
+++ b/scripts/load.ts
@@ -3,13 +3,11 @@
  */
 import { readFileSync, writeFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
-import { build } from 'esbuild';
+import { BUNDLE, buildBundle } from '../bench/buildBundle/index.js';
 import { formatTable, type Row } from '../src/commands/printOutput/index.js';
 import { readLoad, runLoad, type LoadResult } from '../bench/runLoad/index.js';
 import { spawnSite } from '../bench/spawnSite/index.js';
 
-const BUNDLE = 'dist/marjoramcleat.cjs';
-
 /** Flattens a result to one value a name. */
 function flatten(result: LoadResult): Record<string, number> {
   const flat: Record<string, number> = {};
@@ -31,15 +29,7 @@
   },
 });
 const settings = readLoad(values.settings);
-await build({
-  entryPoints: ['src/main.ts'],
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  outfile: BUNDLE,
-  logLevel: 'error',
-});
+await buildBundle();
 const keys = JSON.parse(readFileSync(`examples/${settings.site}/keys.json`, 'utf8')) as Record<
   string,
   string
--- a/src/process/configuration/createConfiguration/index.ts
+++ b/src/process/configuration/createConfiguration/index.ts
@@ -11,6 +11,7 @@
 import type { Member, PeerMessage } from '../../../types/peer/index.js';
 import type { PlatformResult } from '../../../types/platform/index.js';
 import { digestText } from '../../../version/digestText/index.js';
+import { parseJson } from '../../parseJson/index.js';
 import type { NodeContext } from '../../node/createContext/index.js';
 
 /** The configuration in force with the head and shards that it was built from. */
@@ -79,11 +80,7 @@
  * readHead(entry.value)?.revision;
  */
 export function readHead(text: string): Head | undefined {
-  try {
-    return headSchema.safeParse(JSON.parse(text)).data;
-  } catch {
-    return undefined;
-  }
+  return headSchema.safeParse(parseJson(text)).data;
 }
 
 function buildConfiguration(head: Head, shards: ReadonlyMap<string, string>): Configuration {
--- a/src/process/membership/createMembership/index.ts
+++ b/src/process/membership/createMembership/index.ts
@@ -6,6 +6,7 @@
 import { hashText } from '../../hashRendezvous/index.js';
 import type { NodeContext } from '../../node/createContext/index.js';
 import { firstIncarnation, mergeMember } from '../mergeMember/index.js';
+import { createFacts } from '../keepFacts/index.js';
 import { createProber } from '../probeMembers/index.js';
 import { createRumors } from '../spreadRumors/index.js';
 
@@ -73,15 +74,6 @@
 const RELAY_MILLISECONDS = 2_000;
 const ROUNDS_BETWEEN_SWEEPS = 30;
 const ANNOUNCE_MILLISECONDS = 50;
-const PASSED_FACT_MILLISECONDS = 60_000;
-const KEPT_FACT_MILLISECONDS = 86_400_000;
-
-/** Facts that are kept for nodes that missed them; others are only passed on. */
-const KEPT_FACTS = ['leaving/', 'report/'];
-
-function isKept(fact: Fact): boolean {
-  return KEPT_FACTS.some((prefix) => fact.key.startsWith(prefix));
-}
 
 function isUrgentFact(fact: Fact): boolean {
   return fact.key.startsWith('leaving/');
@@ -98,7 +90,7 @@
 export function createMembership(options: CreateMembershipOptions): Membership {
   const { context, merge = mergeMember } = options;
   const members = new Map<string, Member>();
-  const facts = new Map<string, Fact>();
+  const facts = createFacts();
   const suspicions = new Map<string, string>();
   const relays = new Map<number, { readonly address: string; readonly sequence: number }>();
   const rumors = createRumors();
@@ -116,7 +108,6 @@
   let mismatches = 0;
   let synchronizedAt = -LEAST_SYNCHRONIZE_INTERVAL_MILLISECONDS;
   let memberDigest = 0;
-  let factDigest = 0;
 
   const listPeers = (): Member[] => [...members.values()];
   const countAlive = (): number => 1 + listPeers().filter(({ state }) => state === 'alive').length;
@@ -124,8 +115,7 @@
     member.state === 'dead'
       ? 0
       : hashText(`${member.node}/${member.incarnation.toString()}/${member.state}`);
-  const digestFact = (fact: Fact): number => hashText(`${fact.key}/${fact.version.toString()}`);
-  const computeDigest = (): number => (memberDigest ^ digestMember(own) ^ factDigest) >>> 0;
+  const computeDigest = (): number => (memberDigest ^ digestMember(own) ^ facts.digest()) >>> 0;
 
   const store = (member: Member): void => {
     const present = members.get(member.node);
@@ -224,13 +214,7 @@
     if (present && winner.state !== present.state) announceSoon();
   };
   const takeFact = (fact: Fact, isUrgent = isUrgentFact(fact)): void => {
-    const present = facts.get(fact.key);
-    if (present && present.version >= fact.version) return;
-    if (isKept(fact)) {
-      if (present) factDigest ^= digestFact(present);
-      factDigest ^= digestFact(fact);
-    }
-    facts.set(fact.key, fact);
+    if (!facts.take(fact)) return;
     rumors.add({ kind: 'fact', fact });
     options.onFact(fact);
     if (isUrgent) announce();
@@ -259,7 +243,7 @@
       revision: options.getRevision(),
       limits: [],
       members: [own, ...members.values()],
-      facts: [...facts.values()].filter(isKept),
+      facts: facts.listKept(),
     });
   };
   const compareDigest = (from: string, digest: number): void => {
@@ -335,17 +319,9 @@
       if (message.answer && peer) sendEverything(peer.peerAddress, false);
     },
   };
-  const forgetOldFacts = (): void => {
-    for (const fact of facts.values()) {
-      const age = context.now() - fact.version;
-      if (age < (isKept(fact) ? KEPT_FACT_MILLISECONDS : PASSED_FACT_MILLISECONDS)) continue;
-      facts.delete(fact.key);
-      if (isKept(fact)) factDigest ^= digestFact(fact);
-    }
-  };
   const runRound = (): void => {
     round += 1;
-    if (round % ROUNDS_BETWEEN_SWEEPS === 0) forgetOldFacts();
+    if (round % ROUNDS_BETWEEN_SWEEPS === 0) facts.forgetOld(context.now());
     prober.runRound();
     context.schedule(GOSSIP_ROUND_MILLISECONDS, runRound);
   };
--- a/src/process/membership/registerNode/index.ts
+++ b/src/process/membership/registerNode/index.ts
@@ -2,6 +2,7 @@
  * Registration of a node in the platform's service, for joins and first contacts.
  */
 import { memberSchema, type Member } from '../../../types/peer/index.js';
+import { parseJson } from '../../parseJson/index.js';
 import type { NodeContext } from '../../node/createContext/index.js';
 import type { Membership } from '../createMembership/index.js';
 
@@ -26,11 +27,7 @@
 const PREFIX = 'members/';
 
 function readMember(text: string): Member | undefined {
-  try {
-    return memberSchema.safeParse(JSON.parse(text)).data;
-  } catch {
-    return undefined;
-  }
+  return memberSchema.safeParse(parseJson(text)).data;
 }
 
 /**
--- a/src/process/node/pollEndpoints/index.ts
+++ b/src/process/node/pollEndpoints/index.ts
@@ -11,6 +11,7 @@
 import type { Fact } from '../../../types/peer/index.js';
 import { vmSchema, type Vm } from '../../../types/platform/index.js';
 import { findOwner } from '../../hashRendezvous/index.js';
+import { parseJson } from '../../parseJson/index.js';
 import type { NodeContext } from '../createContext/index.js';
 
 /** Options of {@link createPolling}. */
@@ -49,11 +50,7 @@
 }
 
 function parseReport(body: string): EngineReport | undefined {
-  try {
-    return engineReportSchema.safeParse(JSON.parse(body)).data;
-  } catch {
-    return undefined;
-  }
+  return engineReportSchema.safeParse(parseJson(body)).data;
 }
 
 const packedReportSchema = z.tuple([
@@ -113,11 +110,7 @@
 }
 
 function parseVm(text: string): Vm | undefined {
-  try {
-    return vmSchema.safeParse(JSON.parse(text)).data;
-  } catch {
-    return undefined;
-  }
+  return vmSchema.safeParse(parseJson(text)).data;
 }
 
 /**
--- a/src/process/node/routeOperator/index.ts
+++ b/src/process/node/routeOperator/index.ts
@@ -10,6 +10,7 @@
 import { matchLabels } from '../../../version/matchLabels/index.js';
 import type { Acceptor, ChangeFailure } from '../../configuration/acceptChange/index.js';
 import type { ConfigurationStore } from '../../configuration/createConfiguration/index.js';
+import { parseJson } from '../../parseJson/index.js';
 import type { NodeContext } from '../createContext/index.js';
 import type { NodeStatus } from '../describeStatus/index.js';
 
@@ -32,14 +33,6 @@
 
 type Handler = (event: OperatorRequest) => void;
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 /**
  * Creates the router of operators' requests.
  *
--- a/src/process/runtime/callPlatform/index.ts
+++ b/src/process/runtime/callPlatform/index.ts
@@ -7,6 +7,7 @@
   type PlatformCall,
   type PlatformResult,
 } from '../../../types/platform/index.js';
+import { parseJson } from '../../parseJson/index.js';
 import { callHttp, type HttpResult } from '../callHttp/index.js';
 
 /** Options of {@link createPlatformClient}. */
@@ -29,11 +30,7 @@
 const SUCCESS = 200;
 
 function parseResult(body: string): PlatformResult {
-  try {
-    return platformResultSchema.safeParse(JSON.parse(body)).data ?? { kind: 'unknown' };
-  } catch {
-    return { kind: 'unknown' };
-  }
+  return platformResultSchema.safeParse(parseJson(body)).data ?? { kind: 'unknown' };
 }
 
 function readResult(result: HttpResult): PlatformResult {
--- /dev/null
+++ b/src/request/computeStallTimeout/index.ts
@@ -0,0 +1,76 @@
+/**
+ * Time of silence after which a chain counts as stalled.
+ */
+import { computeTimeout, type GapEstimate } from '../../connection/estimateGap/index.js';
+import type { Stage } from '../../types/endpoint/index.js';
+import type { Pool } from '../createPools/index.js';
+
+/** Options of {@link computeStallTimeout}. */
+export interface ComputeStallTimeoutOptions {
+  readonly pool: Pick<Pool, 'gaps' | 'firstTokens' | 'selector'>;
+  /** Estimate of the answer's own gaps, as multiples of the chain's time without load. */
+  readonly gaps: GapEstimate;
+  /** Time that a token takes on the chain without load, in milliseconds. */
+  readonly tokenMilliseconds: number;
+  /** Time that the first token takes on the chain without load or cache, in milliseconds. */
+  readonly firstTokenMilliseconds: number;
+  /** Number of tokens received so far. */
+  readonly received: number;
+}
+
+const OWN_SAMPLES = 16;
+const LONGEST_STALL_MILLISECONDS = 5_000;
+const SHORTEST_STALL_MILLISECONDS = 25;
+const HOP_MILLISECONDS = 0.5;
+
+/** Bounds of a stall timeout, as multiples of a chain's time without load. */
+const INITIAL_STALL_FACTOR = 40;
+const LEAST_STALL_FACTOR = 1.5;
+const LARGEST_STALL_FACTOR = 200;
+
+/** Deviations of the gap's logarithm after which a chain counts as stalled, by what a selector weighs. */
+const STALL_DEVIATIONS = { recovery: 4, throughput: 6 } as const;
+
+/**
+ * Computes the time that a token takes on a chain without load.
+ *
+ * @param pool - the pool that the chain was chosen from
+ * @param stages - the stages of the chain
+ * @returns the time of its layers and hops in milliseconds
+ * @example
+ * computeTokenTime(pool, stages);
+ */
+export function computeTokenTime(pool: Pool, stages: readonly Stage[]): number {
+  const speeds = new Map(pool.chain.engines.map((engine) => [engine.name, engine.layersPerSecond]));
+  return stages.reduce(
+    (sum, { engine, from, to }) => sum + ((to - from) * 1_000) / (speeds.get(engine) ?? 1),
+    HOP_MILLISECONDS * (stages.length + 1),
+  );
+}
+
+/**
+ * Computes the time of silence after which a chain counts as stalled.
+ *
+ * The answer's own gaps decide once there are enough of them, those of the pool before; the first
+ * token has an estimate of its own.
+ *
+ * @param options - estimates, and the chain's time without load
+ * @returns the timeout in milliseconds
+ * @example
+ * computeStallTimeout({ pool, gaps, tokenMilliseconds: 15, firstTokenMilliseconds: 30, received: 4 });
+ */
+export function computeStallTimeout(options: ComputeStallTimeoutOptions): number {
+  const { pool, gaps, received } = options;
+  const isFirst = received === 0;
+  const ownOrPool = gaps.samples >= OWN_SAMPLES ? gaps : pool.gaps;
+  const factor = computeTimeout({
+    estimate: isFirst ? pool.firstTokens : ownOrPool,
+    deviations: STALL_DEVIATIONS[pool.selector.weigh],
+    initial: INITIAL_STALL_FACTOR,
+    minimum: LEAST_STALL_FACTOR,
+    maximum: LARGEST_STALL_FACTOR,
+  });
+  const usual = isFirst ? options.firstTokenMilliseconds : options.tokenMilliseconds;
+  const timeout = Math.max(factor * usual, SHORTEST_STALL_MILLISECONDS);
+  return Math.min(timeout, LONGEST_STALL_MILLISECONDS);
+}
--- a/src/request/createAttempts/index.ts
+++ b/src/request/createAttempts/index.ts
@@ -1,10 +1,11 @@
 /**
  * Attempts: one run of an answer's remaining tokens over one chain of engines.
  */
-import { addGap, computeTimeout, type GapEstimate } from '../../connection/estimateGap/index.js';
+import { addGap, type GapEstimate } from '../../connection/estimateGap/index.js';
 import type { Fleet } from '../../connection/createFleet/index.js';
 import type { NodeContext } from '../../process/node/createContext/index.js';
 import type { Stage, TokenLine } from '../../types/endpoint/index.js';
+import { computeStallTimeout, computeTokenTime } from '../computeStallTimeout/index.js';
 import { chooseChain } from '../chooseChain/index.js';
 import type { Pool } from '../createPools/index.js';
 import type { PrefixMemory } from '../createPrefixMemory/index.js';
@@ -91,19 +92,7 @@
   timer: string;
 }
 
-const OWN_SAMPLES = 16;
-const LONGEST_STALL_MILLISECONDS = 5_000;
-const SHORTEST_STALL_MILLISECONDS = 25;
 const PROBE_TIMEOUT_MILLISECONDS = 300;
-const HOP_MILLISECONDS = 0.5;
-
-/** Bounds of a stall timeout, as multiples of a chain's time without load. */
-const INITIAL_STALL_FACTOR = 40;
-const LEAST_STALL_FACTOR = 1.5;
-const LARGEST_STALL_FACTOR = 200;
-
-/** Deviations of the gap's logarithm after which a chain counts as stalled, by what a selector weighs. */
-const STALL_DEVIATIONS = { recovery: 4, throughput: 6 } as const;
 
 /** Events counted when a token is dropped, by verdict. */
 const DROP_COUNTERS: Record<Exclude<TokenVerdict, 'deliver'>, string> = {
@@ -113,30 +102,10 @@
   endedAttempt: 'tokens_dropped_ended_attempt',
 };
 
-/** Time of silence after which an attempt counts as stalled, in milliseconds. */
-function computeStallTimeout(attempt: Attempt): number {
+function readStallTimeout(attempt: Attempt): number {
+  const { gaps, tokenMilliseconds, firstTokenMilliseconds, received } = attempt;
   const { pool } = attempt.options;
-  const isFirst = attempt.received === 0;
-  const ownOrPool = attempt.gaps.samples >= OWN_SAMPLES ? attempt.gaps : pool.gaps;
-  const factor = computeTimeout({
-    estimate: isFirst ? pool.firstTokens : ownOrPool,
-    deviations: STALL_DEVIATIONS[pool.selector.weigh],
-    initial: INITIAL_STALL_FACTOR,
-    minimum: LEAST_STALL_FACTOR,
-    maximum: LARGEST_STALL_FACTOR,
-  });
-  const usual = isFirst ? attempt.firstTokenMilliseconds : attempt.tokenMilliseconds;
-  const timeout = Math.max(factor * usual, SHORTEST_STALL_MILLISECONDS);
-  return Math.min(timeout, LONGEST_STALL_MILLISECONDS);
-}
-
-/** Time that a token takes on a chain without load: its layers and the links between its stages. */
-function computeTokenTime(pool: Pool, stages: readonly Stage[]): number {
-  const speeds = new Map(pool.chain.engines.map((engine) => [engine.name, engine.layersPerSecond]));
-  return stages.reduce(
-    (sum, { engine, from, to }) => sum + ((to - from) * 1_000) / (speeds.get(engine) ?? 1),
-    HOP_MILLISECONDS * (stages.length + 1),
-  );
+  return computeStallTimeout({ pool, gaps, tokenMilliseconds, firstTokenMilliseconds, received });
 }
 
 /**
@@ -190,7 +159,7 @@
   };
   const watch = (attempt: Attempt, delayMilliseconds: number): void => {
     attempt.timer = context.schedule(delayMilliseconds, () => {
-      const dueAt = attempt.progressAt + computeStallTimeout(attempt);
+      const dueAt = attempt.progressAt + readStallTimeout(attempt);
       if (context.now() >= dueAt) endStalled(attempt);
       else watch(attempt, dueAt - context.now());
     });
@@ -313,7 +282,7 @@
           priority: pool.selector.priority,
         },
       });
-      watch(attempt, computeStallTimeout(attempt));
+      watch(attempt, readStallTimeout(attempt));
       return { id: attempt.id, tokenMilliseconds };
     },
     cancel: (id) => {
--- a/src/request/decideIntent/index.ts
+++ b/src/request/decideIntent/index.ts
@@ -2,6 +2,7 @@
  * Decision on a call that may not be repeated, from the platform's answer to its intent.
  */
 import { z } from 'zod';
+import { parseJson } from '../../process/parseJson/index.js';
 import type { Entry, PlatformResult } from '../../types/platform/index.js';
 
 /** A journal record of one call, by client account and idempotency key. */
@@ -52,11 +53,7 @@
  * readJournalRecord(entry.value)?.state;
  */
 export function readJournalRecord(text: string): JournalRecord | undefined {
-  try {
-    return journalRecordSchema.safeParse(JSON.parse(text)).data;
-  } catch {
-    return undefined;
-  }
+  return journalRecordSchema.safeParse(parseJson(text)).data;
 }
 
 /**
--- a/src/request/readCompletion/index.ts
+++ b/src/request/readCompletion/index.ts
@@ -4,6 +4,7 @@
 import { Result } from 'true-myth';
 import { z } from 'zod';
 import { DEFAULT_DEADLINE_MILLISECONDS, DEFAULT_MAXIMUM_TOKENS } from '../../constants/index.js';
+import { parseJson } from '../../process/parseJson/index.js';
 import { digestText } from '../../version/digestText/index.js';
 
 const common = {
@@ -58,14 +59,6 @@
 const RESUME = /^([A-Za-z0-9._-]+):([^:]+):([^:]*):([0-9a-f]{16}):(\d{1,6})$/;
 const LONGEST_DEADLINE_MILLISECONDS = 600_000;
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 function readResume(text: string, digest: string): Result<ResumePosition, string> {
   const [, selector, version, adapter, bodyDigest, index] = RESUME.exec(text) ?? [];
   if (selector === undefined || version === undefined || adapter === undefined) {
