Test leaving: old answers, a VM's label, a drain that cannot end; serve metrics to callers' port

Cause: leaving had one test; metrics were on the operators' listener only. Change: streams in flight and callers with old answers are served to the end; a label makes a node leave; at the drain limit what still runs is told interrupted and the exit code is 3. /metrics with the operators' key on the callers' listener too.

--- a/src/process/node/createNode/index.ts
+++ b/src/process/node/createNode/index.ts
@@ -50,7 +50,7 @@
   readonly seeds?: readonly string[];
   readonly findLink?: (fromZone: string, toZone: string) => LinkCost;
   readonly addressExpirySeconds?: number;
-  readonly drainLimitMilliseconds?: number;
+  readonly drainLimitMilliseconds?: number | undefined;
   readonly loadsPerSecond?: number;
   /** Decisions to take in another way, for comparisons with naive versions. */
   readonly decisions?: NodeDecisions | undefined;
--- a/src/process/runtime/startNode/index.ts
+++ b/src/process/runtime/startNode/index.ts
@@ -321,19 +321,23 @@
       lifeCycle,
       feed: (message) => offer({ kind: 'peerMessage', message }),
     });
+    const takeOperator = guardOperators(secrets.operatorKey, parts.histograms, parts.operators);
     const operators = await listenHttp({
       name: 'operators',
       listener: settings.operators,
       lifeCycle,
       requestTimeoutMilliseconds: OPERATOR_REQUEST_TIMEOUT_MILLISECONDS,
-      onRequest: guardOperators(secrets.operatorKey, parts.histograms, parts.operators),
+      onRequest: takeOperator,
     });
     const callers = await listenHttp({
       name: 'callers',
       listener: settings.callers,
       lifeCycle,
       requestTimeoutMilliseconds: settings.callers.bodyTimeoutMilliseconds,
-      onRequest: parts.callers.take,
+      onRequest: (request, response) => {
+        if (request.url === '/metrics') takeOperator(request, response);
+        else parts.callers.take(request, response);
+      },
     });
     return { callers, operators, peers };
   } catch (error) {
--- a/standins/createVirtualSystem/index.ts
+++ b/standins/createVirtualSystem/index.ts
@@ -36,6 +36,7 @@
   readonly linkDelay?: number;
   readonly platformDelay?: number;
   readonly addressExpirySeconds?: number;
+  readonly drainLimitMilliseconds?: number;
   readonly vmListLagMilliseconds?: number;
   /** Fate of each platform call; all are done when absent. */
   readonly decideFate?: (node: string, call: PlatformCall, now: number) => CallFate;
@@ -232,6 +233,7 @@
         callerAddress: `caller:${name}`,
         peerAddress: `peer:${name}`,
         addressExpirySeconds: options.addressExpirySeconds ?? 5,
+        drainLimitMilliseconds: options.drainLimitMilliseconds,
         loadsPerSecond: 100,
         decisions: options.decisions,
         seeds: ['peer:node-1', 'peer:node-2'],
--- a/tests/callerInterface.test.ts
+++ b/tests/callerInterface.test.ts
@@ -238,6 +238,10 @@
   assert.match(await read({ method: 'GET', path: '/v1/addresses' }), /"expiresInSeconds":5/);
   assert.match(await read({ method: 'GET', path: '/health' }), /alive/);
   assert.match(await read({ method: 'GET', path: '/ready' }), /true/);
+  assert.match(await read({ method: 'GET', path: '/metrics' }), /"code":1401/);
+  const key = readFileSync('examples/fit-desk/operators.key', 'utf8').trim();
+  const metrics = { method: 'GET', path: '/metrics', headers: { authorization: `Bearer ${key}` } };
+  assert.match(await read(metrics), /marjoramcleat_first_token_milliseconds\{account="/);
   assert.match(await read({ method: 'GET', path: '/v1/outcomes/key-1' }), /"state":"answered"/);
   const { tickets } = JSON.parse(await read({ path: '/v1/tickets', body: '{"count":2}' })) as {
     tickets: string[];
--- /dev/null
+++ b/tests/leaving.test.ts
@@ -0,0 +1,84 @@
+/**
+ * Leaving: old address answers, streams in flight, and a drain that cannot end.
+ */
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {
+  createVirtualEngine,
+  createVirtualFleet,
+  type VirtualFleet,
+} from '../standins/createVirtualFleet/index.js';
+import type { VirtualSystem } from '../standins/createVirtualSystem/index.js';
+import { generateAnswer } from '../standins/generateToken/index.js';
+import { readOutcome, readStreamText, sendRequest, startSystem } from './support/index.js';
+
+const DRAIN_LIMIT_MILLISECONDS = 60_000;
+const ADDRESS_EXPIRY_MILLISECONDS = 5_000;
+
+function startOne(): { fleet: VirtualFleet; system: VirtualSystem } {
+  const fleet = createVirtualFleet({
+    engines: [createVirtualEngine({ name: 'whole', from: 0, to: 48 })],
+    services: 0,
+  });
+  const drainLimitMilliseconds = DRAIN_LIMIT_MILLISECONDS;
+  return { fleet, system: startSystem(fleet, { nodes: 2, drainLimitMilliseconds }) };
+}
+
+function ask(system: VirtualSystem, request: string, deadline = '30000'): void {
+  const body = JSON.stringify({ model: 'm', prompt: request, stream: true });
+  const headers = { 'x-deadline-milliseconds': deadline };
+  sendRequest(system, 'node-1', request, '/v1/completions', body, headers);
+}
+
+function expectWhole(system: VirtualSystem, request: string): void {
+  const variant = { model: 'm', version: '1', adapter: '', prompt: request };
+  const answer = system.answers.get(request);
+  assert.equal(readOutcome(answer), 'answered');
+  assert.equal(readStreamText(answer), generateAnswer(variant, 64));
+}
+
+test('a leaving node ends its streams and serves callers with old answers until they expire', () => {
+  const { system } = startOne();
+  ask(system, 'before');
+  system.run(100);
+  system.feed('node-1', { kind: 'leave' });
+  system.run(ADDRESS_EXPIRY_MILLISECONDS - 1_000);
+  ask(system, 'with an old answer');
+  system.run(20_000);
+  expectWhole(system, 'before');
+  expectWhole(system, 'with an old answer');
+  assert.equal(system.exits.get('node-1'), 0);
+});
+
+test('a label on its VM makes a node leave', () => {
+  const { system } = startOne();
+  const labels = { state: 'leaving' };
+  const operations = [{ kind: 'setLabels', object: 'vm', name: 'vm-node-1', labels }];
+  const change = { id: 'change-id-leave', baseRevision: 1, operations };
+  const body = JSON.stringify({ change });
+  system.feed('node-2', {
+    kind: 'operatorRequest',
+    request: 'leave',
+    method: 'POST',
+    path: '/v1/changes',
+    body,
+  });
+  system.run(12_000);
+  assert.equal(system.exits.get('node-1'), 0);
+  assert.equal(system.exits.get('node-2'), undefined);
+});
+
+test('a drain that cannot end is bounded: what still runs is told interrupted, and the exit code is 3', () => {
+  const { fleet, system } = startOne();
+  ask(system, 'stuck', '600000');
+  system.run(100);
+  const engine = fleet.engines.get('whole');
+  if (engine) engine.isStalled = true;
+  system.feed('node-1', { kind: 'leave' });
+  system.feed('node-1', { kind: 'leave' });
+  system.run(DRAIN_LIMIT_MILLISECONDS - 5_000);
+  assert.equal(system.exits.get('node-1'), undefined);
+  system.run(10_000);
+  assert.match(system.answers.get('stuck')?.body ?? '', /"code":1507.*"outcome":"unknown"/);
+  assert.equal(system.exits.get('node-1'), 3);
+});
