Take repeated pieces together and drop an allocation from each attempt

Change: stages look their engine up, a pool keeps its hash, decideOn and bench/sleep serve all places, the dead parts are gone, the defaults are the constants. Behaviour as before.

--- a/bench/createCaller/index.ts
+++ b/bench/createCaller/index.ts
@@ -5,6 +5,7 @@
 import http from 'node:http';
 import { createRandom } from '../../src/process/createRandom/index.js';
 import { hashText } from '../../src/process/hashRendezvous/index.js';
+import { sleep } from '../sleep/index.js';
 
 /** Options of {@link createCaller}. */
 export interface CreateCallerOptions {
@@ -91,11 +92,6 @@
 const LARGEST_RECONNECTS = 8;
 const RECONNECT_MILLISECONDS = 50;
 
-const sleep = (milliseconds: number): Promise<void> =>
-  new Promise((done) => {
-    setTimeout(done, milliseconds);
-  });
-
 /**
  * Creates a caller.
  *
--- a/bench/roles/index.ts
+++ b/bench/roles/index.ts
@@ -16,6 +16,7 @@
 import { createVirtualEngine } from '../../standins/createVirtualFleet/index.js';
 import { fitLine, type Point } from '../fitLine/index.js';
 import { round, type Measurement } from '../types.js';
+import { sleep } from '../sleep/index.js';
 
 /** A role's cost at several sizes. */
 export interface RoleCost {
@@ -29,11 +30,6 @@
 const SAMPLE_MILLISECONDS = 4_000;
 const REPEATS = 200;
 
-const sleep = (milliseconds: number): Promise<void> =>
-  new Promise((done) => {
-    setTimeout(done, milliseconds);
-  });
-
 /** Processor time of this process while something runs, in microseconds. */
 async function measureProcessor(run: () => Promise<void>): Promise<number> {
   const before = process.cpuUsage();
--- a/bench/rolling/index.ts
+++ b/bench/rolling/index.ts
@@ -7,6 +7,7 @@
 import { readLoad, runLoad } from '../runLoad/index.js';
 import { spawnSite, type SpawnedSite } from '../spawnSite/index.js';
 import { round, type Measurement } from '../types.js';
+import { sleep } from '../sleep/index.js';
 
 const SITE = 'fit-desk';
 const NODES = 6;
@@ -16,11 +17,6 @@
 const CONTROL_PERCENT = 1.8;
 const CONTROL_MEGABYTES = 64;
 
-const sleep = (milliseconds: number): Promise<void> =>
-  new Promise((done) => {
-    setTimeout(done, milliseconds);
-  });
-
 function spawnNodes(): Promise<SpawnedSite> {
   return spawnSite({ site: SITE, nodes: NODES, command: [process.execPath, BUNDLE] });
 }
--- a/bench/runLoad/index.ts
+++ b/bench/runLoad/index.ts
@@ -11,6 +11,7 @@
 import type { ProcessUsage, SpawnedSite } from '../spawnSite/index.js';
 import { summarizeValues, type ValueSummary } from '../summarizeValues/index.js';
 import { round } from '../types.js';
+import { sleep } from '../sleep/index.js';
 
 /** Settings of a load. Bounded in count and time. */
 export const loadSchema = z.strictObject({
@@ -73,11 +74,6 @@
 const DRAIN_MILLISECONDS = 40_000;
 const HANG_UP_MILLISECONDS = 80;
 
-const sleep = (milliseconds: number): Promise<void> =>
-  new Promise((done) => {
-    setTimeout(done, milliseconds);
-  });
-
 /**
  * Reads the settings of a load.
  *
--- a/bench/spawnSite/index.ts
+++ b/bench/spawnSite/index.ts
@@ -5,6 +5,7 @@
 import { readFileSync } from 'node:fs';
 import { randomUUID } from 'node:crypto';
 import { callOperators } from '../startExample/index.js';
+import { sleep } from '../sleep/index.js';
 
 /** Options of {@link spawnSite}. */
 export interface SpawnSiteOptions {
@@ -52,11 +53,6 @@
 const CHECK_MILLISECONDS = 200;
 const PAGES_PER_MEGABYTE = 256;
 
-const sleep = (milliseconds: number): Promise<void> =>
-  new Promise((done) => {
-    setTimeout(done, milliseconds);
-  });
-
 function readJson(file: string): unknown {
   return JSON.parse(readFileSync(file, 'utf8'));
 }
--- a/bench/startExample/index.ts
+++ b/bench/startExample/index.ts
@@ -9,6 +9,7 @@
 import { readSettings } from '../../src/process/settings/readSettings/index.js';
 import { readSite, startSite, type Site } from '../../standins/startSite/index.js';
 import { createCaller, type Caller } from '../createCaller/index.js';
+import { sleep } from '../sleep/index.js';
 
 /** Options of {@link startExample}. */
 export interface StartExampleOptions {
@@ -45,11 +46,6 @@
 const READY_TIMEOUT_MILLISECONDS = 30_000;
 const CHECK_MILLISECONDS = 100;
 
-const sleep = (milliseconds: number): Promise<void> =>
-  new Promise((done) => {
-    setTimeout(done, milliseconds);
-  });
-
 function readJson(file: string): unknown {
   return JSON.parse(readFileSync(file, 'utf8'));
 }
--- a/scripts/demo/runDemo.ts
+++ b/scripts/demo/runDemo.ts
@@ -8,6 +8,7 @@
 import { startExample, type Example } from '../../bench/startExample/index.js';
 import { generateAnswer } from '../../standins/generateToken/index.js';
 import { computeReference } from '../../standins/serveService/index.js';
+import { sleep } from '../../bench/sleep/index.js';
 
 /** What the demonstration found. */
 export interface DemoSummary {
@@ -40,11 +41,6 @@
 const DRAIN_LIMIT_MILLISECONDS = 20_000;
 const WAVE = 8;
 
-const sleep = (milliseconds: number): Promise<void> =>
-  new Promise((done) => {
-    setTimeout(done, milliseconds);
-  });
-
 function readQuestions(folder: string): Question[] {
   return readFileSync(`${folder}/questions.jsonl`, 'utf8')
     .split('\n')
--- a/src/commands/printOutput/index.ts
+++ b/src/commands/printOutput/index.ts
@@ -15,7 +15,6 @@
 
 /** Exit codes by the hundreds of a result code. */
 const EXIT_CODES: Record<number, number> = { 14: 2, 15: 3, 16: 4 };
-const SUCCESSFUL_LINES = 1;
 
 function paint(text: string, color: string, isTerminal: boolean): string {
   return isTerminal ? `${color}${text}${PLAIN}` : text;
@@ -61,7 +60,7 @@
 export function printOutput(format: OutputFormat, value: unknown, rows: readonly Row[]): void {
   const isTerminal = process.stdout.isTTY;
   const text = format === 'json' ? JSON.stringify(value) : formatTable(rows, isTerminal);
-  process.stdout.write(`${text}\n`.repeat(SUCCESSFUL_LINES));
+  process.stdout.write(`${text}\n`);
 }
 
 /**
--- a/src/constants/index.ts
+++ b/src/constants/index.ts
@@ -49,6 +49,3 @@
 
 /** Largest number of tokens in an answer whose caller names no limit. */
 export const DEFAULT_MAXIMUM_TOKENS = 64;
-
-/** Number of journal and order shards. */
-export const SHARD_COUNT = 16;
--- a/src/process/runtime/startNode/index.ts
+++ b/src/process/runtime/startNode/index.ts
@@ -74,7 +74,6 @@
   readonly peers: PeerLinks;
   readonly timers: Timers;
   readonly histograms: Histograms;
-  readonly lifeCycle: LifeCycle;
   readonly getDriver: () => Driver;
   readonly log: Performers['log'];
   readonly exit: (code: number) => void;
@@ -265,7 +264,6 @@
     peers,
     timers,
     histograms,
-    lifeCycle,
     platform,
     pollAgent,
     getDriver,
--- a/src/process/settings/settingsSchema/index.ts
+++ b/src/process/settings/settingsSchema/index.ts
@@ -2,6 +2,7 @@
  * Schema of the settings file. `docs/SETTINGS.md` lists every setting with its unit and default.
  */
 import { z } from 'zod';
+import { BODY_TIMEOUT_MILLISECONDS, MAXIMUM_BODY_BYTES } from '../../../constants/index.js';
 
 const hostSchema = z.string().min(1);
 const portSchema = z.number().int().min(0).max(65_535);
@@ -38,8 +39,8 @@
   node: z.strictObject({ name: nameSchema, vm: nameSchema, availabilityZone: nameSchema }),
   callers: z.strictObject({
     ...listenerShape,
-    bodyTimeoutMilliseconds: z.number().int().positive().default(10_000),
-    maximumBodyBytes: z.number().int().positive().default(1_048_576),
+    bodyTimeoutMilliseconds: z.number().int().positive().default(BODY_TIMEOUT_MILLISECONDS),
+    maximumBodyBytes: z.number().int().positive().default(MAXIMUM_BODY_BYTES),
   }),
   operators: z.strictObject({ ...listenerShape, key: secretSchema }),
   peers: z.strictObject({
--- a/src/request/computeStallTimeout/index.ts
+++ b/src/request/computeStallTimeout/index.ts
@@ -41,11 +41,12 @@
  * computeTokenTime(pool, stages);
  */
 export function computeTokenTime(pool: Pool, stages: readonly Stage[]): number {
-  const speeds = new Map(pool.chain.engines.map((engine) => [engine.name, engine.layersPerSecond]));
-  return stages.reduce(
-    (sum, { engine, from, to }) => sum + ((to - from) * 1_000) / (speeds.get(engine) ?? 1),
-    HOP_MILLISECONDS * (stages.length + 1),
-  );
+  let milliseconds = HOP_MILLISECONDS * (stages.length + 1);
+  for (const { engine, from, to } of stages) {
+    const held = pool.chain.engines.find(({ name }) => name === engine);
+    milliseconds += ((to - from) * 1_000) / (held?.layersPerSecond ?? 1);
+  }
+  return milliseconds;
 }
 
 /**
--- a/src/request/createBookings/index.ts
+++ b/src/request/createBookings/index.ts
@@ -128,6 +128,10 @@
     context.count(`bookings_${code}`);
     end(active, { kind: 'error', code, ...(isHidden && { outcome: 'unknown' }) });
   };
+  const decideOn = ({ attempt, booking }: Running, result: PlatformResult): IntentDecision => {
+    const { digest, tryNumber } = booking;
+    return decide({ result, attempt, digest, tryNumber });
+  };
   const isExpired = (active: Running): boolean => context.now() >= active.booking.call.deadlineAt;
 
   const remember = (key: string, status: number, body: string): void => {
@@ -256,13 +260,7 @@
   /** The owner cannot say: the stored record decides, and an intent that stands is in doubt. */
   const readOnce = (active: Running): void => {
     journal.read(active.key, (result) => {
-      const { attempt, booking } = active;
-      const decision = decide({
-        result,
-        attempt,
-        digest: booking.digest,
-        tryNumber: booking.tryNumber,
-      });
+      const decision = decideOn(active, result);
       if (decision.kind === 'replay') replay(active, decision.record);
       else if (decision.kind === 'claim') claim(active, decision.expectedRevision);
       else endWith(active, 'outcomeUnknown');
@@ -306,13 +304,7 @@
     },
   };
   const follow = (active: Running, result: PlatformResult): void => {
-    const { attempt, booking } = active;
-    const decision = decide({
-      result,
-      attempt,
-      digest: booking.digest,
-      tryNumber: booking.tryNumber,
-    });
+    const decision = decideOn(active, result);
     const handler = HANDLERS[decision.kind] as (running: Running, next: IntentDecision) => void;
     handler(active, decision);
   };
--- a/src/request/createPools/index.ts
+++ b/src/request/createPools/index.ts
@@ -16,6 +16,8 @@
 /** Engines that serve one model variant to one selector, with their limits and estimates. */
 export interface Pool {
   readonly key: string;
+  /** Hash of the key, by which nodes name the pool to each other. */
+  readonly hash: number;
   readonly selector: Selector;
   readonly served: ServedModel;
   readonly gate: PoolGate;
@@ -129,6 +131,7 @@
     if (present) return refresh(present);
     const pool: Pool = {
       key,
+      hash: hashText(key),
       selector,
       served,
       gate: createPoolGate({ tolerance: SLOWDOWN_TOLERANCES[selector.weigh] }),
@@ -163,14 +166,14 @@
     },
     list: () => [...pools.values()],
     listBusyLimits: () =>
-      [...pools.values()].flatMap(({ key, gate }) => {
+      [...pools.values()].flatMap(({ hash, gate }) => {
         const { limit, inFlight } = gate.describe();
         const isBusy = inFlight >= limit / 2;
-        return isBusy ? [{ pool: hashText(key), limit: Math.round(limit) }] : [];
+        return isBusy ? [{ pool: hash, limit: Math.round(limit) }] : [];
       }),
     takeLimits: (limits) => {
-      for (const { pool: hash, limit } of limits) {
-        const pool = [...pools.values()].find(({ key }) => hashText(key) === hash);
+      for (const { pool: named, limit } of limits) {
+        const pool = [...pools.values()].find(({ hash }) => hash === named);
         pool?.gate.shareLimit(limit);
       }
     },
--- a/tests/tls.test.ts
+++ b/tests/tls.test.ts
@@ -10,6 +10,7 @@
 import { createPeerLinks } from '../src/process/runtime/sendPeers/index.js';
 import { servePeers } from '../src/process/runtime/servePeers/index.js';
 import type { PeerMessage } from '../src/types/peer/index.js';
+import { sleep } from '../bench/sleep/index.js';
 
 const FOLDER = 'tests/certificates';
 const TLS = {
@@ -22,11 +23,6 @@
 const MESSAGE: PeerMessage = { kind: 'configurationTaken', from: 'node-1', offer: 'offer-1' };
 const SETTLE_MILLISECONDS = 1_500;
 
-const sleep = (milliseconds: number): Promise<void> =>
-  new Promise((done) => {
-    setTimeout(done, milliseconds);
-  });
-
 test('a listener with a certificate serves HTTPS', async () => {
   const lifeCycle = createLifeCycle();
   const { certificateFile, keyFile } = TLS;
