--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['node_modules', 'dist', 'eslint.config.js'] },
+  { ignores: ['node_modules', 'dist', 'target', 'journal', 'eslint.config.js'] },
   js.configs.recommended,
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
--- /dev/null
+++ b/src/connection/createEndpointTable/index.ts
@@ -0,0 +1,148 @@
+/**
+ * Endpoints that a node knows, with their load and health.
+ */
+import type { EndpointRecord, LayerRange } from '../../types/site/index.js';
+
+/** One endpoint with what this node observed of it. */
+export interface Endpoint {
+  record: EndpointRecord;
+  /** Layers that the endpoint holds, from the newer of its registration and its reports. */
+  layers: LayerRange | undefined;
+  /** When the layers were last read from a report, in milliseconds. */
+  layersReportedAt: number;
+  /** Orders that the endpoint has accepted; undefined until it reported. */
+  acceptedOrders: number | undefined;
+  /** Requests of this node that run there. */
+  ownRequests: number;
+  /** Memory that requests of this node take there, in tokens times layers. */
+  ownTokenLayers: number;
+  /** The same two of other nodes, by their last messages. */
+  otherRequests: number;
+  otherTokenLayers: number;
+  /** Requests that the endpoint said are running and waiting, when it last answered. */
+  running: number;
+  waiting: number;
+  loadReadAt: number;
+  /** Factor on the usual time of its work. */
+  pace: number;
+  /** Until when nothing is sent there, in milliseconds. */
+  avoidedUntil: number;
+  failures: number;
+  /** Until when the endpoint is believed to be lost, in milliseconds. */
+  lostUntil: number;
+}
+
+/** Endpoints by identifier. */
+export interface EndpointTable {
+  /** Takes the registry's word on an endpoint; undefined removes it. */
+  readonly update: (id: string, record: EndpointRecord | undefined, now: number) => boolean;
+  readonly find: (id: string) => Endpoint | undefined;
+  readonly findByAddress: (address: string) => Endpoint | undefined;
+  readonly list: () => Endpoint[];
+  /** Endpoints of a service that take new requests. */
+  readonly listUsable: (service: string, now: number) => Endpoint[];
+  readonly noteFailure: (endpoint: Endpoint, now: number) => void;
+  readonly noteSuccess: (endpoint: Endpoint) => void;
+  /** Sends nothing there for a time in milliseconds. */
+  readonly avoid: (endpoint: Endpoint, now: number, milliseconds: number) => void;
+  /** Believes that the endpoint is lost, for a time in milliseconds; true when this is news. */
+  readonly markLost: (endpoint: Endpoint, now: number, milliseconds: number) => boolean;
+  readonly markFound: (endpoint: Endpoint) => void;
+}
+
+/** Failures in a row after which an endpoint is left alone for a time. */
+const FAILURES_BEFORE_AVOIDING = 3;
+/** How far the registry may be behind a report, in milliseconds. */
+const REGISTRY_LAG_MILLISECONDS = 3_000;
+const FIRST_AVOID_MILLISECONDS = 500;
+const LONGEST_AVOID_MILLISECONDS = 4_000;
+
+function createEndpoint(record: EndpointRecord): Endpoint {
+  return {
+    record,
+    layers: record.layers,
+    layersReportedAt: Number.NEGATIVE_INFINITY,
+    acceptedOrders: undefined,
+    ownRequests: 0,
+    ownTokenLayers: 0,
+    otherRequests: 0,
+    otherTokenLayers: 0,
+    running: 0,
+    waiting: 0,
+    loadReadAt: Number.NEGATIVE_INFINITY,
+    pace: 1,
+    avoidedUntil: Number.NEGATIVE_INFINITY,
+    failures: 0,
+    lostUntil: Number.NEGATIVE_INFINITY,
+  };
+}
+
+/**
+ * Creates an empty table.
+ *
+ * An endpoint that started again, or moved to another address, is a new endpoint: nothing that was
+ * observed before holds for it.
+ *
+ * @returns the table
+ * @example
+ * createEndpointTable().update('i-1', record, now);
+ */
+export function createEndpointTable(): EndpointTable {
+  const endpoints = new Map<string, Endpoint>();
+  const isSame = (left: EndpointRecord, right: EndpointRecord): boolean =>
+    left.bornAt === right.bornAt &&
+    left.address === right.address &&
+    left.service === right.service;
+  return {
+    update: (id, record, now) => {
+      if (!record) return endpoints.delete(id);
+      const known = endpoints.get(id);
+      if (!known || !isSame(known.record, record)) {
+        endpoints.set(id, createEndpoint(record));
+        return true;
+      }
+      if (now - known.layersReportedAt > REGISTRY_LAG_MILLISECONDS) known.layers = record.layers;
+      known.record = record;
+      return false;
+    },
+    find: (id) => endpoints.get(id),
+    findByAddress: (address) => {
+      for (const endpoint of endpoints.values()) {
+        if (endpoint.record.address === address) return endpoint;
+      }
+      return undefined;
+    },
+    list: () => [...endpoints.values()],
+    listUsable: (service, now) => {
+      const usable: Endpoint[] = [];
+      for (const endpoint of endpoints.values()) {
+        const { record } = endpoint;
+        if (record.service !== service || record.isDraining) continue;
+        if (endpoint.avoidedUntil > now || endpoint.lostUntil > now) continue;
+        usable.push(endpoint);
+      }
+      return usable;
+    },
+    noteFailure: (endpoint, now) => {
+      endpoint.failures += 1;
+      if (endpoint.failures < FAILURES_BEFORE_AVOIDING) return;
+      const doublings = endpoint.failures - FAILURES_BEFORE_AVOIDING;
+      const pause = Math.min(LONGEST_AVOID_MILLISECONDS, FIRST_AVOID_MILLISECONDS * 2 ** doublings);
+      endpoint.avoidedUntil = Math.max(endpoint.avoidedUntil, now + pause);
+    },
+    noteSuccess: (endpoint) => {
+      endpoint.failures = 0;
+    },
+    markLost: (endpoint, now, milliseconds) => {
+      const isNews = endpoint.lostUntil <= now;
+      endpoint.lostUntil = Math.max(endpoint.lostUntil, now + milliseconds);
+      return isNews;
+    },
+    markFound: (endpoint) => {
+      endpoint.lostUntil = Number.NEGATIVE_INFINITY;
+    },
+    avoid: (endpoint, now, milliseconds) => {
+      endpoint.avoidedUntil = Math.max(endpoint.avoidedUntil, now + milliseconds);
+    },
+  };
+}
--- /dev/null
+++ b/src/process/relay/answerCaller/index.ts
@@ -0,0 +1,40 @@
+/**
+ * Final answers to callers.
+ */
+import type { ServerResponse } from 'node:http';
+import { formatError } from '../../../request/answerError/index.js';
+import { RESULT_CODES, type ResultCodeName } from '../../resultCodes/index.js';
+
+/** Options of {@link answerFailure}. */
+export interface AnswerFailureOptions {
+  readonly code: ResultCodeName;
+  readonly message?: string | undefined;
+  /** When the caller may come back, in seconds. */
+  readonly retryAfterSeconds?: number | undefined;
+  readonly closes?: boolean;
+}
+
+/**
+ * Answers with a failure, unless an answer has begun or the caller has gone.
+ *
+ * @param response - the caller's response
+ * @param options - the result code and when to come back
+ * @returns nothing
+ * @example
+ * answerFailure(response, { code: 'overloaded', retryAfterSeconds: 0.5 });
+ */
+export function answerFailure(response: ServerResponse, options: AnswerFailureOptions): void {
+  const { code, message, retryAfterSeconds, closes = false } = options;
+  if (response.headersSent || response.destroyed) return;
+  const body = formatError(code, message);
+  const headers = [
+    'Content-Type',
+    'application/json',
+    'Content-Length',
+    `${Buffer.byteLength(body)}`,
+  ];
+  if (retryAfterSeconds !== undefined) headers.push('Retry-After', retryAfterSeconds.toFixed(2));
+  if (closes) headers.push('Connection', 'close');
+  response.writeHead(RESULT_CODES[code].httpStatus, headers);
+  response.end(body);
+}
--- /dev/null
+++ b/src/process/relay/openEndpointCall/index.ts
@@ -0,0 +1,117 @@
+/**
+ * One request to an endpoint on a connection of its own.
+ *
+ * Connections are not kept: an answer that comes late, or after another, then belongs to no later
+ * request, and no request is lost to a connection that the endpoint closes while it is idle.
+ */
+import { request, type IncomingMessage } from 'node:http';
+
+/** How far a request that failed had come. */
+export type SendState = 'notSent' | 'sent';
+
+/** What happens on the call; nothing more comes after `onEnd` or `onFailure`. */
+export interface EndpointCallHandlers {
+  readonly onAnswer: (answer: IncomingMessage) => void;
+  readonly onData: (chunk: Buffer) => void;
+  /** The answer is whole. */
+  readonly onEnd: () => void;
+  readonly onFailure: (state: SendState, reason: string) => void;
+}
+
+/** Options of {@link openEndpointCall}. */
+export interface OpenEndpointCallOptions extends EndpointCallHandlers {
+  readonly address: string;
+  readonly method: string;
+  readonly url: string;
+  readonly headers: string[];
+  readonly body: Buffer | undefined;
+}
+
+/** A call that is under way. */
+export interface EndpointCall {
+  /** Closes the connection; no handler is called any more. */
+  readonly abort: () => void;
+  readonly pause: () => void;
+  readonly resume: () => void;
+}
+
+/** Longest wait for a connection; an endpoint's queue of connections that is full drops the opening. */
+const CONNECT_MILLISECONDS = 400;
+
+/**
+ * Opens a call.
+ *
+ * @param options - where to, what, and the handlers
+ * @returns the call
+ * @example
+ * openEndpointCall({ address, method: 'GET', url: '/', headers: [], body: undefined, ...handlers });
+ */
+export function openEndpointCall(options: OpenEndpointCallOptions): EndpointCall {
+  const { address, method, url, headers, body, onAnswer, onData, onEnd, onFailure } = options;
+  const [host, port] = address.split(':');
+  let isDone = false;
+  let state: SendState = 'notSent';
+  let answer: IncomingMessage | undefined;
+  const outgoing = request({
+    host,
+    port: Number(port),
+    method,
+    path: url,
+    agent: false,
+    headers: [...headers, 'Connection', 'close'],
+  });
+  const finish = (): boolean => {
+    if (isDone) return false;
+    isDone = true;
+    clearTimeout(connectTimer);
+    return true;
+  };
+  const fail = (reason: string): void => {
+    if (!finish()) return;
+    outgoing.destroy();
+    onFailure(state, reason);
+  };
+  const connectTimer = setTimeout(() => {
+    fail('connect timeout');
+  }, CONNECT_MILLISECONDS);
+  outgoing.on('socket', (socket) => {
+    socket.setNoDelay(true);
+    socket.once('connect', () => {
+      state = 'sent';
+      clearTimeout(connectTimer);
+    });
+  });
+  outgoing.on('error', (error) => {
+    fail(error.message);
+  });
+  outgoing.on('response', (incoming) => {
+    answer = incoming;
+    if (isDone) return;
+    onAnswer(incoming);
+    incoming.on('data', (chunk: Buffer) => {
+      if (!isDone) onData(chunk);
+    });
+    incoming.on('error', (error) => {
+      fail(error.message);
+    });
+    incoming.on('end', () => {
+      if (!incoming.complete) fail('answer incomplete');
+      else if (finish()) onEnd();
+    });
+    incoming.on('close', () => {
+      fail('closed');
+    });
+  });
+  outgoing.end(body);
+  return {
+    abort: () => {
+      if (finish()) outgoing.destroy();
+    },
+    pause: () => {
+      answer?.pause();
+    },
+    resume: () => {
+      answer?.resume();
+    },
+  };
+}
--- /dev/null
+++ b/src/process/relay/readBody/index.ts
@@ -0,0 +1,63 @@
+/**
+ * Reading of a caller's body.
+ */
+import type { IncomingMessage } from 'node:http';
+
+/** Outcome of reading a body. */
+export type BodyOutcome =
+  | { readonly kind: 'whole'; readonly body: Buffer | undefined }
+  | { readonly kind: 'tooLarge' }
+  | { readonly kind: 'timeout' }
+  | { readonly kind: 'gone' };
+
+/** Options of {@link readBody}. */
+export interface ReadBodyOptions {
+  readonly mostBytes: number;
+  readonly timeoutMilliseconds: number;
+}
+
+/**
+ * Reads a whole body.
+ *
+ * @param incoming - the caller's request
+ * @param options - bounds on its size in bytes and its time in milliseconds
+ * @returns the body, undefined when the request has none, or why there is none
+ * @example
+ * await readBody(incoming, { mostBytes: 4_194_304, timeoutMilliseconds: 3_000 });
+ */
+export function readBody(
+  incoming: IncomingMessage,
+  options: ReadBodyOptions,
+): Promise<BodyOutcome> {
+  const { mostBytes, timeoutMilliseconds } = options;
+  const { headers } = incoming;
+  const length = Number(headers['content-length'] ?? 0);
+  const hasBody =
+    headers['transfer-encoding'] !== undefined || headers['content-length'] !== undefined;
+  if (length > mostBytes) return Promise.resolve({ kind: 'tooLarge' });
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const finish = (outcome: BodyOutcome): void => {
+      clearTimeout(timer);
+      resolve(outcome);
+    };
+    const timer = setTimeout(() => {
+      finish({ kind: 'timeout' });
+    }, timeoutMilliseconds);
+    incoming.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > mostBytes) finish({ kind: 'tooLarge' });
+      else chunks.push(chunk);
+    });
+    incoming.on('end', () => {
+      finish({ kind: 'whole', body: hasBody ? Buffer.concat(chunks) : undefined });
+    });
+    incoming.on('error', () => {
+      finish({ kind: 'gone' });
+    });
+    incoming.on('close', () => {
+      finish({ kind: 'gone' });
+    });
+  });
+}
--- /dev/null
+++ b/src/process/relay/relayStream/index.ts
@@ -0,0 +1,358 @@
+/**
+ * Requests that are answered as a stream of events by a path of endpoints.
+ *
+ * Only whole events are passed on, each once and in order. When a run breaks off or stalls, the
+ * answer goes on: on a path that keeps the first endpoint where only later ones were lost, else in
+ * a new run after the last event that was passed on.
+ */
+import type { IncomingMessage } from 'node:http';
+import { createEventGuard } from '../../../request/guardEvents/index.js';
+import { createEventSplitter } from '../../../request/splitEvents/index.js';
+import type { PathHop } from '../../../types/site/index.js';
+import { answerFailure } from '../answerCaller/index.js';
+import { openEndpointCall, type EndpointCall } from '../openEndpointCall/index.js';
+import { selectPath, takeRoom } from '../selectPath/index.js';
+import type { RelayContext, RelayedRequest } from '../types/index.js';
+
+/** Runs that endpoints refused before a request is refused. */
+const MOST_REFUSED_RUNS = 4;
+/** When callers may come back if no path has room, in seconds. */
+const NO_ROOM_RETRY_SECONDS = 1.5;
+/** Silence before the first event after which the endpoints are asked, in milliseconds. */
+const FIRST_SILENCE_MILLISECONDS = 1_200;
+/** Silence between events after which the endpoints are asked, in milliseconds. */
+const SILENCE_MILLISECONDS = 650;
+/** Silence after which the run is given up although no endpoint is known to be lost. */
+const GIVE_UP_SILENCE_MILLISECONDS = 1_700;
+/** Bytes that wait for a slow reader before the endpoint is paused. */
+const MOST_WAITING_BYTES = 262_144;
+const TYPICAL_HINT_ERROR = 1.1;
+
+type RunState = 'idle' | 'running' | 'moving' | 'done';
+
+/**
+ * Relays a request whose answer is a stream.
+ *
+ * @param context - services of the process
+ * @param request - the request
+ * @returns resolves when the caller has its answer or has gone
+ * @example
+ * await relayStream(context, request);
+ */
+export function relayStream(context: RelayContext, request: RelayedRequest): Promise<void> {
+  return new Promise((resolve) => {
+    createStream(context, request, resolve).start();
+  });
+}
+
+function createStream(
+  context: RelayContext,
+  request: RelayedRequest,
+  onDone: () => void,
+): { start: () => void } {
+  const { wire, now, logger, budget, endpoints } = context;
+  const { route, service, response, caller, finalAt } = request;
+  const stride = service.model?.stride ?? 1;
+  const guard = createEventGuard(caller.lastEvent);
+  const refusedBy = new Set<string>();
+  let state: RunState = 'idle';
+  let call: EndpointCall | undefined;
+  let hops: readonly PathHop[] = [];
+  let giveBack: (() => void) | undefined;
+  let runs = 0;
+  let refusedRuns = 0;
+  let mayHaveRun = false;
+  let isHeadSent = false;
+  let lastHeardAt = 0;
+  let hasAsked = false;
+  let watchdog: NodeJS.Timeout | undefined;
+
+  const stopLostListener = context.onLost((endpoint) => {
+    if (state === 'running' && hops.some((hop) => hop.endpoint === endpoint))
+      recover('endpoint lost');
+  });
+  const finalTimer = setTimeout(
+    () => {
+      fail('time is up');
+    },
+    Math.max(0, finalAt - now()),
+  );
+  request.onGone(() => {
+    finish('gone');
+  });
+
+  function endRun(): void {
+    clearTimeout(watchdog);
+    call?.abort();
+    call = undefined;
+    giveBack?.();
+    giveBack = undefined;
+  }
+
+  function finish(outcome: string): void {
+    if (state === 'done') return;
+    state = 'done';
+    endRun();
+    clearTimeout(finalTimer);
+    stopLostListener();
+    context.metrics.count('streams', outcome);
+    onDone();
+  }
+
+  function fail(reason: string, retryAfterSeconds = NO_ROOM_RETRY_SECONDS): void {
+    if (state === 'done') return;
+    logger.log('warn', 'request-failed', {
+      request: caller.attempt,
+      route: route.name,
+      reason,
+      runs,
+      refusedRuns,
+      lastEvent: guard.getLast(),
+      milliseconds: Math.round(now() - request.arrivedAt),
+    });
+    if (isHeadSent) {
+      // The answer must not look complete; the caller may resume after its last event.
+      response.destroy();
+    } else if (mayHaveRun) {
+      answerFailure(response, { code: finalAt <= now() ? 'outcomeUnknown' : 'endpointFailed' });
+    } else {
+      answerFailure(response, { code: 'overloaded', retryAfterSeconds });
+    }
+    finish(mayHaveRun ? 'failed' : 'refused');
+  }
+
+  function countTokens(): { promptTokens: number; answerTokens: number } {
+    const answered = guard.getLast() * stride;
+    const expected =
+      caller.hintedAnswerTokens === undefined
+        ? (service.model?.usualAnswerTokens ?? caller.mostAnswerTokens)
+        : caller.hintedAnswerTokens * TYPICAL_HINT_ERROR;
+    const most = caller.mostAnswerTokens > 0 ? caller.mostAnswerTokens : expected;
+    return {
+      promptTokens: caller.promptTokens + answered,
+      answerTokens: Math.max(stride, Math.min(expected, most) - answered),
+    };
+  }
+
+  function startRun(): void {
+    const size = countTokens();
+    const path = selectPath(context, request, { ...size, excluded: refusedBy });
+    if (!path) {
+      fail('no path with room');
+      return;
+    }
+    const isRepeat = runs + refusedRuns > 0;
+    if (isRepeat && !budget.take(service.name, now())) {
+      fail('retry budget is used up');
+      return;
+    }
+    const [first] = path.hops;
+    if (!first) return;
+    ({ hops } = path);
+    giveBack = takeRoom(context, hops, size.promptTokens + size.answerTokens);
+    state = 'running';
+    lastHeardAt = now();
+    hasAsked = false;
+    openRun(first);
+    armWatchdog();
+  }
+
+  function openRun(first: PathHop): void {
+    const splitter = createEventSplitter();
+    let incoming: IncomingMessage | undefined;
+    let isStream = false;
+    const refusal: Buffer[] = [];
+    const opened: EndpointCall = openEndpointCall({
+      address: first.address,
+      method: request.method,
+      url: request.url,
+      body: request.body,
+      headers: wire.buildRequestHeaders(request.rawHeaders, {
+        address: first.address,
+        endpoint: first.endpoint,
+        account: request.account,
+        deadlineMilliseconds: finalAt - now(),
+        priority: isHeadSent ? 0 : request.priority,
+        path: hops,
+        lastEvent: guard.getLast(),
+        bodyBytes: request.body?.length,
+      }),
+      onAnswer: (answer) => {
+        incoming = answer;
+        isStream = answer.statusCode === 200;
+        if (!isStream) return;
+        const facts = wire.readAnswer(200, answer.headers);
+        const isOurs = facts.attempt === undefined || facts.attempt === caller.attempt;
+        if (isOurs && facts.isSealed && !facts.isEncoded) return;
+        mayHaveRun = true;
+        recover('not an answer of the endpoint');
+      },
+      onData: (chunk) => {
+        if (!isStream || !incoming) {
+          refusal.push(chunk);
+          return;
+        }
+        for (const event of splitter.add(chunk)) {
+          if (call !== opened || !passEvent(incoming, event.id, event.bytes)) return;
+        }
+      },
+      onEnd: () => {
+        if (!incoming) return;
+        if (!isStream) {
+          takeRefusal(incoming, Buffer.concat(refusal));
+          return;
+        }
+        if (splitter.countPending() > 0 || !isHeadSent) {
+          mayHaveRun = true;
+          recover('answer broke off');
+          return;
+        }
+        response.end();
+        for (const hop of hops) {
+          const endpoint = endpoints.find(hop.endpoint);
+          if (endpoint) endpoints.noteSuccess(endpoint);
+        }
+        finish('whole');
+      },
+      onFailure: (sendState, reason) => {
+        const endpoint = endpoints.find(first.endpoint);
+        if (endpoint) endpoints.noteFailure(endpoint, now());
+        if (sendState === 'notSent') {
+          refusedBy.add(first.endpoint);
+          retryRefused(reason);
+          return;
+        }
+        mayHaveRun = true;
+        recover(reason);
+      },
+    });
+    call = opened;
+  }
+
+  function passEvent(incoming: IncomingMessage, id: number | undefined, bytes: Buffer): boolean {
+    lastHeardAt = now();
+    hasAsked = false;
+    mayHaveRun = true;
+    const verdict = guard.check(id);
+    if (verdict === 'broken') {
+      recover('events out of order');
+      return false;
+    }
+    if (verdict === 'drop') return true;
+    if (!isHeadSent) {
+      isHeadSent = true;
+      response.writeHead(200, wire.buildAnswerHeaders(incoming.rawHeaders));
+      context.metrics.record(request.account ?? '', 'first-event', now() - request.arrivedAt);
+    }
+    response.write(bytes);
+    if (response.writableLength > MOST_WAITING_BYTES) {
+      call?.pause();
+      response.once('drain', () => call?.resume());
+    }
+    return true;
+  }
+
+  function takeRefusal(incoming: IncomingMessage, body: Buffer): void {
+    const status = incoming.statusCode ?? 0;
+    const facts = wire.readAnswer(status, incoming.headers);
+    if (facts.isNotRun) {
+      const faulty =
+        facts.faultyAddress === undefined
+          ? undefined
+          : endpoints.findByAddress(facts.faultyAddress);
+      refusedBy.add(faulty?.record.id ?? hops[0]?.endpoint ?? '');
+      retryRefused(`status ${status} of ${faulty?.record.id ?? 'the first endpoint'}`);
+      return;
+    }
+    mayHaveRun = true;
+    runs += 1;
+    if (!isHeadSent && facts.isSealed && runs >= route.mostAttempts) {
+      const headers = wire.buildAnswerHeaders(incoming.rawHeaders);
+      headers.push('Content-Length', String(body.length));
+      response.writeHead(status, headers);
+      response.end(body);
+      finish('endpoint failed');
+      return;
+    }
+    runs -= 1;
+    recover(`status ${status}`);
+  }
+
+  /** Another run after one that an endpoint refused without running it. */
+  function retryRefused(reason: string): void {
+    endRun();
+    refusedRuns += 1;
+    logger.log('info', 'run-refused', { request: caller.attempt, reason, path: describePath() });
+    if (refusedRuns > MOST_REFUSED_RUNS || finalAt <= now()) fail(reason);
+    else startRun();
+  }
+
+  /** Another run after one that broke off. */
+  function recover(reason: string): void {
+    if (state === 'done') return;
+    endRun();
+    runs += 1;
+    logger.log('warn', 'run-broken', {
+      request: caller.attempt,
+      reason,
+      runs,
+      lastEvent: guard.getLast(),
+      path: describePath(),
+    });
+    const mayResume = route.isResumable || (!isHeadSent && !mayHaveRun);
+    if (!mayResume || runs >= Math.max(2, route.mostAttempts) + 1 || finalAt <= now()) fail(reason);
+    else startRun();
+  }
+
+  function describePath(): string {
+    return hops.map(({ endpoint, range }) => `${endpoint}=${range.from}-${range.to}`).join(' ');
+  }
+
+  function armWatchdog(): void {
+    const limit = hasAsked
+      ? GIVE_UP_SILENCE_MILLISECONDS
+      : isHeadSent
+        ? SILENCE_MILLISECONDS
+        : FIRST_SILENCE_MILLISECONDS;
+    const giveUpLimit = isHeadSent ? limit : limit * 2;
+    const dueAt = lastHeardAt + (hasAsked ? giveUpLimit : limit);
+    watchdog = setTimeout(onWatchdog, Math.max(20, dueAt - now()));
+  }
+
+  function onWatchdog(): void {
+    if (state !== 'running') return;
+    const silence = now() - lastHeardAt;
+    const limit = isHeadSent ? SILENCE_MILLISECONDS : FIRST_SILENCE_MILLISECONDS;
+    const giveUp = isHeadSent ? GIVE_UP_SILENCE_MILLISECONDS : 2 * GIVE_UP_SILENCE_MILLISECONDS;
+    if (silence >= giveUp) {
+      mayHaveRun = true;
+      recover('silence');
+      return;
+    }
+    if (silence < limit || hasAsked) {
+      armWatchdog();
+      return;
+    }
+    hasAsked = true;
+    armWatchdog();
+    void askFirstHop(call);
+  }
+
+  async function askFirstHop(asked: EndpointCall | undefined): Promise<void> {
+    const [first] = hops;
+    if (!first) return;
+    const report = await wire.askReport(first.address);
+    if (state !== 'running' || call !== asked || !hasAsked) return;
+    if (!report) {
+      mayHaveRun = true;
+      context.reportLost(first.endpoint, 'no report');
+      return;
+    }
+    for (const address of report.stalledAddresses) {
+      const endpoint = endpoints.findByAddress(address);
+      if (endpoint) context.reportLost(endpoint.record.id, 'stalled');
+    }
+  }
+
+  return { start: startRun };
+}
--- a/src/process/resultCodes/index.ts
+++ b/src/process/resultCodes/index.ts
@@ -120,6 +120,20 @@
     'unknown',
     'The platform service did not confirm whether the change was accepted.',
   ),
+  notConfigured: define(
+    1509,
+    'not-configured',
+    503,
+    'not-run',
+    'The node has no configuration yet.',
+  ),
+  endpointFailed: define(
+    1510,
+    'endpoint-failed',
+    502,
+    'unknown',
+    'The endpoint broke off or sent no proper answer.',
+  ),
   invalidSettings: define(
     1601,
     'invalid-settings',
--- /dev/null
+++ b/src/process/runtime/runLoop/index.ts
@@ -0,0 +1,55 @@
+/**
+ * A goroutine that repeats one step.
+ */
+import csp, { type Channel } from 'js-csp';
+import type { LifeCycle } from '../../createLifeCycle/index.js';
+
+/** Options of {@link runLoop}. */
+export interface RunLoopOptions {
+  readonly name: string;
+  readonly lifeCycle: LifeCycle;
+  /** One round; resolves to the pause before the next one, in milliseconds. */
+  readonly step: () => Promise<number>;
+  /** Called when a round rejects; the loop goes on after {@link FAILED_STEP_PAUSE_MILLISECONDS}. */
+  readonly onFailure: (error: unknown) => void;
+}
+
+const FAILED_STEP_PAUSE_MILLISECONDS = 500;
+
+function runStep({ step, onFailure }: RunLoopOptions): Channel<number> {
+  const pauses = csp.chan<number>();
+  step().then(
+    (pause) => {
+      csp.putAsync(pauses, pause);
+    },
+    (error: unknown) => {
+      onFailure(error);
+      csp.putAsync(pauses, FAILED_STEP_PAUSE_MILLISECONDS);
+    },
+  );
+  return pauses;
+}
+
+/**
+ * Starts a goroutine that repeats a step until the life cycle ends.
+ *
+ * @param options - the step, its name and its owner
+ * @returns nothing
+ * @example
+ * runLoop({ name: 'heartbeat', lifeCycle, step: async () => 1_000, onFailure: console.error });
+ */
+export function runLoop(options: RunLoopOptions): void {
+  let isClosed = false;
+  options.lifeCycle.own({
+    name: options.name,
+    close: () => {
+      isClosed = true;
+    },
+  });
+  csp.go(function* (): Generator<unknown, void, never> {
+    while (!isClosed) {
+      const pause: number = yield csp.take(runStep(options));
+      if (pause > 0) yield csp.timeout(pause);
+    }
+  });
+}
--- /dev/null
+++ b/src/process/site/followStore/index.ts
@@ -0,0 +1,132 @@
+/**
+ * Following of the store's items by one watch.
+ */
+import type { Store, StoreItem } from '../../../types/store/index.js';
+import type { SiteLogger } from '../createSiteLogger/index.js';
+
+/** Follower of the store. */
+export interface StoreFollower {
+  /** One round; resolves to the pause before the next one, in milliseconds. */
+  readonly step: () => Promise<number>;
+  /** Whether the last call was answered. */
+  readonly isReachable: () => boolean;
+  /** Revision up to which changes have been seen. */
+  readonly getRevision: () => number;
+  /** Milliseconds since the store was last known to be in step. */
+  readonly getAge: () => number;
+}
+
+/** Options of {@link createStoreFollower}. */
+export interface CreateStoreFollowerOptions {
+  readonly store: Store;
+  readonly logger: SiteLogger;
+  readonly now: () => number;
+  readonly onItem: (key: string, value: Buffer | undefined) => void;
+}
+
+/** A watch returns after this time at the latest, so that a silent connection is noticed soon. */
+const WATCH_MILLISECONDS = 2_500;
+/** Pause between two watches, in which changes gather. */
+const GATHER_MILLISECONDS = 120;
+const RETRY_MILLISECONDS = 200;
+/** Time after the store's return in which entries that lapsed meanwhile may come back. */
+const RETURN_GRACE_MILLISECONDS = 2_200;
+
+/**
+ * Creates a follower of all items of a store.
+ *
+ * It reads everything once, then watches for changes from that revision on; when that history is
+ * gone, it reads everything again. Items that are missing after an outage are kept for
+ * {@link RETURN_GRACE_MILLISECONDS}, since their writers may not have come back yet.
+ *
+ * @param options - the store, the clock and what to call for each change
+ * @returns the follower
+ * @example
+ * createStoreFollower({ store, logger, now, onItem }).step();
+ */
+export function createStoreFollower(options: CreateStoreFollowerOptions): StoreFollower {
+  const { store, logger, now, onItem } = options;
+  const known = new Set<string>();
+  const removals = new Map<string, number>();
+  let revision: number | undefined;
+  let isReachable = false;
+  let hadOutage = false;
+  let returnedAt = Number.NEGATIVE_INFINITY;
+  let inStepAt = Number.NEGATIVE_INFINITY;
+
+  const remove = (key: string): void => {
+    known.delete(key);
+    removals.delete(key);
+    onItem(key, undefined);
+  };
+  const removeDue = (): void => {
+    for (const [key, dueAt] of removals) if (dueAt <= now()) remove(key);
+  };
+  const noteRemoval = (key: string): void => {
+    if (!known.has(key)) return;
+    const dueAt = hadOutage ? returnedAt + RETURN_GRACE_MILLISECONDS : now();
+    if (dueAt <= now()) remove(key);
+    else if (!removals.has(key)) removals.set(key, dueAt);
+  };
+  const apply = ({ key, value }: StoreItem): void => {
+    if (value === undefined) {
+      noteRemoval(key);
+      return;
+    }
+    known.add(key);
+    removals.delete(key);
+    onItem(key, value);
+  };
+  const noteAnswer = (): void => {
+    inStepAt = now();
+    if (isReachable) return;
+    isReachable = true;
+    returnedAt = now();
+    logger.log('info', 'store-reached', { revision: revision ?? 0 });
+  };
+  const noteFailure = (reason: string): number => {
+    if (isReachable) {
+      isReachable = false;
+      hadOutage = true;
+      logger.log('warn', 'store-lost', { reason, revision: revision ?? 0 });
+    }
+    return RETRY_MILLISECONDS;
+  };
+  const readAll = async (): Promise<number> => {
+    const result = await store.range('');
+    if (result.kind !== 'done')
+      return noteFailure(result.kind === 'rejected' ? 'rejected' : result.reason);
+    noteAnswer();
+    const present = new Set(result.value.items.map(({ key }) => key));
+    for (const item of result.value.items) apply(item);
+    for (const key of [...known]) if (!present.has(key)) noteRemoval(key);
+    revision = result.value.revision;
+    return 0;
+  };
+  const watch = async (after: number): Promise<number> => {
+    const nextRemoval = Math.min(...removals.values(), now() + WATCH_MILLISECONDS);
+    const waitMilliseconds = Math.max(1, Math.ceil(nextRemoval - now()));
+    const result = await store.watch({ prefix: '', after, waitMilliseconds });
+    if (result.kind === 'rejected') {
+      logger.log('warn', 'store-history-gone', { revision: after });
+      revision = undefined;
+      return 0;
+    }
+    if (result.kind !== 'done') return noteFailure(result.reason);
+    noteAnswer();
+    for (const item of result.value.items) apply(item);
+    revision = Math.max(after, result.value.revision);
+    return GATHER_MILLISECONDS;
+  };
+
+  return {
+    step: async () => {
+      const pause = revision === undefined ? await readAll() : await watch(revision);
+      removeDue();
+      return pause;
+    },
+    isReachable: () => isReachable,
+    getRevision: () => revision ?? 0,
+    getAge: () => now() - inStepAt,
+  };
+}
--- /dev/null
+++ b/src/process/site/runPlanner/index.ts
@@ -0,0 +1,257 @@
+/**
+ * Keeping of the layers where the plan wants them: one node at a time orders endpoints.
+ *
+ * The node is chosen by rendezvous hashing over the nodes that live. Two nodes that both take
+ * themselves for the chosen one do no harm: orders are absolute, and each holds only while the
+ * endpoint has accepted no other order since the order's plan was made.
+ */
+import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
+import type { OrderOutcome, Wire } from '../../../types/relay/index.js';
+import type { EndpointReport, LayeredModel, LayerRange } from '../../../types/site/index.js';
+import { planPlacement, type PlacedEndpoint } from '../../../version/planPlacement/index.js';
+import { findOwner } from '../../hashRendezvous/index.js';
+import type { SiteLogger } from '../createSiteLogger/index.js';
+import type { SiteState } from '../createSiteState/index.js';
+
+/** Options of {@link createPlanner}. */
+export interface CreatePlannerOptions {
+  readonly self: string;
+  readonly state: SiteState;
+  readonly wire: Wire;
+  readonly logger: SiteLogger;
+  readonly now: () => number;
+  readonly listAlive: () => readonly string[];
+  readonly reportLost: (endpoint: string, reason: string) => void;
+}
+
+/** Planner of one node. */
+export interface Planner {
+  /** One round; resolves to the pause before the next one, in milliseconds. */
+  readonly step: () => Promise<number>;
+  /** Layers that orders of this node brought lately, for other nodes. */
+  readonly listNews: () => [string, number, number, number, number][];
+  /** Slow endpoints and their factor, and those that were slow lately. */
+  readonly listPaces: () => [string, number][];
+}
+
+interface Order {
+  readonly range: LayerRange;
+  readonly bornAt: number;
+  readonly sentAt: number;
+}
+
+const ROUND_MILLISECONDS = 300;
+const IDLE_ROUND_MILLISECONDS = 500;
+/** The list of endpoints has to stay the same for this long before the first plan. */
+const SETTLE_MILLISECONDS = 700;
+/** The first plan waits no longer than this for the list to settle. */
+const LONGEST_SETTLE_MILLISECONDS = 4_000;
+/** An order whose effect does not show after this time is given up. */
+const ORDER_MILLISECONDS = 12_000;
+/** Pause between two questions to an endpoint that has no order under way. */
+const SURVEY_MILLISECONDS = 1_500;
+const NEWS_MILLISECONDS = 5_000;
+const PACE_OF_SLOW = 1.3;
+const LOST_MILLISECONDS = 3_000;
+const FAILED_QUESTIONS_BEFORE_LOST = 2;
+
+function isSameRange(left: LayerRange | undefined, right: LayerRange | undefined): boolean {
+  return left?.from === right?.from && left?.to === right?.to;
+}
+
+/**
+ * Creates the planner of one node.
+ *
+ * @param options - the node's state, the wire, and who lives
+ * @returns the planner
+ * @example
+ * createPlanner(options).step();
+ */
+export function createPlanner(options: CreatePlannerOptions): Planner {
+  const { self, state, wire, logger, now, listAlive, reportLost } = options;
+  const orders = new Map<string, Order>();
+  const news = new Map<string, number>();
+  const slowAt = new Map<string, number>();
+  const askedAt = new Map<string, number>();
+  const failedQuestions = new Map<string, number>();
+  let isPlanner = false;
+  let seenIds = '';
+  let settledAt = Number.POSITIVE_INFINITY;
+  let firstSeenAt: number | undefined;
+
+  const takeReport = (endpoint: Endpoint, report: EndpointReport): void => {
+    const { record } = endpoint;
+    if (record.bornAt !== 0 && report.bornAt !== 0 && record.bornAt !== report.bornAt) return;
+    const isNews = !isSameRange(endpoint.layers, report.layers);
+    endpoint.acceptedOrders = report.acceptedOrders;
+    endpoint.layers = report.layers;
+    endpoint.layersReportedAt = now();
+    endpoint.pace = report.pace > PACE_OF_SLOW ? report.pace : 1;
+    if (isNews) news.set(record.id, now());
+    if (endpoint.pace > 1) slowAt.set(record.id, now());
+    const order = orders.get(record.id);
+    if (!order || report.isBusy) return;
+    if (isSameRange(order.range, report.layers)) {
+      logger.log('info', 'order-done', {
+        endpoint: record.id,
+        from: order.range.from,
+        to: order.range.to,
+        milliseconds: Math.round(now() - order.sentAt),
+      });
+    }
+    orders.delete(record.id);
+  };
+
+  const ask = async (endpoint: Endpoint): Promise<void> => {
+    const { id } = endpoint.record;
+    askedAt.set(id, now());
+    const report = await wire.askReport(endpoint.record.address);
+    if (state.endpoints.find(id) !== endpoint) return;
+    if (report) {
+      failedQuestions.delete(id);
+      state.endpoints.markFound(endpoint);
+      takeReport(endpoint, report);
+      return;
+    }
+    const failures = (failedQuestions.get(id) ?? 0) + 1;
+    failedQuestions.set(id, failures);
+    if (failures < FAILED_QUESTIONS_BEFORE_LOST) return;
+    if (endpoint.lostUntil <= now()) reportLost(id, 'no report');
+    else state.endpoints.markLost(endpoint, now(), LOST_MILLISECONDS);
+  };
+
+  const survey = async (endpoints: readonly Endpoint[]): Promise<void> => {
+    const due = endpoints.filter(({ record }) => {
+      const pause =
+        orders.has(record.id) || failedQuestions.has(record.id)
+          ? ROUND_MILLISECONDS
+          : SURVEY_MILLISECONDS;
+      return now() - (askedAt.get(record.id) ?? Number.NEGATIVE_INFINITY) >= pause;
+    });
+    await Promise.all(due.map(ask));
+  };
+
+  const send = async (endpoint: Endpoint, range: LayerRange): Promise<void> => {
+    const { record } = endpoint;
+    orders.set(record.id, { range, bornAt: record.bornAt, sentAt: now() });
+    const outcome: OrderOutcome = await wire.sendOrder({
+      endpoint: record.id,
+      address: record.address,
+      range,
+      acceptedOrders: endpoint.acceptedOrders ?? 0,
+    });
+    logger.log('info', 'order-sent', {
+      endpoint: record.id,
+      from: range.from,
+      to: range.to,
+      held: endpoint.layers ? `${endpoint.layers.from}-${endpoint.layers.to}` : '',
+      acceptedOrders: endpoint.acceptedOrders ?? 0,
+      outcome,
+    });
+    askedAt.delete(record.id);
+    if (outcome === 'conflict' || outcome === 'refused') orders.delete(record.id);
+  };
+
+  const dropStaleOrders = (): void => {
+    for (const [id, order] of orders) {
+      const endpoint = state.endpoints.find(id);
+      const isSame = endpoint?.record.bornAt === order.bornAt;
+      if (!isSame || now() - order.sentAt > ORDER_MILLISECONDS) orders.delete(id);
+    }
+  };
+
+  const hasSettled = (endpoints: readonly Endpoint[]): boolean => {
+    const ids = endpoints
+      .map(({ record }) => record.id)
+      .sort()
+      .join(' ');
+    if (ids === '') return false;
+    firstSeenAt ??= now();
+    if (ids !== seenIds) {
+      seenIds = ids;
+      settledAt = now() + SETTLE_MILLISECONDS;
+    }
+    const isLoaded = endpoints.some(({ layers }) => layers);
+    return isLoaded || now() >= Math.min(settledAt, firstSeenAt + LONGEST_SETTLE_MILLISECONDS);
+  };
+
+  const describe = (endpoint: Endpoint, model: LayeredModel): PlacedEndpoint[] => {
+    const { record, layers } = endpoint;
+    const kind = model.kinds.find(({ name }) => name === record.kind);
+    if (!kind) return [];
+    const order = orders.get(record.id);
+    return [
+      {
+        id: record.id,
+        availabilityZone: record.availabilityZone,
+        kind,
+        range: order?.range ?? layers,
+        isBusy: order !== undefined,
+      },
+    ];
+  };
+
+  const planService = async (service: string, model: LayeredModel): Promise<void> => {
+    const endpoints = state.endpoints
+      .list()
+      .filter(({ record }) => record.service === service && !record.isDraining);
+    if (!hasSettled(endpoints)) return;
+    await survey(endpoints);
+    const living = endpoints.filter((endpoint) => endpoint.lostUntil <= now());
+    const placement = planPlacement(
+      model,
+      living.flatMap((endpoint) => describe(endpoint, model)),
+    );
+    const sends = [...placement].flatMap(([id, range]) => {
+      const endpoint = state.endpoints.find(id);
+      return endpoint ? [send(endpoint, range)] : [];
+    });
+    await Promise.all(sends);
+  };
+
+  return {
+    step: async () => {
+      const owns = findOwner('planner', listAlive()) === self;
+      if (owns !== isPlanner) {
+        isPlanner = owns;
+        orders.clear();
+        failedQuestions.clear();
+        logger.log('info', owns ? 'planner-begins' : 'planner-ends');
+      }
+      if (!owns) return IDLE_ROUND_MILLISECONDS;
+      dropStaleOrders();
+      for (const { name, model } of state.getCompiled()?.configuration.services ?? []) {
+        if (model) await planService(name, model);
+      }
+      return ROUND_MILLISECONDS;
+    },
+    listPaces: () => {
+      const list: [string, number][] = [];
+      for (const [id, at] of slowAt) {
+        const endpoint = state.endpoints.find(id);
+        if (endpoint && now() - at <= NEWS_MILLISECONDS) list.push([id, endpoint.pace]);
+        else slowAt.delete(id);
+      }
+      return list;
+    },
+    listNews: () => {
+      const list: [string, number, number, number, number][] = [];
+      for (const [id, at] of news) {
+        const endpoint = state.endpoints.find(id);
+        if (!endpoint || now() - at > NEWS_MILLISECONDS) {
+          news.delete(id);
+          continue;
+        }
+        const { record, layers } = endpoint;
+        list.push([
+          id,
+          record.bornAt,
+          endpoint.acceptedOrders ?? 0,
+          layers?.from ?? 0,
+          layers?.to ?? 0,
+        ]);
+      }
+      return list;
+    },
+  };
+}
--- /dev/null
+++ b/src/request/chooseEndpoint/index.ts
@@ -0,0 +1,53 @@
+/**
+ * Choice of an endpoint that serves a request alone.
+ */
+import type { Endpoint } from '../../connection/createEndpointTable/index.js';
+
+/** Options of {@link chooseEndpoint}. */
+export interface ChooseEndpointOptions {
+  readonly candidates: readonly Endpoint[];
+  /** Endpoints that this request has already met. */
+  readonly excluded: ReadonlySet<string>;
+  readonly availabilityZone: string;
+  readonly now: number;
+  readonly random: () => number;
+}
+
+/** How long an endpoint's own word on its load is believed, in milliseconds. */
+const LOAD_BELIEVED_MILLISECONDS = 500;
+/** Load, as a share of the slots, that a call to another availability zone is worth. */
+const ZONE_PENALTY = 0.2;
+const FAILURE_PENALTY = 0.5;
+const JITTER = 0.05;
+
+function estimateLoad(endpoint: Endpoint, now: number): number {
+  const { ownRequests, otherRequests, running, waiting, loadReadAt, record } = endpoint;
+  const isFresh = now - loadReadAt < LOAD_BELIEVED_MILLISECONDS;
+  const known = ownRequests + otherRequests;
+  const load = isFresh ? Math.max(known, running + waiting) : known;
+  return load / Math.max(1, record.slots);
+}
+
+/**
+ * Chooses the endpoint with the least load, near ones first where loads are alike.
+ *
+ * @param options - candidates with what is known of their load
+ * @returns the endpoint, or undefined when there is none
+ * @example
+ * chooseEndpoint({ candidates, excluded: new Set(), availabilityZone: 'mission', now, random });
+ */
+export function chooseEndpoint(options: ChooseEndpointOptions): Endpoint | undefined {
+  const { candidates, excluded, availabilityZone, now, random } = options;
+  let best: Endpoint | undefined;
+  let least = Number.POSITIVE_INFINITY;
+  for (const endpoint of candidates) {
+    if (excluded.has(endpoint.record.id)) continue;
+    const distance = endpoint.record.availabilityZone === availabilityZone ? 0 : ZONE_PENALTY;
+    const failures = endpoint.failures * FAILURE_PENALTY;
+    const cost = estimateLoad(endpoint, now) + distance + failures + JITTER * random();
+    if (cost >= least) continue;
+    least = cost;
+    best = endpoint;
+  }
+  return best;
+}
--- /dev/null
+++ b/src/request/choosePath/index.ts
@@ -0,0 +1,228 @@
+/**
+ * Choice of the endpoints that a request passes through, each with a part of the model's layers.
+ */
+import type { AcceleratorKind, LayeredModel, LayerRange, PathHop } from '../../types/site/index.js';
+
+/** An endpoint that holds layers and takes requests. */
+export interface PathCandidate {
+  readonly id: string;
+  readonly address: string;
+  readonly availabilityZone: string;
+  readonly kind: AcceleratorKind;
+  readonly range: LayerRange;
+  /** Requests that run there. */
+  readonly requests: number;
+  /** Memory that these take, in tokens times layers. */
+  readonly usedTokenLayers: number;
+  /** Factor on the usual time of its work. */
+  readonly pace: number;
+}
+
+/** Options of {@link choosePath}. */
+export interface ChoosePathOptions {
+  readonly model: LayeredModel;
+  readonly candidates: readonly PathCandidate[];
+  /** Availability zone that the answer goes to. */
+  readonly availabilityZone: string;
+  readonly promptTokens: number;
+  readonly answerTokens: number;
+  /** First hop that the path has to keep, if any, with its availability zone. */
+  readonly firstHop?: { readonly hop: PathHop; readonly availabilityZone: string } | undefined;
+  /** Numbers from 0 to 1 that break near-ties between nodes. */
+  readonly random: () => number;
+}
+
+/** A path and its predicted times. */
+export interface ChosenPath {
+  readonly hops: readonly PathHop[];
+  /** Predicted time to the first event, in milliseconds. */
+  readonly firstEventMilliseconds: number;
+  /** Predicted time between events, in milliseconds. */
+  readonly pauseMilliseconds: number;
+}
+
+/** Time that one hop adds to each event beside its computing, in milliseconds. */
+const HOP_MILLISECONDS = 1;
+/** Time that a hop to another availability zone adds to each event, in milliseconds. */
+const ZONE_HOP_MILLISECONDS = 3;
+/** Factor on the time that a prompt takes through the shared pipe, which others wait for too. */
+const PIPE_WEIGHT = 6;
+/** How long a request waits for the pass that is running when it arrives, in passes. */
+const WAIT_PASSES = 0.5;
+/** Share of an endpoint's memory that is given to requests. */
+const USED_MEMORY_SHARE = 0.97;
+/** Relative size of the random part of a hop's cost. */
+const JITTER = 0.05;
+const MEGABYTE = 1_000_000;
+
+/**
+ * Computes the memory for requests on an endpoint.
+ *
+ * @param model - the model
+ * @param memoryMegabytes - the accelerator's memory
+ * @param layers - layers that the endpoint holds
+ * @returns tokens times layers that fit beside the layers
+ * @example
+ * computeRoom(model, 14_400, 6);
+ */
+export function computeRoom(model: LayeredModel, memoryMegabytes: number, layers: number): number {
+  const freeMegabytes = memoryMegabytes - layers * model.layerMegabytes;
+  return Math.max(0, (freeMegabytes * MEGABYTE * model.layers) / model.tokenBytes);
+}
+
+/**
+ * Computes how long one pass of an endpoint over all layers of the model would take.
+ *
+ * @param model - the model
+ * @param kind - the accelerator
+ * @param requests - requests in the batch
+ * @returns milliseconds; a part of the layers takes its share
+ * @example
+ * computePassTime(model, kind, 40);
+ */
+export function computePassTime(
+  model: LayeredModel,
+  kind: AcceleratorKind,
+  requests: number,
+): number {
+  const context = (model.usualPromptTokens + model.usualAnswerTokens / 2) / 1_000;
+  const step =
+    model.stepMilliseconds +
+    requests *
+      (model.stepMillisecondsPerSequence + context * model.stepMillisecondsPerThousandTokens);
+  return model.stride * step * kind.pace;
+}
+
+interface HopTimes {
+  readonly first: number;
+  readonly pause: number;
+}
+
+function estimateHop(
+  options: ChoosePathOptions,
+  candidate: PathCandidate,
+  layers: number,
+): HopTimes {
+  const { model, promptTokens } = options;
+  const share = layers / model.layers;
+  const pass = computePassTime(model, candidate.kind, candidate.requests) * share * candidate.pace;
+  const reading =
+    (promptTokens / model.readTokensPerSecond) *
+    1_000 *
+    candidate.kind.readFactor *
+    share *
+    candidate.pace;
+  return {
+    first: reading + pass * (1 + WAIT_PASSES),
+    pause: pass * (1 + WAIT_PASSES) + HOP_MILLISECONDS,
+  };
+}
+
+interface Reached {
+  readonly cost: number;
+  readonly first: number;
+  readonly pause: number;
+  readonly previous?: Reached;
+  readonly candidate?: PathCandidate;
+  readonly range?: LayerRange;
+}
+
+function passesThrough(reached: Reached, candidate: PathCandidate): boolean {
+  for (let step: Reached | undefined = reached; step; step = step.previous) {
+    if (step.candidate?.id === candidate.id) return true;
+  }
+  return false;
+}
+
+function listHops(reached: Reached): PathHop[] {
+  const hops: PathHop[] = [];
+  for (let step: Reached | undefined = reached; step; step = step.previous) {
+    const { candidate, range } = step;
+    if (candidate && range) {
+      hops.push({ endpoint: candidate.id, address: candidate.address, range });
+    }
+  }
+  return hops.reverse();
+}
+
+/**
+ * Chooses the path with the least predicted time that has room for the request.
+ *
+ * Dynamic programming over the layers at which some range begins or ends. A state is the layer that
+ * is reached and the availability zone of the last endpoint, since leaving it costs time.
+ *
+ * @param options - the model, the endpoints with their load, and the request's size in tokens
+ * @returns the path, or undefined when no path with room runs every layer
+ * @example
+ * choosePath({ model, candidates, availabilityZone: 'mission', promptTokens: 700, answerTokens: 200, random });
+ */
+export function choosePath(options: ChoosePathOptions): ChosenPath | undefined {
+  const { model, candidates, availabilityZone, promptTokens, answerTokens, random } = options;
+  const events = 1 + answerTokens / model.stride;
+  const tokens = promptTokens + answerTokens;
+  const pipeTime =
+    (promptTokens * model.activationBytes * 8) / (model.pipeMegabitsPerSecond * 1_000);
+  const bounds = [
+    ...new Set([
+      0,
+      model.layers,
+      ...(options.firstHop ? [options.firstHop.hop.range.to] : []),
+      ...candidates.flatMap(({ range }) => [range.from, range.to]),
+    ]),
+  ]
+    .filter((layer) => layer >= 0 && layer <= model.layers)
+    .sort((left, right) => left - right);
+  const states = new Map<number, Map<string, Reached>>();
+  const { firstHop } = options;
+  const startZone = firstHop?.availabilityZone ?? availabilityZone;
+  states.set(firstHop?.hop.range.to ?? 0, new Map([[startZone, { cost: 0, first: 0, pause: 0 }]]));
+  const rooms = candidates.map(
+    ({ kind, range, usedTokenLayers }) =>
+      computeRoom(model, kind.memoryMegabytes, range.to - range.from) * USED_MEMORY_SHARE -
+      usedTokenLayers,
+  );
+  const jitters = candidates.map(() => 1 + JITTER * random());
+  for (const from of bounds) {
+    const reachedHere = states.get(from);
+    if (!reachedHere) continue;
+    candidates.forEach((candidate, index) => {
+      const { range } = candidate;
+      if (range.from > from || range.to <= from) return;
+      if (candidate.id === firstHop?.hop.endpoint) return;
+      for (const to of bounds) {
+        if (to <= from || to > range.to) continue;
+        const layers = to - from;
+        if (tokens * layers > (rooms[index] ?? 0)) break;
+        const hop = estimateHop(options, candidate, layers);
+        const hopCost = (hop.first + events * hop.pause) * (jitters[index] ?? 1);
+        for (const [zone, reached] of reachedHere) {
+          if (passesThrough(reached, candidate)) continue;
+          const isCrossing = zone !== candidate.availabilityZone;
+          const crossing = isCrossing && from > 0 ? pipeTime : 0;
+          const crossingPause = isCrossing ? ZONE_HOP_MILLISECONDS : 0;
+          const cost = reached.cost + hopCost + crossing * PIPE_WEIGHT + events * crossingPause;
+          const next = states.get(to) ?? new Map<string, Reached>();
+          states.set(to, next);
+          const best = next.get(candidate.availabilityZone);
+          if (best && best.cost <= cost) continue;
+          next.set(candidate.availabilityZone, {
+            cost,
+            first: reached.first + hop.first + crossing + crossingPause,
+            pause: reached.pause + hop.pause + crossingPause,
+            previous: reached,
+            candidate,
+            range: { from, to },
+          });
+        }
+      }
+    });
+  }
+  const ends = [...(states.get(model.layers)?.values() ?? [])];
+  const best = ends.sort((left, right) => left.cost - right.cost)[0];
+  if (!best) return undefined;
+  return {
+    hops: firstHop ? [firstHop.hop, ...listHops(best)] : listHops(best),
+    firstEventMilliseconds: best.first + best.pause,
+    pauseMilliseconds: best.pause,
+  };
+}
--- /dev/null
+++ b/src/request/createSpendingBudget/index.ts
@@ -0,0 +1,67 @@
+/**
+ * Budget of repeated sends to a service, of which each node has its part.
+ */
+
+/** Options of {@link createSpendingBudget}. */
+export interface CreateSpendingBudgetOptions {
+  /** Repeats allowed for each request. */
+  readonly ratio: number;
+  /** Repeats that all nodes together may make in a window beyond the ratio. */
+  readonly slack: number;
+  readonly windowMilliseconds: number;
+  /** Nodes that share the slack. */
+  readonly countNodes: () => number;
+}
+
+/** Budget of repeats by service. */
+export interface SpendingBudget {
+  readonly noteRequest: (service: string, now: number) => void;
+  /** Takes one repeat; false when the budget is used up. */
+  readonly take: (service: string, now: number) => boolean;
+}
+
+/** Share of the budget that is used, so that nodes which see it differently stay within it. */
+const USED_SHARE = 0.8;
+
+interface Times {
+  readonly requests: number[];
+  readonly repeats: number[];
+}
+
+function dropOld(times: number[], before: number): void {
+  let count = 0;
+  while (count < times.length && (times[count] ?? 0) < before) count += 1;
+  if (count > 0) times.splice(0, count);
+}
+
+/**
+ * Creates a budget.
+ *
+ * @param options - the ratio, the slack and the window in milliseconds
+ * @returns the budget
+ * @example
+ * createSpendingBudget({ ratio: 0.2, slack: 10, windowMilliseconds: 10_000, countNodes: () => 6 });
+ */
+export function createSpendingBudget(options: CreateSpendingBudgetOptions): SpendingBudget {
+  const { ratio, slack, windowMilliseconds, countNodes } = options;
+  const services = new Map<string, Times>();
+  const findTimes = (service: string, now: number): Times => {
+    const known = services.get(service) ?? { requests: [], repeats: [] };
+    services.set(service, known);
+    dropOld(known.requests, now - windowMilliseconds);
+    dropOld(known.repeats, now - windowMilliseconds);
+    return known;
+  };
+  return {
+    noteRequest: (service, now) => {
+      findTimes(service, now).requests.push(now);
+    },
+    take: (service, now) => {
+      const { requests, repeats } = findTimes(service, now);
+      const share = slack / Math.max(1, countNodes());
+      if (repeats.length + 1 > USED_SHARE * (ratio * requests.length + share)) return false;
+      repeats.push(now);
+      return true;
+    },
+  };
+}
--- /dev/null
+++ b/src/request/splitEvents/index.ts
@@ -0,0 +1,49 @@
+/**
+ * Splitting of an event stream into whole events, kept as bytes.
+ */
+
+/** One whole event. */
+export interface StreamEvent {
+  /** The event's number; undefined when it has none. */
+  readonly id: number | undefined;
+  readonly bytes: Buffer;
+}
+
+/** Splitter of one stream. */
+export interface EventSplitter {
+  readonly add: (chunk: Buffer) => StreamEvent[];
+  /** Bytes of an event that has begun and is not whole. */
+  readonly countPending: () => number;
+}
+
+const EVENT_END = Buffer.from('\n\n');
+const ID_FIELD = /(?:^|\n)id: ?(\d+)\r?(?:\n|$)/;
+
+function readId(bytes: Buffer): number | undefined {
+  const match = ID_FIELD.exec(bytes.toString('latin1'));
+  return match ? Number(match[1]) : undefined;
+}
+
+/**
+ * Creates a splitter.
+ *
+ * @returns the splitter
+ * @example
+ * createEventSplitter().add(Buffer.from('id: 1\ndata: x\n\n')); // one event with id 1
+ */
+export function createEventSplitter(): EventSplitter {
+  let pending: Buffer = Buffer.alloc(0);
+  return {
+    add: (chunk) => {
+      pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
+      const events: StreamEvent[] = [];
+      for (let end = pending.indexOf(EVENT_END); end >= 0; end = pending.indexOf(EVENT_END)) {
+        const bytes = pending.subarray(0, end + EVENT_END.length);
+        events.push({ id: readId(bytes), bytes });
+        pending = pending.subarray(end + EVENT_END.length);
+      }
+      return events;
+    },
+    countPending: () => pending.length,
+  };
+}
--- /dev/null
+++ b/src/types/relay/index.ts
@@ -0,0 +1,74 @@
+/**
+ * Ports of the relay: how requests, answers and orders look on the wire of a site.
+ */
+import type { EndpointReport, LayerRange, PathHop } from '../site/index.js';
+
+/** Headers as a flat list of names and values, in order, in the caller's spelling. */
+export type RawHeaders = readonly string[];
+
+/** What a caller's headers say. */
+export interface CallerRequest {
+  /** Identifier of this attempt; empty when the caller sent none. */
+  readonly attempt: string;
+  readonly key?: string | undefined;
+  /** How long the caller waits, in milliseconds. */
+  readonly deadlineMilliseconds?: number | undefined;
+  readonly promptTokens: number;
+  readonly mostAnswerTokens: number;
+  /** The caller's estimate of the answer's tokens. */
+  readonly hintedAnswerTokens?: number | undefined;
+  /** Last event that the caller already has; 0 when it has none. */
+  readonly lastEvent: number;
+}
+
+/** What the node adds to a request that it passes on. */
+export interface PassedOn {
+  readonly address: string;
+  readonly account?: string | undefined;
+  readonly endpoint: string;
+  readonly deadlineMilliseconds: number;
+  /** From 0, the most urgent, to 9. */
+  readonly priority?: number | undefined;
+  readonly path?: readonly PathHop[] | undefined;
+  readonly lastEvent?: number | undefined;
+  readonly bodyBytes?: number | undefined;
+}
+
+/** What an endpoint's answer says in its headers. */
+export interface EndpointAnswer {
+  readonly attempt?: string | undefined;
+  readonly isSealed: boolean;
+  /** The endpoint says that the request did not run. */
+  readonly isNotRun: boolean;
+  /** Address of the endpoint that is at fault, if it is named. */
+  readonly faultyAddress?: string | undefined;
+  readonly running?: number | undefined;
+  readonly waiting?: number | undefined;
+  readonly isEncoded: boolean;
+}
+
+/** Outcome of an order. */
+export type OrderOutcome = 'begun' | 'done' | 'conflict' | 'refused' | 'unknown';
+
+/** An order to hold a range of layers. */
+export interface PlaceOrder {
+  readonly endpoint: string;
+  readonly address: string;
+  readonly range: LayerRange;
+  /** Number of orders that the endpoint must have accepted before. */
+  readonly acceptedOrders: number;
+}
+
+/** Translation between a site's wire and the relay. */
+export interface Wire {
+  readonly readRequest: (headers: NodeJS.Dict<string | string[]>) => CallerRequest;
+  /** Headers for the endpoint, without those that concern one connection only. */
+  readonly buildRequestHeaders: (callerHeaders: RawHeaders, passedOn: PassedOn) => string[];
+  readonly readAnswer: (status: number, headers: NodeJS.Dict<string | string[]>) => EndpointAnswer;
+  /** Headers for the caller, without those that concern one connection only. */
+  readonly buildAnswerHeaders: (endpointHeaders: RawHeaders) => string[];
+  readonly askReport: (address: string) => Promise<EndpointReport | undefined>;
+  readonly sendOrder: (order: PlaceOrder) => Promise<OrderOutcome>;
+  /** Moves a running request to another path with the same first hop. */
+  readonly movePath: (attempt: string, path: readonly PathHop[]) => Promise<OrderOutcome>;
+}
