Take an unframed answer that was reset for what it is: not whole

Ruled out: the length check (there was no length), the error handler (no error event came). Change: when such an answer ends, a line break is written first; that fails on a connection that was reset.

--- a/src/process/relay/openEndpointCall/index.ts
+++ b/src/process/relay/openEndpointCall/index.ts
@@ -5,6 +5,7 @@
  * request, and no request is lost to a connection that the endpoint closes while it is idle.
  */
 import { request, type IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 
 /** How far a request that failed had come. */
 export type SendState = 'notSent' | 'sent';
@@ -35,9 +36,31 @@
   readonly resume: () => void;
 }
 
+/** A line break before a request, which servers pass over. */
+const PROBE = '\r\n';
+
 /** Longest wait for a connection; an endpoint's queue of connections that is full drops the opening. */
 const CONNECT_MILLISECONDS = 400;
 
+/** Tells whether only the end of the connection marks the end of an answer. */
+function isEndedByConnection({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
+/**
+ * Tells whether a connection that has ended was reset rather than closed.
+ *
+ * The runtime reports a reset that arrives together with data as an ordinary end. A write tells them
+ * apart: it fails on a connection that was reset.
+ */
+function probeReset(socket: Socket): Promise<boolean> {
+  return new Promise((resolve) => {
+    socket.write(PROBE, (error) => {
+      resolve(error !== undefined && error !== null);
+    });
+  });
+}
+
 /**
  * Opens a call.
  *
@@ -52,6 +75,7 @@
   let isDone = false;
   let state: SendState = 'notSent';
   let answer: IncomingMessage | undefined;
+  let wasReset: Promise<boolean> = Promise.resolve(false);
   const outgoing = request({
     host,
     port: Number(port),
@@ -71,6 +95,10 @@
     outgoing.destroy();
     onFailure(state, reason);
   };
+  const endAfterProbe = async (): Promise<void> => {
+    if (await wasReset) fail('reset');
+    else if (finish()) onEnd();
+  };
   const connectTimer = setTimeout(() => {
     fail('connect timeout');
   }, CONNECT_MILLISECONDS);
@@ -80,6 +108,9 @@
       state = 'sent';
       clearTimeout(connectTimer);
     });
+    socket.prependOnceListener('end', () => {
+      if (answer && isEndedByConnection(answer)) wasReset = probeReset(socket);
+    });
   });
   outgoing.on('error', (error) => {
     fail(error.message);
@@ -96,10 +127,11 @@
     });
     incoming.on('end', () => {
       if (!incoming.complete) fail('answer incomplete');
+      else if (isEndedByConnection(incoming)) void endAfterProbe();
       else if (finish()) onEnd();
     });
     incoming.on('close', () => {
-      fail('closed');
+      if (!incoming.complete) fail('closed');
     });
   });
   outgoing.end(body);
