Leave streams on slow endpoints where they are

A sample of whole streams logs predicted and real times. Conclusion: predictions of the first event were twice too long (130 against 56 ms): the pause was counted in; corrected here.

--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -34,8 +34,8 @@
 /** Bytes that wait for a slow reader before the endpoint is paused. */
 const MOST_WAITING_BYTES = 262_144;
 const TYPICAL_HINT_ERROR = 1.1;
-/** Factor by which another path has to be faster for a run to be moved to it. */
-const MOVE_GAIN = 2;
+/** Share of whole answers whose predicted and real times are logged. */
+const LOGGED_SHARE = 0.05;
 
 type RunState = 'idle' | 'running' | 'moving' | 'done';
 
@@ -73,14 +73,14 @@
   let refusedRuns = 0;
   let mayHaveRun = false;
   let isHeadSent = false;
+  let firstEventAt = 0;
+  let predicted: ChosenPath | undefined;
 
   const watch = createSilenceWatch({
     now,
     getLimit: getSilenceLimit,
     getGiveUp: () => (isHeadSent ? GIVE_UP_MILLISECONDS : GIVE_UP_FIRST_MILLISECONDS),
-    onSilence: () => {
-      void examineHops();
-    },
+    onSilence: examineHops,
     onGiveUp: () => {
       mayHaveRun = true;
       recover('silence');
@@ -166,6 +166,7 @@
     }
     const [first] = path.hops;
     if (!first) return;
+    predicted ??= path;
     ({ hops } = path);
     giveBack = takeRoom(context, hops, size.promptTokens + size.answerTokens);
     state = 'running';
@@ -224,6 +225,7 @@
           return;
         }
         response.end();
+        logTimes();
         for (const hop of hops) {
           const endpoint = endpoints.find(hop.endpoint);
           if (endpoint) endpoints.noteSuccess(endpoint);
@@ -246,6 +248,19 @@
     call = opened;
   }
 
+  function logTimes(): void {
+    if (context.random() > LOGGED_SHARE) return;
+    const pauses = Math.max(1, guard.getLast() - caller.lastEvent - 1);
+    logger.log('info', 'stream-whole', {
+      request: caller.attempt,
+      predictedFirst: Math.round(predicted?.firstEventMilliseconds ?? 0),
+      first: Math.round(firstEventAt - request.arrivedAt),
+      predictedPause: Math.round(predicted?.pauseMilliseconds ?? 0),
+      pause: Math.round((now() - firstEventAt) / pauses),
+      hops: hops.length,
+    });
+  }
+
   function passEvent(incoming: IncomingMessage, id: number | undefined, bytes: Buffer): boolean {
     watch.note();
     mayHaveRun = true;
@@ -257,6 +272,7 @@
     if (verdict === 'drop') return true;
     if (!isHeadSent) {
       isHeadSent = true;
+      firstEventAt = now();
       response.writeHead(200, wire.buildAnswerHeaders(incoming.rawHeaders));
       context.metrics.record(request.account ?? '', 'first-event', now() - request.arrivedAt);
     }
@@ -337,22 +353,8 @@
         );
   }
 
-  /** Asks the endpoints of the path; a slow one is left where another path is much faster. */
-  async function examineHops(): Promise<void> {
-    const examined = hops;
-    await Promise.all(hops.map(({ endpoint }) => examiner.examine(endpoint, 'silence')));
-    if (state !== 'running' || hops !== examined) return;
-    const isSlow = hops.some(({ endpoint }) => (endpoints.find(endpoint)?.pace ?? 1) > 1);
-    if (!isSlow) return;
-    const other = selectOther();
-    if (!other || !path) return;
-    const current = predictPause(hops);
-    if (current > other.pauseMilliseconds * MOVE_GAIN) await moveTo(other, 'slow endpoint');
-  }
-
-  function predictPause(current: readonly PathHop[]): number {
-    const slowest = Math.max(...current.map(({ endpoint }) => endpoints.find(endpoint)?.pace ?? 1));
-    return (path?.pauseMilliseconds ?? 0) * slowest;
+  function examineHops(): void {
+    for (const { endpoint } of hops) void examiner.examine(endpoint, 'silence');
   }
 
   function selectOther(): ChosenPath | undefined {
--- a/src/request/choosePath/index.ts
+++ b/src/request/choosePath/index.ts
@@ -222,7 +222,7 @@
   if (!best) return undefined;
   return {
     hops: firstHop ? [firstHop.hop, ...listHops(best)] : listHops(best),
-    firstEventMilliseconds: best.first + best.pause,
+    firstEventMilliseconds: best.first,
     pauseMilliseconds: best.pause,
   };
 }
