--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -34,6 +34,8 @@
 /** Bytes that wait for a slow reader before the endpoint is paused. */
 const MOST_WAITING_BYTES = 262_144;
 const TYPICAL_HINT_ERROR = 1.1;
+/** Part of an answer that is in memory on average, while requests are at different stages. */
+const ANSWER_ROOM_SHARE = 0.6;
 /** Share of whole answers whose predicted and real times are logged. */
 const LOGGED_SHARE = 0.05;
 
@@ -152,6 +154,10 @@
     };
   }
 
+  function countRoom(size: { promptTokens: number; answerTokens: number }): number {
+    return size.promptTokens + size.answerTokens * ANSWER_ROOM_SHARE;
+  }
+
   function startRun(): void {
     const size = countTokens();
     path = selectPath(context, request, { ...size, excluded: refusedBy });
@@ -168,7 +174,7 @@
     if (!first) return;
     predicted ??= path;
     ({ hops } = path);
-    giveBack = takeRoom(context, hops, size.promptTokens + size.answerTokens);
+    giveBack = takeRoom(context, hops, countRoom(size));
     state = 'running';
     openRun(first);
     watch.note();
@@ -377,7 +383,7 @@
     const moved = call;
     const size = countTokens();
     state = 'moving';
-    const giveBackOther = takeRoom(context, other.hops, size.promptTokens + size.answerTokens);
+    const giveBackOther = takeRoom(context, other.hops, countRoom(size));
     const outcome = await wire.movePath(caller.attempt, other.hops);
     if (call !== moved || isDone()) {
       giveBackOther();
