--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -75,6 +75,7 @@
   let refusedRuns = 0;
   let mayHaveRun = false;
   let isHeadSent = false;
+  let waitsForReader = false;
   let firstEventAt = 0;
   let predicted: ChosenPath | undefined;
 
@@ -283,13 +284,24 @@
       context.metrics.record(request.account ?? '', 'first-event', now() - request.arrivedAt);
     }
     response.write(bytes);
-    if (response.writableLength > MOST_WAITING_BYTES) {
-      call?.pause();
-      response.once('drain', () => call?.resume());
-    }
+    if (response.writableLength > MOST_WAITING_BYTES) waitForReader();
     return true;
   }
 
+  /** Stops reading from the endpoint until the caller has taken what waits for it. */
+  function waitForReader(): void {
+    if (waitsForReader) return;
+    waitsForReader = true;
+    watch.stop();
+    call?.pause();
+    response.once('drain', () => {
+      waitsForReader = false;
+      if (state !== 'running') return;
+      call?.resume();
+      watch.note();
+    });
+  }
+
   function takeRefusal(incoming: IncomingMessage, body: Buffer): void {
     const status = incoming.statusCode ?? 0;
     const facts = wire.readAnswer(status, incoming.headers);
--- /dev/null
+++ b/src/process/site/createSiteServers/index.ts
@@ -0,0 +1,111 @@
+/**
+ * HTTP listeners of a node.
+ */
+import { createServer, type RequestListener, type Server } from 'node:http';
+import type { CallerLimits } from '../../../types/site/index.js';
+import type { LifeCycle } from '../../createLifeCycle/index.js';
+import { parseJson } from '../../parseJson/index.js';
+
+/** One listener. */
+export interface SiteListener {
+  readonly name: string;
+  readonly address: string;
+  readonly server: Server;
+}
+
+/** Header block that a listener reads at most, in bytes; the configuration's limit is below it. */
+const MOST_HEADER_BYTES = 32_768;
+const MOST_MESSAGE_BYTES = 8_388_608;
+/** How much longer than the configuration says a connection is kept, in milliseconds. */
+const IDLE_SLACK_MILLISECONDS = 2_000;
+
+/**
+ * Creates the server that takes callers' requests.
+ *
+ * @param handle - handles one request
+ * @returns the server, which does not listen yet
+ * @example
+ * createCallerServer(relay.handle);
+ */
+export function createCallerServer(handle: RequestListener): Server {
+  return createServer({ maxHeaderSize: MOST_HEADER_BYTES, noDelay: true }, handle);
+}
+
+/**
+ * Sets the times that a configuration allows callers.
+ *
+ * Connections live a little longer than callers may leave them idle, so that none is closed while a
+ * request is on its way.
+ *
+ * @param server - the callers' server
+ * @param limits - the configuration's limits
+ * @returns nothing
+ * @example
+ * applyCallerLimits(server, configuration.limits);
+ */
+export function applyCallerLimits(server: Server, limits: CallerLimits): void {
+  server.keepAliveTimeout = limits.idleTimeoutMilliseconds + IDLE_SLACK_MILLISECONDS;
+  server.headersTimeout = limits.headerTimeoutMilliseconds + IDLE_SLACK_MILLISECONDS;
+}
+
+/**
+ * Creates the server that takes messages of other nodes.
+ *
+ * @param receive - takes a message; returns the answer, or undefined when it cannot be read
+ * @returns the server, which does not listen yet
+ * @example
+ * createPeerServer(peers.receive);
+ */
+export function createPeerServer(receive: (value: unknown) => unknown): Server {
+  return createServer((incoming, response) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    incoming.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > MOST_MESSAGE_BYTES) incoming.destroy();
+      else chunks.push(chunk);
+    });
+    incoming.on('end', () => {
+      const answer = receive(parseJson(Buffer.concat(chunks).toString('utf8')));
+      response.writeHead(answer === undefined ? 400 : 200, { 'Content-Type': 'application/json' });
+      response.end(answer === undefined ? undefined : JSON.stringify(answer));
+    });
+  });
+}
+
+function listen({ server, address }: SiteListener): Promise<void> {
+  const [host, port] = address.split(':');
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(port), host, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
+
+/**
+ * Starts listeners, one after the other.
+ *
+ * @param lifeCycle - owner that closes them
+ * @param listeners - the listeners
+ * @returns resolves when all listen; rejects when an address is taken
+ * @example
+ * await startListeners(lifeCycle, [{ name: 'callers', address: '127.0.0.1:80', server }]);
+ */
+export async function startListeners(
+  lifeCycle: LifeCycle,
+  listeners: readonly SiteListener[],
+): Promise<void> {
+  for (const listener of listeners) {
+    await listen(listener);
+    const { name, server } = listener;
+    lifeCycle.own({
+      name,
+      close: () => {
+        server.close();
+        server.closeAllConnections();
+      },
+    });
+  }
+}
--- /dev/null
+++ b/src/process/site/exchangeNews/index.ts
@@ -0,0 +1,169 @@
+/**
+ * Exchange of news with other nodes: what this node tells, and what it takes from what it is told.
+ */
+import { Agent } from 'node:http';
+import type { NodeRecord } from '../../../types/site/index.js';
+import type { LifeCycle } from '../../createLifeCycle/index.js';
+import type { Examiner } from '../../relay/createExaminer/index.js';
+import { callJson } from '../../runtime/callJson/index.js';
+import { createPeers, type OwnNews, type Peers, type PeerNews } from '../createPeers/index.js';
+import type { SiteLogger } from '../createSiteLogger/index.js';
+import type { SiteState } from '../createSiteState/index.js';
+import type { StoreFollower } from '../followStore/index.js';
+import type { Planner } from '../runPlanner/index.js';
+import { sumLoads, type NodeLoad } from '../sumLoads/index.js';
+
+/** Options of {@link createExchange}. */
+export interface CreateExchangeOptions {
+  readonly self: NodeRecord;
+  /** Addresses of nodes to begin with, if any. */
+  readonly seeds: readonly string[];
+  readonly state: SiteState;
+  readonly examiner: Examiner;
+  readonly logger: SiteLogger;
+  readonly lifeCycle: LifeCycle;
+  readonly now: () => number;
+  readonly random: () => number;
+  readonly getFollower: () => Pick<StoreFollower, 'getRevision' | 'isReachable'>;
+  readonly getPlanner: () => Pick<Planner, 'listNews' | 'listPaces'>;
+}
+
+/** Exchange of one node. */
+export interface Exchange {
+  readonly peers: Peers;
+  /** One round; resolves to the pause before the next one, in milliseconds. */
+  readonly step: () => Promise<number>;
+}
+
+const ROUND_MILLISECONDS = 300;
+const TIMEOUT_MILLISECONDS = 600;
+/** How long a node's load is believed after it told of it, in milliseconds. */
+const LOAD_MILLISECONDS = 2_500;
+
+/**
+ * Creates the exchange.
+ *
+ * @param options - this node, its state, and what it follows
+ * @returns the exchange
+ * @example
+ * createExchange(options).step();
+ */
+export function createExchange(options: CreateExchangeOptions): Exchange {
+  const { self, state, examiner, logger, now, random, getFollower, getPlanner } = options;
+  const { endpoints } = state;
+  const loadsByNode = new Map<string, { at: number; loads: PeerNews['loads'] }>();
+  /** Store revision of the registry that peers told, while this node cannot reach the store. */
+  let toldRevision = 0;
+
+  const createNews = (): OwnNews => {
+    const follower = getFollower();
+    const planner = getPlanner();
+    const list = endpoints.list();
+    return {
+      version: state.getVersion(),
+      revision: Math.max(follower.getRevision(), toldRevision),
+      isReachable: follower.isReachable(),
+      loads: list
+        .filter(({ ownRequests }) => ownRequests > 0)
+        .map((entry) => [entry.record.id, entry.ownRequests, Math.round(entry.ownTokenLayers)]),
+      lost: list
+        .filter(({ lostUntil }) => lostUntil > now())
+        .map(({ record, lostUntil }) => [record.id, Math.round(lostUntil - now())]),
+      layers: planner.listNews(),
+      paces: planner.listPaces(),
+    };
+  };
+  const takeEntries = ({ entries, revision }: PeerNews): void => {
+    if (!entries || getFollower().isReachable() || revision <= toldRevision) return;
+    toldRevision = revision;
+    const present = new Set(entries.map(([id]) => id));
+    for (const [id, text] of entries) state.offerEndpoint(id, text, 'peer');
+    for (const [id] of state.listEntries()) {
+      if (!present.has(id)) state.offerEndpoint(id, undefined, 'peer');
+    }
+  };
+  const takeLayers = (layers: PeerNews['layers']): void => {
+    for (const [id, bornAt, acceptedOrders, from, to] of layers) {
+      const endpoint = endpoints.find(id);
+      if (endpoint?.record.bornAt !== bornAt) continue;
+      if ((endpoint.acceptedOrders ?? 0) > acceptedOrders) continue;
+      endpoint.acceptedOrders = acceptedOrders;
+      endpoint.layersReportedAt = now();
+      endpoint.layers = to > from ? { from, to } : undefined;
+    }
+  };
+  const takeNews = (news: PeerNews): void => {
+    if (news.configuration !== undefined) state.offerConfiguration(news.configuration, 'peer');
+    takeEntries(news);
+    loadsByNode.set(news.from, { at: now(), loads: news.loads });
+    for (const [id] of news.lost) {
+      const endpoint = endpoints.find(id);
+      // The sender may be the one that is cut off, so its word is checked.
+      const isNews = endpoint && endpoint.lostUntil <= now();
+      if (isNews) void examiner.examine(id, `told by ${news.from}`);
+    }
+    takeLayers(news.layers);
+    for (const [id, pace] of news.paces) {
+      const endpoint = endpoints.find(id);
+      if (endpoint) endpoint.pace = pace;
+    }
+  };
+  const peers = createPeers({
+    self,
+    now,
+    random,
+    getNews: createNews,
+    getConfiguration: state.getText,
+    getEntries: state.listEntries,
+    onNews: takeNews,
+    onChange: (event, node) => {
+      logger.log('info', event, { peer: node.name, incarnation: node.incarnation });
+    },
+  });
+
+  const sumOtherLoads = (): void => {
+    const alive = peers.listAlive().filter(({ name }) => name !== self.name);
+    const zones = new Map(alive.map(({ name, availabilityZone }) => [name, availabilityZone]));
+    const heard: NodeLoad[] = [];
+    for (const [name, { at, loads }] of loadsByNode) {
+      const availabilityZone = zones.get(name);
+      if (availabilityZone === undefined || now() - at > LOAD_MILLISECONDS)
+        loadsByNode.delete(name);
+      else heard.push({ availabilityZone, loads });
+    }
+    const countNodes = (zone: string): number =>
+      alive.filter(({ availabilityZone }) => availabilityZone === zone).length;
+    const sums = sumLoads(heard, countNodes);
+    for (const endpoint of endpoints.list()) {
+      const sum = sums.get(endpoint.record.id);
+      endpoint.otherRequests = sum?.requests ?? 0;
+      endpoint.otherTokenLayers = sum?.tokenLayers ?? 0;
+    }
+  };
+
+  const agent = new Agent({ keepAlive: true });
+  options.lifeCycle.own({
+    name: 'peer connections',
+    close: () => {
+      agent.destroy();
+    },
+  });
+  const tell = async (address: string, body: PeerNews): Promise<void> => {
+    const timeoutMilliseconds = TIMEOUT_MILLISECONDS;
+    const call = { address, method: 'POST', path: '/news', body, agent, timeoutMilliseconds };
+    const result = await callJson(call);
+    if (result.kind === 'answered') peers.takeAnswer(result.value);
+  };
+  return {
+    peers,
+    step: async () => {
+      peers.sweep();
+      sumOtherLoads();
+      const targets = peers.pickTargets();
+      const body = peers.createMessage();
+      const addresses = targets.length > 0 ? targets : options.seeds;
+      await Promise.all(addresses.map((address) => tell(address, body)));
+      return ROUND_MILLISECONDS;
+    },
+  };
+}
--- /dev/null
+++ b/src/process/site/registerNode/index.ts
@@ -0,0 +1,64 @@
+/**
+ * Registration of this node in the store, for nodes that start later.
+ */
+import type { Store } from '../../../types/store/index.js';
+
+/** Options of {@link createRegistration}. */
+export interface CreateRegistrationOptions {
+  readonly store: Store;
+  readonly key: string;
+  /** What the store shall hold under the key. */
+  readonly getValue: () => string;
+}
+
+/** Registration of a node. */
+export interface Registration {
+  /** One round; resolves to the pause before the next one, in milliseconds. */
+  readonly step: () => Promise<number>;
+  /** Ends the registration, if there is one. */
+  readonly end: () => Promise<void>;
+}
+
+const LEASE_MILLISECONDS = 15_000;
+const ROUND_MILLISECONDS = 5_000;
+const RETRY_MILLISECONDS = 1_000;
+
+/**
+ * Creates a registration under a lease.
+ *
+ * It only introduces nodes to each other: that a node lives is learnt from its messages.
+ *
+ * @param options - the store, the key and the value
+ * @returns the registration
+ * @example
+ * createRegistration({ store, key: 'nodes/node-1', getValue }).step();
+ */
+export function createRegistration(options: CreateRegistrationOptions): Registration {
+  const { store, key, getValue } = options;
+  let lease: number | undefined;
+  const keep = async (held: number): Promise<number> => {
+    const kept = await store.keepLease(held);
+    if (kept.kind === 'done') return ROUND_MILLISECONDS;
+    if (kept.kind === 'rejected') lease = undefined;
+    return RETRY_MILLISECONDS;
+  };
+  const begin = async (): Promise<number> => {
+    const granted = await store.grantLease(LEASE_MILLISECONDS);
+    if (granted.kind !== 'done') return RETRY_MILLISECONDS;
+    const value = Buffer.from(getValue());
+    const written = await store.transact({
+      expected: [],
+      puts: [{ key, value, lease: granted.value }],
+      remove: [],
+    });
+    if (written.kind !== 'done') return RETRY_MILLISECONDS;
+    lease = granted.value;
+    return ROUND_MILLISECONDS;
+  };
+  return {
+    step: () => (lease === undefined ? begin() : keep(lease)),
+    end: async () => {
+      if (lease !== undefined) await store.endLease(lease);
+    },
+  };
+}
--- /dev/null
+++ b/src/process/site/sumLoads/index.ts
@@ -0,0 +1,51 @@
+/**
+ * The load that other nodes put on endpoints, estimated from those that were heard.
+ */
+
+/** Load of one node, by endpoint. */
+export interface NodeLoad {
+  readonly availabilityZone: string;
+  /** Endpoint, requests, and memory in tokens times layers. */
+  readonly loads: readonly (readonly [string, number, number])[];
+}
+
+/** Load of several nodes on one endpoint. */
+export interface EndpointLoad {
+  readonly requests: number;
+  readonly tokenLayers: number;
+}
+
+/**
+ * Estimates the load of all other nodes.
+ *
+ * Nodes of one availability zone use endpoints alike, so those that were not heard lately count as
+ * the mean of those that were.
+ *
+ * @param heard - loads that nodes told lately
+ * @param countNodes - living other nodes of an availability zone
+ * @returns load by endpoint
+ * @example
+ * sumLoads([{ availabilityZone: 'mission', loads: [['i-1', 2, 900]] }], () => 2).get('i-1');
+ */
+export function sumLoads(
+  heard: readonly NodeLoad[],
+  countNodes: (availabilityZone: string) => number,
+): Map<string, EndpointLoad> {
+  const heardByZone = new Map<string, number>();
+  for (const { availabilityZone } of heard) {
+    heardByZone.set(availabilityZone, (heardByZone.get(availabilityZone) ?? 0) + 1);
+  }
+  const sums = new Map<string, EndpointLoad>();
+  for (const { availabilityZone, loads } of heard) {
+    const heardNodes = heardByZone.get(availabilityZone) ?? 1;
+    const factor = Math.max(1, countNodes(availabilityZone) / heardNodes);
+    for (const [endpoint, requests, tokenLayers] of loads) {
+      const sum = sums.get(endpoint) ?? { requests: 0, tokenLayers: 0 };
+      sums.set(endpoint, {
+        requests: sum.requests + requests * factor,
+        tokenLayers: sum.tokenLayers + tokenLayers * factor,
+      });
+    }
+  }
+  return sums;
+}
