--- /dev/null
+++ b/src/process/site/followStore/test.ts
@@ -0,0 +1,106 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Store, StoreResult, StoreSnapshot } from '../../../types/store/index.js';
+import { createStoreFollower } from './index.js';
+
+const LOST: StoreResult<never> = { kind: 'unknown', reason: 'timeout' };
+
+/** A follower over a store whose next answers the test gives. */
+function createCase() {
+  const clock = { time: 1_000 };
+  const answers: { range: StoreResult<StoreSnapshot>[]; watch: StoreResult<StoreSnapshot>[] } = {
+    range: [],
+    watch: [],
+  };
+  const watched: number[] = [];
+  const held = new Map<string, string>();
+  const refuse = (): Promise<StoreResult<never>> => Promise.resolve(LOST);
+  const store: Store = {
+    range: () => Promise.resolve(answers.range.shift() ?? LOST),
+    watch: ({ after }) => {
+      watched.push(after);
+      return Promise.resolve(answers.watch.shift() ?? LOST);
+    },
+    transact: refuse,
+    grantLease: refuse,
+    keepLease: refuse,
+    endLease: refuse,
+    close: () => undefined,
+  };
+  const follower = createStoreFollower({
+    store,
+    logger: { log: () => undefined, countLeftOut: () => 0 },
+    now: () => clock.time,
+    onItem: (key, value) => {
+      if (value) held.set(key, value.toString());
+      else held.delete(key);
+    },
+  });
+  return { clock, answers, watched, held, follower };
+}
+
+function snapshot(revision: number, items: Readonly<Record<string, string | undefined>>) {
+  const value: StoreSnapshot = {
+    revision,
+    items: Object.entries(items).map(([key, text]) => ({
+      key,
+      revision,
+      value: text === undefined ? undefined : Buffer.from(text),
+    })),
+  };
+  return { kind: 'done' as const, value };
+}
+
+test('everything is read once and then watched from that revision on', async () => {
+  const { answers, watched, held, follower } = createCase();
+  answers.range.push(snapshot(5, { a: '1', b: '1' }));
+  answers.watch.push(snapshot(7, { b: '2' }), snapshot(9, { a: undefined }));
+  for (let round = 0; round < 3; round += 1) await follower.step();
+  assert.deepEqual(watched, [5, 7]);
+  assert.deepEqual([...held], [['b', '2']]);
+  assert.equal(follower.getRevision(), 9);
+});
+
+test('a history that is gone is replaced by reading everything again', async () => {
+  const { answers, held, follower } = createCase();
+  answers.range.push(snapshot(5, { a: '1', b: '1' }), snapshot(30, { b: '3' }));
+  answers.watch.push({ kind: 'rejected' });
+  for (let round = 0; round < 3; round += 1) await follower.step();
+  assert.deepEqual([...held], [['b', '3']]);
+});
+
+test('entries that lapsed in an outage get two seconds after its end, and are then gone', async () => {
+  const { clock, answers, held, follower } = createCase();
+  answers.range.push(snapshot(5, { a: '1', b: '1' }));
+  await follower.step();
+  await follower.step();
+  assert.equal(follower.isReachable(), false);
+  clock.time += 5_000;
+  answers.watch.push(snapshot(9, { a: undefined, b: undefined }));
+  await follower.step();
+  assert.deepEqual([...held.keys()], ['a', 'b']);
+  clock.time += 1_000;
+  answers.watch.push(snapshot(10, { a: '2' }));
+  await follower.step();
+  clock.time += 1_500;
+  answers.watch.push(snapshot(10, {}));
+  await follower.step();
+  assert.deepEqual([...held], [['a', '2']]);
+});
+
+test('without an outage a removal counts at once', async () => {
+  const { answers, held, follower } = createCase();
+  answers.range.push(snapshot(5, { a: '1' }));
+  answers.watch.push(snapshot(6, { a: undefined }));
+  await follower.step();
+  await follower.step();
+  assert.equal(held.size, 0);
+});
+
+test('a store that is down leaves what was known, and is tried again after a pause', async () => {
+  const { answers, held, follower } = createCase();
+  answers.range.push(snapshot(5, { a: '1' }));
+  await follower.step();
+  assert.ok((await follower.step()) > 0);
+  assert.deepEqual([...held.keys()], ['a']);
+});
