--- a/src/process/site/createSiteLogger/index.ts
+++ b/src/process/site/createSiteLogger/index.ts
@@ -23,7 +23,8 @@
   /** Milliseconds on a clock that never goes back. */
   readonly now: () => number;
   readonly linesPerSecond?: number;
-  readonly write?: (line: string) => boolean;
+  /** Where lines go; standard output by default. */
+  readonly stream?: NodeJS.WritableStream | undefined;
 }
 
 const DEFAULT_LINES_PER_SECOND = 50;
@@ -40,14 +41,15 @@
  * createSiteLogger({ node: 'n', availabilityZone: 'z', now }).log('info', 'started');
  */
 export function createSiteLogger(options: CreateSiteLoggerOptions): SiteLogger {
-  const { node, availabilityZone, now, linesPerSecond = DEFAULT_LINES_PER_SECOND } = options;
+  const { node, availabilityZone, now, stream = process.stdout } = options;
+  const { linesPerSecond = DEFAULT_LINES_PER_SECOND } = options;
   const logger = winston.createLogger({
     defaultMeta: { node, availabilityZone },
     format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
   });
   // winston declares its transports as interfaces, which the rule takes for other classes.
   // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
-  logger.add(new winston.transports.Stream({ stream: process.stdout }));
+  logger.add(new winston.transports.Stream({ stream }));
   const most = linesPerSecond * BURST_SECONDS;
   let allowance = most;
   let refilledAt = now();
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -57,6 +57,8 @@
   readonly retryRatio: number;
   readonly retrySlack: number;
   readonly retryWindowMilliseconds: number;
+  /** Where log lines go; standard output by default. */
+  readonly logStream?: NodeJS.WritableStream;
 }
 
 /** A node that runs. */
@@ -102,6 +104,7 @@
     node: self.name,
     availabilityZone: self.availabilityZone,
     now,
+    stream: options.logStream,
   });
   const lifeCycle = createLifeCycle();
   const state = createSiteState({ decoders, logger, now, parse: parseJson, onConfiguration });
--- /dev/null
+++ b/standins/serveSiteStore/index.ts
@@ -0,0 +1,210 @@
+/**
+ * Stand-in of the platform's key-value service: revisions, watches, conditional writes and leases.
+ */
+import type http from 'node:http';
+import { z } from 'zod';
+import type { Faults } from '../createFaults/index.js';
+import { listenStandin, readText, replyJson, type Standin } from '../listenStandin/index.js';
+
+const transactionSchema = z.object({
+  expected: z.array(z.object({ key: z.string(), revision: z.number() })),
+  puts: z.array(z.object({ key: z.string(), value: z.string(), lease: z.number().default(0) })),
+  remove: z.array(z.string()),
+});
+const leaseSchema = z.object({ ttl_ms: z.number() });
+
+interface Item {
+  readonly key: string;
+  readonly value: string;
+  readonly revision: number;
+  readonly created: number;
+  readonly lease: number;
+}
+
+type Change = Item | { readonly key: string; readonly revision: number; readonly deleted: true };
+
+interface Lease {
+  readonly milliseconds: number;
+  timer: NodeJS.Timeout;
+}
+
+/** A store that listens. */
+export interface SiteStore extends Standin {
+  /** Writes an item as the operator or an endpoint would. */
+  readonly put: (key: string, value: unknown) => void;
+  readonly remove: (key: string) => void;
+  /** Drops the history of changes, so that watches have to read everything again. */
+  readonly forgetHistory: () => void;
+  readonly read: (key: string) => string | undefined;
+}
+
+type Handler = (parameters: URLSearchParams, body: unknown, path: string) => Reply | 'waits';
+
+interface Reply {
+  readonly status: number;
+  readonly value: unknown;
+}
+
+interface Waiting {
+  readonly prefix: string;
+  readonly finish: () => void;
+}
+
+function parseBody(text: string): unknown {
+  return text === '' ? {} : JSON.parse(text);
+}
+
+/**
+ * Serves a store on loopback.
+ *
+ * @param port - port, or 0 for any
+ * @returns the store
+ * @example
+ * const store = await serveSiteStore(0);
+ */
+export async function serveSiteStore(port: number): Promise<SiteStore> {
+  const items = new Map<string, Item>();
+  const leases = new Map<number, Lease>();
+  const waiting = new Set<Waiting>();
+  let history: Change[] = [];
+  let revision = 1;
+  let forgottenRevision = 0;
+  let nextLease = 1;
+
+  const note = (change: Change): void => {
+    history.push(change);
+    for (const watch of [...waiting]) if (change.key.startsWith(watch.prefix)) watch.finish();
+  };
+  const write = (key: string, value: string, lease: number): void => {
+    const created = items.get(key)?.created ?? revision;
+    const item = { key, value, revision, created, lease };
+    items.set(key, item);
+    note(item);
+  };
+  const erase = (key: string): void => {
+    if (items.delete(key)) note({ key, revision, deleted: true });
+  };
+  const endLease = (lease: number): boolean => {
+    const known = leases.get(lease);
+    if (!known) return false;
+    clearTimeout(known.timer);
+    leases.delete(lease);
+    revision += 1;
+    for (const item of [...items.values()]) if (item.lease === lease) erase(item.key);
+    return true;
+  };
+  const armLease = (lease: number, milliseconds: number): NodeJS.Timeout =>
+    setTimeout(() => endLease(lease), milliseconds).unref();
+  const list = (prefix: string): Item[] =>
+    [...items.values()].filter(({ key }) => key.startsWith(prefix));
+
+  const transact = (body: unknown): Reply => {
+    const { expected, puts, remove } = transactionSchema.parse(body);
+    const isMet = expected.every((row) => (items.get(row.key)?.revision ?? 0) === row.revision);
+    if (!isMet) return { status: 412, value: { items: expected.map(({ key }) => items.get(key)) } };
+    if (puts.some(({ lease }) => lease !== 0 && !leases.has(lease)))
+      return { status: 404, value: {} };
+    revision += 1;
+    for (const { key, value, lease } of puts) write(key, value, lease);
+    for (const key of remove) erase(key);
+    return { status: 200, value: { revision } };
+  };
+  const grant = (body: unknown): Reply => {
+    const { ttl_ms: milliseconds } = leaseSchema.parse(body);
+    const lease = nextLease;
+    nextLease += 1;
+    leases.set(lease, { milliseconds, timer: armLease(lease, milliseconds) });
+    return { status: 200, value: { lease, ttl_ms: milliseconds } };
+  };
+  const keep = (lease: number): Reply => {
+    const known = leases.get(lease);
+    if (!known) return { status: 404, value: {} };
+    clearTimeout(known.timer);
+    known.timer = armLease(lease, known.milliseconds);
+    return { status: 200, value: { ttl_ms: known.milliseconds } };
+  };
+  const readLease = (path: string): number => Number(path.split('/').at(-1));
+  const handlers: Readonly<Record<string, Handler>> = {
+    'GET /kv-range': (parameters) => ({
+      status: 200,
+      value: { items: list(parameters.get('prefix') ?? ''), truncated: false, at: revision },
+    }),
+    'POST /kv-txn': (_, body) => transact(body),
+    'POST /kv-lease': (_, body) => grant(body),
+    'POST /kv-keep': (_, __, path) => keep(readLease(path)),
+    'DELETE /kv-lease-end': (_, __, path) => ({
+      status: endLease(readLease(path)) ? 200 : 404,
+      value: {},
+    }),
+    'GET /kv-watch': () => 'waits',
+  };
+  const answerWatch = (
+    parameters: URLSearchParams,
+    response: http.ServerResponse,
+    faults: Faults,
+  ): void => {
+    const prefix = parameters.get('prefix') ?? '';
+    const after = Number(parameters.get('after'));
+    if (after < forgottenRevision) {
+      replyJson(response, faults, '/kv-watch', {}, 410);
+      return;
+    }
+    const collect = (): Change[] =>
+      history.filter((change) => change.revision > after && change.key.startsWith(prefix));
+    const watch: Waiting = {
+      prefix,
+      finish: () => {
+        clearTimeout(timer);
+        waiting.delete(watch);
+        // One turn later, so that all changes of a transaction go along.
+        setImmediate(() => {
+          replyJson(response, faults, '/kv-watch', { events: collect(), at: revision });
+        });
+      },
+    };
+    const timer = setTimeout(watch.finish, Number(parameters.get('wait_ms')));
+    waiting.add(watch);
+    response.on('close', () => {
+      clearTimeout(timer);
+      waiting.delete(watch);
+    });
+    if (collect().length > 0) watch.finish();
+  };
+
+  const standin = await listenStandin({
+    port,
+    seed: 1,
+    handle: (request, response, faults) => {
+      const url = new URL(request.url ?? '/', 'http://store');
+      const [, name = ''] = url.pathname.split('/');
+      const handler = handlers[`${request.method ?? 'GET'} /${name}`];
+      readText(request, (text) => {
+        const reply = handler?.(url.searchParams, parseBody(text), url.pathname);
+        if (reply === 'waits') answerWatch(url.searchParams, response, faults);
+        else replyJson(response, faults, url.pathname, reply?.value ?? {}, reply?.status ?? 404);
+      });
+    },
+  });
+  return {
+    ...standin,
+    put: (key, value) => {
+      const text = typeof value === 'string' ? value : JSON.stringify(value);
+      revision += 1;
+      write(key, Buffer.from(text).toString('base64'), 0);
+    },
+    remove: (key) => {
+      revision += 1;
+      erase(key);
+    },
+    forgetHistory: () => {
+      history = [];
+      revision += 1;
+      forgottenRevision = revision;
+      for (const watch of [...waiting]) watch.finish();
+    },
+    read: (key) => {
+      const item = items.get(key);
+      return item && Buffer.from(item.value, 'base64').toString();
+    },
+  };
+}
--- /dev/null
+++ b/tests/support/siteNodes/index.ts
@@ -0,0 +1,251 @@
+/**
+ * Whole nodes of a site on loopback, against stand-ins of the store and of endpoints.
+ */
+import { request } from 'node:http';
+import { createServer } from 'node:net';
+import { Writable } from 'node:stream';
+import { answerAddresses, isReadinessPath } from '../../../platform/answerQuestions/index.js';
+import { createPlatformStore } from '../../../platform/createPlatformStore/index.js';
+import { createWire } from '../../../platform/createWire/index.js';
+import { decodeConfiguration } from '../../../platform/decodeConfiguration/index.js';
+import { decodeEndpoint } from '../../../platform/decodeEndpoint/index.js';
+import {
+  startSiteNode,
+  type SiteNode,
+  type StartSiteNodeOptions,
+} from '../../../src/process/site/startSiteNode/index.js';
+import { serveSiteStore, type SiteStore } from '../../../standins/serveSiteStore/index.js';
+import type { SiteEndpoint } from '../../../standins/serveSiteEndpoint/index.js';
+
+/** A node with the addresses that tests talk to. */
+export interface TestNode {
+  readonly name: string;
+  readonly callers: string;
+  readonly readiness: string;
+  readonly directory: string;
+  readonly logs: string[];
+  readonly node: SiteNode;
+}
+
+/** An answer as a caller saw it. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: NodeJS.Dict<string | string[]>;
+  readonly body: string;
+  /** The answer ended as its framing says. */
+  readonly isWhole: boolean;
+}
+
+/** A request of a caller. */
+export interface CallerCall {
+  readonly address: string;
+  readonly path: string;
+  readonly method?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  /** Called with each piece of the answer; may hang up. */
+  readonly onData?: (text: string, hangUp: () => void) => void;
+}
+
+export const MODEL_SERVICE = 'assistant';
+export const PLAIN_SERVICE = 'booking';
+export const KEY = 'key-1';
+
+const LAYERS = 4;
+const ENGINE = {
+  slots: 8,
+  kv_token_bytes: 1_000,
+  stride: 4,
+  models: [{ load_s: 0.1 }],
+  step_ms: 1,
+  read_per_s: 100_000,
+  usual: { prompt: 100, answer: 40 },
+  layers: LAYERS,
+  layer_mb: 100,
+  activation_bytes: 100,
+  pipe_mbps: 10_000,
+  types: [{ name: 'large', size_mb: 1_000, pace: 1, read_factor: 1 }],
+};
+
+/** A configuration as the operators write it. */
+export function createWireConfiguration(version: number, changes: object = {}): object {
+  const common = { host: 'desk.example', slo_ms: 300, priority: 1, public: false };
+  return {
+    version,
+    routes: [
+      {
+        ...common,
+        name: 'look',
+        prefix: '/look/',
+        route_type: 'safe',
+        timeout_ms: 900,
+        service: PLAIN_SERVICE,
+        max_attempts: 2,
+      },
+      {
+        ...common,
+        name: 'book',
+        prefix: '/book/',
+        route_type: 'unsafe',
+        timeout_ms: 900,
+        service: PLAIN_SERVICE,
+        max_attempts: 1,
+      },
+      {
+        ...common,
+        name: 'ask',
+        prefix: '/ask/',
+        route_type: 'streaming',
+        timeout_ms: 8_000,
+        service: MODEL_SERVICE,
+        max_attempts: 2,
+        resumable: true,
+        itl_target_ms: 250,
+      },
+    ],
+    services: [{ name: PLAIN_SERVICE }, { name: MODEL_SERVICE, engine: ENGINE }],
+    limits: {
+      max_header_bytes: 8_192,
+      max_body_bytes: 2_048,
+      header_timeout_ms: 1_000,
+      idle_timeout_ms: 5_000,
+    },
+    tenants: [{ name: 'kiosk', api_keys: [KEY] }],
+    ...changes,
+  };
+}
+
+/** Registers an endpoint as it would itself. */
+export function registerEndpoint(
+  store: SiteStore,
+  endpoint: SiteEndpoint,
+  service: string,
+  changes: object = {},
+): void {
+  store.put(`servers/${endpoint.id}`, {
+    service,
+    address: endpoint.address,
+    zone: 'mission',
+    version: 'v1',
+    slots: 8,
+    state: 'ready',
+    cold_left_ms: 0,
+    sequence: 1,
+    born: 1_000,
+    route_type: 'large',
+    ...changes,
+  });
+}
+
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const bound = server.address();
+  const port = typeof bound === 'object' && bound ? bound.port : 0;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+/** Starts a store for nodes. */
+export function startStore(): Promise<SiteStore> {
+  return serveSiteStore(0);
+}
+
+/** Starts a node that follows a store. */
+export async function startNode(
+  name: string,
+  store: SiteStore,
+  changes: Partial<Pick<StartSiteNodeOptions, 'graceMilliseconds'>> = {},
+): Promise<TestNode> {
+  const [callers, readiness, directory, peers] = await Promise.all(
+    Array.from({ length: 4 }, async () => `127.0.0.1:${await findFreePort()}`),
+  );
+  if (!callers || !readiness || !directory || !peers) throw new Error('no free port');
+  const logs: string[] = [];
+  const logStream = new Writable({
+    write: (chunk: Buffer, _, done) => {
+      logs.push(chunk.toString());
+      done();
+    },
+  });
+  const node = await startSiteNode({
+    node: { name, availabilityZone: 'mission', callerAddress: callers, peerAddress: peers },
+    readinessAddress: readiness,
+    directoryAddress: directory,
+    seeds: [],
+    store: createPlatformStore(store.address),
+    wire: createWire(),
+    decoders: { decodeConfiguration, decodeEndpoint },
+    keys: { configuration: 'op/config', endpointPrefix: 'servers/' },
+    questions: { answerAddresses, isReadinessPath },
+    graceMilliseconds: 1_500,
+    retryRatio: 0.2,
+    retrySlack: 100,
+    retryWindowMilliseconds: 10_000,
+    logStream,
+    ...changes,
+  });
+  return { name, callers, readiness, directory, logs, node };
+}
+
+/** Sends a request as a caller would. */
+export function call(options: CallerCall): Promise<CallerAnswer> {
+  const { address, path, method = 'GET', headers = {}, body, onData } = options;
+  const [host, port] = address.split(':');
+  return new Promise((resolve, reject) => {
+    const outgoing = request({
+      host,
+      port: Number(port),
+      path,
+      method,
+      agent: false,
+      headers: {
+        Host: 'desk.example',
+        'Attempt-Id': 'attempt-1',
+        'Deadline-Ms': '5000',
+        Credential: KEY,
+        ...headers,
+      },
+    });
+    outgoing.on('error', reject);
+    outgoing.on('response', (incoming) => {
+      let text = '';
+      incoming.on('data', (chunk: Buffer) => {
+        text += chunk.toString();
+        onData?.(text, () => outgoing.destroy());
+      });
+      const finish = (): void => {
+        resolve({
+          status: incoming.statusCode ?? 0,
+          headers: incoming.headers,
+          body: text,
+          isWhole: incoming.complete,
+        });
+      };
+      incoming.on('end', finish);
+      incoming.on('error', finish);
+    });
+    outgoing.end(body);
+  });
+}
+
+/** Waits until a condition holds; fails after ten seconds. */
+export async function waitFor(
+  what: string,
+  condition: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const until = performance.now() + 10_000;
+  while (performance.now() < until) {
+    if (await condition()) return;
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  throw new Error(`waited in vain until ${what}`);
+}
+
+/** Waits until a node says that it is ready. */
+export function waitUntilReady(node: TestNode): Promise<void> {
+  return waitFor(`${node.name} is ready`, async () => {
+    const { status } = await call({ address: node.readiness, path: '/readyz' });
+    return status === 200;
+  });
+}
