--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -39,6 +39,8 @@
 /** Share of whole answers whose predicted and real times are logged. */
 const LOGGED_SHARE = 0.05;
 
+const TIME_IS_UP = 'time is up';
+
 type RunState = 'idle' | 'running' | 'moving' | 'done';
 
 /**
@@ -94,7 +96,7 @@
   });
   const finalTimer = setTimeout(
     () => {
-      fail('time is up');
+      fail(TIME_IS_UP);
     },
     Math.max(0, finalAt - now()),
   );
@@ -135,7 +137,9 @@
       // The answer must not look complete; the caller may resume after its last event.
       response.destroy();
     } else if (mayHaveRun) {
-      answerFailure(response, { code: finalAt <= now() ? 'outcomeUnknown' : 'endpointFailed' });
+      answerFailure(response, {
+        code: reason === TIME_IS_UP ? 'outcomeUnknown' : 'endpointFailed',
+      });
     } else {
       answerFailure(response, { code: 'overloaded', retryAfterSeconds });
     }
--- a/src/process/relay/relayWhole/index.ts
+++ b/src/process/relay/relayWhole/index.ts
@@ -21,7 +21,7 @@
   | WholeAnswer
   | { readonly kind: 'notSent'; readonly reason: string }
   | { readonly kind: 'notRun'; readonly reason: string }
-  | { readonly kind: 'unknown'; readonly reason: string }
+  | { readonly kind: 'unknown'; readonly reason: string; readonly isTimeout?: boolean }
   | { readonly kind: 'gone' };
 
 /** When callers may come back if no endpoint takes their request, in seconds. */
@@ -109,7 +109,8 @@
       },
     });
     const timer = setTimeout(() => {
-      finish({ kind: 'unknown', reason: wasSent ? 'answer too slow' : 'no answer in time' });
+      const reason = wasSent ? 'answer too slow' : 'no answer in time';
+      finish({ kind: 'unknown', reason, isTimeout: true });
     }, timeoutMilliseconds);
     request.onGone(() => {
       finish({ kind: 'gone' });
@@ -143,6 +144,7 @@
   let sends = 0;
   let failedConnections = 0;
   let mayHaveRun = false;
+  let timedOut = false;
   let fallback: WholeAnswer | undefined;
   let reason = 'no endpoint';
   while (sends < route.mostAttempts && failedConnections < MOST_FAILED_CONNECTIONS) {
@@ -189,6 +191,7 @@
     } else sends += 1;
     if (outcome.kind !== 'unknown') continue;
     mayHaveRun = true;
+    timedOut = outcome.isTimeout === true;
     if (!mayRepeat) break;
   }
   if (fallback) {
@@ -197,7 +200,7 @@
   }
   const code: ResultCodeName = !mayHaveRun
     ? 'noEndpoint'
-    : finalAt <= now()
+    : timedOut
       ? 'outcomeUnknown'
       : 'endpointFailed';
   logger.log('warn', 'request-failed', {
