--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -387,13 +387,7 @@
   /** Leaves a path through a lost endpoint: moved where the first endpoint lives, else run anew. */
   function avoidLost(lost: string): void {
     const other = hops[0]?.endpoint === lost ? undefined : selectOther();
-    const isFirstRun = runs === 0 && refusedRuns === 0;
-    const mayRunAnew = isFirstRun && route.isResumable && route.mostAttempts > 1;
-    // Many prompts through the pipe between zones take longer than reading one anew in another zone.
-    const crosses = other && countCrossings(other.hops) > countCrossings(hops);
-    const anew = crosses && mayRunAnew ? selectAnew() : undefined;
-    const isBetterAnew = anew && other && countCrossings(anew.hops) < countCrossings(other.hops);
-    if (other && !isBetterAnew) {
+    if (other) {
       void moveTo(other, 'endpoint lost');
       return;
     }
@@ -401,15 +395,6 @@
     recover('endpoint lost');
   }
 
-  function selectAnew(): ChosenPath | undefined {
-    return selectPath(context, request, { ...countTokens(), excluded: refusedBy });
-  }
-
-  function countCrossings(path: readonly PathHop[]): number {
-    const zones = path.map(({ endpoint }) => endpoints.find(endpoint)?.record.availabilityZone);
-    return zones.filter((zone, index) => index > 0 && zone !== zones[index - 1]).length;
-  }
-
   async function moveTo(other: ChosenPath, reason: string): Promise<void> {
     const moved = call;
     const size = countTokens();
