Survey endpoints every 3 s instead of 1.5 s

Lost endpoints are found by the silence of streams, so the survey only finds slow ones and restarts.

--- a/src/process/site/runPlanner/index.ts
+++ b/src/process/site/runPlanner/index.ts
@@ -50,7 +50,7 @@
 /** An order whose effect does not show after this time is given up. */
 const ORDER_MILLISECONDS = 12_000;
 /** Pause between two questions to an endpoint that has no order under way. */
-const SURVEY_MILLISECONDS = 1_500;
+const SURVEY_MILLISECONDS = 3_000;
 const NEWS_MILLISECONDS = 5_000;
 const LOST_MILLISECONDS = 3_000;
 const FAILED_QUESTIONS_BEFORE_LOST = 2;
