Share the retry budget with nodes that are out of sight, and believe a refusing endpoint's memory

A node divided the slack by the nodes that it saw; one that is cut off, or whose peers were just killed, took all of it. Beside that, up to four runs of one request went to endpoints without memory. Test: a node cut off counts six.

--- a/src/connection/createEndpointTable/index.ts
+++ b/src/connection/createEndpointTable/index.ts
@@ -19,6 +19,9 @@
   /** The same two of other nodes, by their last messages. */
   otherRequests: number;
   otherTokenLayers: number;
+  /** Memory in use that the endpoint reported, in tokens times layers, and when. */
+  reportedTokenLayers: number;
+  reportedAt: number;
   /** Requests that the endpoint said are running and waiting, when it last answered. */
   running: number;
   waiting: number;
@@ -67,6 +70,8 @@
     ownTokenLayers: 0,
     otherRequests: 0,
     otherTokenLayers: 0,
+    reportedTokenLayers: 0,
+    reportedAt: Number.NEGATIVE_INFINITY,
     running: 0,
     waiting: 0,
     loadReadAt: Number.NEGATIVE_INFINITY,
--- a/src/process/relay/createExaminer/index.ts
+++ b/src/process/relay/createExaminer/index.ts
@@ -73,6 +73,8 @@
     endpoint.acceptedOrders = report.acceptedOrders;
     endpoint.layers = report.layers;
     endpoint.layersReportedAt = now();
+    endpoint.reportedTokenLayers = report.usedTokenLayers;
+    endpoint.reportedAt = now();
     endpoint.pace = report.pace > SLOW_PACE ? report.pace : 1;
     for (const address of report.stalledAddresses) {
       const stalled = endpoints.findByAddress(address);
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -17,7 +17,9 @@
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
 /** Runs that endpoints refused before a request is refused. */
-const MOST_REFUSED_RUNS = 4;
+const MOST_REFUSED_RUNS = 3;
+/** How long an endpoint that refused a run is left alone, in milliseconds. */
+const REFUSING_MILLISECONDS = 200;
 /** When callers may come back if no path has room, in seconds. */
 const NO_ROOM_RETRY_SECONDS = 0.5;
 /** Silence before the first event after which endpoints are asked, at most, in milliseconds. */
@@ -317,6 +319,8 @@
       const faultyId = faulty?.record.id ?? hops[0]?.endpoint ?? '';
       refusedBy.add(faultyId);
       void examiner.examine(faultyId, `status ${status}`);
+      const refusing = endpoints.find(faultyId);
+      if (refusing) endpoints.avoid(refusing, now(), REFUSING_MILLISECONDS);
       retryRefused(`status ${status} of ${faulty?.record.id ?? 'the first endpoint'}`);
       return;
     }
--- a/src/process/site/createPeers/index.ts
+++ b/src/process/site/createPeers/index.ts
@@ -65,6 +65,8 @@
   readonly introduceValue: (value: unknown) => void;
   /** Nodes that live, this one included. */
   readonly listAlive: () => NodeRecord[];
+  /** Number of nodes that live or were lost lately, this one included. */
+  readonly countKnown: () => number;
   /** Begins a round; returns the addresses to send its message to. */
   readonly pickTargets: () => string[];
   readonly createMessage: () => PeerNews;
@@ -195,6 +197,7 @@
       if (parsed.success) learnRecord(parsed.data);
     },
     listAlive: () => [self, ...listHeard().map(({ node }) => node)],
+    countKnown: () => known.size + 1,
     pickTargets: () => {
       beat += 1;
       const isNear = ({ node }: Known): boolean => node.availabilityZone === self.availabilityZone;
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -199,7 +199,8 @@
     ratio: options.retryRatio,
     slack: options.retrySlack,
     windowMilliseconds: options.retryWindowMilliseconds,
-    countNodes: () => parts.exchange.peers.listAlive().length,
+    // A node that is cut off must not take the others' parts of the budget.
+    countNodes: parts.exchange.peers.countKnown,
   });
   return createRelay({
     context: {
