--- a/src/process/relay/selectPath/index.ts
+++ b/src/process/relay/selectPath/index.ts
@@ -1,6 +1,7 @@
 /**
  * Choice of a path with the load that this node knows, and the taking of room on it.
  */
+import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
 import {
   choosePath,
   type ChosenPath,
@@ -9,6 +10,16 @@
 import type { PathHop } from '../../../types/site/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
+/** How long a report of an endpoint's memory is believed, in milliseconds. */
+const REPORT_BELIEVED_MILLISECONDS = 600;
+
+/** Memory in use: what nodes told, or what the endpoint itself just reported where that is more. */
+function countUsed(endpoint: Endpoint, now: number): number {
+  const told = endpoint.ownTokenLayers + endpoint.otherTokenLayers;
+  const isFresh = now - endpoint.reportedAt < REPORT_BELIEVED_MILLISECONDS;
+  return isFresh ? Math.max(told, endpoint.reportedTokenLayers) : told;
+}
+
 /** Options of {@link selectPath}. */
 export interface SelectPathOptions {
   /** Tokens that have to be read: the prompt, and what was answered so far. */
@@ -49,7 +60,7 @@
       kind,
       range: layers,
       requests: endpoint.ownRequests + endpoint.otherRequests,
-      usedTokenLayers: endpoint.ownTokenLayers + endpoint.otherTokenLayers,
+      usedTokenLayers: countUsed(endpoint, now()),
       pace: endpoint.pace,
     });
   }
--- a/src/process/site/createPeers/test.ts
+++ b/src/process/site/createPeers/test.ts
@@ -155,3 +155,12 @@
   assert.equal(peers?.receive(undefined), undefined);
   assert.equal(peers?.listAlive().length, 1);
 });
+
+test('a node that is cut off still counts the others, whose parts of a budget it must not take', () => {
+  const cluster = createCluster(6);
+  for (let round = 0; round < 10; round += 1) cluster.round();
+  const isCut = (from: string, to: string): boolean => from === 'n0' || to === 'n0';
+  for (let round = 0; round < 20; round += 1) cluster.round(isCut);
+  assert.deepEqual(listAlive(cluster, 'n0'), ['n0']);
+  assert.equal(cluster.nodes.get('n0')?.countKnown(), 6);
+});
--- a/src/version/planPlacement/index.ts
+++ b/src/version/planPlacement/index.ts
@@ -24,7 +24,9 @@
 const LEAST_ROOM_TOKENS = 30_000;
 const MOST_ROOM_TOKENS = 200_000;
 /** Room that an endpoint keeps when it takes over layers of a lost one. */
-const REPAIR_ROOM_TOKENS = 60_000;
+const REPAIR_ROOM_TOKENS = 90_000;
+/** Rooms that are tried when layers would otherwise be missing. */
+const SMALLER_ROOMS_TOKENS = [60_000, 30_000] as const;
 /** Room that an endpoint keeps when no other way is left to hold a layer. */
 const LEAST_REPAIR_ROOM_TOKENS = 30_000;
 /** Longest time between events that a plan aims at, in milliseconds. */
@@ -168,31 +170,59 @@
   }
 }
 
+/** Fills gaps with a room for requests on each endpoint that takes one; returns what is then held. */
+function fillGaps(
+  model: LayeredModel,
+  zone: readonly PlacedEndpoint[],
+  held: ReadonlyMap<string, LayerRange>,
+  roomTokens: number,
+): { readonly orders: Map<string, LayerRange>; readonly held: Map<string, LayerRange> } {
+  const orders = new Map<string, LayerRange>();
+  const filled = new Map(held);
+  for (;;) {
+    const cover = countCover(model, filled.values());
+    const gap = findGap(cover);
+    const endpoint = gap && pickForGap(cover, zone, filled, orders);
+    if (!gap || !endpoint) return { orders, held: filled };
+    const most = countLayers(model, endpoint.kind.memoryMegabytes, roomTokens);
+    if (most <= 0) return { orders, held: filled };
+    const range = { from: gap.from, to: Math.min(gap.to, gap.from + most) };
+    orders.set(endpoint.id, range);
+    filled.set(endpoint.id, range);
+  }
+}
+
+/** Fills gaps with as much room as leaves none, or with the least room where some remain. */
+function repairGaps(
+  model: LayeredModel,
+  zone: readonly PlacedEndpoint[],
+  held: ReadonlyMap<string, LayerRange>,
+): ReturnType<typeof fillGaps> {
+  let repaired = fillGaps(model, zone, held, REPAIR_ROOM_TOKENS);
+  for (const roomTokens of SMALLER_ROOMS_TOKENS) {
+    if (!findGap(countCover(model, repaired.held.values()))) break;
+    repaired = fillGaps(model, zone, held, roomTokens);
+  }
+  return repaired;
+}
+
 function planZone(
   model: LayeredModel,
   zone: readonly PlacedEndpoint[],
   orders: Map<string, LayerRange>,
 ): void {
-  const held = new Map<string, LayerRange>();
-  for (const { id, range } of zone) if (range) held.set(id, range);
-  if (held.size === 0) {
+  const kept = new Map<string, LayerRange>();
+  for (const { id, range } of zone) if (range) kept.set(id, range);
+  if (kept.size === 0) {
     const chain = planChain(model, zone);
     for (const [id, range] of chain?.ranges ?? []) {
       orders.set(id, range);
-      held.set(id, range);
+      kept.set(id, range);
     }
   }
-  for (;;) {
-    const cover = countCover(model, held.values());
-    const gap = findGap(cover);
-    const endpoint = gap && pickForGap(cover, zone, held, orders);
-    if (!gap || !endpoint) break;
-    const most = countLayers(model, endpoint.kind.memoryMegabytes, REPAIR_ROOM_TOKENS);
-    if (most <= 0) break;
-    const range = { from: gap.from, to: Math.min(gap.to, gap.from + most) };
-    orders.set(endpoint.id, range);
-    held.set(endpoint.id, range);
-  }
+  const repaired = repairGaps(model, zone, kept);
+  const { held } = repaired;
+  for (const [id, range] of repaired.orders) orders.set(id, range);
   extendNeighbours(model, zone, held, orders);
   for (const { id, kind, isBusy } of orderBySpeed(zone)) {
     if (held.has(id) || isBusy) continue;
