Split the stream's relay by job, and never call a run that may have begun not run

Cause: a stream whose time was up while its run was open, and had sent no event, was answered 503, which promises that it did not run. Such a run may have begun: 504 now. Test: siteNode.test.ts, a mute engine and a deadline of 700 ms.

--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -5,13 +5,15 @@
  * answer goes on: on a path that keeps the first endpoint where only later ones were lost, else in
  * a new run after the last event that was passed on.
  */
-import type { IncomingMessage } from 'node:http';
 import { createEventGuard } from '../../../request/guardEvents/index.js';
-import { createEventSplitter } from '../../../request/splitEvents/index.js';
+import { estimateSize, type RequestSize } from '../../../request/estimateSize/index.js';
+import { limitSilence } from '../../../request/limitSilence/index.js';
+import type { StreamEvent } from '../../../request/splitEvents/index.js';
 import type { ChosenPath } from '../../../request/choosePath/index.js';
 import type { PathHop } from '../../../types/site/index.js';
 import { answerFailure } from '../answerCaller/index.js';
-import { openEndpointCall, type EndpointCall } from '../openEndpointCall/index.js';
+import type { EndpointCall } from '../openEndpointCall/index.js';
+import { openStreamRun, type RunRefusal } from '../openStreamRun/index.js';
 import { selectPath, takeRoom } from '../selectPath/index.js';
 import { createSilenceWatch } from '../watchSilence/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
@@ -22,22 +24,8 @@
 const REFUSING_MILLISECONDS = 200;
 /** When callers may come back if no path has room, in seconds. */
 const NO_ROOM_RETRY_SECONDS = 0.5;
-/** Silence before the first event after which endpoints are asked, at most, in milliseconds. */
-const MOST_FIRST_SILENCE_MILLISECONDS = 450;
-const LEAST_FIRST_SILENCE_MILLISECONDS = 200;
-const FIRST_SILENCE_FACTOR = 3;
-/** Silence between events after which endpoints are asked, at most, in milliseconds. */
-const MOST_SILENCE_MILLISECONDS = 300;
-const LEAST_SILENCE_MILLISECONDS = 110;
-const SILENCE_FACTOR = 4;
-/** Silence after which a run is given up although no endpoint is known to be lost. */
-const GIVE_UP_FIRST_MILLISECONDS = 3_500;
-const GIVE_UP_MILLISECONDS = 1_700;
 /** Bytes that wait for a slow reader before the endpoint is paused. */
 const MOST_WAITING_BYTES = 262_144;
-const TYPICAL_HINT_ERROR = 1.1;
-/** Part of an answer that is in memory on average, while requests are at different stages. */
-const ANSWER_ROOM_SHARE = 0.6;
 /** Share of whole answers whose predicted and real times are logged. */
 const LOGGED_SHARE = 0.05;
 
@@ -67,7 +55,6 @@
 ): { start: () => void } {
   const { wire, now, logger, budget, endpoints, examiner } = context;
   const { route, service, response, caller, finalAt } = request;
-  const stride = service.model?.stride ?? 1;
   const guard = createEventGuard(caller.lastEvent);
   const refusedBy = new Set<string>();
   let state: RunState = 'idle';
@@ -85,11 +72,10 @@
 
   const watch = createSilenceWatch({
     now,
-    getLimit: getSilenceLimit,
-    getGiveUp: () => (isHeadSent ? GIVE_UP_MILLISECONDS : GIVE_UP_FIRST_MILLISECONDS),
+    getLimit: () => limitSilence(path, isHeadSent).ask,
+    getGiveUp: () => limitSilence(path, isHeadSent).giveUp,
     onSilence: examineHops,
     onGiveUp: () => {
-      mayHaveRun = true;
       recover('silence');
     },
   });
@@ -126,6 +112,8 @@
 
   function fail(reason: string, retryAfterSeconds = NO_ROOM_RETRY_SECONDS): void {
     if (state === 'done') return;
+    // A run that is under way may have begun, although no event of it has come.
+    if (call) mayHaveRun = true;
     logger.log('warn', 'request-failed', {
       request: caller.attempt,
       route: route.name,
@@ -148,25 +136,12 @@
     finish(mayHaveRun ? 'failed' : 'refused');
   }
 
-  function countTokens(): { promptTokens: number; answerTokens: number } {
-    const answered = guard.getLast() * stride;
-    const expected =
-      caller.hintedAnswerTokens === undefined
-        ? (service.model?.usualAnswerTokens ?? caller.mostAnswerTokens)
-        : caller.hintedAnswerTokens * TYPICAL_HINT_ERROR;
-    const most = caller.mostAnswerTokens > 0 ? caller.mostAnswerTokens : expected;
-    return {
-      promptTokens: caller.promptTokens + answered,
-      answerTokens: Math.max(stride, Math.min(expected, most) - answered),
-    };
-  }
-
-  function countRoom(size: { promptTokens: number; answerTokens: number }): number {
-    return size.promptTokens + size.answerTokens * ANSWER_ROOM_SHARE;
+  function countSize(): RequestSize {
+    return estimateSize({ caller, model: service.model, lastEvent: guard.getLast() });
   }
 
   function startRun(): void {
-    const size = countTokens();
+    const size = countSize();
     path = selectPath(context, request, { ...size, excluded: refusedBy });
     if (!path) {
       fail('no path with room');
@@ -181,22 +156,20 @@
     if (!first) return;
     predicted ??= path;
     ({ hops } = path);
-    giveBack = takeRoom(context, hops, countRoom(size));
+    giveBack = takeRoom(context, hops, size.roomTokens);
     state = 'running';
     openRun(first);
     watch.note();
   }
 
   function openRun(first: PathHop): void {
-    const splitter = createEventSplitter();
-    let incoming: IncomingMessage | undefined;
-    let isStream = false;
-    const refusal: Buffer[] = [];
-    const opened: EndpointCall = openEndpointCall({
+    const opened: EndpointCall = openStreamRun({
+      wire,
       address: first.address,
       method: request.method,
       url: request.url,
       body: request.body,
+      attempt: caller.attempt,
       headers: wire.buildRequestHeaders(request.rawHeaders, {
         address: first.address,
         endpoint: first.endpoint,
@@ -207,60 +180,42 @@
         lastEvent: guard.getLast(),
         bodyBytes: request.body?.length,
       }),
-      onAnswer: (answer) => {
-        incoming = answer;
-        isStream = answer.statusCode === 200;
-        if (!isStream) return;
-        const facts = wire.readAnswer(200, answer.headers);
-        const isOurs = facts.attempt === undefined || facts.attempt === caller.attempt;
-        if (isOurs && facts.isSealed && !facts.isEncoded) return;
-        mayHaveRun = true;
-        recover('not an answer of the endpoint');
-      },
-      onData: (chunk) => {
-        if (!isStream || !incoming) {
-          refusal.push(chunk);
-          return;
-        }
-        for (const event of splitter.add(chunk)) {
-          if (call !== opened || !passEvent(incoming, event.id, event.bytes)) return;
-        }
-      },
-      onEnd: () => {
-        if (!incoming) return;
-        if (!isStream) {
-          takeRefusal(incoming, Buffer.concat(refusal));
-          return;
-        }
-        if (splitter.countPending() > 0 || !isHeadSent) {
-          mayHaveRun = true;
-          recover('answer broke off');
-          return;
-        }
-        response.end();
-        logTimes();
-        for (const hop of hops) {
-          const endpoint = endpoints.find(hop.endpoint);
-          if (endpoint) endpoints.noteSuccess(endpoint);
-        }
-        finish('whole');
-      },
-      onFailure: (sendState, reason) => {
-        const endpoint = endpoints.find(first.endpoint);
-        if (endpoint) endpoints.noteFailure(endpoint, now());
-        void examiner.examine(first.endpoint, reason);
-        if (sendState === 'notSent') {
-          refusedBy.add(first.endpoint);
-          retryRefused(reason);
-          return;
-        }
-        mayHaveRun = true;
+      onEvent: (event, rawHeaders) => call === opened && passEvent(event, rawHeaders),
+      onRefusal: takeRefusal,
+      onWhole: endWhole,
+      onBroken: (reason) => {
+        noteFailure(first, reason);
         recover(reason);
       },
+      onNotSent: (reason) => {
+        noteFailure(first, reason);
+        refusedBy.add(first.endpoint);
+        retryRefused(reason);
+      },
     });
     call = opened;
   }
 
+  function noteFailure(first: PathHop, reason: string): void {
+    const endpoint = endpoints.find(first.endpoint);
+    if (endpoint) endpoints.noteFailure(endpoint, now());
+    void examiner.examine(first.endpoint, reason);
+  }
+
+  function endWhole(): void {
+    if (!isHeadSent) {
+      recover('answer without events');
+      return;
+    }
+    response.end();
+    logTimes();
+    for (const hop of hops) {
+      const endpoint = endpoints.find(hop.endpoint);
+      if (endpoint) endpoints.noteSuccess(endpoint);
+    }
+    finish('whole');
+  }
+
   function logTimes(): void {
     if (context.random() > LOGGED_SHARE) return;
     const pauses = Math.max(1, guard.getLast() - caller.lastEvent - 1);
@@ -274,7 +229,7 @@
     });
   }
 
-  function passEvent(incoming: IncomingMessage, id: number | undefined, bytes: Buffer): boolean {
+  function passEvent({ id, bytes }: StreamEvent, rawHeaders: readonly string[]): boolean {
     watch.note();
     mayHaveRun = true;
     const verdict = guard.check(id);
@@ -286,7 +241,7 @@
     if (!isHeadSent) {
       isHeadSent = true;
       firstEventAt = now();
-      response.writeHead(200, wire.buildAnswerHeaders(incoming.rawHeaders));
+      response.writeHead(200, wire.buildAnswerHeaders(rawHeaders));
       context.metrics.record(request.account ?? '', 'first-event', now() - request.arrivedAt);
     }
     response.write(bytes);
@@ -308,9 +263,7 @@
     });
   }
 
-  function takeRefusal(incoming: IncomingMessage, body: Buffer): void {
-    const status = incoming.statusCode ?? 0;
-    const facts = wire.readAnswer(status, incoming.headers);
+  function takeRefusal({ status, facts, rawHeaders, body }: RunRefusal): void {
     if (facts.isNotRun) {
       const faulty =
         facts.faultyAddress === undefined
@@ -325,16 +278,15 @@
       return;
     }
     mayHaveRun = true;
-    runs += 1;
-    if (!isHeadSent && facts.isSealed && runs >= route.mostAttempts) {
-      const headers = wire.buildAnswerHeaders(incoming.rawHeaders);
+    const isLastRun = runs + 1 >= route.mostAttempts;
+    if (!isHeadSent && facts.isSealed && isLastRun) {
+      const headers = wire.buildAnswerHeaders(rawHeaders);
       headers.push('Content-Length', String(body.length));
       response.writeHead(status, headers);
       response.end(body);
       finish('endpoint failed');
       return;
     }
-    runs -= 1;
     recover(`status ${status}`);
   }
 
@@ -350,6 +302,7 @@
   /** Another run after one that broke off. */
   function recover(reason: string): void {
     if (state === 'done') return;
+    mayHaveRun = true;
     endRun();
     runs += 1;
     logger.log('warn', 'run-broken', {
@@ -359,8 +312,8 @@
       lastEvent: guard.getLast(),
       path: describePath(),
     });
-    const mayResume = route.isResumable || (!isHeadSent && !mayHaveRun);
-    if (!mayResume || runs >= Math.max(2, route.mostAttempts) + 1 || finalAt <= now()) fail(reason);
+    if (!route.isResumable || runs >= Math.max(2, route.mostAttempts) + 1 || finalAt <= now())
+      fail(reason);
     else startRun();
   }
 
@@ -368,24 +321,13 @@
     return hops.map(({ endpoint, range }) => `${endpoint}=${range.from}-${range.to}`).join(' ');
   }
 
-  function getSilenceLimit(): number {
-    const first = (path?.firstEventMilliseconds ?? 0) * FIRST_SILENCE_FACTOR;
-    const pause = (path?.pauseMilliseconds ?? 0) * SILENCE_FACTOR;
-    return isHeadSent
-      ? Math.min(MOST_SILENCE_MILLISECONDS, Math.max(LEAST_SILENCE_MILLISECONDS, pause))
-      : Math.min(
-          MOST_FIRST_SILENCE_MILLISECONDS,
-          Math.max(LEAST_FIRST_SILENCE_MILLISECONDS, first),
-        );
-  }
-
   function examineHops(): void {
     for (const { endpoint } of hops) void examiner.examine(endpoint, 'silence');
   }
 
   function selectOther(): ChosenPath | undefined {
     const [firstHop] = hops;
-    return selectPath(context, request, { ...countTokens(), excluded: refusedBy, firstHop });
+    return selectPath(context, request, { ...countSize(), excluded: refusedBy, firstHop });
   }
 
   /** Leaves a path through a lost endpoint: moved where the first endpoint lives, else run anew. */
@@ -395,15 +337,14 @@
       void moveTo(other, 'endpoint lost');
       return;
     }
-    mayHaveRun = true;
     recover('endpoint lost');
   }
 
   async function moveTo(other: ChosenPath, reason: string): Promise<void> {
     const moved = call;
-    const size = countTokens();
+    const size = countSize();
     state = 'moving';
-    const giveBackOther = takeRoom(context, other.hops, countRoom(size));
+    const giveBackOther = takeRoom(context, other.hops, size.roomTokens);
     const outcome = await wire.movePath(caller.attempt, other.hops);
     if (call !== moved || isDone()) {
       giveBackOther();
@@ -419,7 +360,6 @@
     state = 'running';
     if (outcome !== 'begun' && outcome !== 'done') {
       giveBackOther();
-      mayHaveRun = true;
       recover(`not moved: ${outcome}`);
       return;
     }
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -65,6 +65,8 @@
 export interface SiteNode {
   /** Leaves: takes no new callers, ends what is under way, and resolves. */
   readonly leave: () => Promise<void>;
+  /** Logs that the settings file has changed. */
+  readonly noteReload: () => void;
 }
 
 const NODE_KEY_PREFIX = 'nodes/';
@@ -269,6 +271,9 @@
   logger.log('info', 'started', { incarnation: self.incarnation, address: self.callerAddress });
 
   return {
+    noteReload: () => {
+      logger.log('info', 'reloaded', { version: state.getVersion() });
+    },
     leave: async () => {
       const startedAt = now();
       const endsAt = startedAt + options.graceMilliseconds - LEAVING_MARGIN_MILLISECONDS;
--- /dev/null
+++ b/src/request/limitSilence/index.ts
@@ -0,0 +1,32 @@
+/**
+ * How long a run may stay silent.
+ */
+import type { ChosenPath } from '../choosePath/index.js';
+
+/** Limits on one silence, in milliseconds. */
+export interface SilenceLimits {
+  /** After this, the endpoints of the path are asked. */
+  readonly ask: number;
+  /** After this, the run is given up although no endpoint is known to be lost. */
+  readonly giveUp: number;
+}
+
+/** Limits before the first event, in milliseconds, and the factor on its predicted time. */
+const FIRST = { least: 200, most: 450, factor: 3, giveUp: 3_500 } as const;
+/** Limits between events, in milliseconds, and the factor on their predicted pause. */
+const BETWEEN = { least: 110, most: 300, factor: 4, giveUp: 1_700 } as const;
+
+/**
+ * Computes the limits of a silence from the path's predicted times.
+ *
+ * @param path - the path of the run, if it has one
+ * @param hasBegun - whether an event was passed on
+ * @returns the limits
+ * @example
+ * limitSilence(path, true).ask;
+ */
+export function limitSilence(path: ChosenPath | undefined, hasBegun: boolean): SilenceLimits {
+  const { least, most, factor, giveUp } = hasBegun ? BETWEEN : FIRST;
+  const predicted = hasBegun ? path?.pauseMilliseconds : path?.firstEventMilliseconds;
+  return { ask: Math.min(most, Math.max(least, (predicted ?? 0) * factor)), giveUp };
+}
--- a/tests/siteNode.test.ts
+++ b/tests/siteNode.test.ts
@@ -250,6 +250,16 @@
   );
 });
 
+test('a stream that may have begun is not told that it has not run when its time is up', async () => {
+  resetEndpoints();
+  for (const engine of engines) engine.behave = () => undefined;
+  const headers = { 'Deadline-Ms': '700' };
+  const ask = { address: node.callers, path: '/ask/', method: 'POST', body: 'q', headers };
+  const answer = await call(ask);
+  assert.deepEqual([answer.status, readCode(answer)], [504, 1506]);
+  assert.equal(answer.headers['retry-after'], undefined);
+});
+
 test('a caller that hangs up frees the endpoint', async () => {
   resetEndpoints();
   for (const engine of engines) {
