Explain a request from the logs of several nodes; end quietly when a pipe is closed

`explain` joins a request's lines with what nodes learnt of the endpoints on its paths. A command whose reader closes the pipe printed a stack trace of EPIPE; the test of it fails before and passes now.

--- a/src/main.ts
+++ b/src/main.ts
@@ -3,6 +3,7 @@
  */
 import { defineCommand, runMain } from 'citty';
 import { checkCommand } from './commands/check/index.js';
+import { explainCommand } from './commands/explain/index.js';
 import { getCommand } from './commands/get/index.js';
 import { histogramsCommand } from './commands/histograms/index.js';
 import { labelCommand } from './commands/label/index.js';
@@ -25,8 +26,15 @@
     get: getCommand,
     status: statusCommand,
     histograms: histogramsCommand,
+    explain: explainCommand,
     version: versionCommand,
   },
 });
 
+// The reader of a pipe may stop early, as `head` does: that ends the command quietly.
+process.stdout.on('error', (error: NodeJS.ErrnoException) => {
+  if (error.code === 'EPIPE') process.exit(0);
+  throw error;
+});
+
 void runMain(main);
--- /dev/null
+++ b/src/request/explainRequest/index.ts
@@ -0,0 +1,96 @@
+/**
+ * The story of one request, from the log lines of several nodes.
+ */
+import { z } from 'zod';
+import { parseJson } from '../../process/parseJson/index.js';
+
+const lineSchema = z.looseObject({
+  timestamp: z.string(),
+  node: z.string(),
+  message: z.string(),
+});
+
+type LogLine = z.infer<typeof lineSchema>;
+
+/** One line of the story. */
+export interface StoryLine {
+  readonly timestamp: string;
+  readonly node: string;
+  readonly event: string;
+  /** Fields of the line as text, without those above. */
+  readonly details: string;
+  /** Whether the line names the request, or only an endpoint that it met. */
+  readonly isOwn: boolean;
+}
+
+/** How long before the request's first line events of its endpoints count, in milliseconds. */
+const BEFORE_MILLISECONDS = 5_000;
+const OWN_FIELDS: ReadonlySet<string> = new Set([
+  'timestamp',
+  'node',
+  'message',
+  'level',
+  'availabilityZone',
+]);
+const ENDPOINT_IN_PATH = /[^\s=]+(?==\d+-\d+)/g;
+
+function readLine(text: string): LogLine | undefined {
+  const start = text.indexOf('{');
+  if (start < 0) return undefined;
+  return lineSchema.safeParse(parseJson(text.slice(start))).data;
+}
+
+function readText(line: LogLine, field: string): string {
+  const value = line[field];
+  return typeof value === 'string' ? value : '';
+}
+
+function listEndpoints(lines: readonly LogLine[]): ReadonlySet<string> {
+  const endpoints = lines.flatMap((line) => [
+    readText(line, 'endpoint'),
+    ...(readText(line, 'path').match(ENDPOINT_IN_PATH) ?? []),
+  ]);
+  return new Set(endpoints.filter((endpoint) => endpoint !== ''));
+}
+
+function tellLine(line: LogLine, isOwn: boolean): StoryLine {
+  const details = Object.entries(line)
+    .filter(([field]) => !OWN_FIELDS.has(field))
+    .map(
+      ([field, value]) => `${field}=${typeof value === 'string' ? value : JSON.stringify(value)}`,
+    )
+    .join(' ');
+  const { timestamp, node, message } = line;
+  return { timestamp, node, event: message, details, isOwn };
+}
+
+/**
+ * Explains a request.
+ *
+ * Takes the lines that name the request, and what nodes learnt of the endpoints on its paths from five
+ * seconds before its first line to its last one.
+ *
+ * @param texts - log lines in any order; what is no log line is passed over
+ * @param request - the caller's attempt
+ * @returns the story in order of time; empty when no line names the request
+ * @example
+ * explainRequest(readFileSync('node-1.log', 'utf8').split('\n'), '9c41d07be2a35f68');
+ */
+export function explainRequest(texts: readonly string[], request: string): StoryLine[] {
+  const lines = texts.flatMap((text) => readLine(text) ?? []);
+  const own = lines.filter((line) => line.request === request);
+  if (own.length === 0) return [];
+  const endpoints = listEndpoints(own);
+  const times = own.map(({ timestamp }) => Date.parse(timestamp));
+  const from = Math.min(...times) - BEFORE_MILLISECONDS;
+  const to = Math.max(...times);
+  const related = lines.filter((line) => {
+    const at = Date.parse(line.timestamp);
+    const isNear = at >= from && at <= to;
+    return isNear && line.request === undefined && endpoints.has(readText(line, 'endpoint'));
+  });
+  return [
+    ...own.map((line) => tellLine(line, true)),
+    ...related.map((line) => tellLine(line, false)),
+  ].sort((left, right) => left.timestamp.localeCompare(right.timestamp));
+}
--- /dev/null
+++ b/src/request/explainRequest/test.ts
@@ -0,0 +1,35 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { explainRequest } from './index.js';
+
+function createLine(node: string, second: number, message: string, fields: object): string {
+  const timestamp = new Date(1_700_000_000_000 + second * 1_000).toISOString();
+  return JSON.stringify({ timestamp, node, level: 'info', message, ...fields });
+}
+
+const LOGS = [
+  createLine('node-2', 7, 'endpoint-lost', { endpoint: 'i-2', reason: 'no report' }),
+  createLine('node-1', 9, 'request-failed', { request: 'a', reason: 'no path with room' }),
+  createLine('node-1', 8, 'run-broken', { request: 'a', path: 'i-1=0-40 i-2=40-80' }),
+  createLine('node-1', 8, 'run-broken', { request: 'b', path: 'i-3=0-80' }),
+  createLine('node-2', 1, 'endpoint-ready', { endpoint: 'i-2' }),
+  createLine('node-2', 8, 'endpoint-lost', { endpoint: 'i-9' }),
+  'not a log line',
+];
+
+test('a request is followed over two nodes, with what befell the endpoints on its path', () => {
+  const story = explainRequest(LOGS, 'a');
+  assert.deepEqual(
+    story.map(({ node, event, isOwn }) => [node, event, isOwn]),
+    [
+      ['node-2', 'endpoint-lost', false],
+      ['node-1', 'run-broken', true],
+      ['node-1', 'request-failed', true],
+    ],
+  );
+  assert.equal(story[2]?.details, 'request=a reason=no path with room');
+});
+
+test('a request that no line names has no story', () => {
+  assert.deepEqual(explainRequest(LOGS, 'c'), []);
+});
--- a/tests/commandLine.test.ts
+++ b/tests/commandLine.test.ts
@@ -77,6 +77,7 @@
     'get',
     'status',
     'histograms',
+    'explain',
     'version',
   ]) {
     assert.ok(stdout.includes(name), name);
@@ -93,3 +94,32 @@
   const rows = page.split('\n').filter((line) => /^\| \d{4} /.test(line));
   assert.equal(rows.length, Object.keys(RESULT_CODES).length);
 });
+
+test('explain tells what befell a request, and says when no line names it', () => {
+  const folder = mkdtempSync(join(tmpdir(), 'marjoramcleat-'));
+  const file = join(folder, 'node-1.log');
+  const line = { timestamp: '2026-01-01T00:00:00.000Z', node: 'node-1', message: 'request-failed' };
+  writeFileSync(file, `${JSON.stringify({ ...line, request: 'a', reason: 'silence' })}\n`);
+  const told = run('explain', '--request', 'a', file);
+  assert.match(told.stdout, /node-1 +request-failed +request=a reason=silence/);
+  const none = run('explain', '--request', 'b', file);
+  assert.match(none.stderr, /error 1404 not-found: no line names request b/);
+  assert.equal(none.status, 2);
+  rmSync(folder, { recursive: true });
+});
+
+test('a reader that closes the pipe early ends a command quietly', () => {
+  const folder = mkdtempSync(join(tmpdir(), 'marjoramcleat-'));
+  const file = join(folder, 'node-1.log');
+  const line = { timestamp: '2026-01-01T00:00:00.000Z', node: 'node-1', message: 'run-broken' };
+  // More than a pipe holds, so that the command still writes when its reader has gone.
+  const text = `${JSON.stringify({ ...line, request: 'a', reason: 'x'.repeat(200) })}\n`;
+  writeFileSync(file, text.repeat(5_000));
+  const command = `"${process.execPath}" --import tsx src/main.ts explain --request a "${file}"`;
+  const { stderr, stdout } = spawnSync('sh', ['-c', `${command} | head -n 1`], {
+    encoding: 'utf8',
+  });
+  rmSync(folder, { recursive: true });
+  assert.match(stdout, /timestamp/);
+  assert.equal(stderr, '');
+});
