--- a/src/version/planPlacement/index.ts
+++ b/src/version/planPlacement/index.ts
@@ -24,7 +24,7 @@
 const LEAST_ROOM_TOKENS = 30_000;
 const MOST_ROOM_TOKENS = 200_000;
 /** Room that an endpoint keeps when it takes over layers of a lost one. */
-const REPAIR_ROOM_TOKENS = 90_000;
+const REPAIR_ROOM_TOKENS = 75_000;
 /** Rooms that are tried when layers would otherwise be missing. */
 const SMALLER_ROOMS_TOKENS = [60_000, 30_000] as const;
 /** Room that an endpoint keeps when no other way is left to hold a layer. */
