--- a/src/process/site/runPlanner/index.ts
+++ b/src/process/site/runPlanner/index.ts
@@ -81,7 +81,6 @@
 
   const takeReport = (endpoint: Endpoint, report: EndpointReport): void => {
     const { record } = endpoint;
-    if (record.bornAt !== 0 && report.bornAt !== 0 && record.bornAt !== report.bornAt) return;
     const isNews = !isSameRange(endpoint.layers, report.layers);
     examiner.takeReport(endpoint, report);
     if (isNews) news.set(record.id, now());
