Send whole answers from one place, and drop what nothing uses

Found in reading the change once more: two places wrote an endpoint's whole answer with its length; parameters that were always the same (retryAfterSeconds, the reason of a move) and the follower's age, which nothing read. Left alone: the planner and the examiner each ask reports, since the planner counts two silences; both relays build the same request headers from different facts.

--- a/src/process/relay/answerCaller/index.ts
+++ b/src/process/relay/answerCaller/index.ts
@@ -38,3 +38,26 @@
   response.writeHead(RESULT_CODES[code].httpStatus, headers);
   response.end(body);
 }
+
+/** An endpoint's whole answer, with headers for the caller. */
+export interface CallerAnswer {
+  readonly status: number;
+  /** Flat list of names and values, without the length. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+}
+
+/**
+ * Sends an endpoint's whole answer.
+ *
+ * @param response - the caller's response
+ * @param answer - status, headers and body
+ * @returns nothing
+ * @example
+ * sendWholeAnswer(response, { status: 200, headers: [], body });
+ */
+export function sendWholeAnswer(response: ServerResponse, answer: CallerAnswer): void {
+  const { status, headers, body } = answer;
+  response.writeHead(status, [...headers, 'Content-Length', String(body.length)]);
+  response.end(body);
+}
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -11,7 +11,7 @@
 import type { StreamEvent } from '../../../request/splitEvents/index.js';
 import type { ChosenPath } from '../../../request/choosePath/index.js';
 import type { PathHop } from '../../../types/site/index.js';
-import { answerFailure } from '../answerCaller/index.js';
+import { answerFailure, sendWholeAnswer } from '../answerCaller/index.js';
 import type { EndpointCall } from '../openEndpointCall/index.js';
 import { openStreamRun, type RunRefusal } from '../openStreamRun/index.js';
 import { selectPath, takeRoom } from '../selectPath/index.js';
@@ -110,7 +110,7 @@
     onDone();
   }
 
-  function fail(reason: string, retryAfterSeconds = NO_ROOM_RETRY_SECONDS): void {
+  function fail(reason: string): void {
     if (state === 'done') return;
     // A run that is under way may have begun, although no event of it has come.
     if (call) mayHaveRun = true;
@@ -131,7 +131,7 @@
         code: reason === TIME_IS_UP ? 'outcomeUnknown' : 'endpointFailed',
       });
     } else {
-      answerFailure(response, { code: 'overloaded', retryAfterSeconds });
+      answerFailure(response, { code: 'overloaded', retryAfterSeconds: NO_ROOM_RETRY_SECONDS });
     }
     finish(mayHaveRun ? 'failed' : 'refused');
   }
@@ -280,10 +280,7 @@
     mayHaveRun = true;
     const isLastRun = runs + 1 >= route.mostAttempts;
     if (!isHeadSent && facts.isSealed && isLastRun) {
-      const headers = wire.buildAnswerHeaders(rawHeaders);
-      headers.push('Content-Length', String(body.length));
-      response.writeHead(status, headers);
-      response.end(body);
+      sendWholeAnswer(response, { status, headers: wire.buildAnswerHeaders(rawHeaders), body });
       finish('endpoint failed');
       return;
     }
@@ -334,13 +331,13 @@
   function avoidLost(lost: string): void {
     const other = hops[0]?.endpoint === lost ? undefined : selectOther();
     if (other) {
-      void moveTo(other, 'endpoint lost');
+      void moveTo(other);
       return;
     }
     recover('endpoint lost');
   }
 
-  async function moveTo(other: ChosenPath, reason: string): Promise<void> {
+  async function moveTo(other: ChosenPath): Promise<void> {
     const moved = call;
     const size = countSize();
     state = 'moving';
@@ -352,7 +349,7 @@
     }
     logger.log('info', 'run-moved', {
       request: caller.attempt,
-      reason,
+      reason: 'endpoint lost',
       outcome,
       lastEvent: guard.getLast(),
       path: describePath(),
--- a/src/process/relay/relayWhole/index.ts
+++ b/src/process/relay/relayWhole/index.ts
@@ -5,7 +5,7 @@
 import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
 import { chooseEndpoint } from '../../../request/chooseEndpoint/index.js';
 import type { ResultCodeName } from '../../resultCodes/index.js';
-import { answerFailure } from '../answerCaller/index.js';
+import { answerFailure, sendWholeAnswer } from '../answerCaller/index.js';
 import { openEndpointCall, type EndpointCall } from '../openEndpointCall/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
@@ -119,10 +119,9 @@
 }
 
 function sendWhole(context: RelayContext, request: RelayedRequest, answer: WholeAnswer): void {
+  const { status, body } = answer;
   const headers = context.wire.buildAnswerHeaders(answer.rawHeaders);
-  headers.push('Content-Length', String(answer.body.length));
-  request.response.writeHead(answer.status, headers);
-  request.response.end(answer.body);
+  sendWholeAnswer(request.response, { status, headers, body });
 }
 
 /**
--- a/src/process/site/followStore/index.ts
+++ b/src/process/site/followStore/index.ts
@@ -12,8 +12,6 @@
   readonly isReachable: () => boolean;
   /** Revision up to which changes have been seen. */
   readonly getRevision: () => number;
-  /** Milliseconds since the store was last known to be in step. */
-  readonly getAge: () => number;
 }
 
 /** Options of {@link createStoreFollower}. */
@@ -52,7 +50,6 @@
   let isReachable = false;
   let hadOutage = false;
   let returnedAt = Number.NEGATIVE_INFINITY;
-  let inStepAt = Number.NEGATIVE_INFINITY;
 
   const remove = (key: string): void => {
     known.delete(key);
@@ -78,7 +75,6 @@
     onItem(key, value);
   };
   const noteAnswer = (): void => {
-    inStepAt = now();
     if (isReachable) return;
     isReachable = true;
     returnedAt = now();
@@ -127,6 +123,5 @@
     },
     isReachable: () => isReachable,
     getRevision: () => revision ?? 0,
-    getAge: () => now() - inStepAt,
   };
 }
