Add no listener to a kept connection on each call

Ruled out: a leak of sockets (descriptors stayed at 207). Change: listen only while connecting. A test over 20 calls on one connection failed before (one warning) and passes after.

--- a/src/process/runtime/callJson/index.ts
+++ b/src/process/runtime/callJson/index.ts
@@ -65,7 +65,11 @@
       outgoing.destroy();
     }, timeoutMilliseconds);
     outgoing.on('socket', (socket) => {
-      if (!socket.connecting) isConnected = true;
+      if (!socket.connecting) {
+        // A kept connection; a listener on it would stay for good.
+        isConnected = true;
+        return;
+      }
       socket.once('connect', () => {
         isConnected = true;
       });
--- /dev/null
+++ b/src/process/runtime/callJson/test.ts
@@ -0,0 +1,31 @@
+import assert from 'node:assert/strict';
+import { Agent, createServer } from 'node:http';
+import { test } from 'node:test';
+import { callJson } from './index.js';
+
+test('a kept connection gathers no listeners over many calls', async () => {
+  const warnings: Error[] = [];
+  const onWarning = (warning: Error): void => {
+    warnings.push(warning);
+  };
+  process.on('warning', onWarning);
+  const server = createServer((_, response) => {
+    response.end('{}');
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const bound = server.address();
+  const address = `127.0.0.1:${typeof bound === 'object' && bound ? bound.port : 0}`;
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  for (let call = 0; call < 20; call += 1) {
+    const options = { address, method: 'GET', path: '/', agent, timeoutMilliseconds: 5_000 };
+    assert.equal((await callJson(options)).kind, 'answered');
+  }
+  await new Promise((resolve) => setImmediate(resolve));
+  agent.destroy();
+  server.close();
+  process.off('warning', onWarning);
+  assert.deepEqual(
+    warnings.map(({ name }) => name),
+    [],
+  );
+});
