--- a/src/connection/createEndpointTable/index.ts
+++ b/src/connection/createEndpointTable/index.ts
@@ -44,7 +44,8 @@
   readonly list: () => Endpoint[];
   /** Endpoints of a service that take new requests. */
   readonly listUsable: (service: string, now: number) => Endpoint[];
-  readonly noteFailure: (endpoint: Endpoint, now: number) => void;
+  /** Returns how long the endpoint is left alone now, in milliseconds; 0 when it is not. */
+  readonly noteFailure: (endpoint: Endpoint, now: number) => number;
   readonly noteSuccess: (endpoint: Endpoint) => void;
   /** Sends nothing there for a time in milliseconds. */
   readonly avoid: (endpoint: Endpoint, now: number, milliseconds: number) => void;
@@ -134,10 +135,11 @@
     },
     noteFailure: (endpoint, now) => {
       endpoint.failures += 1;
-      if (endpoint.failures < FAILURES_BEFORE_AVOIDING) return;
+      if (endpoint.failures < FAILURES_BEFORE_AVOIDING) return 0;
       const doublings = endpoint.failures - FAILURES_BEFORE_AVOIDING;
       const pause = Math.min(LONGEST_AVOID_MILLISECONDS, FIRST_AVOID_MILLISECONDS * 2 ** doublings);
       endpoint.avoidedUntil = Math.max(endpoint.avoidedUntil, now + pause);
+      return pause;
     },
     noteSuccess: (endpoint) => {
       endpoint.failures = 0;
--- a/src/process/relay/answerCaller/index.ts
+++ b/src/process/relay/answerCaller/index.ts
@@ -1,8 +1,8 @@
 /**
  * Final answers to callers.
  */
-import type { ServerResponse } from 'node:http';
 import { formatError } from '../../../request/answerError/index.js';
+import type { CallerResponse } from '../../../types/relay/index.js';
 import { RESULT_CODES, type ResultCodeName } from '../../resultCodes/index.js';
 
 /** Options of {@link answerFailure}. */
@@ -23,9 +23,9 @@
  * @example
  * answerFailure(response, { code: 'overloaded', retryAfterSeconds: 0.5 });
  */
-export function answerFailure(response: ServerResponse, options: AnswerFailureOptions): void {
+export function answerFailure(response: CallerResponse, options: AnswerFailureOptions): void {
   const { code, message, retryAfterSeconds, closes = false } = options;
-  if (response.headersSent || response.destroyed) return;
+  if (!response.isOpen()) return;
   const body = formatError(code, message);
   const headers = [
     'Content-Type',
@@ -35,12 +35,12 @@
   ];
   if (retryAfterSeconds !== undefined) headers.push('Retry-After', retryAfterSeconds.toFixed(2));
   if (closes) headers.push('Connection', 'close');
-  response.writeHead(RESULT_CODES[code].httpStatus, headers);
+  response.begin(RESULT_CODES[code].httpStatus, headers);
   response.end(body);
 }
 
 /** An endpoint's whole answer, with headers for the caller. */
-export interface CallerAnswer {
+export interface WholeAnswer {
   readonly status: number;
   /** Flat list of names and values, without the length. */
   readonly headers: readonly string[];
@@ -56,8 +56,8 @@
  * @example
  * sendWholeAnswer(response, { status: 200, headers: [], body });
  */
-export function sendWholeAnswer(response: ServerResponse, answer: CallerAnswer): void {
+export function sendWholeAnswer(response: CallerResponse, answer: WholeAnswer): void {
   const { status, headers, body } = answer;
-  response.writeHead(status, [...headers, 'Content-Length', String(body.length)]);
+  response.begin(status, [...headers, 'Content-Length', String(body.length)]);
   response.end(body);
 }
--- /dev/null
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -0,0 +1,124 @@
+/**
+ * Callers' requests over HTTP: reading them, and handing them to the relay.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { HeaderTranslation } from '../../../types/relay/index.js';
+import type { ResultCodeName } from '../../resultCodes/index.js';
+import type { SiteLogger } from '../../site/createSiteLogger/index.js';
+import type { AdmissionRefusal } from '../admitRequest/index.js';
+import { answerFailure } from '../answerCaller/index.js';
+import { createBodyAllowance } from '../createBodyAllowance/index.js';
+import { createCallerResponse } from '../createCallerResponse/index.js';
+import type { Relay } from '../createRelay/index.js';
+import type { RelayMetrics } from '../createRelayMetrics/index.js';
+import { readBody, type BodyOutcome } from '../readBody/index.js';
+
+/** Options of {@link createCallerHandler}. */
+export interface CreateCallerHandlerOptions {
+  readonly relay: Relay;
+  readonly translation: Pick<HeaderTranslation, 'readRequest'>;
+  readonly logger: SiteLogger;
+  readonly metrics: Pick<RelayMetrics, 'count'>;
+  readonly now: () => number;
+  readonly isLeaving: () => boolean;
+}
+
+/** Handler of callers' requests. */
+export interface CallerHandler {
+  readonly handle: (incoming: IncomingMessage, response: ServerResponse) => void;
+  /** Requests that have no final answer yet. */
+  readonly countOpen: () => number;
+}
+
+/** Memory that bodies may take together. */
+const MOST_BODY_BYTES = 67_108_864;
+/** When callers may come back if there is no memory for their body, in seconds. */
+const NO_MEMORY_RETRY_SECONDS = 0.5;
+
+const BODY_REFUSALS: Readonly<
+  Record<Exclude<BodyOutcome['kind'], 'whole' | 'gone'>, Omit<AdmissionRefusal, 'kind'>>
+> = {
+  tooLarge: { code: 'bodyTooLarge' },
+  timeout: { code: 'bodyTimeout' },
+  noMemory: { code: 'overloaded', retryAfterSeconds: NO_MEMORY_RETRY_SECONDS },
+};
+
+/** Bytes that a name and its value take beside their text. */
+const HEADER_EXTRA_BYTES = 4;
+
+function countHeaderBytes({ rawHeaders, method = '', url = '' }: IncomingMessage): number {
+  const text = rawHeaders.reduce((sum, { length }) => sum + length, method.length + url.length);
+  return text + (rawHeaders.length / 2) * HEADER_EXTRA_BYTES;
+}
+
+/**
+ * Creates the handler of callers' requests.
+ *
+ * @param options - the relay and what it needs of the wire
+ * @returns the handler
+ * @example
+ * createServer(createCallerHandler(options).handle);
+ */
+export function createCallerHandler(options: CreateCallerHandlerOptions): CallerHandler {
+  const { relay, translation, logger, now, isLeaving } = options;
+  const allowance = createBodyAllowance(MOST_BODY_BYTES);
+  let open = 0;
+
+  const serve = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const arrivedAt = now();
+    const caller = translation.readRequest(incoming.headers);
+    const port = createCallerResponse(response);
+    const refuse = (code: ResultCodeName, retryAfterSeconds?: number): void => {
+      // What is left of the body would be read as the next request.
+      const closes = !incoming.complete;
+      answerFailure(port, { code, retryAfterSeconds, closes });
+      incoming.resume();
+    };
+    const { url = '/', method = 'GET', rawHeaders } = incoming;
+    const host = incoming.headers.host ?? '';
+    const headerBytes = countHeaderBytes(incoming);
+    const admission = relay.admit({ host, url, headerBytes, caller });
+    if (admission.kind === 'refused') {
+      refuse(admission.code, admission.retryAfterSeconds);
+      return;
+    }
+    const { limits } = admission.compiled.configuration;
+    const memory = allowance.open();
+    try {
+      const outcome = await readBody(incoming, {
+        mostBytes: limits.bodyBytes,
+        timeoutMilliseconds: limits.headerTimeoutMilliseconds,
+        memory,
+      });
+      if (outcome.kind === 'gone' || response.destroyed) return;
+      if (outcome.kind !== 'whole') {
+        const { code, retryAfterSeconds } = BODY_REFUSALS[outcome.kind];
+        options.metrics.count('refusals', code);
+        logger.log('request-refused', { request: caller.attempt, code });
+        refuse(code, retryAfterSeconds);
+        return;
+      }
+      const forwarded = { method, url, rawHeaders, body: outcome.body };
+      await relay.run({ admitted: admission, caller, forwarded, arrivedAt, response: port });
+    } finally {
+      memory.release();
+    }
+  };
+
+  return {
+    handle: (incoming, response) => {
+      open += 1;
+      if (isLeaving()) response.setHeader('Connection', 'close');
+      serve(incoming, response)
+        .catch((error: unknown) => {
+          const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+          logger.log('request-crashed', { reason });
+          response.destroy();
+        })
+        .finally(() => {
+          open -= 1;
+        });
+    },
+    countOpen: () => open,
+  };
+}
--- a/src/process/relay/createExaminer/index.ts
+++ b/src/process/relay/createExaminer/index.ts
@@ -2,14 +2,14 @@
  * Questions to endpoints that requests wait for: which of them are lost, and how fast the rest are.
  */
 import type { Endpoint, EndpointTable } from '../../../connection/createEndpointTable/index.js';
-import type { Wire } from '../../../types/relay/index.js';
+import type { EndpointControl } from '../../../types/relay/index.js';
 import type { EndpointReport } from '../../../types/site/index.js';
 import type { SiteLogger } from '../../site/createSiteLogger/index.js';
 
 /** Options of {@link createExaminer}. */
 export interface CreateExaminerOptions {
   readonly endpoints: EndpointTable;
-  readonly wire: Pick<Wire, 'askReport'>;
+  readonly endpointPort: Pick<EndpointControl, 'askReport'>;
   readonly logger: SiteLogger;
   readonly now: () => number;
   /** Called when this node itself found that an endpoint is lost. */
@@ -20,10 +20,12 @@
 export interface Examiner {
   /** Asks an endpoint, unless it was asked just now; resolves to whether it answered. */
   readonly examine: (endpoint: string, reason: string) => Promise<boolean>;
+  /** Looks for the lost endpoint of a silent path; later rounds ask more of its endpoints. */
+  readonly examinePath: (endpoints: readonly string[], round: number) => void;
+  /** Asks an endpoint for its report and takes it; undefined when there is none. */
+  readonly question: (endpoint: Endpoint) => Promise<EndpointReport | undefined>;
   /** Believes at once that an endpoint is lost. */
   readonly reportLost: (endpoint: string, reason: string) => void;
-  /** Takes a report that was asked for elsewhere. */
-  readonly takeReport: (endpoint: Endpoint, report: EndpointReport) => void;
 }
 
 /** How long the outcome of a question is used again, in milliseconds. */
@@ -32,9 +34,15 @@
 const LOST_MILLISECONDS = 3_000;
 /** Pace from which an endpoint counts as slow; 1 is usual. */
 const SLOW_PACE = 1.3;
+/** Questions a second that silences may cause, and how many may come at once. */
+const QUESTIONS_PER_SECOND = 30;
+const MOST_QUESTIONS_AT_ONCE = 60;
 /** A node that loses more than this share of the endpoints is more likely cut off itself. */
 const MOST_LOST_SHARE = 0.5;
 
+/** Rounds of one silence in which only the first endpoint is asked. */
+const FIRST_HOP_ROUNDS = 1;
+
 interface Question {
   readonly askedAt: number;
   readonly outcome: Promise<boolean>;
@@ -52,8 +60,10 @@
  * await createExaminer(options).examine('i-1', 'silence');
  */
 export function createExaminer(options: CreateExaminerOptions): Examiner {
-  const { endpoints, wire, logger, now, onLost } = options;
+  const { endpoints, endpointPort, logger, now, onLost } = options;
   const questions = new Map<string, Question>();
+  let allowance = MOST_QUESTIONS_AT_ONCE;
+  let refilledAt = now();
 
   const seemsCutOff = (): boolean => {
     const list = endpoints.list();
@@ -63,9 +73,13 @@
   const reportLost = (id: string, reason: string): void => {
     const endpoint = endpoints.find(id);
     if (!endpoint || !endpoints.markLost(endpoint, now(), LOST_MILLISECONDS)) return;
-    logger.log('warn', 'endpoint-lost', { endpoint: id, reason });
+    logger.log('endpoint-lost', { endpoint: id, reason });
     if (!seemsCutOff()) onLost(id);
   };
+  const noteFound = (endpoint: Endpoint): void => {
+    if (endpoint.lostUntil > now()) logger.log('endpoint-found', { endpoint: endpoint.record.id });
+    endpoints.markFound(endpoint);
+  };
   const takeReport = (endpoint: Endpoint, report: EndpointReport): void => {
     const { record } = endpoint;
     if (report.bornAt !== 0 && report.bornAt < record.bornAt) return;
@@ -75,32 +89,50 @@
     endpoint.layersReportedAt = now();
     endpoint.reportedTokenLayers = report.usedTokenLayers;
     endpoint.reportedAt = now();
-    endpoint.pace = report.pace > SLOW_PACE ? report.pace : 1;
+    const pace = report.pace > SLOW_PACE ? report.pace : 1;
+    if (pace !== endpoint.pace) logger.log('endpoint-pace', { endpoint: record.id, pace });
+    endpoint.pace = pace;
     for (const address of report.stalledAddresses) {
       const stalled = endpoints.findByAddress(address);
-      if (stalled) void examine(stalled.record.id, 'stalled');
+      // The reporting endpoint itself waits in vain, so there is no need to ask first.
+      if (stalled) reportLost(stalled.record.id, `stalls ${record.id}`);
     }
   };
-  const ask = async (endpoint: Endpoint, reason: string): Promise<boolean> => {
+  const question = async (endpoint: Endpoint): Promise<EndpointReport | undefined> => {
     const { id, address } = endpoint.record;
-    const report = await wire.askReport(address);
-    if (endpoints.find(id) !== endpoint) return false;
-    if (!report) {
-      reportLost(id, reason);
-      return false;
-    }
-    endpoints.markFound(endpoint);
+    const report = await endpointPort.askReport(address);
+    if (!report || endpoints.find(id) !== endpoint) return undefined;
+    noteFound(endpoint);
     takeReport(endpoint, report);
-    return true;
+    return report;
+  };
+  const ask = async (endpoint: Endpoint, reason: string): Promise<boolean> => {
+    const report = await question(endpoint);
+    const { id } = endpoint.record;
+    if (!report && endpoints.find(id) === endpoint) reportLost(id, reason);
+    return report !== undefined;
   };
   const examine = (id: string, reason: string): Promise<boolean> => {
     const endpoint = endpoints.find(id);
     if (!endpoint) return Promise.resolve(false);
     const last = questions.get(id);
     if (last && now() - last.askedAt < FRESH_MILLISECONDS) return last.outcome;
-    const question = { askedAt: now(), outcome: ask(endpoint, reason) };
-    questions.set(id, question);
-    return question.outcome;
+    const outcome = ask(endpoint, reason);
+    questions.set(id, { askedAt: now(), outcome });
+    return outcome;
+  };
+  const mayAsk = (): boolean => {
+    const earned = ((now() - refilledAt) * QUESTIONS_PER_SECOND) / 1_000;
+    allowance = Math.min(MOST_QUESTIONS_AT_ONCE, allowance + earned);
+    refilledAt = now();
+    if (allowance < 1) return false;
+    allowance -= 1;
+    return true;
+  };
+  const examinePath = (path: readonly string[], round: number): void => {
+    // The first endpoint names those that its requests wait for; the rest is asked if that is no help.
+    const asked = round <= FIRST_HOP_ROUNDS ? path.slice(0, 1) : path;
+    for (const id of asked) if (mayAsk()) void examine(id, 'silence');
   };
-  return { examine, reportLost, takeReport };
+  return { examine, examinePath, question, reportLost };
 }
--- a/src/process/relay/createExaminer/test.ts
+++ b/src/process/relay/createExaminer/test.ts
@@ -28,7 +28,7 @@
   let time = 10_000;
   const examiner = createExaminer({
     endpoints,
-    wire: {
+    endpointPort: {
       askReport: (address) => {
         asked.push(address);
         return Promise.resolve(reports[address]);
@@ -66,12 +66,12 @@
   assert.equal(asked.length, 2);
 });
 
-test('an endpoint for which another waits in vain is asked itself', async () => {
+test('an endpoint for which another waits in vain is lost at once, without a question', async () => {
   const report = { ...REPORT, stalledAddresses: ['i-2'] };
-  const { examiner, lost } = createCase({ 'i-1': report });
+  const { examiner, lost, asked } = createCase({ 'i-1': report });
   await examiner.examine('i-1', 'silence');
-  await new Promise((resolve) => setImmediate(resolve));
   assert.deepEqual(lost, ['i-2']);
+  assert.deepEqual(asked, ['i-1']);
 });
 
 test('an endpoint that started again empty, before the registry says so, holds no layers', async () => {
@@ -98,3 +98,27 @@
   await examiner.examine('i-1', 'silence');
   assert.equal(endpoints.find('i-1')?.pace, 1);
 });
+
+test('a silent path asks its first endpoint, and the others only if the silence goes on', () => {
+  const { examiner, asked, pass } = createCase({ 'i-0': REPORT, 'i-1': REPORT, 'i-2': REPORT });
+  const path = ['i-0', 'i-1', 'i-2'];
+  examiner.examinePath(path, 1);
+  assert.deepEqual(asked, ['i-0']);
+  pass(1_000);
+  examiner.examinePath(path, 2);
+  assert.deepEqual(asked.slice(1), path);
+});
+
+test('many silent paths ask a bounded number of questions, whatever their endpoints', () => {
+  const count = 400;
+  const ids = Array.from({ length: count }, (_, index) => `i-${index}`);
+  const { examiner, asked, pass } = createCase({}, count);
+  const seconds = 10;
+  for (let round = 0; round < seconds * 10; round += 1) {
+    pass(100);
+    for (let start = 0; start < count; start += 20) {
+      examiner.examinePath(ids.slice(start, start + 20), 2);
+    }
+  }
+  assert.ok(asked.length <= 30 * seconds + 60, String(asked.length));
+});
--- a/src/process/relay/createRelay/index.ts
+++ b/src/process/relay/createRelay/index.ts
@@ -1,11 +1,21 @@
 /**
- * Admission of callers' requests, and their relaying by kind.
+ * The relay of one node: admission of requests and their relaying by kind.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { CompiledSite } from '../../../version/compileSite/index.js';
+import type {
+  CallerRequest,
+  CallerResponse,
+  ForwardedRequest,
+} from '../../../types/relay/index.js';
 import type { RequestKind, ServiceShare, SiteRoute } from '../../../types/site/index.js';
+import {
+  admitRequest,
+  type Admission,
+  type Admitted,
+  type RequestHead,
+} from '../admitRequest/index.js';
 import { answerFailure } from '../answerCaller/index.js';
-import { readBody } from '../readBody/index.js';
+import { createRequestLog } from '../createRequestLog/index.js';
 import { relayStream } from '../relayStream/index.js';
 import { relayWhole } from '../relayWhole/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
@@ -14,21 +24,24 @@
 export interface CreateRelayOptions {
   readonly context: RelayContext;
   readonly getCompiled: () => CompiledSite | undefined;
-  /** When the node leaves, if it does. */
-  readonly getLeaving: () => Leaving | undefined;
+  /** When the node began to leave, if it did. */
+  readonly getLeavingSince: () => number | undefined;
 }
 
-/** The times of a node that leaves, in milliseconds. */
-export interface Leaving {
-  readonly startedAt: number;
-  readonly endsAt: number;
+/** A request whose body has been read. */
+export interface WholeRequest {
+  readonly admitted: Admitted;
+  readonly caller: CallerRequest;
+  readonly forwarded: ForwardedRequest;
+  readonly arrivedAt: number;
+  readonly response: CallerResponse;
 }
 
 /** Relay of one node. */
 export interface Relay {
-  readonly handle: (incoming: IncomingMessage, response: ServerResponse) => void;
-  /** Requests that have no final answer yet. */
-  readonly countOpen: () => number;
+  readonly admit: (head: RequestHead) => Admission;
+  /** Resolves when the caller has its answer or has gone. */
+  readonly run: (request: WholeRequest) => Promise<void>;
 }
 
 type RelayHandler = (context: RelayContext, request: RelayedRequest) => Promise<void>;
@@ -39,14 +52,10 @@
   stream: relayStream,
 };
 
-/** When callers may come back to a node that has no configuration yet, in seconds. */
-const NOT_CONFIGURED_RETRY_SECONDS = 0.3;
+/** When callers may come back for a service that the configuration does not name, in seconds. */
+const NO_SERVICE_RETRY_SECONDS = 0.3;
 /** How long before the caller's deadline its final answer is sent, in milliseconds. */
 const DEADLINE_MARGIN_MILLISECONDS = 30;
-/** When callers may come back to another node after a leaving one refused them, in seconds. */
-const LEAVING_RETRY_SECONDS = 0.05;
-/** How long a leaving node takes new streams, since callers hold old answers that name it. */
-const LEAVING_STREAMS_MILLISECONDS = 2_500;
 const DEFAULT_PRIORITY = 5;
 const MOST_PRIORITY = 9;
 
@@ -65,118 +74,70 @@
   return Math.min(MOST_PRIORITY, Number.isFinite(rank) ? 1 + rank : DEFAULT_PRIORITY);
 }
 
+function countPatience(route: SiteRoute, caller: CallerRequest): number {
+  const asked = caller.deadlineMilliseconds ?? route.timeoutMilliseconds;
+  return Math.min(route.timeoutMilliseconds, asked - DEADLINE_MARGIN_MILLISECONDS);
+}
+
 /**
  * Creates the relay.
  *
  * @param options - services of the process and the configuration in force
  * @returns the relay
  * @example
- * createServer(createRelay(options).handle);
+ * createRelay(options).admit(head);
  */
 export function createRelay(options: CreateRelayOptions): Relay {
-  const { context, getCompiled, getLeaving } = options;
-  const { wire, now, metrics, logger } = context;
-  let open = 0;
-
-  const admit = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
-    const arrivedAt = now();
-    const refuse = (
-      code: Parameters<typeof answerFailure>[1]['code'],
-      retryAfterSeconds?: number,
-    ): void => {
-      metrics.count('refusals', code);
-      // What is left of the body would be read as the next request.
-      const closes = !incoming.complete;
-      answerFailure(response, { code, retryAfterSeconds, closes });
-      incoming.resume();
-    };
-    const compiled = getCompiled();
-    if (!compiled) {
-      refuse('notConfigured', NOT_CONFIGURED_RETRY_SECONDS);
-      return;
-    }
-    const url = incoming.url ?? '/';
-    const host = (incoming.headers.host ?? '').replace(/:\d+$/, '');
-    const path = url.split('?', 1)[0] ?? '/';
-    const route = compiled.findRoute(host, path);
-    if (!route) {
-      refuse('notFound');
-      return;
-    }
-    const caller = wire.readRequest(incoming.headers);
-    const account = caller.key === undefined ? undefined : compiled.findAccount(caller.key);
-    if (compiled.needsKey && !route.isPublic && !account) {
-      refuse('unauthorized');
-      return;
-    }
-    const leaving = getLeaving();
-    const isLate = leaving && now() - leaving.startedAt > LEAVING_STREAMS_MILLISECONDS;
-    if (isLate && route.kind === 'stream') {
-      // It could be cut off in its middle, while another node can run it whole.
-      refuse('leaving', LEAVING_RETRY_SECONDS);
-      return;
-    }
-    const { bodyBytes, headerTimeoutMilliseconds } = compiled.configuration.limits;
-    const outcome = await readBody(incoming, {
-      mostBytes: bodyBytes,
-      timeoutMilliseconds: headerTimeoutMilliseconds,
-    });
-    if (outcome.kind === 'gone' || response.destroyed) return;
-    if (outcome.kind !== 'whole') {
-      refuse(outcome.kind === 'tooLarge' ? 'bodyTooLarge' : 'bodyTimeout');
-      return;
-    }
-    const service = compiled.findService(pickService(route.services, context.random) ?? '');
-    if (!service) {
-      refuse('noEndpoint', NOT_CONFIGURED_RETRY_SECONDS);
-      return;
-    }
-    const patience = Math.min(
-      route.timeoutMilliseconds,
-      (caller.deadlineMilliseconds ?? route.timeoutMilliseconds) - DEADLINE_MARGIN_MILLISECONDS,
-    );
-    metrics.count('requests', route.kind);
-    context.budget.noteRequest(service.name, now());
-    const goneCallbacks: (() => void)[] = [];
-    response.on('close', () => {
-      if (response.writableFinished) return;
-      for (const callback of goneCallbacks) callback();
-    });
-    await HANDLERS[route.kind](context, {
-      caller,
-      method: incoming.method ?? 'GET',
-      url,
-      rawHeaders: incoming.rawHeaders,
-      body: outcome.body,
-      route,
-      service,
-      account: account?.name,
-      priority: rankRequest(route, account?.priority),
-      arrivedAt,
-      finalAt: arrivedAt + patience,
-      response,
-      onGone: (callback) => {
-        goneCallbacks.push(callback);
-      },
-    });
-    metrics.record(account?.name ?? '', route.kind, now() - arrivedAt);
-  };
-
+  const { context, getCompiled, getLeavingSince } = options;
+  const { clock, metrics, logger, budget, random } = context;
   return {
-    handle: (incoming, response) => {
-      open += 1;
-      if (getLeaving()) response.setHeader('Connection', 'close');
-      admit(incoming, response)
-        .catch((error: unknown) => {
-          logger.log('error', 'request-crashed', {
-            reason: error instanceof Error ? (error.stack ?? error.message) : String(error),
-          });
-          response.destroy();
-        })
-        .finally(() => {
-          open -= 1;
-        });
+    admit: (head) => {
+      const leavingSince = getLeavingSince();
+      const leavingMilliseconds =
+        leavingSince === undefined ? undefined : clock.now() - leavingSince;
+      const admission = admitRequest({ head, compiled: getCompiled(), leavingMilliseconds });
+      if (admission.kind === 'refused') {
+        const { code } = admission;
+        metrics.count('refusals', code);
+        logger.log('request-refused', { request: head.caller.attempt, code });
+      }
+      return admission;
+    },
+    run: async ({ admitted, caller, forwarded, arrivedAt, response }) => {
+      const { compiled, route, account } = admitted;
+      const service = compiled.findService(pickService(route.services, random) ?? '');
+      if (!service) {
+        metrics.count('refusals', 'noEndpoint');
+        const retryAfterSeconds = NO_SERVICE_RETRY_SECONDS;
+        answerFailure(response, { code: 'noEndpoint', retryAfterSeconds });
+        return;
+      }
+      const finalAt = arrivedAt + countPatience(route, caller);
+      const log = createRequestLog({ logger, clock, request: caller.attempt });
+      log.note('request-admitted', {
+        route: route.name,
+        account: account?.name ?? '',
+        service: service.name,
+        version: compiled.configuration.version,
+        promptTokens: caller.promptTokens,
+        answerTokens: caller.mostAnswerTokens,
+        leftMilliseconds: Math.round(finalAt - clock.now()),
+      });
+      metrics.count('requests', route.kind);
+      budget.noteRequest(service.name, clock.now());
+      await HANDLERS[route.kind](context, {
+        caller,
+        forwarded,
+        route,
+        service,
+        account: account?.name,
+        priority: rankRequest(route, account?.priority),
+        arrivedAt,
+        finalAt,
+        response,
+        log,
+      });
+      metrics.record(account?.name ?? '', route.kind, clock.now() - arrivedAt);
     },
-    countOpen: () => open,
   };
 }
--- /dev/null
+++ b/src/process/relay/createStreamAnswer/index.ts
@@ -0,0 +1,145 @@
+/**
+ * The answer of one stream to its caller, which may come from several runs.
+ */
+import { createEventGuard, type EventVerdict } from '../../../request/guardEvents/index.js';
+import type { StreamEvent } from '../../../request/splitEvents/index.js';
+import type { RawHeaders } from '../../../types/relay/index.js';
+import type { ResultCodeName } from '../../resultCodes/index.js';
+import { answerFailure, sendWholeAnswer, type WholeAnswer } from '../answerCaller/index.js';
+import type { RelayContext, RelayedRequest } from '../types/index.js';
+
+/** How often endpoints were asked for an answer. */
+export interface SendCounts {
+  /** Runs that may have begun. */
+  readonly sends: number;
+  /** Runs that endpoints refused. */
+  readonly refused: number;
+}
+
+/** Why an answer fails. */
+export interface StreamFailure extends SendCounts {
+  readonly reason: string;
+  readonly code: ResultCodeName;
+  readonly retryAfterSeconds?: number;
+}
+
+/** Answer of one stream. */
+export interface StreamAnswer {
+  /** Whether an event was passed on. */
+  readonly hasBegun: () => boolean;
+  /** Number of the last event that the caller has. */
+  readonly getLast: () => number;
+  /** Passes an event on, if it is the next one. */
+  readonly passEvent: (event: StreamEvent, headers: RawHeaders) => EventVerdict;
+  readonly endWhole: (counts: SendCounts) => void;
+  /** Passes on an endpoint's own failure, where no event has been passed on. */
+  readonly passFailure: (answer: WholeAnswer) => void;
+  /** Ends with a failure; an answer that has begun is broken off, so that it can be resumed. */
+  readonly fail: (failure: StreamFailure) => void;
+}
+
+/** Options of {@link createStreamAnswer}. */
+export interface CreateStreamAnswerOptions {
+  readonly context: RelayContext;
+  readonly request: RelayedRequest;
+  /** Called when the caller reads too slowly, and when it has caught up. */
+  readonly onFull: () => void;
+  readonly onDrained: () => void;
+}
+
+/** Bytes that wait for a slow reader before the endpoint is paused. */
+const MOST_WAITING_BYTES = 262_144;
+/** Share of the answers in time that are told in the log. */
+const TOLD_SHARE = 0.05;
+
+/**
+ * Creates the answer of one stream.
+ *
+ * @param options - the request, and what to call when its caller reads slowly
+ * @returns the answer
+ * @example
+ * createStreamAnswer({ context, request, onFull, onDrained }).passEvent(event, headers);
+ */
+export function createStreamAnswer(options: CreateStreamAnswerOptions): StreamAnswer {
+  const { context, request, onFull, onDrained } = options;
+  const { clock, metrics } = context;
+  const { response, route, caller, arrivedAt, log } = request;
+  const guard = createEventGuard(caller.lastEvent);
+  let hasBegun = false;
+  let isFull = false;
+  let firstAt = 0;
+  let lastAt = 0;
+  let longestPause = 0;
+
+  const begin = (headers: RawHeaders): void => {
+    hasBegun = true;
+    firstAt = clock.now();
+    lastAt = firstAt;
+    response.begin(200, headers);
+    const milliseconds = firstAt - arrivedAt;
+    metrics.record(request.account ?? '', 'first-event', milliseconds);
+    log.note('first-event', { milliseconds: Math.round(milliseconds) });
+  };
+  const checkReader = (): void => {
+    if (isFull || response.countWaiting() <= MOST_WAITING_BYTES) return;
+    isFull = true;
+    onFull();
+    response.onceDrained(() => {
+      isFull = false;
+      onDrained();
+    });
+  };
+
+  return {
+    hasBegun: () => hasBegun,
+    getLast: guard.getLast,
+    passEvent: ({ id, bytes }, headers) => {
+      const verdict = guard.check(id);
+      if (verdict !== 'pass') return verdict;
+      if (!hasBegun) begin(headers);
+      const now = clock.now();
+      longestPause = Math.max(longestPause, now - lastAt);
+      lastAt = now;
+      response.write(bytes);
+      checkReader();
+      return verdict;
+    },
+    endWhole: ({ sends }) => {
+      response.end();
+      const first = firstAt - arrivedAt;
+      const pauses = Math.max(1, guard.getLast() - caller.lastEvent - 1);
+      const isSlow =
+        first > route.objectiveMilliseconds || longestPause > route.longestPauseMilliseconds;
+      metrics.count('streams', isSlow ? 'late' : 'in time');
+      log.note('request-answered', {
+        milliseconds: Math.round(clock.now() - arrivedAt),
+        first: Math.round(first),
+        pause: Math.round((lastAt - firstAt) / pauses),
+        longestPause: Math.round(longestPause),
+        sends,
+        told: isSlow ? 'slow' : 'sample',
+      });
+      log.end(isSlow || context.random() < TOLD_SHARE);
+    },
+    passFailure: (answer) => {
+      sendWholeAnswer(response, answer);
+      metrics.count('streams', 'endpoint failed');
+      log.end(true);
+    },
+    fail: ({ reason, code, retryAfterSeconds, sends, refused }) => {
+      metrics.count('streams', code);
+      log.note('request-failed', {
+        route: route.name,
+        code,
+        reason,
+        sends,
+        refused,
+        lastEvent: guard.getLast(),
+        milliseconds: Math.round(clock.now() - arrivedAt),
+      });
+      log.end(true);
+      if (hasBegun) response.abort();
+      else answerFailure(response, { code, retryAfterSeconds });
+    },
+  };
+}
--- a/src/process/relay/openEndpointCall/index.ts
+++ b/src/process/relay/openEndpointCall/index.ts
@@ -6,21 +6,11 @@
  */
 import { request, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-
-/** How far a request that failed had come. */
-export type SendState = 'notSent' | 'sent';
-
-/** What happens on the call; nothing more comes after `onEnd` or `onFailure`. */
-export interface EndpointCallHandlers {
-  readonly onAnswer: (answer: IncomingMessage) => void;
-  readonly onData: (chunk: Buffer) => void;
-  /** The answer is whole. */
-  readonly onEnd: () => void;
-  readonly onFailure: (state: SendState, reason: string) => void;
-}
+import type { EndpointCall, EndpointHandlers, SendState } from '../../../types/relay/index.js';
 
 /** Options of {@link openEndpointCall}. */
-export interface OpenEndpointCallOptions extends EndpointCallHandlers {
+export interface OpenEndpointCallOptions extends Omit<EndpointHandlers, 'onHead'> {
+  readonly onAnswer: (answer: IncomingMessage) => void;
   readonly address: string;
   readonly method: string;
   readonly url: string;
@@ -28,14 +18,6 @@
   readonly body: Buffer | undefined;
 }
 
-/** A call that is under way. */
-export interface EndpointCall {
-  /** Closes the connection; no handler is called any more. */
-  readonly abort: () => void;
-  readonly pause: () => void;
-  readonly resume: () => void;
-}
-
 /** A line break before a request, which servers pass over. */
 const PROBE = '\r\n';
 
--- a/src/process/relay/readBody/index.ts
+++ b/src/process/relay/readBody/index.ts
@@ -2,11 +2,14 @@
  * Reading of a caller's body.
  */
 import type { IncomingMessage } from 'node:http';
+import type { HeldMemory } from '../createBodyAllowance/index.js';
 
 /** Outcome of reading a body. */
 export type BodyOutcome =
   | { readonly kind: 'whole'; readonly body: Buffer | undefined }
   | { readonly kind: 'tooLarge' }
+  /** There is no memory for it now. */
+  | { readonly kind: 'noMemory' }
   | { readonly kind: 'timeout' }
   | { readonly kind: 'gone' };
 
@@ -14,22 +17,23 @@
 export interface ReadBodyOptions {
   readonly mostBytes: number;
   readonly timeoutMilliseconds: number;
+  readonly memory: Pick<HeldMemory, 'add'>;
 }
 
 /**
  * Reads a whole body.
  *
  * @param incoming - the caller's request
- * @param options - bounds on its size in bytes and its time in milliseconds
+ * @param options - bounds on its size in bytes and its time in milliseconds, and memory for it
  * @returns the body, undefined when the request has none, or why there is none
  * @example
- * await readBody(incoming, { mostBytes: 4_194_304, timeoutMilliseconds: 3_000 });
+ * await readBody(incoming, { mostBytes: 4_194_304, timeoutMilliseconds: 3_000, memory });
  */
 export function readBody(
   incoming: IncomingMessage,
   options: ReadBodyOptions,
 ): Promise<BodyOutcome> {
-  const { mostBytes, timeoutMilliseconds } = options;
+  const { mostBytes, timeoutMilliseconds, memory } = options;
   const { headers } = incoming;
   const length = Number(headers['content-length'] ?? 0);
   const hasBody =
@@ -48,6 +52,7 @@
     incoming.on('data', (chunk: Buffer) => {
       size += chunk.length;
       if (size > mostBytes) finish({ kind: 'tooLarge' });
+      else if (!memory.add(chunk.length)) finish({ kind: 'noMemory' });
       else chunks.push(chunk);
     });
     incoming.on('end', () => {
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -5,14 +5,14 @@
  * answer goes on: on a path that keeps the first endpoint where only later ones were lost, else in
  * a new run after the last event that was passed on.
  */
-import { createEventGuard } from '../../../request/guardEvents/index.js';
 import { estimateSize, type RequestSize } from '../../../request/estimateSize/index.js';
 import { limitSilence } from '../../../request/limitSilence/index.js';
-import type { StreamEvent } from '../../../request/splitEvents/index.js';
 import type { ChosenPath } from '../../../request/choosePath/index.js';
+import type { EndpointCall } from '../../../types/relay/index.js';
 import type { PathHop } from '../../../types/site/index.js';
-import { answerFailure, sendWholeAnswer } from '../answerCaller/index.js';
-import type { EndpointCall } from '../openEndpointCall/index.js';
+import { createStreamAnswer } from '../createStreamAnswer/index.js';
+import { formatHops } from '../formatHops/index.js';
+import { noteFailure } from '../noteFailure/index.js';
 import { openStreamRun, type RunRefusal } from '../openStreamRun/index.js';
 import { selectPath, takeRoom } from '../selectPath/index.js';
 import { createSilenceWatch } from '../watchSilence/index.js';
@@ -24,12 +24,8 @@
 const REFUSING_MILLISECONDS = 200;
 /** When callers may come back if no path has room, in seconds. */
 const NO_ROOM_RETRY_SECONDS = 0.5;
-/** Bytes that wait for a slow reader before the endpoint is paused. */
-const MOST_WAITING_BYTES = 262_144;
-/** Share of whole answers whose predicted and real times are logged. */
-const LOGGED_SHARE = 0.05;
-
-const TIME_IS_UP = 'time is up';
+/** Rank of a run that goes on with an answer which has begun. */
+const GOING_ON_PRIORITY = 0;
 
 type RunState = 'idle' | 'running' | 'moving' | 'done';
 
@@ -53,45 +49,68 @@
   request: RelayedRequest,
   onDone: () => void,
 ): { start: () => void } {
-  const { wire, now, logger, budget, endpoints, examiner } = context;
-  const { route, service, response, caller, finalAt } = request;
-  const guard = createEventGuard(caller.lastEvent);
+  const { clock, endpointPort, budget, endpoints, examiner } = context;
+  const { route, service, caller, finalAt, log } = request;
   const refusedBy = new Set<string>();
   let state: RunState = 'idle';
   let call: EndpointCall | undefined;
   let path: ChosenPath | undefined;
-  let hops: readonly PathHop[] = [];
   let giveBack: (() => void) | undefined;
   let runs = 0;
   let refusedRuns = 0;
   let mayHaveRun = false;
-  let isHeadSent = false;
-  let waitsForReader = false;
-  let firstEventAt = 0;
-  let predicted: ChosenPath | undefined;
 
+  const answer = createStreamAnswer({
+    context,
+    request,
+    onFull: () => {
+      watch.stop();
+      call?.pause();
+    },
+    onDrained: () => {
+      if (state !== 'running') return;
+      call?.resume();
+      watch.note();
+    },
+  });
   const watch = createSilenceWatch({
-    now,
-    getLimit: () => limitSilence(path, isHeadSent).ask,
-    getGiveUp: () => limitSilence(path, isHeadSent).giveUp,
-    onSilence: examineHops,
+    clock,
+    getLimit: () => limitSilence(path, answer.hasBegun()).ask,
+    getGiveUp: () => limitSilence(path, answer.hasBegun()).giveUp,
+    onSilence: (round) => {
+      examiner.examinePath(
+        listHops().map(({ endpoint }) => endpoint),
+        round,
+      );
+    },
     onGiveUp: () => {
       recover('silence');
     },
   });
-  const stopLostListener = context.onLost((endpoint) => {
-    if (state === 'running' && hops.some((hop) => hop.endpoint === endpoint)) avoidLost(endpoint);
+  const stopLostListener = context.onLost((lost) => {
+    const isMet = listHops().some(({ endpoint }) => endpoint === lost);
+    if (state === 'running' && isMet) avoidLost(lost);
   });
-  const finalTimer = setTimeout(
-    () => {
-      fail(TIME_IS_UP);
-    },
-    Math.max(0, finalAt - now()),
-  );
-  request.onGone(() => {
-    finish('gone');
+  const cancelFinal = clock.schedule(Math.max(0, finalAt - clock.now()), () => {
+    fail('time is up', true);
+  });
+  request.response.onGone(() => {
+    if (state === 'done') return;
+    const milliseconds = Math.round(clock.now() - request.arrivedAt);
+    log.note('request-cancelled', { milliseconds, lastEvent: answer.getLast() });
+    log.end(false);
+    context.metrics.count('streams', 'gone');
+    finish();
   });
 
+  function listHops(): readonly PathHop[] {
+    return path?.hops ?? [];
+  }
+
+  function isDone(): boolean {
+    return state === 'done';
+  }
+
   function endRun(): void {
     watch.stop();
     call?.abort();
@@ -100,63 +119,47 @@
     giveBack = undefined;
   }
 
-  function finish(outcome: string): void {
-    if (state === 'done') return;
+  function finish(): void {
     state = 'done';
     endRun();
-    clearTimeout(finalTimer);
+    cancelFinal();
     stopLostListener();
-    context.metrics.count('streams', outcome);
     onDone();
   }
 
-  function fail(reason: string): void {
+  function fail(reason: string, isTimeUp = false): void {
     if (state === 'done') return;
     // A run that is under way may have begun, although no event of it has come.
     if (call) mayHaveRun = true;
-    logger.log('warn', 'request-failed', {
-      request: caller.attempt,
-      route: route.name,
-      reason,
-      runs,
-      refusedRuns,
-      lastEvent: guard.getLast(),
-      milliseconds: Math.round(now() - request.arrivedAt),
-    });
-    if (isHeadSent) {
-      // The answer must not look complete; the caller may resume after its last event.
-      response.destroy();
-    } else if (mayHaveRun) {
-      answerFailure(response, {
-        code: reason === TIME_IS_UP ? 'outcomeUnknown' : 'endpointFailed',
-      });
+    const counts = { sends: runs + (call ? 1 : 0), refused: refusedRuns };
+    if (answer.hasBegun()) answer.fail({ reason, code: 'interrupted', ...counts });
+    else if (mayHaveRun) {
+      answer.fail({ reason, code: isTimeUp ? 'outcomeUnknown' : 'endpointFailed', ...counts });
     } else {
-      answerFailure(response, { code: 'overloaded', retryAfterSeconds: NO_ROOM_RETRY_SECONDS });
+      const retryAfterSeconds = NO_ROOM_RETRY_SECONDS;
+      answer.fail({ reason, code: 'overloaded', retryAfterSeconds, ...counts });
     }
-    finish(mayHaveRun ? 'failed' : 'refused');
+    finish();
   }
 
   function countSize(): RequestSize {
-    return estimateSize({ caller, model: service.model, lastEvent: guard.getLast() });
+    return estimateSize({ caller, model: service.model, lastEvent: answer.getLast() });
   }
 
   function startRun(): void {
     const size = countSize();
     path = selectPath(context, request, { ...size, excluded: refusedBy });
-    if (!path) {
+    const [first] = listHops();
+    if (!first) {
       fail('no path with room');
       return;
     }
     const isRepeat = runs + refusedRuns > 0;
-    if (isRepeat && !budget.take(service.name, now())) {
+    if (isRepeat && !budget.take(service.name, clock.now())) {
       fail('retry budget is used up');
       return;
     }
-    const [first] = path.hops;
-    if (!first) return;
-    predicted ??= path;
-    ({ hops } = path);
-    giveBack = takeRoom(context, hops, size.roomTokens);
+    giveBack = takeRoom(context, listHops(), size.roomTokens);
     state = 'running';
     openRun(first);
     watch.note();
@@ -164,31 +167,34 @@
 
   function openRun(first: PathHop): void {
     const opened: EndpointCall = openStreamRun({
-      wire,
-      address: first.address,
-      method: request.method,
-      url: request.url,
-      body: request.body,
+      endpointPort,
+      forwarded: request.forwarded,
       attempt: caller.attempt,
-      headers: wire.buildRequestHeaders(request.rawHeaders, {
+      passedOn: {
         address: first.address,
         endpoint: first.endpoint,
         account: request.account,
-        deadlineMilliseconds: finalAt - now(),
-        priority: isHeadSent ? 0 : request.priority,
-        path: hops,
-        lastEvent: guard.getLast(),
-        bodyBytes: request.body?.length,
-      }),
-      onEvent: (event, rawHeaders) => call === opened && passEvent(event, rawHeaders),
+        deadlineMilliseconds: finalAt - clock.now(),
+        priority: answer.hasBegun() ? GOING_ON_PRIORITY : request.priority,
+        path: listHops(),
+        lastEvent: answer.getLast(),
+      },
+      onEvent: (event, headers) => {
+        if (call !== opened) return false;
+        watch.note();
+        mayHaveRun = true;
+        if (answer.passEvent(event, headers) !== 'broken') return true;
+        recover('events out of order');
+        return false;
+      },
       onRefusal: takeRefusal,
       onWhole: endWhole,
       onBroken: (reason) => {
-        noteFailure(first, reason);
+        noteFirstFailed(first, reason);
         recover(reason);
       },
       onNotSent: (reason) => {
-        noteFailure(first, reason);
+        noteFirstFailed(first, reason);
         refusedBy.add(first.endpoint);
         retryRefused(reason);
       },
@@ -196,103 +202,59 @@
     call = opened;
   }
 
-  function noteFailure(first: PathHop, reason: string): void {
+  function noteFirstFailed(first: PathHop, reason: string): void {
     const endpoint = endpoints.find(first.endpoint);
-    if (endpoint) endpoints.noteFailure(endpoint, now());
+    if (endpoint) noteFailure(context, endpoint);
     void examiner.examine(first.endpoint, reason);
   }
 
   function endWhole(): void {
-    if (!isHeadSent) {
+    if (!answer.hasBegun()) {
       recover('answer without events');
       return;
     }
-    response.end();
-    logTimes();
-    for (const hop of hops) {
+    answer.endWhole({ sends: runs + 1, refused: refusedRuns });
+    for (const hop of listHops()) {
       const endpoint = endpoints.find(hop.endpoint);
       if (endpoint) endpoints.noteSuccess(endpoint);
     }
-    finish('whole');
-  }
-
-  function logTimes(): void {
-    if (context.random() > LOGGED_SHARE) return;
-    const pauses = Math.max(1, guard.getLast() - caller.lastEvent - 1);
-    logger.log('info', 'stream-whole', {
-      request: caller.attempt,
-      predictedFirst: Math.round(predicted?.firstEventMilliseconds ?? 0),
-      first: Math.round(firstEventAt - request.arrivedAt),
-      predictedPause: Math.round(predicted?.pauseMilliseconds ?? 0),
-      pause: Math.round((now() - firstEventAt) / pauses),
-      hops: hops.length,
-    });
-  }
-
-  function passEvent({ id, bytes }: StreamEvent, rawHeaders: readonly string[]): boolean {
-    watch.note();
-    mayHaveRun = true;
-    const verdict = guard.check(id);
-    if (verdict === 'broken') {
-      recover('events out of order');
-      return false;
-    }
-    if (verdict === 'drop') return true;
-    if (!isHeadSent) {
-      isHeadSent = true;
-      firstEventAt = now();
-      response.writeHead(200, wire.buildAnswerHeaders(rawHeaders));
-      context.metrics.record(request.account ?? '', 'first-event', now() - request.arrivedAt);
-    }
-    response.write(bytes);
-    if (response.writableLength > MOST_WAITING_BYTES) waitForReader();
-    return true;
-  }
-
-  /** Stops reading from the endpoint until the caller has taken what waits for it. */
-  function waitForReader(): void {
-    if (waitsForReader) return;
-    waitsForReader = true;
-    watch.stop();
-    call?.pause();
-    response.once('drain', () => {
-      waitsForReader = false;
-      if (state !== 'running') return;
-      call?.resume();
-      watch.note();
-    });
+    finish();
   }
 
-  function takeRefusal({ status, facts, rawHeaders, body }: RunRefusal): void {
+  function takeRefusal({ head, body }: RunRefusal): void {
+    const { status, facts, headers } = head;
     if (facts.isNotRun) {
-      const faulty =
-        facts.faultyAddress === undefined
-          ? undefined
-          : endpoints.findByAddress(facts.faultyAddress);
-      const faultyId = faulty?.record.id ?? hops[0]?.endpoint ?? '';
-      refusedBy.add(faultyId);
-      void examiner.examine(faultyId, `status ${status}`);
-      const refusing = endpoints.find(faultyId);
-      if (refusing) endpoints.avoid(refusing, now(), REFUSING_MILLISECONDS);
-      retryRefused(`status ${status} of ${faulty?.record.id ?? 'the first endpoint'}`);
+      takeNotRun(status, facts.faultyAddress);
       return;
     }
     mayHaveRun = true;
     const isLastRun = runs + 1 >= route.mostAttempts;
-    if (!isHeadSent && facts.isSealed && isLastRun) {
-      sendWholeAnswer(response, { status, headers: wire.buildAnswerHeaders(rawHeaders), body });
-      finish('endpoint failed');
+    if (!answer.hasBegun() && facts.isSealed && isLastRun) {
+      answer.passFailure({ status, headers, body });
+      finish();
       return;
     }
     recover(`status ${status}`);
   }
 
+  function takeNotRun(status: number, faultyAddress: string | undefined): void {
+    const named = faultyAddress === undefined ? undefined : endpoints.findByAddress(faultyAddress);
+    const refusing = named ?? endpoints.find(listHops()[0]?.endpoint ?? '');
+    if (refusing) {
+      const { id } = refusing.record;
+      refusedBy.add(id);
+      void examiner.examine(id, `status ${status}`);
+      endpoints.avoid(refusing, clock.now(), REFUSING_MILLISECONDS);
+    }
+    retryRefused(`status ${status} of ${refusing?.record.id ?? 'an unknown endpoint'}`);
+  }
+
   /** Another run after one that an endpoint refused without running it. */
   function retryRefused(reason: string): void {
     endRun();
     refusedRuns += 1;
-    logger.log('info', 'run-refused', { request: caller.attempt, reason, path: describePath() });
-    if (refusedRuns > MOST_REFUSED_RUNS || finalAt <= now()) fail(reason);
+    log.note('run-refused', { reason, path: formatHops(listHops()) });
+    if (refusedRuns > MOST_REFUSED_RUNS || finalAt <= clock.now()) fail(reason);
     else startRun();
   }
 
@@ -302,39 +264,22 @@
     mayHaveRun = true;
     endRun();
     runs += 1;
-    logger.log('warn', 'run-broken', {
-      request: caller.attempt,
-      reason,
-      runs,
-      lastEvent: guard.getLast(),
-      path: describePath(),
-    });
-    if (!route.isResumable || runs >= Math.max(2, route.mostAttempts) + 1 || finalAt <= now())
-      fail(reason);
-    else startRun();
-  }
-
-  function describePath(): string {
-    return hops.map(({ endpoint, range }) => `${endpoint}=${range.from}-${range.to}`).join(' ');
-  }
-
-  function examineHops(): void {
-    for (const { endpoint } of hops) void examiner.examine(endpoint, 'silence');
-  }
-
-  function selectOther(): ChosenPath | undefined {
-    const [firstHop] = hops;
-    return selectPath(context, request, { ...countSize(), excluded: refusedBy, firstHop });
+    const lastEvent = answer.getLast();
+    log.note('run-broken', { reason, runs, lastEvent, path: formatHops(listHops()) });
+    const mayRunAgain = route.isResumable && runs < Math.max(2, route.mostAttempts) + 1;
+    if (mayRunAgain && finalAt > clock.now()) startRun();
+    else fail(reason);
   }
 
   /** Leaves a path through a lost endpoint: moved where the first endpoint lives, else run anew. */
   function avoidLost(lost: string): void {
-    const other = hops[0]?.endpoint === lost ? undefined : selectOther();
-    if (other) {
-      void moveTo(other);
-      return;
-    }
-    recover('endpoint lost');
+    const [firstHop] = listHops();
+    const other =
+      firstHop?.endpoint === lost
+        ? undefined
+        : selectPath(context, request, { ...countSize(), excluded: refusedBy, firstHop });
+    if (other) void moveTo(other);
+    else recover('endpoint lost');
   }
 
   async function moveTo(other: ChosenPath): Promise<void> {
@@ -342,17 +287,16 @@
     const size = countSize();
     state = 'moving';
     const giveBackOther = takeRoom(context, other.hops, size.roomTokens);
-    const outcome = await wire.movePath(caller.attempt, other.hops);
+    const outcome = await endpointPort.movePath(caller.attempt, other.hops);
     if (call !== moved || isDone()) {
       giveBackOther();
       return;
     }
-    logger.log('info', 'run-moved', {
-      request: caller.attempt,
-      reason: 'endpoint lost',
+    log.note('run-moved', {
       outcome,
-      lastEvent: guard.getLast(),
-      path: describePath(),
+      lastEvent: answer.getLast(),
+      path: formatHops(listHops()),
+      newPath: formatHops(other.hops),
     });
     state = 'running';
     if (outcome !== 'begun' && outcome !== 'done') {
@@ -363,17 +307,13 @@
     giveBack?.();
     giveBack = giveBackOther;
     path = other;
-    ({ hops } = other);
     watch.note();
-    const lostNow = hops.find(
-      ({ endpoint }) => (endpoints.find(endpoint)?.lostUntil ?? now()) > now(),
+    const now = clock.now();
+    const lostNow = other.hops.find(
+      ({ endpoint }) => (endpoints.find(endpoint)?.lostUntil ?? 0) > now,
     );
     if (lostNow) avoidLost(lostNow.endpoint);
   }
 
-  function isDone(): boolean {
-    return state === 'done';
-  }
-
   return { start: startRun };
 }
--- a/src/process/relay/relayWhole/index.ts
+++ b/src/process/relay/relayWhole/index.ts
@@ -1,29 +1,14 @@
 /**
  * Requests that one endpoint answers with a whole body.
  */
-import type { IncomingMessage } from 'node:http';
 import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
 import { chooseEndpoint } from '../../../request/chooseEndpoint/index.js';
 import type { ResultCodeName } from '../../resultCodes/index.js';
-import { answerFailure, sendWholeAnswer } from '../answerCaller/index.js';
-import { openEndpointCall, type EndpointCall } from '../openEndpointCall/index.js';
+import { answerFailure, sendWholeAnswer, type WholeAnswer } from '../answerCaller/index.js';
+import { noteFailure } from '../noteFailure/index.js';
+import { runWholeAttempt, type AttemptOutcome } from '../runWholeAttempt/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
-/** An endpoint's whole answer. */
-interface WholeAnswer {
-  readonly kind: 'answered';
-  readonly status: number;
-  readonly rawHeaders: readonly string[];
-  readonly body: Buffer;
-}
-
-type AttemptOutcome =
-  | WholeAnswer
-  | { readonly kind: 'notSent'; readonly reason: string }
-  | { readonly kind: 'notRun'; readonly reason: string }
-  | { readonly kind: 'unknown'; readonly reason: string; readonly isTimeout?: boolean }
-  | { readonly kind: 'gone' };
-
 /** When callers may come back if no endpoint takes their request, in seconds. */
 const RETRY_AFTER_SECONDS = 0.3;
 /** Share of the time left that one attempt gets while another may follow. */
@@ -33,95 +18,109 @@
 /** How long an endpoint that takes no connection is left alone, in milliseconds. */
 const REFUSED_CONNECTION_MILLISECONDS = 1_000;
 const FIRST_FAILURE_STATUS = 500;
+/** Share of the answers in time that are told in the log. */
+const TOLD_SHARE = 0.05;
+
+/** What became of the sends of one request so far. */
+interface Progress {
+  readonly met: Set<string>;
+  sends: number;
+  refused: number;
+  failedConnections: number;
+  mayHaveRun: boolean;
+  timedOut: boolean;
+  /** A failure that an endpoint answered with, to be passed on if nothing better comes. */
+  fallback: WholeAnswer | undefined;
+  reason: string;
+}
 
-interface AttemptOptions {
-  readonly endpoint: Endpoint;
-  readonly timeoutMilliseconds: number;
+function pickEndpoint(
+  context: RelayContext,
+  request: RelayedRequest,
+  excluded: ReadonlySet<string>,
+): Endpoint | undefined {
+  const { endpoints, clock, random, availabilityZone } = context;
+  const now = clock.now();
+  const candidates = endpoints.listUsable(request.service.name, now);
+  const endpoint = chooseEndpoint({ candidates, excluded, availabilityZone, now, random });
+  if (!endpoint) return undefined;
+  request.log.note('endpoint-chosen', {
+    endpoint: endpoint.record.id,
+    load: Math.max(endpoint.ownRequests + endpoint.otherRequests, endpoint.running),
+    loadAge: Math.round(Math.min(now - endpoint.loadReadAt, now)),
+    candidates: candidates.length,
+  });
+  return endpoint;
+}
+
+/** Takes the outcome of a send without an answer that can be passed on at once. */
+function noteMissingAnswer(
+  context: RelayContext,
+  request: RelayedRequest,
+  endpoint: Endpoint,
+  outcome: Exclude<AttemptOutcome, { readonly kind: 'answered' | 'gone' }>,
+  progress: Progress,
+): void {
+  const now = context.clock.now();
+  progress.reason = outcome.reason;
+  noteFailure(context, endpoint);
+  request.log.note('attempt-failed', {
+    endpoint: endpoint.record.id,
+    outcome: outcome.kind,
+    reason: outcome.reason,
+  });
+  if (outcome.kind === 'notSent') {
+    progress.failedConnections += 1;
+    context.endpoints.avoid(endpoint, now, REFUSED_CONNECTION_MILLISECONDS);
+    return;
+  }
+  progress.sends += 1;
+  if (outcome.kind === 'notRun') {
+    progress.refused += 1;
+    return;
+  }
+  progress.mayHaveRun = true;
+  progress.timedOut = outcome.isTimeout === true;
 }
 
-function runAttempt(
+function answerWhole(
   context: RelayContext,
   request: RelayedRequest,
-  { endpoint, timeoutMilliseconds }: AttemptOptions,
-): Promise<AttemptOutcome> {
-  const { wire, now } = context;
-  const { record } = endpoint;
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let incoming: IncomingMessage | undefined;
-    let wasSent = false;
-    endpoint.ownRequests += 1;
-    const finish = (outcome: AttemptOutcome): void => {
-      clearTimeout(timer);
-      call.abort();
-      endpoint.ownRequests = Math.max(0, endpoint.ownRequests - 1);
-      resolve(outcome);
-    };
-    const readWhole = (answer: IncomingMessage): AttemptOutcome => {
-      const status = answer.statusCode ?? 0;
-      const facts = wire.readAnswer(status, answer.headers);
-      if (facts.running !== undefined) {
-        endpoint.running = facts.running;
-        endpoint.waiting = facts.waiting ?? 0;
-        endpoint.loadReadAt = now();
-      }
-      if (facts.attempt !== undefined && facts.attempt !== request.caller.attempt) {
-        return { kind: 'unknown', reason: 'answer to another request' };
-      }
-      if (facts.isNotRun) return { kind: 'notRun', reason: `status ${status}` };
-      if (!facts.isSealed || (status < 300 && facts.isEncoded)) {
-        return { kind: 'unknown', reason: 'not an answer of the endpoint' };
-      }
-      return {
-        kind: 'answered',
-        status,
-        rawHeaders: answer.rawHeaders,
-        body: Buffer.concat(chunks),
-      };
-    };
-    const call: EndpointCall = openEndpointCall({
-      address: record.address,
-      method: request.method,
-      url: request.url,
-      body: request.body,
-      headers: wire.buildRequestHeaders(request.rawHeaders, {
-        address: record.address,
-        endpoint: record.id,
-        account: request.account,
-        deadlineMilliseconds: request.finalAt - now(),
-        bodyBytes: request.body?.length,
-      }),
-      onAnswer: (answer) => {
-        incoming = answer;
-      },
-      onData: (chunk) => {
-        wasSent = true;
-        chunks.push(chunk);
-      },
-      onEnd: () => {
-        finish(incoming ? readWhole(incoming) : { kind: 'unknown', reason: 'no answer' });
-      },
-      onFailure: (state, reason) => {
-        const facts = incoming && wire.readAnswer(incoming.statusCode ?? 0, incoming.headers);
-        if (state === 'notSent') finish({ kind: 'notSent', reason });
-        else if (facts?.isNotRun) finish({ kind: 'notRun', reason });
-        else finish({ kind: 'unknown', reason });
-      },
-    });
-    const timer = setTimeout(() => {
-      const reason = wasSent ? 'answer too slow' : 'no answer in time';
-      finish({ kind: 'unknown', reason, isTimeout: true });
-    }, timeoutMilliseconds);
-    request.onGone(() => {
-      finish({ kind: 'gone' });
-    });
+  answer: WholeAnswer,
+  sends: number,
+): void {
+  const { response, log, route, arrivedAt } = request;
+  sendWholeAnswer(response, answer);
+  const milliseconds = Math.round(context.clock.now() - arrivedAt);
+  const isSlow = milliseconds > route.objectiveMilliseconds;
+  const told = isSlow ? 'slow' : 'sample';
+  log.note('request-answered', {
+    milliseconds,
+    first: milliseconds,
+    pause: 0,
+    longestPause: 0,
+    sends,
+    told,
   });
+  log.end(isSlow || context.random() < TOLD_SHARE);
 }
 
-function sendWhole(context: RelayContext, request: RelayedRequest, answer: WholeAnswer): void {
-  const { status, body } = answer;
-  const headers = context.wire.buildAnswerHeaders(answer.rawHeaders);
-  sendWholeAnswer(request.response, { status, headers, body });
+function failRequest(context: RelayContext, request: RelayedRequest, progress: Progress): void {
+  const { mayHaveRun, timedOut, reason, sends, refused } = progress;
+  const failure: ResultCodeName = timedOut ? 'outcomeUnknown' : 'endpointFailed';
+  const code = mayHaveRun ? failure : 'noEndpoint';
+  request.log.note('request-failed', {
+    route: request.route.name,
+    code,
+    reason,
+    sends,
+    refused,
+    lastEvent: 0,
+    milliseconds: Math.round(context.clock.now() - request.arrivedAt),
+  });
+  request.log.end(true);
+  const retryAfter = !mayHaveRun && { retryAfterSeconds: RETRY_AFTER_SECONDS };
+  answerFailure(request.response, { code, ...retryAfter });
 }
 
 /**
@@ -136,79 +135,56 @@
  * await relayWhole(context, request);
  */
 export async function relayWhole(context: RelayContext, request: RelayedRequest): Promise<void> {
-  const { endpoints, now, random, availabilityZone, budget, logger } = context;
-  const { route, service, response, finalAt } = request;
-  const met = new Set<string>();
+  const { endpoints, clock, budget } = context;
+  const { route, service, finalAt, log } = request;
   const mayRepeat = route.kind === 'safe';
-  let sends = 0;
-  let failedConnections = 0;
-  let mayHaveRun = false;
-  let timedOut = false;
-  let fallback: WholeAnswer | undefined;
-  let reason = 'no endpoint';
-  while (sends < route.mostAttempts && failedConnections < MOST_FAILED_CONNECTIONS) {
-    const left = finalAt - now();
+  const progress: Progress = {
+    met: new Set(),
+    sends: 0,
+    refused: 0,
+    failedConnections: 0,
+    mayHaveRun: false,
+    timedOut: false,
+    fallback: undefined,
+    reason: 'no endpoint',
+  };
+  while (
+    progress.sends < route.mostAttempts &&
+    progress.failedConnections < MOST_FAILED_CONNECTIONS
+  ) {
+    const left = finalAt - clock.now();
     if (left <= 0) break;
-    const candidates = endpoints.listUsable(service.name, now());
-    const endpoint = chooseEndpoint({
-      candidates,
-      excluded: met,
-      availabilityZone,
-      now: now(),
-      random,
-    });
+    const endpoint = pickEndpoint(context, request, progress.met);
     if (!endpoint) break;
-    if (met.size > 0 && !budget.take(service.name, now())) break;
-    met.add(endpoint.record.id);
-    const isLast = !mayRepeat || sends + 1 >= route.mostAttempts;
+    if (progress.met.size > 0 && !budget.take(service.name, clock.now())) break;
+    progress.met.add(endpoint.record.id);
+    const isLast = !mayRepeat || progress.sends + 1 >= route.mostAttempts;
     const timeoutMilliseconds = isLast ? left : left * ATTEMPT_TIME_SHARE;
-    const outcome = await runAttempt(context, request, { endpoint, timeoutMilliseconds });
-    if (outcome.kind === 'gone') return;
-    if (outcome.kind === 'answered') {
-      sends += 1;
-      if (outcome.status < FIRST_FAILURE_STATUS) {
-        endpoints.noteSuccess(endpoint);
-        sendWhole(context, request, outcome);
-        return;
-      }
-      fallback = outcome;
-      mayHaveRun = true;
-      if (!mayRepeat) break;
+    const outcome = await runWholeAttempt(context, request, { endpoint, timeoutMilliseconds });
+    if (outcome.kind === 'gone') {
+      log.note('request-cancelled', {
+        milliseconds: Math.round(clock.now() - request.arrivedAt),
+        lastEvent: 0,
+      });
+      log.end(false);
+      return;
+    }
+    if (outcome.kind !== 'answered') {
+      noteMissingAnswer(context, request, endpoint, outcome, progress);
+      if (progress.mayHaveRun && !mayRepeat) break;
       continue;
     }
-    reason = outcome.reason;
-    endpoints.noteFailure(endpoint, now());
-    logger.log('warn', 'attempt-failed', {
-      request: request.caller.attempt,
-      endpoint: endpoint.record.id,
-      outcome: outcome.kind,
-      reason,
-    });
-    if (outcome.kind === 'notSent') {
-      failedConnections += 1;
-      endpoints.avoid(endpoint, now(), REFUSED_CONNECTION_MILLISECONDS);
-    } else sends += 1;
-    if (outcome.kind !== 'unknown') continue;
-    mayHaveRun = true;
-    timedOut = outcome.isTimeout === true;
+    progress.sends += 1;
+    const { answer } = outcome;
+    if (answer.status < FIRST_FAILURE_STATUS) {
+      endpoints.noteSuccess(endpoint);
+      answerWhole(context, request, answer, progress.sends);
+      return;
+    }
+    progress.fallback = answer;
+    progress.mayHaveRun = true;
     if (!mayRepeat) break;
   }
-  if (fallback) {
-    sendWhole(context, request, fallback);
-    return;
-  }
-  const code: ResultCodeName = !mayHaveRun
-    ? 'noEndpoint'
-    : timedOut
-      ? 'outcomeUnknown'
-      : 'endpointFailed';
-  logger.log('warn', 'request-failed', {
-    request: request.caller.attempt,
-    route: route.name,
-    code,
-    reason,
-    sends,
-    milliseconds: Math.round(now() - request.arrivedAt),
-  });
-  answerFailure(response, { code, ...(!mayHaveRun && { retryAfterSeconds: RETRY_AFTER_SECONDS }) });
+  if (progress.fallback) answerWhole(context, request, progress.fallback, progress.sends);
+  else failRequest(context, request, progress);
 }
--- /dev/null
+++ b/src/process/relay/runWholeAttempt/index.ts
@@ -0,0 +1,104 @@
+/**
+ * One send of a request that an endpoint answers with a whole body.
+ */
+import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
+import type { AnswerHead, EndpointCall } from '../../../types/relay/index.js';
+import type { WholeAnswer } from '../answerCaller/index.js';
+import type { RelayContext, RelayedRequest } from '../types/index.js';
+
+/** Outcome of one send. */
+export type AttemptOutcome =
+  | { readonly kind: 'answered'; readonly answer: WholeAnswer }
+  | { readonly kind: 'notSent'; readonly reason: string }
+  | { readonly kind: 'notRun'; readonly reason: string }
+  | { readonly kind: 'unknown'; readonly reason: string; readonly isTimeout?: boolean }
+  | { readonly kind: 'gone' };
+
+/** Options of {@link runWholeAttempt}. */
+export interface RunWholeAttemptOptions {
+  readonly endpoint: Endpoint;
+  readonly timeoutMilliseconds: number;
+}
+
+function noteLoad(endpoint: Endpoint, { facts }: AnswerHead, now: number): void {
+  if (facts.running === undefined) return;
+  endpoint.running = facts.running;
+  endpoint.waiting = facts.waiting ?? 0;
+  endpoint.loadReadAt = now;
+}
+
+function judgeAnswer(head: AnswerHead, attempt: string, body: Buffer): AttemptOutcome {
+  const { status, facts, headers } = head;
+  if (facts.attempt !== undefined && facts.attempt !== attempt) {
+    return { kind: 'unknown', reason: 'answer to another request' };
+  }
+  if (facts.isNotRun) return { kind: 'notRun', reason: `status ${status}` };
+  if (!facts.isSealed || (status < 300 && facts.isEncoded)) {
+    return { kind: 'unknown', reason: 'not an answer of the endpoint' };
+  }
+  return { kind: 'answered', answer: { status, headers, body } };
+}
+
+/**
+ * Sends a request to an endpoint once, and waits for the whole answer.
+ *
+ * @param context - services of the process
+ * @param request - the request
+ * @param options - the endpoint, and how long to wait in milliseconds
+ * @returns what came of it
+ * @example
+ * await runWholeAttempt(context, request, { endpoint, timeoutMilliseconds: 800 });
+ */
+export function runWholeAttempt(
+  context: RelayContext,
+  request: RelayedRequest,
+  options: RunWholeAttemptOptions,
+): Promise<AttemptOutcome> {
+  const { clock, endpointPort } = context;
+  const { endpoint, timeoutMilliseconds } = options;
+  const { record } = endpoint;
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let head: AnswerHead | undefined;
+    endpoint.ownRequests += 1;
+    let isDone = false;
+    const finish = (outcome: AttemptOutcome): void => {
+      if (isDone) return;
+      isDone = true;
+      cancelTimer();
+      call.abort();
+      endpoint.ownRequests = Math.max(0, endpoint.ownRequests - 1);
+      resolve(outcome);
+    };
+    const passedOn = {
+      address: record.address,
+      endpoint: record.id,
+      account: request.account,
+      deadlineMilliseconds: request.finalAt - clock.now(),
+    };
+    const call: EndpointCall = endpointPort.send(request.forwarded, passedOn, {
+      onHead: (received) => {
+        head = received;
+        noteLoad(endpoint, received, clock.now());
+      },
+      onData: (chunk) => {
+        chunks.push(chunk);
+      },
+      onEnd: () => {
+        if (head) finish(judgeAnswer(head, request.caller.attempt, Buffer.concat(chunks)));
+        else finish({ kind: 'unknown', reason: 'no answer' });
+      },
+      onFailure: (state, reason) => {
+        if (state === 'notSent') finish({ kind: 'notSent', reason });
+        else finish({ kind: head?.facts.isNotRun ? 'notRun' : 'unknown', reason });
+      },
+    });
+    const cancelTimer = clock.schedule(timeoutMilliseconds, () => {
+      const reason = chunks.length > 0 ? 'answer too slow' : 'no answer in time';
+      finish({ kind: 'unknown', reason, isTimeout: true });
+    });
+    request.response.onGone(() => {
+      finish({ kind: 'gone' });
+    });
+  });
+}
--- a/src/process/relay/selectPath/index.ts
+++ b/src/process/relay/selectPath/index.ts
@@ -7,15 +7,21 @@
   type ChosenPath,
   type PathCandidate,
 } from '../../../request/choosePath/index.js';
-import type { PathHop } from '../../../types/site/index.js';
+import { describeRoom, findTightest, formatRanges } from '../../../request/describeRoom/index.js';
+import type { PathHop, SiteService } from '../../../types/site/index.js';
+import { formatHops } from '../formatHops/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
 /** How long a report of an endpoint's memory is believed, in milliseconds. */
 const REPORT_BELIEVED_MILLISECONDS = 600;
 
-/** Memory in use: what nodes told, or what the endpoint itself just reported where that is more. */
-function countUsed(endpoint: Endpoint, now: number): number {
-  const told = endpoint.ownTokenLayers + endpoint.otherTokenLayers;
+/**
+ * Memory in use: what nodes told, or what the endpoint itself just reported where that is more.
+ *
+ * Nodes that have not told their load yet count as this one, which serves callers alike.
+ */
+function countUsed(endpoint: Endpoint, now: number, unheardNodes: number): number {
+  const told = endpoint.ownTokenLayers * (1 + unheardNodes) + endpoint.otherTokenLayers;
   const isFresh = now - endpoint.reportedAt < REPORT_BELIEVED_MILLISECONDS;
   return isFresh ? Math.max(told, endpoint.reportedTokenLayers) : told;
 }
@@ -25,48 +31,103 @@
   /** Tokens that have to be read: the prompt, and what was answered so far. */
   readonly promptTokens: number;
   readonly answerTokens: number;
+  /** Tokens that room is taken for. */
+  readonly roomTokens: number;
   readonly excluded: ReadonlySet<string>;
   readonly firstHop?: PathHop | undefined;
 }
 
 /**
- * Selects a path for a request.
+ * Lists the endpoints that a path may lead through, with the load that this node knows.
  *
  * @param context - services of the process
- * @param request - the request
- * @param options - its size in tokens, and what the path must keep or avoid
- * @returns the path, or undefined when none has room
+ * @param service - the service
+ * @param excluded - endpoints to leave out
+ * @returns the candidates; none when the service has no layered model
  * @example
- * selectPath(context, request, { promptTokens: 700, answerTokens: 200, excluded: new Set() });
+ * listCandidates(context, service, new Set());
  */
-export function selectPath(
-  context: RelayContext,
-  request: RelayedRequest,
-  options: SelectPathOptions,
-): ChosenPath | undefined {
-  const { endpoints, now, random, availabilityZone } = context;
-  const { model } = request.service;
-  if (!model) return undefined;
-  const kinds = new Map(model.kinds.map((kind) => [kind.name, kind]));
+export function listCandidates(
+  context: Pick<RelayContext, 'clock' | 'endpoints' | 'countUnheardNodes'>,
+  { name, model }: SiteService,
+  excluded: ReadonlySet<string>,
+): PathCandidate[] {
+  const now = context.clock.now();
+  const unheardNodes = context.countUnheardNodes();
+  const kinds = new Map(model?.kinds.map((kind) => [kind.name, kind]));
   const candidates: PathCandidate[] = [];
-  for (const endpoint of endpoints.listUsable(request.service.name, now())) {
+  for (const endpoint of context.endpoints.listUsable(name, now)) {
     const { record, layers } = endpoint;
     const kind = kinds.get(record.kind ?? '');
-    if (!kind || !layers || options.excluded.has(record.id)) continue;
+    if (!kind || !layers || excluded.has(record.id)) continue;
     candidates.push({
       id: record.id,
       address: record.address,
       availabilityZone: record.availabilityZone,
       kind,
       range: layers,
-      requests: endpoint.ownRequests + endpoint.otherRequests,
-      usedTokenLayers: countUsed(endpoint, now()),
+      requests: endpoint.ownRequests * (1 + unheardNodes) + endpoint.otherRequests,
+      usedTokenLayers: countUsed(endpoint, now, unheardNodes),
       pace: endpoint.pace,
     });
   }
-  const { firstHop, promptTokens, answerTokens } = options;
+  return candidates;
+}
+
+function noteChoice(
+  context: RelayContext,
+  request: RelayedRequest,
+  candidates: readonly PathCandidate[],
+  roomTokens: number,
+  path: ChosenPath | undefined,
+): void {
+  const { model } = request.service;
+  const common = {
+    roomTokens: Math.round(roomTokens),
+    loadAge: Math.round(context.readLoadAge()),
+    candidates: candidates.length,
+  };
+  if (path) {
+    request.log.note('path-chosen', {
+      ...common,
+      path: formatHops(path.hops),
+      predictedFirst: Math.round(path.firstEventMilliseconds),
+      predictedPause: Math.round(path.pauseMilliseconds),
+    });
+    return;
+  }
+  const sections = model ? describeRoom(model, candidates) : [];
+  const uncovered = sections.filter(({ tokens }) => tokens === undefined);
+  const tightest = findTightest(sections);
+  request.log.note('path-missing', {
+    ...common,
+    uncovered: formatRanges(uncovered.map(({ range }) => range)),
+    tightest: tightest ? `${formatRanges([tightest.range])}: ${tightest.tokens ?? 0}` : '',
+  });
+}
+
+/**
+ * Selects a path for a request.
+ *
+ * @param context - services of the process
+ * @param request - the request
+ * @param options - its size in tokens, and what the path must keep or avoid
+ * @returns the path, or undefined when none has room
+ * @example
+ * selectPath(context, request, { ...estimateSize(size), excluded: new Set() });
+ */
+export function selectPath(
+  context: RelayContext,
+  request: RelayedRequest,
+  options: SelectPathOptions,
+): ChosenPath | undefined {
+  const { endpoints, random, availabilityZone } = context;
+  const { model } = request.service;
+  if (!model) return undefined;
+  const { firstHop, promptTokens, answerTokens, roomTokens, excluded } = options;
+  const candidates = listCandidates(context, request.service, excluded);
   const firstZone = firstHop && endpoints.find(firstHop.endpoint)?.record.availabilityZone;
-  return choosePath({
+  const path = choosePath({
     model,
     candidates,
     availabilityZone,
@@ -77,6 +138,8 @@
       firstHop: { hop: firstHop, availabilityZone: firstZone ?? availabilityZone },
     }),
   });
+  noteChoice(context, request, candidates, roomTokens, path);
+  return path;
 }
 
 /**
--- a/src/process/relay/types/index.ts
+++ b/src/process/relay/types/index.ts
@@ -1,38 +1,45 @@
 /**
  * What the parts of the relay share.
  */
-import type { ServerResponse } from 'node:http';
 import type { EndpointTable } from '../../../connection/createEndpointTable/index.js';
 import type { SpendingBudget } from '../../../request/createSpendingBudget/index.js';
-import type { CallerRequest, RawHeaders, Wire } from '../../../types/relay/index.js';
+import type { Clock } from '../../../types/clock/index.js';
+import type {
+  CallerRequest,
+  CallerResponse,
+  EndpointPort,
+  ForwardedRequest,
+} from '../../../types/relay/index.js';
 import type { SiteRoute, SiteService } from '../../../types/site/index.js';
 import type { SiteLogger } from '../../site/createSiteLogger/index.js';
 import type { Examiner } from '../createExaminer/index.js';
 import type { RelayMetrics } from '../createRelayMetrics/index.js';
+import type { RequestLog } from '../createRequestLog/index.js';
 
 /** Services of the process that a relayed request uses. */
 export interface RelayContext {
   readonly availabilityZone: string;
   readonly endpoints: EndpointTable;
-  readonly wire: Wire;
+  readonly endpointPort: EndpointPort;
   readonly budget: SpendingBudget;
   readonly logger: SiteLogger;
   readonly metrics: RelayMetrics;
-  /** Milliseconds on a clock that never goes back. */
-  readonly now: () => number;
+  readonly clock: Clock;
+  /** Numbers from 0 to 1. */
   readonly random: () => number;
   readonly examiner: Examiner;
   /** Calls back when an endpoint is lost; returns a function that stops this. */
   readonly onLost: (callback: (endpoint: string) => void) => () => void;
+  /** Milliseconds since the load of other nodes was last heard. */
+  readonly readLoadAge: () => number;
+  /** Living nodes of the same availability zone whose load is not known. */
+  readonly countUnheardNodes: () => number;
 }
 
 /** One request that was admitted. */
 export interface RelayedRequest {
   readonly caller: CallerRequest;
-  readonly method: string;
-  readonly url: string;
-  readonly rawHeaders: RawHeaders;
-  readonly body: Buffer | undefined;
+  readonly forwarded: ForwardedRequest;
   readonly route: SiteRoute;
   readonly service: SiteService;
   readonly account: string | undefined;
@@ -40,7 +47,6 @@
   readonly arrivedAt: number;
   /** When the caller has to have its final answer, in milliseconds. */
   readonly finalAt: number;
-  readonly response: ServerResponse;
-  /** Calls back when the caller has gone. */
-  readonly onGone: (callback: () => void) => void;
+  readonly response: CallerResponse;
+  readonly log: RequestLog;
 }
--- a/src/process/relay/watchSilence/index.ts
+++ b/src/process/relay/watchSilence/index.ts
@@ -2,14 +2,17 @@
  * Watch on the silence of one run.
  */
 
+import type { Clock } from '../../../types/clock/index.js';
+
 /** Options of {@link createSilenceWatch}. */
 export interface CreateSilenceWatchOptions {
-  readonly now: () => number;
+  readonly clock: Clock;
   /** Silence after which `onSilence` is called, first and then at doubled times. */
   readonly getLimit: () => number;
   /** Silence after which the run is given up, in milliseconds. */
   readonly getGiveUp: () => number;
-  readonly onSilence: () => void;
+  /** Called with the number of the silence's round, from 1. */
+  readonly onSilence: (round: number) => void;
   readonly onGiveUp: () => void;
 }
 
@@ -32,36 +35,36 @@
  * watch.note();
  */
 export function createSilenceWatch(options: CreateSilenceWatchOptions): SilenceWatch {
-  const { now, getLimit, getGiveUp, onSilence, onGiveUp } = options;
+  const { clock, getLimit, getGiveUp, onSilence, onGiveUp } = options;
   let heardAt = 0;
   let asked = 0;
-  let timer: NodeJS.Timeout | undefined;
+  let cancelTimer: (() => void) | undefined;
   const getDue = (): number => Math.min(getLimit() * 2 ** asked, getGiveUp());
   const arm = (): void => {
-    const pause = heardAt + getDue() - now();
-    timer = setTimeout(onDue, Math.max(LEAST_PAUSE_MILLISECONDS, pause));
+    const pause = heardAt + getDue() - clock.now();
+    cancelTimer = clock.schedule(Math.max(LEAST_PAUSE_MILLISECONDS, pause), onDue);
   };
   const onDue = (): void => {
-    const silence = now() - heardAt;
+    const silence = clock.now() - heardAt;
     if (silence >= getGiveUp()) {
-      timer = undefined;
+      cancelTimer = undefined;
       onGiveUp();
       return;
     }
     const isDue = silence >= getDue();
     if (isDue) asked += 1;
     arm();
-    if (isDue) onSilence();
+    if (isDue) onSilence(asked);
   };
   return {
     note: () => {
-      heardAt = now();
+      heardAt = clock.now();
       asked = 0;
-      if (timer === undefined) arm();
+      if (!cancelTimer) arm();
     },
     stop: () => {
-      clearTimeout(timer);
-      timer = undefined;
+      cancelTimer?.();
+      cancelTimer = undefined;
       heardAt = 0;
     },
   };
--- a/src/process/site/createPeers/index.ts
+++ b/src/process/site/createPeers/index.ts
@@ -27,6 +27,8 @@
   loads: z.array(z.tuple([z.string(), z.number(), z.number()])),
   /** Endpoints that the sender believes to be lost, and for how many milliseconds more. */
   lost: z.array(z.tuple([z.string(), z.number()])),
+  /** Endpoints that the sender saw leave the registry lately, while the store answered it. */
+  gone: z.array(z.string()).default([]),
   /** Layers that orders brought lately: endpoint, its birth, its accepted orders, from, to. */
   layers: z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()])),
   /** Slow endpoints and their factor. */
--- a/src/process/site/createPeers/test.ts
+++ b/src/process/site/createPeers/test.ts
@@ -21,6 +21,7 @@
     isReachable: true,
     loads: [],
     lost: [],
+    gone: [],
     layers: [],
     paces: [],
     ...changes,
--- a/src/process/site/createSiteLogger/index.ts
+++ b/src/process/site/createSiteLogger/index.ts
@@ -2,16 +2,16 @@
  * Logs of a node on standard output: JSON lines, bounded in number.
  */
 import winston from 'winston';
-
-/** Severity of a line. */
-export type LogLevel = 'info' | 'warn' | 'error';
-
-/** Fields of a line. */
-export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+import { LOG_EVENTS, type LogEventName, type LogFields } from '../logEvents/index.js';
 
 /** A logger that leaves lines out when there are too many. */
 export interface SiteLogger {
-  readonly log: (level: LogLevel, event: string, fields?: LogFields) => void;
+  /** Writes one event; `at` is when it happened, on the logger's clock, if not just now. */
+  readonly log: <Name extends LogEventName>(
+    event: Name,
+    fields: LogFields<Name>,
+    at?: number,
+  ) => void;
   /** Lines that were left out since the start. */
   readonly countLeftOut: () => number;
 }
@@ -29,16 +29,19 @@
 
 const DEFAULT_LINES_PER_SECOND = 50;
 const BURST_SECONDS = 4;
+/** Share of the allowance that is kept for warnings and errors. */
+const KEPT_SHARE = 0.25;
 
 /**
  * Creates a logger.
  *
- * Lines beyond the rate are counted and left out; the next line that is written carries the count.
+ * Lines beyond the rate are counted and left out, those that only inform before warnings; the next
+ * line that is written carries the count.
  *
  * @param options - identity of the node, clock and rate
  * @returns the logger
  * @example
- * createSiteLogger({ node: 'n', availabilityZone: 'z', now }).log('info', 'started');
+ * createSiteLogger({ node: 'n', availabilityZone: 'z', now }).log('leaving', { open: 0 });
  */
 export function createSiteLogger(options: CreateSiteLoggerOptions): SiteLogger {
   const { node, availabilityZone, now, stream = process.stdout } = options;
@@ -55,19 +58,28 @@
   let refilledAt = now();
   let leftOut = 0;
   let reported = 0;
+  const formatTime = (at: number): string => new Date(Date.now() - (now() - at)).toISOString();
   return {
-    log: (level, event, fields = {}) => {
-      const at = now();
-      allowance = Math.min(most, allowance + ((at - refilledAt) * linesPerSecond) / 1_000);
-      refilledAt = at;
-      if (allowance < 1) {
+    log: (event, fields, at) => {
+      const time = now();
+      allowance = Math.min(most, allowance + ((time - refilledAt) * linesPerSecond) / 1_000);
+      refilledAt = time;
+      const { level } = LOG_EVENTS[event];
+      const kept = level === 'info' ? most * KEPT_SHARE : 0;
+      if (allowance < 1 + kept) {
         leftOut += 1;
         return;
       }
       allowance -= 1;
       const missing = leftOut - reported;
       reported = leftOut;
-      logger.log({ level, message: event, ...fields, ...(missing > 0 && { leftOut: missing }) });
+      logger.log({
+        level,
+        message: event,
+        ...(at !== undefined && { timestamp: formatTime(at) }),
+        ...fields,
+        ...(missing > 0 && { leftOut: missing }),
+      });
     },
     countLeftOut: () => leftOut,
   };
--- /dev/null
+++ b/src/process/site/createSiteNode/index.ts
@@ -0,0 +1,215 @@
+/**
+ * A node of a site without its sockets: what it knows, decides and does, over ports.
+ */
+import { createSpendingBudget } from '../../../request/createSpendingBudget/index.js';
+import type { Clock } from '../../../types/clock/index.js';
+import type { EndpointPort } from '../../../types/relay/index.js';
+import type { NodeRecord } from '../../../types/site/index.js';
+import type { Store } from '../../../types/store/index.js';
+import { createRandom } from '../../createRandom/index.js';
+import { hashText } from '../../hashRendezvous/index.js';
+import { parseJson } from '../../parseJson/index.js';
+import { createExaminer } from '../../relay/createExaminer/index.js';
+import { createRelay, type Relay } from '../../relay/createRelay/index.js';
+import { createRelayMetrics, type RelayMetrics } from '../../relay/createRelayMetrics/index.js';
+import type { RelayContext } from '../../relay/types/index.js';
+import type { SiteLogger } from '../createSiteLogger/index.js';
+import {
+  createSiteState,
+  type CreateSiteStateOptions,
+  type SiteDecoders,
+  type SiteState,
+} from '../createSiteState/index.js';
+import { createExchange, type Exchange, type PeerPort } from '../exchangeNews/index.js';
+import { createStoreFollower, type StoreFollower } from '../followStore/index.js';
+import { createRegistration, type Registration } from '../registerNode/index.js';
+import { createPlanner, type Planner } from '../runPlanner/index.js';
+
+/** Keys of the store that the node reads. */
+export interface SiteKeys {
+  readonly configuration: string;
+  readonly endpointPrefix: string;
+}
+
+/** Retries that all nodes may make together. */
+export interface RetryBounds {
+  /** Repeats allowed for each request. */
+  readonly ratio: number;
+  /** Repeats beyond the ratio. */
+  readonly slack: number;
+  readonly windowMilliseconds: number;
+}
+
+/** Options of {@link createSiteNode}. */
+export interface CreateSiteNodeOptions {
+  readonly self: NodeRecord;
+  /** Addresses of nodes to begin with, if any. */
+  readonly seeds: readonly string[];
+  readonly clock: Clock;
+  readonly store: Store;
+  readonly endpointPort: EndpointPort;
+  readonly peerPort: PeerPort;
+  readonly logger: SiteLogger;
+  readonly decoders: SiteDecoders;
+  readonly keys: SiteKeys;
+  readonly retries: RetryBounds;
+  readonly onConfiguration: CreateSiteStateOptions['onConfiguration'];
+  /** When the node began to leave, if it did. */
+  readonly getLeavingSince: () => number | undefined;
+}
+
+/** One repeated step; resolves to the pause before the next one, in milliseconds. */
+export type LoopStep = () => Promise<number>;
+
+/** A node without its sockets. */
+export interface SiteCore {
+  readonly random: () => number;
+  readonly metrics: RelayMetrics;
+  readonly state: SiteState;
+  readonly relay: Relay;
+  readonly exchange: Exchange;
+  readonly follower: StoreFollower;
+  readonly planner: Planner;
+  readonly registration: Registration;
+  /** What has to be repeated as long as the node runs, by name. */
+  readonly loops: Readonly<Record<string, LoopStep>>;
+}
+
+const NODE_KEY_PREFIX = 'nodes/';
+
+/** Those who want to know of each endpoint that is lost. */
+function createLostListeners() {
+  const callbacks = new Set<(endpoint: string) => void>();
+  return {
+    tell: (endpoint: string): void => {
+      for (const callback of [...callbacks]) callback(endpoint);
+    },
+    add: (callback: (endpoint: string) => void): (() => void) => {
+      callbacks.add(callback);
+      return () => callbacks.delete(callback);
+    },
+  };
+}
+
+/**
+ * Creates a node.
+ *
+ * Nothing runs yet: its loops have to be repeated, and requests and messages handed in.
+ *
+ * @param options - identity, ports and bounds
+ * @returns the node
+ * @example
+ * createSiteNode(options).relay.admit(head);
+ */
+export function createSiteNode(options: CreateSiteNodeOptions): SiteCore {
+  const { self, clock, store, endpointPort, logger, decoders, keys, retries } = options;
+  const { now } = clock;
+  const random = createRandom(hashText(`${self.name}/${self.incarnation}`));
+  const metrics = createRelayMetrics();
+  const { onConfiguration } = options;
+  const state = createSiteState({ decoders, logger, now, parse: parseJson, onConfiguration });
+  const lostListeners = createLostListeners();
+  const examiner = createExaminer({
+    endpoints: state.endpoints,
+    endpointPort,
+    logger,
+    now,
+    onLost: (id) => {
+      lostListeners.tell(id);
+      // Others learn of it at once.
+      void exchange.step();
+    },
+  });
+  const exchange: Exchange = createExchange({
+    self,
+    seeds: options.seeds,
+    state,
+    examiner,
+    logger,
+    peerPort: options.peerPort,
+    now,
+    random,
+    getFollower: () => follower,
+    getPlanner: () => planner,
+    onGone: (id) => {
+      follower.confirmRemoval(`${keys.endpointPrefix}${id}`);
+    },
+  });
+  const takeItem = (key: string, text: string | undefined): void => {
+    if (key.startsWith(keys.endpointPrefix)) {
+      const id = key.slice(keys.endpointPrefix.length);
+      if (text === undefined && follower.isSteady()) exchange.noteGone(id);
+      state.offerEndpoint(id, text, 'store');
+    } else if (text === undefined) {
+      return;
+    } else if (key === keys.configuration) {
+      state.offerConfiguration(text, 'store');
+    } else if (key.startsWith(NODE_KEY_PREFIX)) {
+      exchange.peers.introduceValue(parseJson(text));
+    }
+  };
+  const follower: StoreFollower = createStoreFollower({
+    store,
+    logger,
+    now,
+    onItem: (key, value) => {
+      takeItem(key, value?.toString('utf8'));
+    },
+  });
+  const listAlive = (): string[] =>
+    exchange.peers
+      .listAlive()
+      .filter(({ isLeaving }) => !isLeaving)
+      .map(({ name }) => name);
+  const planner: Planner = createPlanner({
+    self: self.name,
+    state,
+    endpointPort,
+    logger,
+    now,
+    listAlive,
+    examiner,
+  });
+  const registration = createRegistration({
+    store,
+    key: `${NODE_KEY_PREFIX}${self.name}`,
+    getValue: () => JSON.stringify(self),
+  });
+  const budget = createSpendingBudget({
+    ...retries,
+    // A node that is cut off must not take the others' parts of the budget.
+    countNodes: exchange.peers.countKnown,
+  });
+  const context: RelayContext = {
+    availabilityZone: self.availabilityZone,
+    endpoints: state.endpoints,
+    endpointPort,
+    budget,
+    logger,
+    metrics,
+    examiner,
+    clock,
+    random,
+    onLost: lostListeners.add,
+    readLoadAge: exchange.readLoadAge,
+    countUnheardNodes: exchange.countUnheardNodes,
+  };
+  const { getCompiled } = state;
+  const { getLeavingSince } = options;
+  return {
+    random,
+    metrics,
+    state,
+    relay: createRelay({ context, getCompiled, getLeavingSince }),
+    exchange,
+    follower,
+    planner,
+    registration,
+    loops: {
+      store: follower.step,
+      registration: registration.step,
+      news: exchange.step,
+      planner: planner.step,
+    },
+  };
+}
--- a/src/process/site/createSiteServers/index.ts
+++ b/src/process/site/createSiteServers/index.ts
@@ -1,10 +1,13 @@
 /**
  * HTTP listeners of a node.
  */
-import { createServer, type RequestListener, type Server } from 'node:http';
+import { createServer, STATUS_CODES, type RequestListener, type Server } from 'node:http';
+import type { Duplex } from 'node:stream';
+import { formatError } from '../../../request/answerError/index.js';
 import type { CallerLimits } from '../../../types/site/index.js';
 import type { LifeCycle } from '../../createLifeCycle/index.js';
 import { parseJson } from '../../parseJson/index.js';
+import { RESULT_CODES, type ResultCodeName } from '../../resultCodes/index.js';
 
 /** One listener. */
 export interface SiteListener {
@@ -16,9 +19,35 @@
 /** Header block that a listener reads at most, in bytes; the configuration's limit is below it. */
 const MOST_HEADER_BYTES = 32_768;
 const MOST_MESSAGE_BYTES = 8_388_608;
+/** Connections of callers at most; each may need a second descriptor towards an endpoint. */
+const MOST_CALLER_CONNECTIONS = 1_800;
 /** How much longer than the configuration says a connection is kept, in milliseconds. */
 const IDLE_SLACK_MILLISECONDS = 2_000;
 
+/** Result codes of what cannot be read, by the code of the runtime's error. */
+const UNREADABLE_CODES: Readonly<Record<string, ResultCodeName>> = {
+  HPE_HEADER_OVERFLOW: 'headersTooLarge',
+  ERR_HTTP_REQUEST_TIMEOUT: 'bodyTimeout',
+};
+
+/** Answers bytes that are no request, and closes their connection. */
+function answerUnreadable(error: NodeJS.ErrnoException, socket: Duplex): void {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const name = UNREADABLE_CODES[error.code ?? ''] ?? 'malformedRequest';
+  const { httpStatus } = RESULT_CODES[name];
+  const body = formatError(name, undefined);
+  const head = [
+    `HTTP/1.1 ${httpStatus} ${STATUS_CODES[httpStatus] ?? ''}`,
+    'Content-Type: application/json',
+    `Content-Length: ${Buffer.byteLength(body)}`,
+    'Connection: close',
+  ];
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+}
+
 /**
  * Creates the server that takes callers' requests.
  *
@@ -28,7 +57,10 @@
  * createCallerServer(relay.handle);
  */
 export function createCallerServer(handle: RequestListener): Server {
-  return createServer({ maxHeaderSize: MOST_HEADER_BYTES, noDelay: true }, handle);
+  const server = createServer({ maxHeaderSize: MOST_HEADER_BYTES, noDelay: true }, handle);
+  server.maxConnections = MOST_CALLER_CONNECTIONS;
+  server.on('clientError', answerUnreadable);
+  return server;
 }
 
 /**
--- a/src/process/site/createSiteState/index.ts
+++ b/src/process/site/createSiteState/index.ts
@@ -65,13 +65,13 @@
       if (text === configurationText) return false;
       const configuration = decoders.decodeConfiguration(parse(text));
       if (!configuration) {
-        logger.log('warn', 'configuration-unreadable', { source, bytes: text.length });
+        logger.log('configuration-unreadable', { source, bytes: text.length });
         return false;
       }
       if (compiled && configuration.version <= getVersion()) return false;
       compiled = compileSite(configuration);
       configurationText = text;
-      logger.log('info', 'configuration-applied', {
+      logger.log('configuration-applied', {
         source,
         version: configuration.version,
         routes: configuration.routes.length,
@@ -83,17 +83,17 @@
       if (text === undefined) {
         entries.delete(id);
         if (endpoints.update(id, undefined, now()))
-          logger.log('info', 'endpoint-gone', { endpoint: id, source });
+          logger.log('endpoint-gone', { endpoint: id, source });
         return;
       }
       if (entries.get(id) === text) return;
       entries.set(id, text);
       const record = decoders.decodeEndpoint(id, parse(text));
-      if (!record) logger.log('warn', 'endpoint-unreadable', { endpoint: id, source });
+      if (!record) logger.log('endpoint-unreadable', { endpoint: id, source });
       const before = endpoints.find(id)?.record;
       const isNew = endpoints.update(id, record, now());
       if (!record || (!isNew && before?.isDraining === record.isDraining)) return;
-      logger.log('info', record.isDraining ? 'endpoint-draining' : 'endpoint-ready', {
+      logger.log(record.isDraining ? 'endpoint-draining' : 'endpoint-ready', {
         endpoint: id,
         source,
         address: record.address,
--- a/src/process/site/exchangeNews/index.ts
+++ b/src/process/site/exchangeNews/index.ts
@@ -1,11 +1,8 @@
 /**
  * Exchange of news with other nodes: what this node tells, and what it takes from what it is told.
  */
-import { Agent } from 'node:http';
 import type { NodeRecord } from '../../../types/site/index.js';
-import type { LifeCycle } from '../../createLifeCycle/index.js';
 import type { Examiner } from '../../relay/createExaminer/index.js';
-import { callJson } from '../../runtime/callJson/index.js';
 import { createPeers, type OwnNews, type Peers, type PeerNews } from '../createPeers/index.js';
 import type { SiteLogger } from '../createSiteLogger/index.js';
 import type { SiteState } from '../createSiteState/index.js';
@@ -13,6 +10,12 @@
 import type { Planner } from '../runPlanner/index.js';
 import { sumLoads, type NodeLoad } from '../sumLoads/index.js';
 
+/** Port to other nodes. */
+export interface PeerPort {
+  /** Sends a message; resolves to the answer, or undefined when there is none. */
+  readonly tell: (address: string, message: PeerNews) => Promise<unknown>;
+}
+
 /** Options of {@link createExchange}. */
 export interface CreateExchangeOptions {
   readonly self: NodeRecord;
@@ -21,10 +24,12 @@
   readonly state: SiteState;
   readonly examiner: Examiner;
   readonly logger: SiteLogger;
-  readonly lifeCycle: LifeCycle;
+  readonly peerPort: PeerPort;
   readonly now: () => number;
   readonly random: () => number;
   readonly getFollower: () => Pick<StoreFollower, 'getRevision' | 'isReachable'>;
+  /** Called for an endpoint that a peer saw leave the registry. */
+  readonly onGone: (endpoint: string) => void;
   readonly getPlanner: () => Pick<Planner, 'listNews' | 'listPaces'>;
 }
 
@@ -33,10 +38,17 @@
   readonly peers: Peers;
   /** One round; resolves to the pause before the next one, in milliseconds. */
   readonly step: () => Promise<number>;
+  /** Tells others that an endpoint left the registry, while the store answered this node. */
+  readonly noteGone: (endpoint: string) => void;
+  /** Milliseconds since the load of another node was last heard. */
+  readonly readLoadAge: () => number;
+  /** Living other nodes of the own availability zone, as long as none of them told its load. */
+  readonly countUnheardNodes: () => number;
 }
 
 const ROUND_MILLISECONDS = 300;
-const TIMEOUT_MILLISECONDS = 600;
+/** How long a node tells others of an endpoint that left, in milliseconds. */
+const GONE_MILLISECONDS = 3_000;
 /** How long a node's load is believed after it told of it, in milliseconds. */
 const LOAD_MILLISECONDS = 2_500;
 
@@ -52,9 +64,16 @@
   const { self, state, examiner, logger, now, random, getFollower, getPlanner } = options;
   const { endpoints } = state;
   const loadsByNode = new Map<string, { at: number; loads: PeerNews['loads'] }>();
+  const goneAt = new Map<string, number>();
+  let loadHeardAt = now();
+  let unheardNodes = 0;
   /** Store revision of the registry that peers told, while this node cannot reach the store. */
   let toldRevision = 0;
 
+  const listGone = (): string[] => {
+    for (const [id, at] of goneAt) if (now() - at > GONE_MILLISECONDS) goneAt.delete(id);
+    return [...goneAt.keys()];
+  };
   const createNews = (): OwnNews => {
     const follower = getFollower();
     const planner = getPlanner();
@@ -69,6 +88,7 @@
       lost: list
         .filter(({ lostUntil }) => lostUntil > now())
         .map(({ record, lostUntil }) => [record.id, Math.round(lostUntil - now())]),
+      gone: listGone(),
       layers: planner.listNews(),
       paces: planner.listPaces(),
     };
@@ -96,6 +116,8 @@
     if (news.configuration !== undefined) state.offerConfiguration(news.configuration, 'peer');
     takeEntries(news);
     loadsByNode.set(news.from, { at: now(), loads: news.loads });
+    loadHeardAt = now();
+    for (const id of news.gone) options.onGone(id);
     for (const [id] of news.lost) {
       const endpoint = endpoints.find(id);
       // The sender may be the one that is cut off, so its word is checked.
@@ -117,7 +139,7 @@
     getEntries: state.listEntries,
     onNews: takeNews,
     onChange: (event, node) => {
-      logger.log('info', event, { peer: node.name, incarnation: node.incarnation });
+      logger.log(event, { peer: node.name, incarnation: node.incarnation });
     },
   });
 
@@ -133,6 +155,10 @@
     }
     const countNodes = (zone: string): number =>
       alive.filter(({ availabilityZone }) => availabilityZone === zone).length;
+    const isHeard = heard.some(
+      ({ availabilityZone }) => availabilityZone === self.availabilityZone,
+    );
+    unheardNodes = isHeard ? 0 : countNodes(self.availabilityZone);
     const sums = sumLoads(heard, countNodes);
     for (const endpoint of endpoints.list()) {
       const sum = sums.get(endpoint.record.id);
@@ -141,18 +167,9 @@
     }
   };
 
-  const agent = new Agent({ keepAlive: true });
-  options.lifeCycle.own({
-    name: 'peer connections',
-    close: () => {
-      agent.destroy();
-    },
-  });
   const tell = async (address: string, body: PeerNews): Promise<void> => {
-    const timeoutMilliseconds = TIMEOUT_MILLISECONDS;
-    const call = { address, method: 'POST', path: '/news', body, agent, timeoutMilliseconds };
-    const result = await callJson(call);
-    if (result.kind === 'answered') peers.takeAnswer(result.value);
+    const answer = await options.peerPort.tell(address, body);
+    if (answer !== undefined) peers.takeAnswer(answer);
   };
   return {
     peers,
@@ -165,5 +182,10 @@
       await Promise.all(addresses.map((address) => tell(address, body)));
       return ROUND_MILLISECONDS;
     },
+    noteGone: (endpoint) => {
+      goneAt.set(endpoint, now());
+    },
+    readLoadAge: () => now() - loadHeardAt,
+    countUnheardNodes: () => unheardNodes,
   };
 }
--- a/src/process/site/followStore/index.ts
+++ b/src/process/site/followStore/index.ts
@@ -10,8 +10,12 @@
   readonly step: () => Promise<number>;
   /** Whether the last call was answered. */
   readonly isReachable: () => boolean;
+  /** Whether the store has answered for so long that what is missing there is gone. */
+  readonly isSteady: () => boolean;
   /** Revision up to which changes have been seen. */
   readonly getRevision: () => number;
+  /** Removes an item at once that is missing but was kept for a time after an outage. */
+  readonly confirmRemoval: (key: string) => void;
 }
 
 /** Options of {@link createStoreFollower}. */
@@ -78,13 +82,13 @@
     if (isReachable) return;
     isReachable = true;
     returnedAt = now();
-    logger.log('info', 'store-reached', { revision: revision ?? 0 });
+    logger.log('store-reached', { revision: revision ?? 0 });
   };
   const noteFailure = (reason: string): number => {
     if (isReachable) {
       isReachable = false;
       hadOutage = true;
-      logger.log('warn', 'store-lost', { reason, revision: revision ?? 0 });
+      logger.log('store-lost', { reason, revision: revision ?? 0 });
     }
     return RETRY_MILLISECONDS;
   };
@@ -104,7 +108,7 @@
     const waitMilliseconds = Math.max(1, Math.ceil(nextRemoval - now()));
     const result = await store.watch({ prefix: '', after, waitMilliseconds });
     if (result.kind === 'rejected') {
-      logger.log('warn', 'store-history-gone', { revision: after });
+      logger.log('store-history-gone', { revision: after });
       revision = undefined;
       return 0;
     }
@@ -122,6 +126,10 @@
       return pause;
     },
     isReachable: () => isReachable,
+    isSteady: () => isReachable && now() - returnedAt > RETURN_GRACE_MILLISECONDS,
     getRevision: () => revision ?? 0,
+    confirmRemoval: (key) => {
+      if (removals.has(key)) remove(key);
+    },
   };
 }
--- a/src/process/site/followStore/test.ts
+++ b/src/process/site/followStore/test.ts
@@ -104,3 +104,20 @@
   assert.ok((await follower.step()) > 0);
   assert.deepEqual([...held.keys()], ['a']);
 });
+
+test('a removal kept after an outage counts at once when a peer saw it, and no other one does', async () => {
+  const { clock, answers, held, follower } = createCase();
+  answers.range.push(snapshot(5, { a: '1', b: '1' }));
+  await follower.step();
+  assert.equal(follower.isSteady(), false);
+  await follower.step();
+  clock.time += 5_000;
+  answers.watch.push(snapshot(9, { a: undefined }));
+  await follower.step();
+  follower.confirmRemoval('b');
+  assert.deepEqual([...held.keys()], ['a', 'b']);
+  follower.confirmRemoval('a');
+  assert.deepEqual([...held.keys()], ['b']);
+  clock.time += 3_000;
+  assert.equal(follower.isSteady(), true);
+});
--- a/src/process/site/runPlanner/index.ts
+++ b/src/process/site/runPlanner/index.ts
@@ -6,7 +6,7 @@
  * endpoint has accepted no other order since the order's plan was made.
  */
 import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
-import type { OrderOutcome, Wire } from '../../../types/relay/index.js';
+import type { EndpointControl, OrderOutcome } from '../../../types/relay/index.js';
 import type { EndpointReport, LayeredModel, LayerRange } from '../../../types/site/index.js';
 import { planPlacement, type PlacedEndpoint } from '../../../version/planPlacement/index.js';
 import { findOwner } from '../../hashRendezvous/index.js';
@@ -18,7 +18,7 @@
 export interface CreatePlannerOptions {
   readonly self: string;
   readonly state: SiteState;
-  readonly wire: Wire;
+  readonly endpointPort: Pick<EndpointControl, 'sendOrder'>;
   readonly logger: SiteLogger;
   readonly now: () => number;
   readonly listAlive: () => readonly string[];
@@ -54,6 +54,8 @@
 const NEWS_MILLISECONDS = 5_000;
 const LOST_MILLISECONDS = 3_000;
 const FAILED_QUESTIONS_BEFORE_LOST = 2;
+/** Share of the known endpoints that have to answer before a node plans. */
+const LEAST_LIVING_SHARE = 0.5;
 
 function isSameRange(left: LayerRange | undefined, right: LayerRange | undefined): boolean {
   return left?.from === right?.from && left?.to === right?.to;
@@ -68,12 +70,14 @@
  * createPlanner(options).step();
  */
 export function createPlanner(options: CreatePlannerOptions): Planner {
-  const { self, state, wire, logger, now, listAlive, examiner } = options;
+  const { self, state, endpointPort, logger, now, listAlive, examiner } = options;
   const orders = new Map<string, Order>();
   const news = new Map<string, number>();
   const slowAt = new Map<string, number>();
   const askedAt = new Map<string, number>();
   const failedQuestions = new Map<string, number>();
+  /** Services that are not planned since too few of their endpoints answer. */
+  const waiting = new Set<string>();
   let isPlanner = false;
   let seenIds = '';
   let settledAt = Number.POSITIVE_INFINITY;
@@ -81,18 +85,15 @@
 
   const takeReport = (endpoint: Endpoint, report: EndpointReport): void => {
     const { record } = endpoint;
-    const isNews = !isSameRange(endpoint.layers, report.layers);
-    examiner.takeReport(endpoint, report);
-    if (isNews) news.set(record.id, now());
     if (endpoint.pace > 1) slowAt.set(record.id, now());
     const order = orders.get(record.id);
     if (!order || report.isBusy) return;
     if (isSameRange(order.range, report.layers)) {
-      logger.log('info', 'order-done', {
+      logger.log('order-done', {
         endpoint: record.id,
         from: order.range.from,
         to: order.range.to,
-        milliseconds: Math.round(now() - order.sentAt),
+        loadMilliseconds: Math.round(now() - order.sentAt),
       });
     }
     orders.delete(record.id);
@@ -101,11 +102,12 @@
   const ask = async (endpoint: Endpoint): Promise<void> => {
     const { id } = endpoint.record;
     askedAt.set(id, now());
-    const report = await wire.askReport(endpoint.record.address);
+    const before = endpoint.layers;
+    const report = await examiner.question(endpoint);
     if (state.endpoints.find(id) !== endpoint) return;
     if (report) {
       failedQuestions.delete(id);
-      state.endpoints.markFound(endpoint);
+      if (!isSameRange(before, report.layers)) news.set(id, now());
       takeReport(endpoint, report);
       return;
     }
@@ -130,13 +132,13 @@
   const send = async (endpoint: Endpoint, range: LayerRange): Promise<void> => {
     const { record } = endpoint;
     orders.set(record.id, { range, bornAt: record.bornAt, sentAt: now() });
-    const outcome: OrderOutcome = await wire.sendOrder({
+    const outcome: OrderOutcome = await endpointPort.sendOrder({
       endpoint: record.id,
       address: record.address,
       range,
       acceptedOrders: endpoint.acceptedOrders ?? 0,
     });
-    logger.log('info', 'order-sent', {
+    logger.log('order-sent', {
       endpoint: record.id,
       from: range.from,
       to: range.to,
@@ -187,6 +189,16 @@
     ];
   };
 
+  /** A node that reaches few endpoints is more likely cut off than the only one that lives. */
+  const seemsCutOff = (service: string, living: number, known: number): boolean => {
+    const isCutOff = living < known * LEAST_LIVING_SHARE;
+    if (isCutOff && !waiting.has(service)) {
+      waiting.add(service);
+      logger.log('planner-waits', { service, living, known });
+    } else if (!isCutOff) waiting.delete(service);
+    return isCutOff;
+  };
+
   const planService = async (service: string, model: LayeredModel): Promise<void> => {
     const endpoints = state.endpoints
       .list()
@@ -194,6 +206,7 @@
     if (!hasSettled(endpoints)) return;
     await survey(endpoints);
     const living = endpoints.filter((endpoint) => endpoint.lostUntil <= now());
+    if (seemsCutOff(service, living.length, endpoints.length)) return;
     const placement = planPlacement(
       model,
       living.flatMap((endpoint) => describe(endpoint, model)),
@@ -207,12 +220,13 @@
 
   return {
     step: async () => {
-      const owns = findOwner('planner', listAlive()) === self;
+      const alive = listAlive();
+      const owns = findOwner('planner', alive) === self;
       if (owns !== isPlanner) {
         isPlanner = owns;
         orders.clear();
         failedQuestions.clear();
-        logger.log('info', owns ? 'planner-begins' : 'planner-ends');
+        logger.log(owns ? 'planner-begins' : 'planner-ends', { nodes: alive.length });
       }
       if (!owns) return IDLE_ROUND_MILLISECONDS;
       dropStaleOrders();
--- a/src/process/site/runPlanner/test.ts
+++ b/src/process/site/runPlanner/test.ts
@@ -6,7 +6,7 @@
   FAST,
   MODEL,
 } from '../../../../tests/support/site/index.js';
-import type { OrderOutcome, PlaceOrder, Wire } from '../../../types/relay/index.js';
+import type { EndpointControl, OrderOutcome, PlaceOrder } from '../../../types/relay/index.js';
 import type { LayerRange } from '../../../types/site/index.js';
 import { createExaminer } from '../../relay/createExaminer/index.js';
 import { createSiteState } from '../createSiteState/index.js';
@@ -39,7 +39,7 @@
     engine.layers = order.range;
     return 'begun';
   };
-  const wire: Pick<Wire, 'askReport' | 'sendOrder'> = {
+  const endpointPort: Pick<EndpointControl, 'askReport' | 'sendOrder'> = {
     askReport: (address) => {
       const engine = engines.get(address);
       if (!engine || engine.isDown) return Promise.resolve(undefined);
@@ -80,10 +80,9 @@
     state.offerConfiguration('any', 'store');
     for (const id of engines.keys()) state.offerEndpoint(id, id, 'store');
     const { endpoints } = state;
-    const port = wire as Wire;
     const examiner = createExaminer({
       endpoints,
-      wire,
+      endpointPort,
       logger: LOGGER,
       now,
       onLost: () => undefined,
@@ -91,7 +90,7 @@
     return createPlanner({
       self: name,
       state,
-      wire: port,
+      endpointPort,
       logger: LOGGER,
       now,
       listAlive,
@@ -177,3 +176,17 @@
   const orders = sent.length;
   assert.equal(orders, 5);
 });
+
+test('a node that most endpoints do not answer orders nothing, until they are gone or back', async () => {
+  const { engines, sent, startNode, run } = createCase(6);
+  const planner = startNode('a', () => ['a']);
+  await run([planner], 20);
+  const ordered = sent.length;
+  const cut = [...engines.values()].slice(0, 4);
+  for (const engine of cut) engine.isDown = true;
+  await run([planner], 40);
+  assert.equal(sent.length, ordered);
+  for (const engine of cut) engine.isDown = false;
+  await run([planner], 40);
+  assert.equal(sent.length, ordered, 'all still hold their layers');
+});
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -1,37 +1,30 @@
 /**
- * A node of a site: listeners, loops and the state between them.
+ * A node of a site with its sockets: listeners, loops and its leaving.
  */
-import { createServer, type RequestListener } from 'node:http';
-import { createSpendingBudget } from '../../../request/createSpendingBudget/index.js';
+import { createServer, type RequestListener, type Server } from 'node:http';
 import type { Wire } from '../../../types/relay/index.js';
 import type { NodeRecord } from '../../../types/site/index.js';
 import type { Store } from '../../../types/store/index.js';
-import { createLifeCycle, type LifeCycle } from '../../createLifeCycle/index.js';
-import { createRandom } from '../../createRandom/index.js';
-import { hashText } from '../../hashRendezvous/index.js';
-import { parseJson } from '../../parseJson/index.js';
-import { createExaminer, type Examiner } from '../../relay/createExaminer/index.js';
-import { createRelay, type Leaving, type Relay } from '../../relay/createRelay/index.js';
-import { createRelayMetrics, type RelayMetrics } from '../../relay/createRelayMetrics/index.js';
+import { createLifeCycle } from '../../createLifeCycle/index.js';
+import { createCallerHandler } from '../../relay/createCallerHandler/index.js';
+import { createEndpointPort } from '../../relay/createEndpointPort/index.js';
+import { createSystemClock } from '../../runtime/createSystemClock/index.js';
 import { runLoop } from '../../runtime/runLoop/index.js';
-import { createSiteLogger, type SiteLogger } from '../createSiteLogger/index.js';
+import { createPeerPort } from '../createPeerPort/index.js';
+import { createSiteLogger } from '../createSiteLogger/index.js';
+import {
+  createSiteNode,
+  type RetryBounds,
+  type SiteCore,
+  type SiteKeys,
+} from '../createSiteNode/index.js';
 import {
   applyCallerLimits,
   createCallerServer,
   createPeerServer,
   startListeners,
 } from '../createSiteServers/index.js';
-import { createSiteState, type SiteDecoders, type SiteState } from '../createSiteState/index.js';
-import { createExchange, type Exchange } from '../exchangeNews/index.js';
-import { createStoreFollower, type StoreFollower } from '../followStore/index.js';
-import { createRegistration, type Registration } from '../registerNode/index.js';
-import { createPlanner, type Planner } from '../runPlanner/index.js';
-
-/** Keys of the store that the node reads. */
-export interface SiteKeys {
-  readonly configuration: string;
-  readonly endpointPrefix: string;
-}
+import type { SiteDecoders } from '../createSiteState/index.js';
 
 /** What callers ask a node beside their requests, translated from the site's wire. */
 export interface SiteQuestions {
@@ -54,9 +47,7 @@
   readonly keys: SiteKeys;
   readonly questions: SiteQuestions;
   readonly graceMilliseconds: number;
-  readonly retryRatio: number;
-  readonly retrySlack: number;
-  readonly retryWindowMilliseconds: number;
+  readonly retries: RetryBounds;
   /** Where log lines go; standard output by default. */
   readonly logStream?: NodeJS.WritableStream;
 }
@@ -69,170 +60,24 @@
   readonly noteReload: () => void;
 }
 
-const NODE_KEY_PREFIX = 'nodes/';
 /** How long a leaving node serves at least, since callers hold old answers that name it. */
 const LEAVING_SERVE_MILLISECONDS = 3_300;
 /** How long before the platform ends the process a leaving node ends itself, in milliseconds. */
 const LEAVING_MARGIN_MILLISECONDS = 500;
 const LEAVING_CHECK_MILLISECONDS = 50;
 
-/** Parts of a node that know each other. */
-interface Parts {
-  readonly self: NodeRecord;
-  readonly now: () => number;
-  readonly random: () => number;
-  readonly lifeCycle: LifeCycle;
-  readonly logger: SiteLogger;
-  readonly metrics: RelayMetrics;
-  readonly state: SiteState;
-  readonly examiner: Examiner;
-  readonly exchange: Exchange;
-  readonly follower: StoreFollower;
-  readonly planner: Planner;
-  readonly registration: Registration;
-  readonly onLost: (callback: (endpoint: string) => void) => () => void;
-}
-
-function createParts(
-  options: StartSiteNodeOptions,
-  onConfiguration: Parameters<typeof createSiteState>[0]['onConfiguration'],
-): Parts {
-  const { store, wire, decoders, keys } = options;
-  const now = (): number => performance.now();
-  const incarnation = Date.now();
-  const self: NodeRecord = { ...options.node, incarnation, isLeaving: false };
-  const random = createRandom(hashText(`${self.name}/${incarnation}`));
-  const logger = createSiteLogger({
-    node: self.name,
-    availabilityZone: self.availabilityZone,
-    now,
-    stream: options.logStream,
-  });
-  const lifeCycle = createLifeCycle();
-  const state = createSiteState({ decoders, logger, now, parse: parseJson, onConfiguration });
-  const lostCallbacks = new Set<(endpoint: string) => void>();
-  const examiner = createExaminer({
-    endpoints: state.endpoints,
-    wire,
-    logger,
-    now,
-    onLost: (id) => {
-      for (const callback of [...lostCallbacks]) callback(id);
-      // Others learn of it at once.
-      void exchange.step();
-    },
-  });
-  const exchange: Exchange = createExchange({
-    self,
-    seeds: options.seeds,
-    state,
-    examiner,
-    logger,
-    lifeCycle,
-    now,
-    random,
-    getFollower: () => follower,
-    getPlanner: () => planner,
-  });
-  const follower: StoreFollower = createStoreFollower({
-    store,
-    logger,
-    now,
-    onItem: (key, value) => {
-      const text = value?.toString('utf8');
-      if (key.startsWith(keys.endpointPrefix)) {
-        state.offerEndpoint(key.slice(keys.endpointPrefix.length), text, 'store');
-      } else if (text === undefined) {
-        return;
-      } else if (key === keys.configuration) {
-        state.offerConfiguration(text, 'store');
-      } else if (key.startsWith(NODE_KEY_PREFIX)) {
-        exchange.peers.introduceValue(parseJson(text));
-      }
-    },
-  });
-  const listAlive = (): string[] =>
-    exchange.peers
-      .listAlive()
-      .filter(({ isLeaving }) => !isLeaving)
-      .map(({ name }) => name);
-  const planner: Planner = createPlanner({
-    self: self.name,
-    state,
-    wire,
-    logger,
-    now,
-    listAlive,
-    examiner,
-  });
-  const registration = createRegistration({
-    store,
-    key: `${NODE_KEY_PREFIX}${self.name}`,
-    getValue: () => JSON.stringify(self),
-  });
-  lifeCycle.own({ name: 'store connections', close: store.close });
-  return {
-    self,
-    now,
-    random,
-    lifeCycle,
-    logger,
-    metrics: createRelayMetrics(),
-    state,
-    examiner,
-    exchange,
-    follower,
-    planner,
-    registration,
-    onLost: (callback) => {
-      lostCallbacks.add(callback);
-      return () => lostCallbacks.delete(callback);
-    },
-  };
-}
-
-function createNodeRelay(
-  options: StartSiteNodeOptions,
-  parts: Parts,
-  getLeaving: () => Leaving | undefined,
-): Relay {
-  const { self, state, logger, metrics, examiner, now, random, onLost } = parts;
-  const budget = createSpendingBudget({
-    ratio: options.retryRatio,
-    slack: options.retrySlack,
-    windowMilliseconds: options.retryWindowMilliseconds,
-    // A node that is cut off must not take the others' parts of the budget.
-    countNodes: parts.exchange.peers.countKnown,
-  });
-  return createRelay({
-    context: {
-      availabilityZone: self.availabilityZone,
-      endpoints: state.endpoints,
-      wire: options.wire,
-      budget,
-      logger,
-      metrics,
-      examiner,
-      now,
-      random,
-      onLost,
-    },
-    getCompiled: state.getCompiled,
-    getLeaving,
+function createReadinessServer(
+  questions: SiteQuestions,
+  isReady: () => boolean,
+  formatMetrics: () => string,
+): Server {
+  return createServer((incoming, response) => {
+    const isAsked = questions.isReadinessPath(incoming.url ?? '');
+    if (!isAsked && incoming.url === '/metrics') response.end(formatMetrics());
+    else response.writeHead(isAsked ? (isReady() ? 200 : 503) : 404).end();
   });
 }
 
-function startLoops({ lifeCycle, logger, follower, registration, exchange, planner }: Parts): void {
-  const onFailure = (error: unknown): void => {
-    const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
-    logger.log('error', 'loop-failed', { reason });
-  };
-  runLoop({ name: 'store', lifeCycle, step: follower.step, onFailure });
-  runLoop({ name: 'registration', lifeCycle, step: registration.step, onFailure });
-  runLoop({ name: 'news', lifeCycle, step: exchange.step, onFailure });
-  runLoop({ name: 'planner', lifeCycle, step: planner.step, onFailure });
-}
-
 /**
  * Starts a node.
  *
@@ -242,50 +87,80 @@
  * const node = await startSiteNode(options);
  */
 export async function startSiteNode(options: StartSiteNodeOptions): Promise<SiteNode> {
-  const { questions } = options;
-  let leaving: Leaving | undefined;
+  const { questions, store, wire } = options;
+  const clock = createSystemClock();
+  const { now } = clock;
+  const self: NodeRecord = { ...options.node, incarnation: Date.now(), isLeaving: false };
+  const { name: node, availabilityZone } = self;
+  const logger = createSiteLogger({ node, availabilityZone, now, stream: options.logStream });
+  const lifeCycle = createLifeCycle();
+  let leavingSince: number | undefined;
   const callerServer = createCallerServer((incoming, response) => {
-    relay.handle(incoming, response);
+    handler.handle(incoming, response);
   });
-  const parts = createParts(options, ({ configuration }) => {
-    applyCallerLimits(callerServer, configuration.limits);
+  const core: SiteCore = createSiteNode({
+    self,
+    seeds: options.seeds,
+    clock,
+    store,
+    endpointPort: createEndpointPort(wire),
+    peerPort: createPeerPort(lifeCycle),
+    logger,
+    decoders: options.decoders,
+    keys: options.keys,
+    retries: options.retries,
+    onConfiguration: ({ configuration }) => {
+      applyCallerLimits(callerServer, configuration.limits);
+    },
+    getLeavingSince: () => leavingSince,
   });
-  const { self, now, logger, lifeCycle, metrics, state, exchange, registration } = parts;
-  const relay: Relay = createNodeRelay(options, parts, () => leaving);
-  const isReady = (): boolean => state.getCompiled() !== undefined && leaving === undefined;
-  const readinessServer = createServer((incoming, response) => {
-    const isAsked = questions.isReadinessPath(incoming.url ?? '');
-    if (!isAsked && incoming.url === '/metrics') response.end(metrics.format());
-    else response.writeHead(isAsked ? (isReady() ? 200 : 503) : 404).end();
+  const { relay, state, exchange, metrics, registration } = core;
+  const isLeaving = (): boolean => leavingSince !== undefined;
+  const handler = createCallerHandler({
+    relay,
+    translation: wire,
+    logger,
+    metrics,
+    now,
+    isLeaving,
   });
+  const isReady = (): boolean => state.getCompiled() !== undefined && !isLeaving();
+  const readinessServer = createReadinessServer(questions, isReady, metrics.format);
   const directoryServer = createServer((incoming, response) => {
-    questions.answerAddresses(exchange.peers.listAlive(), parts.random)(incoming, response);
+    questions.answerAddresses(exchange.peers.listAlive(), core.random)(incoming, response);
   });
+  lifeCycle.own({ name: 'store connections', close: store.close });
   await startListeners(lifeCycle, [
     { name: 'peers', server: createPeerServer(exchange.peers.receive), address: self.peerAddress },
     { name: 'directory', server: directoryServer, address: options.directoryAddress },
     { name: 'callers', server: callerServer, address: self.callerAddress },
     { name: 'readiness', server: readinessServer, address: options.readinessAddress },
   ]);
-  startLoops(parts);
-  logger.log('info', 'started', { incarnation: self.incarnation, address: self.callerAddress });
+  for (const [name, step] of Object.entries(core.loops)) {
+    const onFailure = (error: unknown): void => {
+      const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+      logger.log('loop-failed', { loop: name, reason });
+    };
+    runLoop({ name, lifeCycle, step, onFailure });
+  }
+  logger.log('started', { incarnation: self.incarnation, address: self.callerAddress });
 
   return {
     noteReload: () => {
-      logger.log('info', 'reloaded', { version: state.getVersion() });
+      logger.log('reloaded', { version: state.getVersion() });
     },
     leave: async () => {
       const startedAt = now();
+      leavingSince = startedAt;
       const endsAt = startedAt + options.graceMilliseconds - LEAVING_MARGIN_MILLISECONDS;
       const serveEnd = Math.min(endsAt, startedAt + LEAVING_SERVE_MILLISECONDS);
-      leaving = { startedAt, endsAt };
       exchange.peers.setLeaving();
-      logger.log('info', 'leaving', { open: relay.countOpen() });
+      logger.log('leaving', { open: handler.countOpen() });
       void registration.end();
-      while (now() < endsAt && (now() < serveEnd || relay.countOpen() > 0)) {
+      while (now() < endsAt && (now() < serveEnd || handler.countOpen() > 0)) {
         await new Promise((resolve) => setTimeout(resolve, LEAVING_CHECK_MILLISECONDS));
       }
-      logger.log('info', 'stopped', { open: relay.countOpen() });
+      logger.log('stopped', { open: handler.countOpen() });
       await lifeCycle.close();
     },
   };
--- a/src/request/explainRequest/index.ts
+++ b/src/request/explainRequest/index.ts
@@ -25,6 +25,21 @@
 
 /** How long before the request's first line events of its endpoints count, in milliseconds. */
 const BEFORE_MILLISECONDS = 5_000;
+/** How long after the request's last line they count, in milliseconds. */
+const AFTER_MILLISECONDS = 2_000;
+/** Event of a request for which no path had room. */
+const PATH_MISSING = 'path-missing';
+/** Events that tell why layers are missing or have no room. */
+const PLACEMENT_EVENTS: ReadonlySet<string> = new Set([
+  'endpoint-lost',
+  'endpoint-gone',
+  'endpoint-draining',
+  'endpoint-ejected',
+  'endpoint-pace',
+  'order-sent',
+  'order-done',
+  'planner-waits',
+]);
 const OWN_FIELDS: ReadonlySet<string> = new Set([
   'timestamp',
   'node',
@@ -68,7 +83,8 @@
  * Explains a request.
  *
  * Takes the lines that name the request, and what nodes learnt of the endpoints on its paths from five
- * seconds before its first line to its last one.
+ * seconds before its first line to two seconds after its last one. Where no path had room, all that
+ * nodes learnt and did about placement in that time counts.
  *
  * @param texts - log lines in any order; what is no log line is passed over
  * @param request - the caller's attempt
@@ -83,11 +99,14 @@
   const endpoints = listEndpoints(own);
   const times = own.map(({ timestamp }) => Date.parse(timestamp));
   const from = Math.min(...times) - BEFORE_MILLISECONDS;
-  const to = Math.max(...times);
+  const to = Math.max(...times) + AFTER_MILLISECONDS;
+  const hadNoPath = own.some(({ message }) => message === PATH_MISSING);
   const related = lines.filter((line) => {
     const at = Date.parse(line.timestamp);
     const isNear = at >= from && at <= to;
-    return isNear && line.request === undefined && endpoints.has(readText(line, 'endpoint'));
+    const isPlacement = hadNoPath && PLACEMENT_EVENTS.has(line.message);
+    const isMet = isPlacement || endpoints.has(readText(line, 'endpoint'));
+    return isNear && line.request === undefined && isMet;
   });
   return [
     ...own.map((line) => tellLine(line, true)),
--- a/src/types/relay/index.ts
+++ b/src/types/relay/index.ts
@@ -31,6 +31,7 @@
   readonly priority?: number | undefined;
   readonly path?: readonly PathHop[] | undefined;
   readonly lastEvent?: number | undefined;
+  /** Length of the body; undefined when there is none. */
   readonly bodyBytes?: number | undefined;
 }
 
@@ -59,16 +60,84 @@
   readonly acceptedOrders: number;
 }
 
-/** Translation between a site's wire and the relay. */
-export interface Wire {
+/** Translation of headers between a site's wire and the relay. */
+export interface HeaderTranslation {
   readonly readRequest: (headers: NodeJS.Dict<string | string[]>) => CallerRequest;
   /** Headers for the endpoint, without those that concern one connection only. */
   readonly buildRequestHeaders: (callerHeaders: RawHeaders, passedOn: PassedOn) => string[];
   readonly readAnswer: (status: number, headers: NodeJS.Dict<string | string[]>) => EndpointAnswer;
   /** Headers for the caller, without those that concern one connection only. */
   readonly buildAnswerHeaders: (endpointHeaders: RawHeaders) => string[];
+}
+
+/** Questions and orders to endpoints. */
+export interface EndpointControl {
   readonly askReport: (address: string) => Promise<EndpointReport | undefined>;
   readonly sendOrder: (order: PlaceOrder) => Promise<OrderOutcome>;
   /** Moves a running request to another path with the same first hop. */
   readonly movePath: (attempt: string, path: readonly PathHop[]) => Promise<OrderOutcome>;
 }
+
+/** All that is spoken with a site's callers and endpoints. */
+export interface Wire extends HeaderTranslation, EndpointControl {}
+
+/** A caller's request as it is passed on: nothing in it is changed. */
+export interface ForwardedRequest {
+  readonly method: string;
+  readonly url: string;
+  readonly rawHeaders: RawHeaders;
+  readonly body: Buffer | undefined;
+}
+
+/** Head of an endpoint's answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly facts: EndpointAnswer;
+  /** Headers for the caller, without the length. */
+  readonly headers: RawHeaders;
+}
+
+/** How far a request that failed had come. */
+export type SendState = 'notSent' | 'sent';
+
+/** What happens on a call to an endpoint; nothing comes after `onEnd` or `onFailure`. */
+export interface EndpointHandlers {
+  readonly onHead: (head: AnswerHead) => void;
+  readonly onData: (chunk: Buffer) => void;
+  /** The answer is whole. */
+  readonly onEnd: () => void;
+  readonly onFailure: (state: SendState, reason: string) => void;
+}
+
+/** A call to an endpoint that is under way. */
+export interface EndpointCall {
+  /** Ends the call; no handler is called any more. */
+  readonly abort: () => void;
+  readonly pause: () => void;
+  readonly resume: () => void;
+}
+
+/** Port to the endpoints of a site. */
+export interface EndpointPort extends EndpointControl {
+  readonly send: (
+    request: ForwardedRequest,
+    passedOn: PassedOn,
+    handlers: EndpointHandlers,
+  ) => EndpointCall;
+}
+
+/** Port to one caller that waits for an answer. */
+export interface CallerResponse {
+  /** Whether the caller is there and no answer has begun. */
+  readonly isOpen: () => boolean;
+  readonly begin: (status: number, headers: RawHeaders) => void;
+  readonly write: (bytes: Buffer) => void;
+  readonly end: (bytes?: Buffer | string) => void;
+  /** Breaks the answer off, so that it does not look whole. */
+  readonly abort: () => void;
+  /** Bytes that wait for a slow reader. */
+  readonly countWaiting: () => number;
+  readonly onceDrained: (action: () => void) => void;
+  /** Calls back when the caller has gone before the end of its answer. */
+  readonly onGone: (action: () => void) => void;
+}
--- a/standins/serveSiteEndpoint/index.ts
+++ b/standins/serveSiteEndpoint/index.ts
@@ -36,8 +36,12 @@
   readonly orders: unknown[];
   layers: { from: number; to: number } | undefined;
   behave: Behaviour;
+  /** Answers before the body has been read, if it is set. */
+  behaveEarly: Behaviour | undefined;
   /** Addresses for which its requests wait in vain. */
   stalled: string[];
+  /** Whether it answers that it has no such request when one is to be moved. */
+  refusesMoves: boolean;
   /** Cuts every connection and stops listening, as a crash would. */
   readonly crash: () => Promise<void>;
 }
@@ -95,7 +99,8 @@
     const order = JSON.parse(text) as Order;
     endpoint.orders.push(order);
     if (order.op === 'place') endpoint.layers = { from: order.from, to: order.to };
-    reply(response, 202, {});
+    const isRefused = order.op === 'repath' && endpoint.refusesMoves;
+    reply(response, isRefused ? 404 : 202, {});
   };
   const report = (response: ServerResponse): void => {
     reply(response, 200, {
@@ -121,6 +126,12 @@
     endpoint.behave(request, response, endpoint);
   };
   const server = createServer((incoming, response) => {
+    if (endpoint.behaveEarly && incoming.url !== '/report') {
+      const { method = '', url = '', headers } = incoming;
+      const request = { method, url, headers, body: '', wasCut: false };
+      endpoint.behaveEarly(request, response, endpoint);
+      return;
+    }
     readText(incoming, (body) => {
       if (incoming.url === '/report') report(response);
       else if (incoming.url === '/order') takeOrder(body, response);
@@ -137,7 +148,9 @@
     orders: [],
     layers: undefined,
     behave: options.behave,
+    behaveEarly: undefined,
     stalled: [],
+    refusesMoves: false,
     crash: () =>
       new Promise((resolve) => {
         server.close(() => {
--- a/tests/siteNode.test.ts
+++ b/tests/siteNode.test.ts
@@ -11,10 +11,12 @@
   type Behaviour,
   type SiteEndpoint,
 } from '../standins/serveSiteEndpoint/index.js';
+import { LOG_EVENTS, type LogEventName } from '../src/process/site/logEvents/index.js';
 import type { SiteStore } from '../standins/serveSiteStore/index.js';
 import {
   call,
   createWireConfiguration,
+  KEY,
   MODEL_SERVICE,
   PLAIN_SERVICE,
   registerEndpoint,
@@ -163,21 +165,71 @@
   assert.deepEqual([large.status, readCode(large)], [413, 1413]);
 });
 
-test('bytes that are no request end their connection only', async () => {
+/** Sends bytes on a connection of their own; resolves to what came back when it is closed. */
+function sendRaw(bytes: string): Promise<string> {
   const [host, port] = node.callers.split(':');
-  await new Promise<void>((resolve) => {
+  let text = '';
+  return new Promise((resolve) => {
     const socket = connect(Number(port), host, () => {
-      socket.write('GET / HTTP/9.9\r\n\u0000garbage\r\n\r\n');
+      socket.write(bytes);
+    });
+    socket.on('data', (chunk: Buffer) => {
+      text += chunk.toString();
     });
-    socket.on('data', () => undefined);
     socket.on('error', () => undefined);
     socket.on('close', () => {
-      resolve();
+      resolve(text);
     });
   });
+}
+
+test('bytes that are no request are answered with 400 and end their connection only', async () => {
+  const answer = await sendRaw('GET / HTTP/9.9\r\n\u0000garbage\r\n\r\n');
+  assert.match(answer, /^HTTP\/1\.1 400 .*"code":1400/s);
   assert.equal((await call({ address: node.callers, path: '/look/' })).status, 200);
 });
 
+test('a request whose framing is ambiguous is not passed on', async () => {
+  resetEndpoints();
+  const head = `POST /book/ HTTP/1.1\r\nHost: desk.example\r\nCredential: ${KEY}\r\n`;
+  const framing = 'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n';
+  const smuggled = '0\r\n\r\nGET /look/smuggled HTTP/1.1\r\nHost: desk.example\r\n\r\n';
+  const answer = await sendRaw(`${head}${framing}${smuggled}`);
+  assert.match(answer, /^HTTP\/1\.1 400 /);
+  assert.equal(listRuns([first, second]), 0);
+});
+
+test('header blocks beyond the limit are refused with 431, by the limit or by the parser', async () => {
+  const address = node.callers;
+  const large = { 'X-Large': 'x'.repeat(9_000) };
+  const refused = await call({ address, path: '/look/', headers: large });
+  assert.deepEqual([refused.status, readCode(refused)], [431, 1431]);
+  const answer = await sendRaw(`GET /look/ HTTP/1.1\r\nX-Large: ${'x'.repeat(40_000)}\r\n\r\n`);
+  assert.match(answer, /^HTTP\/1\.1 431 .*"code":1431/s);
+});
+
+test('a body that does not arrive in time is refused with 408 and closes its connection', async () => {
+  const head = `POST /book/ HTTP/1.1\r\nHost: desk.example\r\nCredential: ${KEY}\r\n`;
+  const answer = await sendRaw(`${head}Content-Length: 100\r\n\r\nhalf`);
+  assert.match(answer, /^HTTP\/1\.1 408 .*"code":1408/s);
+});
+
+test('an endpoint that answers before it has read the body harms no later request', async () => {
+  resetEndpoints();
+  for (const endpoint of [first, second]) {
+    endpoint.behaveEarly = (request, response) => {
+      response.writeHead(413, { ...createSeal(request), Connection: 'keep-alive' });
+      response.end('early');
+    };
+  }
+  const body = 'x'.repeat(2_000);
+  const early = await call({ address: node.callers, path: '/book/', method: 'POST', body });
+  assert.deepEqual([early.status, early.body], [413, 'early']);
+  for (const endpoint of [first, second]) endpoint.behaveEarly = undefined;
+  const answer = await call({ address: node.callers, path: '/book/', method: 'POST', body });
+  assert.equal(answer.status, 200);
+});
+
 test('a safe request is tried at another endpoint after a failure', async () => {
   resetEndpoints();
   first.behave = failWith(500);
@@ -441,6 +493,22 @@
   await left;
 });
 
+test('each line that the nodes wrote is in the table of log events, and holds no key', () => {
+  const common = ['timestamp', 'node', 'availabilityZone', 'level', 'message', 'leftOut'];
+  const lines = [...node.logs, ...peer.logs];
+  assert.ok(lines.length > 50);
+  for (const line of lines) {
+    const fields = JSON.parse(line) as Record<string, unknown>;
+    const { message, level } = fields;
+    assert.ok(typeof message === 'string' && message in LOG_EVENTS, line);
+    const event = LOG_EVENTS[message as LogEventName];
+    const own = Object.entries(fields).filter(([name]) => !common.includes(name));
+    assert.ok(event.fields.safeParse(Object.fromEntries(own)).success, line);
+    assert.equal(level, event.level);
+    assert.ok(!line.includes(KEY));
+  }
+});
+
 test('metrics count requests, and hold no key', async () => {
   const { body } = await call({ address: node.readiness, path: '/metrics' });
   assert.match(body, /marjoramcleat_requests\{label="stream"\} \d+/);
@@ -449,7 +517,7 @@
 });
 
 test('the codes that only a site can give were provoked', () => {
-  for (const code of [1401, 1404, 1413, 1504, 1506, 1509, 1510, 1511]) {
+  for (const code of [1401, 1404, 1413, 1431, 1504, 1506, 1509, 1510, 1511]) {
     assert.ok(provoked.has(code), String(code));
   }
 });
--- a/tests/support/siteNodes/index.ts
+++ b/tests/support/siteNodes/index.ts
@@ -1,7 +1,7 @@
 /**
  * Whole nodes of a site on loopback, against stand-ins of the store and of endpoints.
  */
-import { request } from 'node:http';
+import { request, type IncomingMessage } from 'node:http';
 import { createServer } from 'node:net';
 import { Writable } from 'node:stream';
 import { answerAddresses, isReadinessPath } from '../../../platform/answerQuestions/index.js';
@@ -43,6 +43,8 @@
   readonly method?: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string;
+  /** Called when the answer begins. */
+  readonly onStart?: (incoming: IncomingMessage) => void;
   /** Called with each piece of the answer; may hang up. */
   readonly onData?: (text: string, hangUp: () => void) => void;
 }
@@ -52,7 +54,7 @@
 export const KEY = 'key-1';
 
 const LAYERS = 4;
-const ENGINE = {
+export const ENGINE = {
   slots: 8,
   kv_token_bytes: 1_000,
   stride: 4,
@@ -179,9 +181,7 @@
     keys: { configuration: 'op/config', endpointPrefix: 'servers/' },
     questions: { answerAddresses, isReadinessPath },
     graceMilliseconds: 1_500,
-    retryRatio: 0.2,
-    retrySlack: 100,
-    retryWindowMilliseconds: 10_000,
+    retries: { ratio: 0.2, slack: 100, windowMilliseconds: 10_000 },
     logStream,
     ...changes,
   });
@@ -190,7 +190,7 @@
 
 /** Sends a request as a caller would. */
 export function call(options: CallerCall): Promise<CallerAnswer> {
-  const { address, path, method = 'GET', headers = {}, body, onData } = options;
+  const { address, path, method = 'GET', headers = {}, body, onStart, onData } = options;
   const [host, port] = address.split(':');
   return new Promise((resolve, reject) => {
     const outgoing = request({
@@ -210,6 +210,8 @@
     outgoing.on('error', reject);
     outgoing.on('response', (incoming) => {
       let text = '';
+      // Listeners set the answer flowing, so that a pause has to come after them.
+      setImmediate(() => onStart?.(incoming));
       incoming.on('data', (chunk: Buffer) => {
         text += chunk.toString();
         onData?.(text, () => outgoing.destroy());
