Add an emulator that plays whole nodes under virtual time, and an experiment command

Ruled out: growing createVirtualSystem itself, whose ports are those of the product's own interface; its event queue is reused. Change: emulator/ (store, engines with passes, reading, memory, preemption, slots, stalls, late orders, crashes; plain endpoints; callers) over the ports of createSiteNode; decisions of a node can be replaced; npm run experiment prints a table, JSON and an SVG.

--- /dev/null
+++ b/emulator/createPlainFleet/index.ts
@@ -0,0 +1,118 @@
+/**
+ * The emulated endpoints of a plain service: slots, a queue, and failures.
+ */
+import { createRandom } from '../../src/process/createRandom/index.js';
+import type { VirtualStore } from '../createVirtualStore/index.js';
+import type { VirtualTime } from '../createVirtualTime/index.js';
+import type { VirtualSite } from '../readScenario/index.js';
+
+/** What an endpoint answers. */
+export interface PlainAnswer {
+  readonly status: number;
+  readonly isNotRun: boolean;
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** Plain endpoints of a site. */
+export interface PlainFleet {
+  /** Serves a call; the answer comes back once, unless the endpoint breaks off. */
+  readonly call: (address: string, attempt: string, done: (answer?: PlainAnswer) => void) => void;
+  readonly owns: (address: string) => boolean;
+  /** Times that each attempt was run. */
+  readonly runs: ReadonlyMap<string, number>;
+  /** Lets some endpoints fail a share of their calls. */
+  readonly setGrey: (count: number, share: number) => void;
+}
+
+/** Options of {@link createPlainFleet}. */
+export interface CreatePlainFleetOptions {
+  readonly site: VirtualSite;
+  readonly time: VirtualTime;
+  readonly store: Pick<VirtualStore, 'put'>;
+  readonly seed: number;
+}
+
+/** Service of the plain endpoints. */
+export const PLAIN_SERVICE = 'booking';
+
+interface Endpoint {
+  readonly id: string;
+  running: number;
+  failingShare: number;
+  readonly queue: (() => void)[];
+}
+
+/**
+ * Creates the plain endpoints of a site, registered.
+ *
+ * @param options - the site, the time, the store and a seed
+ * @returns the endpoints
+ * @example
+ * createPlainFleet({ site, time, store, seed: 1 }).owns('plain:0-0');
+ */
+export function createPlainFleet(options: CreatePlainFleetOptions): PlainFleet {
+  const { site, time, store } = options;
+  const { counts, slots, queue: mostWaiting, workMilliseconds } = site.plain;
+  const random = createRandom(options.seed + 11);
+  const endpoints = new Map<string, Endpoint>();
+  const runs = new Map<string, number>();
+  counts.forEach((count, zone) => {
+    for (let index = 0; index < count; index += 1) {
+      const id = `plain-${zone}-${index}`;
+      const address = `plain:${zone}-${index}`;
+      endpoints.set(address, { id, running: 0, failingShare: 0, queue: [] });
+      const record = {
+        id,
+        service: PLAIN_SERVICE,
+        address,
+        availabilityZone: site.availabilityZones[zone],
+        isDraining: false,
+        bornAt: 1,
+        slots,
+      };
+      store.put(`endpoints/${id}`, JSON.stringify(record));
+    }
+  });
+  const run = (endpoint: Endpoint, attempt: string, done: (answer?: PlainAnswer) => void): void => {
+    endpoint.running += 1;
+    runs.set(attempt, (runs.get(attempt) ?? 0) + 1);
+    // Exponential around the mean.
+    time.schedule(-Math.log(1 - random()) * workMilliseconds, () => {
+      endpoint.running -= 1;
+      const isFailing = random() < endpoint.failingShare;
+      const { running, queue } = endpoint;
+      const load = { running, waiting: queue.length };
+      done(isFailing ? undefined : { status: 200, isNotRun: false, ...load });
+      endpoint.queue.shift()?.();
+    });
+  };
+  return {
+    runs,
+    owns: (address) => endpoints.has(address),
+    setGrey: (count, share) => {
+      [...endpoints.values()].slice(0, count).forEach((endpoint) => {
+        endpoint.failingShare = share;
+      });
+    },
+    call: (address, attempt, done) => {
+      const endpoint = endpoints.get(address);
+      if (!endpoint) {
+        done(undefined);
+        return;
+      }
+      const { running, queue } = endpoint;
+      if (running < slots) {
+        run(endpoint, attempt, done);
+        return;
+      }
+      if (queue.length >= mostWaiting) {
+        done({ status: 503, isNotRun: true, running, waiting: queue.length });
+        return;
+      }
+      queue.push(() => {
+        run(endpoint, attempt, done);
+      });
+    },
+  };
+}
--- /dev/null
+++ b/emulator/createVirtualNodes/index.ts
@@ -0,0 +1,209 @@
+/**
+ * Whole nodes of the product under virtual time.
+ */
+import { z } from 'zod';
+import {
+  createSiteNode,
+  type CreateSiteNodeOptions,
+  type SiteCore,
+} from '../../src/process/site/createSiteNode/index.js';
+import type { PeerPort } from '../../src/process/site/exchangeNews/index.js';
+import type { SiteDecisions } from '../../src/process/site/siteDecisions/index.js';
+import type { LogEventName } from '../../src/process/site/logEvents/index.js';
+import type { EndpointRecord, NodeRecord, SiteConfiguration } from '../../src/types/site/index.js';
+import {
+  createEndpointPort,
+  type CreateEndpointPortOptions,
+  type PortCounts,
+} from '../createEndpointPorts/index.js';
+import type { VirtualStore } from '../createVirtualStore/index.js';
+import type { VirtualTime } from '../createVirtualTime/index.js';
+import type { VirtualSite } from '../readScenario/index.js';
+
+/** One line that a node would have written. */
+export interface VirtualLine {
+  readonly at: number;
+  readonly node: string;
+  readonly event: LogEventName;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** A node that may be killed and started again. */
+export interface VirtualNode {
+  readonly name: string;
+  readonly availabilityZone: string;
+  /** The running process, if there is one. */
+  readonly getCore: () => SiteCore | undefined;
+  readonly isLeaving: () => boolean;
+  readonly start: () => void;
+  readonly kill: () => void;
+  readonly leave: () => void;
+  /** Calls back when the process that runs now ends; returns a function that stops this. */
+  readonly onEnd: (action: () => void) => () => void;
+}
+
+/** Nodes of a site. */
+export interface VirtualNodes {
+  readonly nodes: readonly VirtualNode[];
+  readonly lines: VirtualLine[];
+  /** Sum over all processes. */
+  readonly countCalls: () => PortCounts;
+  readonly countPeerBytes: () => number;
+}
+
+/** Options of {@link createVirtualNodes}. */
+export interface CreateVirtualNodesOptions extends Pick<
+  CreateEndpointPortOptions,
+  'time' | 'engines' | 'plain' | 'findRequest'
+> {
+  readonly site: VirtualSite;
+  readonly time: VirtualTime;
+  readonly store: VirtualStore;
+  readonly decisions: SiteDecisions;
+  readonly retries: CreateSiteNodeOptions['retries'];
+}
+
+/** Keys of the emulated store. */
+export const VIRTUAL_KEYS = { configuration: 'configuration', endpointPrefix: 'endpoints/' };
+
+const PEER_MILLISECONDS = 0.5;
+const PEER_TIMEOUT_MILLISECONDS = 600;
+const anyObject = z.looseObject({});
+
+function decode<Value>(value: unknown): Value | undefined {
+  // The emulator's store holds what the product's own types say.
+  return anyObject.safeParse(value).success ? (value as Value) : undefined;
+}
+
+/**
+ * Creates the nodes of a site; none runs yet.
+ *
+ * @param options - the site, the time, the store, the fleets and the decisions
+ * @returns the nodes
+ * @example
+ * createVirtualNodes(options).nodes[0]?.start();
+ */
+export function createVirtualNodes(options: CreateVirtualNodesOptions): VirtualNodes {
+  const { site, time, store } = options;
+  const byAddress = new Map<string, VirtualNode>();
+  const lines: VirtualLine[] = [];
+  const allCounts: PortCounts[] = [];
+  let peerBytes = 0;
+
+  const peerPort: PeerPort = {
+    tell: async (address, message) => {
+      const text = JSON.stringify(message);
+      peerBytes += text.length;
+      await time.delay(PEER_MILLISECONDS, undefined);
+      const core = byAddress.get(address)?.getCore();
+      if (!core) return time.delay(PEER_TIMEOUT_MILLISECONDS, undefined);
+      const answer = JSON.stringify(core.exchange.peers.receive(JSON.parse(text)));
+      peerBytes += answer.length;
+      return time.delay(PEER_MILLISECONDS, JSON.parse(answer) as unknown);
+    },
+  };
+  const createOne = (name: string, availabilityZone: string): VirtualNode => {
+    let core: SiteCore | undefined;
+    let leavingSince: number | undefined;
+    const endings = new Set<() => void>();
+    const runLoop = (owner: SiteCore, step: () => Promise<number>): void => {
+      if (core !== owner) return;
+      void step().then((pause) => {
+        time.schedule(pause, () => {
+          runLoop(owner, step);
+        });
+      });
+    };
+    const start = (): void => {
+      const self: NodeRecord = {
+        name,
+        availabilityZone,
+        callerAddress: name,
+        peerAddress: `peer:${name}`,
+        incarnation: Math.floor(time.now()) + 1,
+        isLeaving: false,
+      };
+      leavingSince = undefined;
+      const { port, counts, closeAll } = createEndpointPort({
+        ...options,
+        availabilityZone,
+        zoneMilliseconds: site.zoneMilliseconds,
+        isAlive: () => core === created,
+      });
+      allCounts.push(counts);
+      endings.add(closeAll);
+      const created: SiteCore = createSiteNode({
+        self,
+        seeds: [],
+        clock: {
+          now: time.now,
+          schedule: (milliseconds, action) =>
+            time.schedule(milliseconds, () => {
+              if (core === created) action();
+            }),
+        },
+        store: store.connect(name),
+        endpointPort: port,
+        peerPort,
+        logger: {
+          log: (event, fields, at) => {
+            lines.push({ at: at ?? time.now(), node: name, event, fields });
+          },
+          countLeftOut: () => 0,
+        },
+        decoders: {
+          decodeConfiguration: (value) => decode<SiteConfiguration>(value),
+          decodeEndpoint: (_, value) => decode<EndpointRecord>(value),
+        },
+        keys: VIRTUAL_KEYS,
+        retries: options.retries,
+        decisions: options.decisions,
+        onConfiguration: () => undefined,
+        getLeavingSince: () => leavingSince,
+      });
+      core = created;
+      for (const step of Object.values(created.loops)) runLoop(created, step);
+    };
+    return {
+      name,
+      availabilityZone,
+      getCore: () => core,
+      isLeaving: () => leavingSince !== undefined,
+      start,
+      kill: () => {
+        core = undefined;
+        for (const end of [...endings]) end();
+        endings.clear();
+      },
+      leave: () => {
+        leavingSince = time.now();
+        core?.exchange.peers.setLeaving();
+      },
+      onEnd: (action) => {
+        endings.add(action);
+        return () => endings.delete(action);
+      },
+    };
+  };
+
+  const nodes = site.nodes.flatMap((count, zone) =>
+    Array.from({ length: count }, (_, index) =>
+      createOne(`node-${zone}-${index}`, site.availabilityZones[zone] ?? ''),
+    ),
+  );
+  for (const node of nodes) byAddress.set(`peer:${node.name}`, node);
+  return {
+    nodes,
+    lines,
+    countPeerBytes: () => peerBytes,
+    countCalls: () =>
+      allCounts.reduce(
+        (sum, { reports, orders, moves }) => ({
+          reports: sum.reports + reports,
+          orders: sum.orders + orders,
+          moves: sum.moves + moves,
+        }),
+        { reports: 0, orders: 0, moves: 0 },
+      ),
+  };
+}
--- /dev/null
+++ b/emulator/playDay/index.ts
@@ -0,0 +1,203 @@
+/**
+ * Plays one day of a site with whole nodes of the product.
+ */
+import { applyTroubles } from '../applyTroubles/index.js';
+import { createEngineFleet, MODEL_SERVICE } from '../createEngineFleet/index.js';
+import { createPlainFleet, PLAIN_SERVICE } from '../createPlainFleet/index.js';
+import type { PortCounts } from '../createEndpointPorts/index.js';
+import { createVirtualCallers, type CallerRecord } from '../createVirtualCallers/index.js';
+import { createVirtualNodes, VIRTUAL_KEYS, type VirtualLine } from '../createVirtualNodes/index.js';
+import { createVirtualStore, type StoreCall } from '../createVirtualStore/index.js';
+import { createVirtualTime } from '../createVirtualTime/index.js';
+import type { VirtualDay, VirtualSite } from '../readScenario/index.js';
+import type { EngineCounts } from '../runPasses/index.js';
+import { SITE_DECISIONS, type SiteDecisions } from '../../src/process/site/siteDecisions/index.js';
+import type { SiteConfiguration } from '../../src/types/site/index.js';
+
+/** A time in which an availability zone held not every layer. */
+export interface LayerGap {
+  readonly availabilityZone: string;
+  readonly at: number;
+  readonly milliseconds: number;
+}
+
+/** What came of a day. */
+export interface DayResult {
+  readonly records: readonly CallerRecord[];
+  readonly lines: readonly VirtualLine[];
+  readonly engineCounts: EngineCounts;
+  readonly portCounts: PortCounts;
+  readonly storeCalls: ReadonlyMap<StoreCall, number>;
+  readonly peerBytes: number;
+  readonly gaps: readonly LayerGap[];
+  /** Answers with missing, doubled or disordered events; requests run twice; untrue refusals. */
+  readonly broken: {
+    readonly events: number;
+    readonly ranTwice: number;
+    readonly refusedThoughRun: number;
+  };
+  /** Virtual time of the first request, and length of the day, in milliseconds. */
+  readonly firstAt: number;
+  readonly milliseconds: number;
+  readonly nodes: number;
+}
+
+/** Options of {@link playDay}. */
+export interface PlayDayOptions {
+  readonly site: VirtualSite;
+  readonly day: VirtualDay;
+  readonly seed: number;
+  readonly decisions?: SiteDecisions;
+}
+
+/** Time after the last request in which answers may end, in milliseconds. */
+const TAIL_MILLISECONDS = 21_000;
+const RETRY_SLACK = 196;
+const RETRY_RATIO = 0.2;
+const RETRY_WINDOW_MILLISECONDS = 10_000;
+const GAP_CHECK_MILLISECONDS = 50;
+/** Spread of the nodes' starts, in milliseconds. */
+const START_SPREAD_MILLISECONDS = 300;
+
+function createConfiguration(site: VirtualSite): SiteConfiguration {
+  const accounts = Array.from({ length: site.accounts }, (_, index) => `account-${index}`);
+  return {
+    version: 1,
+    routes: site.requests.map((requestClass) => ({
+      name: requestClass.name,
+      host: 'desk',
+      prefix: `/${requestClass.name}/`,
+      kind: requestClass.kind,
+      timeoutMilliseconds: requestClass.timeoutMilliseconds,
+      objectiveMilliseconds: requestClass.objectiveMilliseconds,
+      priority: requestClass.priority,
+      services: [
+        { service: requestClass.kind === 'stream' ? MODEL_SERVICE : PLAIN_SERVICE, weight: 1 },
+      ],
+      mostAttempts: requestClass.mostAttempts,
+      isPublic: false,
+      isResumable: requestClass.kind === 'stream',
+      longestPauseMilliseconds: requestClass.longestPauseMilliseconds,
+    })),
+    services: [
+      { name: MODEL_SERVICE, healthPath: '/', mostConnections: 1_000, model: site.model },
+      { name: PLAIN_SERVICE, healthPath: '/', mostConnections: 100 },
+    ],
+    limits: {
+      headerBytes: 16_384,
+      bodyBytes: 1_048_576,
+      headerTimeoutMilliseconds: 1_000,
+      idleTimeoutMilliseconds: 5_000,
+    },
+    accounts: accounts.map((name) => ({ name, keys: [name] })),
+  };
+}
+
+/** Watches which zones hold every layer. */
+function watchGaps(
+  site: VirtualSite,
+  time: ReturnType<typeof createVirtualTime>,
+  engines: ReturnType<typeof createEngineFleet>,
+): LayerGap[] {
+  const gaps: LayerGap[] = [];
+  const since = new Map<string, number>();
+  const check = (): void => {
+    for (const zone of site.availabilityZones) {
+      const held = engines.engines.filter(
+        ({ availabilityZone, isDown, layers }) => availabilityZone === zone && !isDown && layers,
+      );
+      let covered = 0;
+      while (covered < site.model.layers) {
+        const reach = held
+          .filter(({ layers }) => layers && layers.from <= covered)
+          .reduce((most, { layers }) => Math.max(most, layers?.to ?? 0), 0);
+        if (reach <= covered) break;
+        covered = reach;
+      }
+      const begun = since.get(zone);
+      if (covered < site.model.layers) since.set(zone, begun ?? time.now());
+      else if (begun !== undefined) {
+        since.delete(zone);
+        gaps.push({ availabilityZone: zone, at: begun, milliseconds: time.now() - begun });
+      }
+    }
+    time.schedule(GAP_CHECK_MILLISECONDS, check);
+  };
+  time.schedule(site.leadSeconds * 1_000, check);
+  return gaps;
+}
+
+/**
+ * Plays a day.
+ *
+ * @param options - the site, the day, a seed, and decisions in place of the product's own
+ * @returns what came of it
+ * @example
+ * const { records } = await playDay({ site, day, seed: 1 });
+ */
+export async function playDay(options: PlayDayOptions): Promise<DayResult> {
+  const { site, day, seed, decisions = SITE_DECISIONS } = options;
+  const time = createVirtualTime();
+  const store = createVirtualStore(time);
+  const engines = createEngineFleet({ site, time, store, seed });
+  const plain = createPlainFleet({ site, time, store, seed });
+  const busySite = {
+    ...site,
+    requests: site.requests.map((requestClass) => ({
+      ...requestClass,
+      perSecond: requestClass.perSecond * day.rate,
+    })),
+  };
+  const callers = createVirtualCallers({ site: busySite, time, seed, getNodes: () => nodes.nodes });
+  const nodes = createVirtualNodes({
+    site,
+    time,
+    store,
+    engines,
+    plain,
+    findRequest: callers.findRequest,
+    decisions,
+    retries: {
+      ratio: RETRY_RATIO,
+      slack: RETRY_SLACK,
+      windowMilliseconds: RETRY_WINDOW_MILLISECONDS,
+    },
+  });
+  store.put(VIRTUAL_KEYS.configuration, JSON.stringify(createConfiguration(site)));
+  nodes.nodes.forEach((node, index) => {
+    time.schedule((index * START_SPREAD_MILLISECONDS) / nodes.nodes.length, node.start);
+  });
+  const firstAt = site.leadSeconds * 1_000;
+  const milliseconds = day.seconds * 1_000;
+  const gaps = watchGaps(site, time, engines);
+  time.schedule(firstAt, () => {
+    callers.start(firstAt + milliseconds);
+  });
+  applyTroubles({ site, time, store, engines, plain, callers, nodes: nodes.nodes }, day, seed);
+  await time.run(firstAt + milliseconds + TAIL_MILLISECONDS);
+  for (const record of callers.records) record.outcome ??= 'failed';
+  const once = new Set(
+    site.requests.filter(({ kind }) => kind === 'atMostOnce').map(({ name }) => name),
+  );
+  return {
+    records: callers.records,
+    lines: nodes.lines,
+    engineCounts: engines.counts,
+    portCounts: nodes.countCalls(),
+    storeCalls: store.calls,
+    peerBytes: nodes.countPeerBytes(),
+    gaps,
+    broken: {
+      events: callers.countWrong(),
+      ranTwice: [...plain.runs].filter(
+        ([attempt, runs]) => runs > 1 && once.has(callers.findClass(attempt)),
+      ).length,
+      refusedThoughRun: [...plain.runs.keys()].filter(
+        (attempt) => callers.refusedAttempts.has(attempt) && once.has(callers.findClass(attempt)),
+      ).length,
+    },
+    firstAt,
+    milliseconds: milliseconds + TAIL_MILLISECONDS,
+    nodes: nodes.nodes.length,
+  };
+}
--- /dev/null
+++ b/emulator/readScenario/index.ts
@@ -0,0 +1,148 @@
+/**
+ * Sites and days that the emulator plays, read from JSON files.
+ */
+import { readFileSync } from 'node:fs';
+import { z } from 'zod';
+
+const acceleratorSchema = z.object({
+  name: z.string(),
+  memoryMegabytes: z.number(),
+  pace: z.number(),
+  readFactor: z.number(),
+});
+
+const modelSchema = z.object({
+  layers: z.number().int(),
+  layerMegabytes: z.number(),
+  tokenBytes: z.number(),
+  stepMilliseconds: z.number(),
+  stepMillisecondsPerSequence: z.number(),
+  stepMillisecondsPerThousandTokens: z.number(),
+  readTokensPerSecond: z.number(),
+  /** Prompt tokens that one step reads at most beside writers. */
+  chunkTokens: z.number(),
+  stride: z.number(),
+  slots: z.number(),
+  activationBytes: z.number(),
+  linkMegabitsPerSecond: z.number(),
+  pipeMegabitsPerSecond: z.number(),
+  usualPromptTokens: z.number(),
+  usualAnswerTokens: z.number(),
+  loadSeconds: z.number(),
+  /** How long work that waits for a lost engine stalls. */
+  stallMilliseconds: z.number(),
+  kinds: z.array(acceleratorSchema),
+});
+
+const requestSchema = z.object({
+  name: z.string(),
+  kind: z.enum(['stream', 'safe', 'atMostOnce']),
+  perSecond: z.number(),
+  objectiveMilliseconds: z.number(),
+  longestPauseMilliseconds: z.number().default(250),
+  deadlineMilliseconds: z.number(),
+  timeoutMilliseconds: z.number(),
+  mostAttempts: z.number(),
+  priority: z.number(),
+  promptTokens: z.number().default(0),
+  mostPromptTokens: z.number().default(0),
+  answerEvents: z.number().default(0),
+  mostAnswerEvents: z.number().default(0),
+});
+
+const siteSchema = z.object({
+  name: z.string(),
+  availabilityZones: z.array(z.string()),
+  /** Nodes by availability zone, in the zones' order. */
+  nodes: z.array(z.number().int()),
+  engines: z.array(z.object({ kind: z.string(), counts: z.array(z.number().int()) })),
+  model: modelSchema,
+  plain: z.object({
+    counts: z.array(z.number().int()),
+    slots: z.number(),
+    queue: z.number(),
+    workMilliseconds: z.number(),
+  }),
+  requests: z.array(requestSchema),
+  accounts: z.number().int(),
+  /** Time before the first request, in which layers are loaded. */
+  leadSeconds: z.number(),
+  zoneMilliseconds: z.number(),
+  callerMilliseconds: z.number(),
+});
+
+const spanSchema = { at: z.number(), seconds: z.number() };
+
+const troubleSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('burst'), ...spanSchema, factor: z.number() }),
+  z.object({
+    kind: z.literal('crashEngines'),
+    ...spanSchema,
+    count: z.number(),
+    isDark: z.boolean(),
+  }),
+  z.object({ kind: z.literal('loseZone'), ...spanSchema, zone: z.number().int() }),
+  z.object({
+    kind: z.literal('slowEngines'),
+    ...spanSchema,
+    count: z.number(),
+    factor: z.number(),
+  }),
+  z.object({
+    kind: z.literal('greyServices'),
+    ...spanSchema,
+    count: z.number(),
+    share: z.number(),
+  }),
+  z.object({ kind: z.literal('lateOrders'), ...spanSchema, share: z.number() }),
+  z.object({ kind: z.literal('storeAway'), ...spanSchema, share: z.number() }),
+  z.object({ kind: z.literal('replaceNodes'), at: z.number(), gapSeconds: z.number() }),
+  z.object({ kind: z.literal('loseNodes'), ...spanSchema, share: z.number() }),
+]);
+
+const daySchema = z.object({
+  name: z.string(),
+  seconds: z.number(),
+  /** Factor on the site's requests a second. */
+  rate: z.number().default(1),
+  troubles: z.array(troubleSchema),
+});
+
+/** A site. */
+export type VirtualSite = z.infer<typeof siteSchema>;
+/** One kind of request. */
+export type RequestClass = z.infer<typeof requestSchema>;
+/** A day. */
+export type VirtualDay = z.infer<typeof daySchema>;
+/** One trouble of a day. */
+export type Trouble = z.infer<typeof troubleSchema>;
+
+function readFile<Value>(file: string, schema: z.ZodType<Value>): Value {
+  const parsed = schema.safeParse(JSON.parse(readFileSync(file, 'utf8')));
+  if (parsed.success) return parsed.data;
+  throw new Error(`${file}: ${z.prettifyError(parsed.error)}`);
+}
+
+/**
+ * Reads a site.
+ *
+ * @param file - path of the JSON file
+ * @returns the site; throws with the file's faults
+ * @example
+ * readSite('examples/emulator/fit-desk.json').model.layers;
+ */
+export function readSite(file: string): VirtualSite {
+  return readFile(file, siteSchema);
+}
+
+/**
+ * Reads a day.
+ *
+ * @param file - path of the JSON file
+ * @returns the day; throws with the file's faults
+ * @example
+ * readDay('examples/emulator/days/calm.json').seconds;
+ */
+export function readDay(file: string): VirtualDay {
+  return readFile(file, daySchema);
+}
--- /dev/null
+++ b/emulator/summarizeDay/index.ts
@@ -0,0 +1,219 @@
+/**
+ * Figures of one played day.
+ */
+import { z } from 'zod';
+import type { CallerOutcome, CallerRecord } from '../createVirtualCallers/index.js';
+import type { DayResult } from '../playDay/index.js';
+
+/** Figures of some requests. */
+export interface RequestFigures {
+  readonly asked: number;
+  readonly inTime: number;
+  readonly late: number;
+  readonly refused: number;
+  readonly failed: number;
+  /** Share that was answered whole, in time or late. */
+  readonly served: number;
+  readonly firstP50: number;
+  readonly firstP95: number;
+  readonly pauseP95: number;
+}
+
+/** Figures of a day. */
+export interface DayFigures {
+  readonly all: RequestFigures;
+  readonly classes: Readonly<Record<string, RequestFigures>>;
+  /** Served share of the largest tenth of the prompts, of the smallest account, and of all streams. */
+  readonly fairness: {
+    readonly largestTenth: number;
+    readonly smallestAccount: number;
+    readonly streams: number;
+  };
+  /** Real over predicted milliseconds to the first event, of undisturbed streams, by quantile. */
+  readonly firstAgainstPredicted: Quantiles;
+  readonly pauseAgainstPredicted: Quantiles;
+  readonly engines: {
+    readonly events: number;
+    readonly preempted: number;
+    readonly refused: number;
+    readonly moves: number;
+    readonly orders: number;
+  };
+  readonly gaps: { readonly count: number; readonly p50: number; readonly longest: number };
+  /** A second and all nodes together. */
+  readonly callsPerSecond: Readonly<Record<string, number>>;
+  readonly peerBytesPerNodeSecond: number;
+  readonly broken: DayResult['broken'];
+  readonly failedFor: Readonly<Record<string, number>>;
+}
+
+/** Quantiles of a distribution. */
+export interface Quantiles {
+  readonly count: number;
+  readonly p10: number;
+  readonly p50: number;
+  readonly p90: number;
+}
+
+const LARGEST_SHARE = 0.1;
+
+function findQuantile(values: readonly number[], share: number): number {
+  if (values.length === 0) return 0;
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? 0;
+}
+
+function round(value: number, digits = 3): number {
+  return Number(value.toFixed(digits));
+}
+
+function countOutcome(records: readonly CallerRecord[], outcome: CallerOutcome): number {
+  return records.filter((record) => record.outcome === outcome).length;
+}
+
+function isServed({ outcome }: CallerRecord): boolean {
+  return outcome === 'inTime' || outcome === 'late';
+}
+
+function countServedShare(records: readonly CallerRecord[]): number {
+  return round(records.filter(isServed).length / Math.max(1, records.length));
+}
+
+function summarizeRequests(records: readonly CallerRecord[]): RequestFigures {
+  const served = records.filter(isServed);
+  const firsts = served.map(({ firstMilliseconds }) => firstMilliseconds);
+  const pauses = served.map(({ longestPause }) => longestPause);
+  return {
+    asked: records.length,
+    inTime: countOutcome(records, 'inTime'),
+    late: countOutcome(records, 'late'),
+    refused: countOutcome(records, 'refused'),
+    failed: countOutcome(records, 'failed'),
+    served: countServedShare(records),
+    firstP50: Math.round(findQuantile(firsts, 0.5)),
+    firstP95: Math.round(findQuantile(firsts, 0.95)),
+    pauseP95: Math.round(findQuantile(pauses, 0.95)),
+  };
+}
+
+function groupBy(
+  records: readonly CallerRecord[],
+  read: (record: CallerRecord) => string,
+): Map<string, CallerRecord[]> {
+  const groups = new Map<string, CallerRecord[]>();
+  for (const record of records) {
+    const group = groups.get(read(record)) ?? [];
+    group.push(record);
+    groups.set(read(record), group);
+  }
+  return groups;
+}
+
+function summarizeFairness(records: readonly CallerRecord[]): DayFigures['fairness'] {
+  const streams = records.filter(({ promptTokens }) => promptTokens > 0);
+  const bySize = [...streams].sort((left, right) => right.promptTokens - left.promptTokens);
+  const largest = bySize.slice(0, Math.ceil(bySize.length * LARGEST_SHARE));
+  const accounts = [...groupBy(streams, ({ account }) => account).values()];
+  const [smallest = []] = accounts.sort((left, right) => left.length - right.length);
+  return {
+    largestTenth: countServedShare(largest),
+    smallestAccount: countServedShare(smallest),
+    streams: countServedShare(streams),
+  };
+}
+
+const choiceSchema = z.object({
+  request: z.string(),
+  predictedFirst: z.number(),
+  predictedPause: z.number(),
+});
+const answerSchema = z.object({
+  request: z.string(),
+  first: z.number(),
+  pause: z.number(),
+  sends: z.number(),
+  told: z.literal('sample'),
+});
+
+function toQuantiles(values: readonly number[]): Quantiles {
+  return {
+    count: values.length,
+    p10: round(findQuantile(values, 0.1), 2),
+    p50: round(findQuantile(values, 0.5), 2),
+    p90: round(findQuantile(values, 0.9), 2),
+  };
+}
+
+/** Only sampled requests count, since those that are told as slow would bend the figure. */
+function comparePredictions({ lines }: DayResult): {
+  readonly first: Quantiles;
+  readonly pause: Quantiles;
+} {
+  const choices = new Map<string, z.infer<typeof choiceSchema>>();
+  const firsts: number[] = [];
+  const pauses: number[] = [];
+  for (const { event, fields } of lines) {
+    if (event === 'path-chosen') {
+      const choice = choiceSchema.parse(fields);
+      choices.set(choice.request, choice);
+    }
+    if (event !== 'request-answered') continue;
+    const answer = answerSchema.safeParse(fields).data;
+    const choice = answer && choices.get(answer.request);
+    if (!choice || answer.sends > 1) continue;
+    firsts.push(answer.first / Math.max(1, choice.predictedFirst));
+    if (answer.pause > 0) pauses.push(answer.pause / Math.max(1, choice.predictedPause));
+  }
+  return { first: toQuantiles(firsts), pause: toQuantiles(pauses) };
+}
+
+/**
+ * Summarizes a day.
+ *
+ * @param result - what came of the day
+ * @returns its figures
+ * @example
+ * summarizeDay(await playDay({ site, day, seed: 1 })).all.inTime;
+ */
+export function summarizeDay(result: DayResult): DayFigures {
+  const { records, engineCounts, portCounts, storeCalls, gaps, peerBytes, nodes } = result;
+  const seconds = (result.firstAt + result.milliseconds) / 1_000;
+  const classes = groupBy(records, ({ requestClass }) => requestClass);
+  const failed = records.filter((record) => !isServed(record));
+  const lengths = gaps.map(({ milliseconds }) => milliseconds);
+  const predictions = comparePredictions(result);
+  const calls = [
+    ...[...storeCalls].map(([kind, count]) => [`store ${kind}`, count] as const),
+    ['reports', portCounts.reports] as const,
+    ['orders', portCounts.orders] as const,
+  ];
+  return {
+    all: summarizeRequests(records),
+    classes: Object.fromEntries(
+      [...classes].map(([name, group]) => [name, summarizeRequests(group)]),
+    ),
+    fairness: summarizeFairness(records),
+    firstAgainstPredicted: predictions.first,
+    pauseAgainstPredicted: predictions.pause,
+    engines: {
+      events: engineCounts.events,
+      preempted: engineCounts.preempted,
+      refused: [...engineCounts.refused.values()].reduce((sum, count) => sum + count, 0),
+      moves: portCounts.moves,
+      orders: portCounts.orders,
+    },
+    gaps: {
+      count: gaps.length,
+      p50: Math.round(findQuantile(lengths, 0.5)),
+      longest: Math.round(Math.max(0, ...lengths)),
+    },
+    callsPerSecond: Object.fromEntries(
+      calls.map(([kind, count]) => [kind, round(count / seconds, 1)]),
+    ),
+    peerBytesPerNodeSecond: Math.round(peerBytes / seconds / nodes),
+    broken: result.broken,
+    failedFor: Object.fromEntries(
+      [...groupBy(failed, ({ reason }) => reason)].map(([reason, group]) => [reason, group.length]),
+    ),
+  };
+}
--- /dev/null
+++ b/scripts/experiment.ts
@@ -0,0 +1,72 @@
+/**
+ * Plays days of a site in the emulator:
+ * `npm run experiment -- --site FILE --day FILE [--versions product,any-path] [--seeds 1,2] [--rate 1.5]
+ * [--out FOLDER]`.
+ */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { parseArgs } from 'node:util';
+import { DECISIONS } from '../emulator/naive/index.js';
+import { playDay } from '../emulator/playDay/index.js';
+import { plotDay, type PlottedVersion } from '../emulator/plotDay/index.js';
+import { readDay, readSite } from '../emulator/readScenario/index.js';
+import { summarizeDay } from '../emulator/summarizeDay/index.js';
+import { formatTable, type Row } from '../src/commands/printOutput/index.js';
+
+const { values } = parseArgs({
+  options: {
+    site: { type: 'string', default: 'examples/emulator/fit-desk.json' },
+    day: { type: 'string', default: 'examples/emulator/days/calm.json' },
+    versions: { type: 'string', default: 'product' },
+    seeds: { type: 'string', default: '1' },
+    rate: { type: 'string' },
+    out: { type: 'string' },
+  },
+});
+const site = readSite(values.site);
+const day = readDay(values.day);
+const played = { ...day, ...(values.rate !== undefined && { rate: Number(values.rate) }) };
+const rows: Row[] = [];
+const results: unknown[] = [];
+const plotted: PlottedVersion[] = [];
+let firstAt = 0;
+for (const version of values.versions.split(',')) {
+  const decisions = DECISIONS[version];
+  if (!decisions) {
+    console.error(
+      `no version is called ${version}; there are ${Object.keys(DECISIONS).join(', ')}`,
+    );
+    process.exit(1);
+  }
+  for (const seed of values.seeds.split(',').map(Number)) {
+    const startedAt = performance.now();
+    const result = await playDay({ site, day: played, seed, decisions });
+    const figures = summarizeDay(result);
+    const wall = Math.round((performance.now() - startedAt) / 100) / 10;
+    ({ firstAt } = result);
+    plotted.push({ name: `${version}, seed ${seed}`, records: result.records });
+    results.push({ site: site.name, day: day.name, rate: played.rate, version, seed, ...figures });
+    const { all, engines, gaps, broken } = figures;
+    rows.push({
+      version,
+      seed,
+      ...all,
+      preempted: engines.preempted,
+      turnedAway: engines.refused,
+      moves: engines.moves,
+      gaps: gaps.count,
+      longestGap: gaps.longest,
+      broken: broken.events + broken.ranTwice + broken.refusedThoughRun,
+      seconds: wall,
+    });
+  }
+}
+console.log(`${site.name}, ${day.name}, rate ${played.rate}`);
+console.log(`${formatTable(rows, process.stdout.isTTY)}\n`);
+console.log(JSON.stringify(results));
+if (values.out !== undefined) {
+  mkdirSync(values.out, { recursive: true });
+  const name = `${site.name}-${day.name}`;
+  writeFileSync(join(values.out, `${name}.json`), `${JSON.stringify(results, null, 2)}\n`);
+  writeFileSync(join(values.out, `${name}.svg`), plotDay(plotted, firstAt));
+}
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -274,10 +274,10 @@
   /** Leaves a path through a lost endpoint: moved where the first endpoint lives, else run anew. */
   function avoidLost(lost: string): void {
     const [firstHop] = listHops();
-    const other =
-      firstHop?.endpoint === lost
-        ? undefined
-        : selectPath(context, request, { ...countSize(), excluded: refusedBy, firstHop });
+    const mustRunAnew = firstHop?.endpoint === lost || !context.decisions.movesRuns;
+    const other = mustRunAnew
+      ? undefined
+      : selectPath(context, request, { ...countSize(), excluded: refusedBy, firstHop });
     if (other) void moveTo(other);
     else recover('endpoint lost');
   }
--- a/src/process/relay/selectPath/index.ts
+++ b/src/process/relay/selectPath/index.ts
@@ -2,11 +2,7 @@
  * Choice of a path with the load that this node knows, and the taking of room on it.
  */
 import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
-import {
-  choosePath,
-  type ChosenPath,
-  type PathCandidate,
-} from '../../../request/choosePath/index.js';
+import type { ChosenPath, PathCandidate } from '../../../request/choosePath/index.js';
 import { describeRoom, findTightest, formatRanges } from '../../../request/describeRoom/index.js';
 import type { PathHop, SiteService } from '../../../types/site/index.js';
 import { formatHops } from '../formatHops/index.js';
@@ -127,7 +123,7 @@
   const { firstHop, promptTokens, answerTokens, roomTokens, excluded } = options;
   const candidates = listCandidates(context, request.service, excluded);
   const firstZone = firstHop && endpoints.find(firstHop.endpoint)?.record.availabilityZone;
-  const path = choosePath({
+  const path = context.decisions.choosePath({
     model,
     candidates,
     availabilityZone,
--- a/src/process/relay/types/index.ts
+++ b/src/process/relay/types/index.ts
@@ -13,6 +13,7 @@
 import type { SiteRoute, SiteService } from '../../../types/site/index.js';
 import type { SiteLogger } from '../../site/createSiteLogger/index.js';
 import type { Examiner } from '../createExaminer/index.js';
+import type { SiteDecisions } from '../../site/siteDecisions/index.js';
 import type { RelayMetrics } from '../createRelayMetrics/index.js';
 import type { RequestLog } from '../createRequestLog/index.js';
 
@@ -28,6 +29,7 @@
   /** Numbers from 0 to 1. */
   readonly random: () => number;
   readonly examiner: Examiner;
+  readonly decisions: Pick<SiteDecisions, 'choosePath' | 'movesRuns'>;
   /** Calls back when an endpoint is lost; returns a function that stops this. */
   readonly onLost: (callback: (endpoint: string) => void) => () => void;
   /** Milliseconds since the load of other nodes was last heard. */
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -24,6 +24,7 @@
 import { createStoreFollower, type StoreFollower } from '../followStore/index.js';
 import { createRegistration, type Registration } from '../registerNode/index.js';
 import { createPlanner, type Planner } from '../runPlanner/index.js';
+import { SITE_DECISIONS, type SiteDecisions } from '../siteDecisions/index.js';
 
 /** Keys of the store that the node reads. */
 export interface SiteKeys {
@@ -53,6 +54,8 @@
   readonly decoders: SiteDecoders;
   readonly keys: SiteKeys;
   readonly retries: RetryBounds;
+  /** The product's own decisions by default. */
+  readonly decisions?: SiteDecisions;
   readonly onConfiguration: CreateSiteStateOptions['onConfiguration'];
   /** When the node began to leave, if it did. */
   readonly getLeavingSince: () => number | undefined;
@@ -103,6 +106,7 @@
  */
 export function createSiteNode(options: CreateSiteNodeOptions): SiteCore {
   const { self, clock, store, endpointPort, logger, decoders, keys, retries } = options;
+  const { decisions = SITE_DECISIONS } = options;
   const { now } = clock;
   const random = createRandom(hashText(`${self.name}/${self.incarnation}`));
   const metrics = createRelayMetrics();
@@ -169,6 +173,7 @@
     now,
     listAlive,
     examiner,
+    planPlacement: decisions.planPlacement,
   });
   const registration = createRegistration({
     store,
@@ -188,6 +193,7 @@
     logger,
     metrics,
     examiner,
+    decisions,
     clock,
     random,
     onLost: lostListeners.add,
--- a/src/process/site/runPlanner/index.ts
+++ b/src/process/site/runPlanner/index.ts
@@ -8,10 +8,11 @@
 import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
 import type { EndpointControl, OrderOutcome } from '../../../types/relay/index.js';
 import type { EndpointReport, LayeredModel, LayerRange } from '../../../types/site/index.js';
-import { planPlacement, type PlacedEndpoint } from '../../../version/planPlacement/index.js';
+import type { PlacedEndpoint } from '../../../version/planPlacement/index.js';
 import { findOwner } from '../../hashRendezvous/index.js';
 import type { Examiner } from '../../relay/createExaminer/index.js';
 import type { SiteLogger } from '../createSiteLogger/index.js';
+import type { SiteDecisions } from '../siteDecisions/index.js';
 import type { SiteState } from '../createSiteState/index.js';
 
 /** Options of {@link createPlanner}. */
@@ -23,6 +24,7 @@
   readonly now: () => number;
   readonly listAlive: () => readonly string[];
   readonly examiner: Examiner;
+  readonly planPlacement: SiteDecisions['planPlacement'];
 }
 
 /** Planner of one node. */
@@ -70,7 +72,7 @@
  * createPlanner(options).step();
  */
 export function createPlanner(options: CreatePlannerOptions): Planner {
-  const { self, state, endpointPort, logger, now, listAlive, examiner } = options;
+  const { self, state, endpointPort, logger, now, listAlive, examiner, planPlacement } = options;
   const orders = new Map<string, Order>();
   const news = new Map<string, number>();
   const slowAt = new Map<string, number>();
--- a/src/process/site/runPlanner/test.ts
+++ b/src/process/site/runPlanner/test.ts
@@ -8,6 +8,7 @@
 } from '../../../../tests/support/site/index.js';
 import type { EndpointControl, OrderOutcome, PlaceOrder } from '../../../types/relay/index.js';
 import type { LayerRange } from '../../../types/site/index.js';
+import { planPlacement } from '../../../version/planPlacement/index.js';
 import { createExaminer } from '../../relay/createExaminer/index.js';
 import { createSiteState } from '../createSiteState/index.js';
 import { createPlanner, type Planner } from './index.js';
@@ -95,6 +96,7 @@
       now,
       listAlive,
       examiner,
+      planPlacement,
     });
   };
   for (let index = 0; index < count; index += 1) {
--- a/standins/createEventQueue/index.ts
+++ b/standins/createEventQueue/index.ts
@@ -6,6 +6,8 @@
 export interface EventQueue {
   readonly now: () => number;
   readonly schedule: (delayMilliseconds: number, action: () => void) => void;
+  /** Runs the next action if it is due until a time; false when there is none. */
+  readonly runNext: (timeMilliseconds: number) => boolean;
   /** Runs every action that is due until a time. */
   readonly runUntil: (timeMilliseconds: number) => void;
 }
@@ -78,6 +80,15 @@
     return first;
   };
 
+  const runNext = (timeMilliseconds: number): boolean => {
+    if (!heap[0] || heap[0].at > timeMilliseconds) return false;
+    const entry = takeFirst();
+    if (!entry) return false;
+    now = entry.at;
+    entry.action();
+    return true;
+  };
+
   return {
     now: () => now,
     schedule: (delayMilliseconds, action) => {
@@ -85,13 +96,9 @@
       heap.push({ at: now + Math.max(0, delayMilliseconds), order, action });
       rise(heap.length - 1);
     },
+    runNext,
     runUntil: (timeMilliseconds) => {
-      while (heap[0] && heap[0].at <= timeMilliseconds) {
-        const entry = takeFirst();
-        if (!entry) break;
-        now = entry.at;
-        entry.action();
-      }
+      while (runNext(timeMilliseconds));
       now = timeMilliseconds;
     },
   };
