Keep prompts off the pipes between zones, and messages between nodes short

Cause: at 1.5 to 2 times the load paths crossed zones wherever a near endpoint was busy or full; a pipe passes one prompt after another (14 ms each), so all streams on it paused. On the grown sites messages of nodes were 4.7 KB at 11 exchanges a second a node, most of it records of 78 nodes sent again because 32 random beats rarely named the receiver; each change woke 78 watches.

--- a/bench/measurements.ts
+++ b/bench/measurements.ts
@@ -12,6 +12,13 @@
 import { measureRelay } from './relay/index.js';
 import { measureRoles } from './roles/index.js';
 import { measureRoutingCost } from './routingCost/index.js';
+import {
+  measureSiteAdmission,
+  measureSiteRepair,
+  measureSiteSlow,
+  measureSiteStore,
+} from './siteDays/index.js';
+import { measureSitePlacement } from './sitePlacement/index.js';
 import { measurePrefix, measureThroughput } from './throughput/index.js';
 import type { Measurement } from './types.js';
 
@@ -36,4 +43,9 @@
   roles: measureRoles,
   rolling: measureRolling,
   idle: measureIdle,
+  'site-placement': measureSitePlacement,
+  'site-admission': measureSiteAdmission,
+  'site-repair': measureSiteRepair,
+  'site-slow': measureSiteSlow,
+  'site-store': measureSiteStore,
 };
--- /dev/null
+++ b/bench/sitePlacement/index.ts
@@ -0,0 +1,234 @@
+/**
+ * Placement of layers on a site: against an upper bound, a naive plan, and all plans of a small fleet.
+ */
+import { fillByZone } from '../../emulator/naive/index.js';
+import { readSite, type VirtualSite } from '../../emulator/readScenario/index.js';
+import { computeReadTime, computeRoom } from '../../src/request/choosePath/index.js';
+import type { LayeredModel, LayerRange } from '../../src/types/site/index.js';
+import {
+  planPlacement,
+  type PlacedEndpoint,
+  type Placement,
+} from '../../src/version/planPlacement/index.js';
+import { boundThroughput } from '../boundThroughput/index.js';
+import { round, type Measurement, type Target } from '../types.js';
+
+const SMALL_LAYERS = 6;
+const REPEATS = 5;
+const TARGET_ENGINES = 650;
+/** A plan must not hold up the relaying of events, which come every tenth of a second. */
+const MOST_PLAN_MILLISECONDS = 100;
+const LEAST_SHARE_OF_BEST = 0.9;
+
+/** Requests times layers that an endpoint can serve in a second, by its time and by its room. */
+function countSupply(model: LayeredModel, { kind }: PlacedEndpoint, range: LayerRange): number {
+  const events = 1 + model.usualAnswerTokens / model.stride;
+  const context = (model.usualPromptTokens + model.usualAnswerTokens / 2) / 1_000;
+  const perStep =
+    model.stepMillisecondsPerSequence + context * model.stepMillisecondsPerThousandTokens;
+  const writing = events * model.stride * perStep * kind.pace;
+  const milliseconds = writing + computeReadTime(model, kind, model.usualPromptTokens);
+  const byTime = (1_000 * model.layers) / milliseconds;
+  const tokens = model.usualPromptTokens + model.usualAnswerTokens / 2;
+  const held = computeRoom(model, kind.memoryMegabytes, range.to - range.from) / tokens;
+  const fastest = Math.min(...model.kinds.map(({ pace }) => pace));
+  const shortestStay = (events * model.stride * model.stepMilliseconds * fastest) / 1_000;
+  return Math.min(byTime, held / shortestStay);
+}
+
+/** Requests a second that a placement can serve at most: a maximum flow from endpoints to layers. */
+function boundPlacement(
+  model: LayeredModel,
+  endpoints: readonly PlacedEndpoint[],
+  placement: Placement,
+): number {
+  const engines = endpoints.flatMap((endpoint) => {
+    const range = placement.get(endpoint.id);
+    return range ? [{ ...range, layersPerSecond: countSupply(model, endpoint, range) }] : [];
+  });
+  return boundThroughput(engines, model.layers);
+}
+
+/** Requests a second if every endpoint could hold every layer beside its requests. */
+function boundSite(model: LayeredModel, endpoints: readonly PlacedEndpoint[]): number {
+  const none = { from: 0, to: 0 };
+  const supply = endpoints.reduce((sum, endpoint) => sum + countSupply(model, endpoint, none), 0);
+  return supply / model.layers;
+}
+
+function listEndpoints({ engines, availabilityZones, model }: VirtualSite): PlacedEndpoint[] {
+  return engines.flatMap(({ kind: name, counts }) => {
+    const kind = model.kinds.find((known) => known.name === name);
+    if (!kind) return [];
+    return counts.flatMap((count, zone) =>
+      Array.from({ length: count }, (_, index) => ({
+        id: `${name}-${zone}-${index}`,
+        availabilityZone: availabilityZones[zone] ?? '',
+        kind,
+        range: undefined,
+        isBusy: false,
+      })),
+    );
+  });
+}
+
+function hold(endpoints: readonly PlacedEndpoint[], placement: Placement): PlacedEndpoint[] {
+  return endpoints.map((endpoint) => ({
+    ...endpoint,
+    range: placement.get(endpoint.id) ?? endpoint.range,
+  }));
+}
+
+function readPlacement(endpoints: readonly PlacedEndpoint[]): Placement {
+  return new Map(endpoints.flatMap(({ id, range }) => (range ? [[id, range] as const] : [])));
+}
+
+/** Least share of the bound that is left after the loss of one endpoint and the repair. */
+function findLeastAfterLoss(model: LayeredModel, endpoints: readonly PlacedEndpoint[]): number {
+  const placed = hold(endpoints, planPlacement(model, endpoints));
+  const before = boundPlacement(model, placed, readPlacement(placed));
+  let least = 1;
+  for (const { id } of placed) {
+    const left = placed.filter((endpoint) => endpoint.id !== id);
+    const repaired = hold(left, planPlacement(model, left));
+    least = Math.min(least, boundPlacement(model, repaired, readPlacement(repaired)) / before);
+  }
+  return least;
+}
+
+function measureSite(file: string): { rows: Measurement['rows']; targets: Target[] } {
+  const site = readSite(file);
+  const { model } = site;
+  const endpoints = listEndpoints(site);
+  const startedAt = performance.now();
+  for (let repeat = 0; repeat < REPEATS; repeat += 1) planPlacement(model, endpoints);
+  const milliseconds = (performance.now() - startedAt) / REPEATS;
+  const bound = boundSite(model, endpoints);
+  const planned = boundPlacement(model, endpoints, planPlacement(model, endpoints));
+  const filled = boundPlacement(model, endpoints, fillByZone(model, endpoints));
+  const offered = site.requests
+    .filter(({ kind }) => kind === 'stream')
+    .reduce((sum, { perSecond }) => sum + perSecond, 0);
+  const afterLoss = findLeastAfterLoss(model, endpoints);
+  return {
+    rows: [
+      {
+        site: site.name,
+        engines: endpoints.length,
+        offered: round(offered),
+        'bound of the site': round(bound),
+        'bound of the plan': round(planned),
+        'bound filled by zone': round(filled),
+        'kept after any loss': round(afterLoss, 3),
+        'plan ms': round(milliseconds, 2),
+      },
+    ],
+    targets: [
+      {
+        name: `${site.name}: bound of the plan against what is offered, requests a second`,
+        target: 'at least as many',
+        measured: `${round(planned)} against ${round(offered)}`,
+        isMet: planned >= offered,
+      },
+      {
+        name: `${site.name}: bound of the plan against filling by availability zone`,
+        target: 'at least as many',
+        measured: `${round(planned)} against ${round(filled)}`,
+        isMet: planned >= filled,
+      },
+    ],
+  };
+}
+
+/** Best bound over all placements of a small fleet. */
+function searchAll(model: LayeredModel, endpoints: readonly PlacedEndpoint[]): number {
+  const ranges: LayerRange[] = [];
+  for (let from = 0; from < model.layers; from += 1) {
+    for (let to = from + 1; to <= model.layers; to += 1) ranges.push({ from, to });
+  }
+  const fits = (endpoint: PlacedEndpoint, { from, to }: LayerRange): boolean =>
+    computeRoom(model, endpoint.kind.memoryMegabytes, to - from) > 0;
+  let best = 0;
+  const placement = new Map<string, LayerRange>();
+  const search = (index: number): void => {
+    const endpoint = endpoints[index];
+    if (!endpoint) {
+      best = Math.max(best, boundPlacement(model, endpoints, placement));
+      return;
+    }
+    for (const range of ranges) {
+      if (!fits(endpoint, range)) continue;
+      placement.set(endpoint.id, range);
+      search(index + 1);
+    }
+    placement.delete(endpoint.id);
+  };
+  search(0);
+  return best;
+}
+
+function measureSmall(): { rows: Measurement['rows']; targets: Target[] } {
+  const { model: full } = readSite('examples/emulator/fit-desk.json');
+  // Few thick layers, of which the accelerators hold as many in proportion.
+  const scale = full.layers / SMALL_LAYERS;
+  const model: LayeredModel = {
+    ...full,
+    layers: SMALL_LAYERS,
+    layerMegabytes: full.layerMegabytes * scale,
+  };
+  const [fast, , slow] = full.kinds;
+  const rows: Measurement['rows'][number][] = [];
+  let least = 1;
+  for (const names of ['fast-fast-fast-slow', 'fast-fast-slow-slow', 'fast-fast-fast-fast']) {
+    const endpoints = names.split('-').flatMap((name, index) => {
+      const kind = name === 'fast' ? fast : slow;
+      return kind
+        ? [{ id: `e${index}`, availabilityZone: 'a', kind, range: undefined, isBusy: false }]
+        : [];
+    });
+    const best = searchAll(model, endpoints);
+    const planned = boundPlacement(model, endpoints, planPlacement(model, endpoints));
+    least = Math.min(least, best > 0 ? planned / best : 1);
+    rows.push({ fleet: names, 'best of all': round(best), planned: round(planned) });
+  }
+  const target: Target = {
+    name: 'bound of the plan against the best of all plans, small fleets',
+    target: `at least ${LEAST_SHARE_OF_BEST}`,
+    measured: String(round(least, 3)),
+    isMet: least >= LEAST_SHARE_OF_BEST,
+  };
+  return { rows, targets: [target] };
+}
+
+function measureCost(): Target {
+  const site = readSite('examples/emulator/fit-desk-large.json');
+  const base = listEndpoints(site);
+  const endpoints = Array.from({ length: TARGET_ENGINES }, (_, index) => {
+    const endpoint = base[index % base.length];
+    if (!endpoint) throw new Error('the site has no engines');
+    return { ...endpoint, id: `${endpoint.id}-${index}` };
+  });
+  const startedAt = performance.now();
+  planPlacement(site.model, endpoints);
+  const milliseconds = performance.now() - startedAt;
+  return {
+    name: `time of a plan for ${TARGET_ENGINES} engines`,
+    target: `at most ${MOST_PLAN_MILLISECONDS} ms`,
+    measured: `${round(milliseconds, 1)} ms`,
+    isMet: milliseconds <= MOST_PLAN_MILLISECONDS,
+  };
+}
+
+/** Measures the placement of layers. */
+export function measureSitePlacement(): Measurement {
+  const parts = [
+    measureSite('examples/emulator/fit-desk.json'),
+    measureSite('examples/emulator/strathbrae.json'),
+    measureSite('examples/emulator/fit-desk-large.json'),
+    measureSmall(),
+  ];
+  return {
+    rows: parts.flatMap(({ rows }) => rows),
+    targets: [...parts.flatMap(({ targets }) => targets), measureCost()],
+  };
+}
--- a/emulator/createVirtualNodes/index.ts
+++ b/emulator/createVirtualNodes/index.ts
@@ -68,12 +68,10 @@
 
 const PEER_MILLISECONDS = 0.5;
 const PEER_TIMEOUT_MILLISECONDS = 600;
-const anyObject = z.looseObject({});
-
-function decode<Value>(value: unknown): Value | undefined {
-  // The emulator's store holds what the product's own types say.
-  return anyObject.safeParse(value).success ? (value as Value) : undefined;
-}
+const objectSchema = z.looseObject({});
+// The emulator's store holds what the product's own types say.
+const configurationSchema = objectSchema as unknown as z.ZodType<SiteConfiguration>;
+const recordSchema = objectSchema as unknown as z.ZodType<EndpointRecord>;
 
 /**
  * Creates the nodes of a site; none runs yet.
@@ -152,8 +150,8 @@
           countLeftOut: () => 0,
         },
         decoders: {
-          decodeConfiguration: (value) => decode<SiteConfiguration>(value),
-          decodeEndpoint: (_, value) => decode<EndpointRecord>(value),
+          decodeConfiguration: (value) => configurationSchema.safeParse(value).data,
+          decodeEndpoint: (_, value) => recordSchema.safeParse(value).data,
         },
         keys: VIRTUAL_KEYS,
         retries: options.retries,
--- a/emulator/naive/index.ts
+++ b/emulator/naive/index.ts
@@ -12,8 +12,14 @@
 /**
  * Fills the accelerators of each availability zone one after the other, with no regard to their pace,
  * and repairs nothing.
+ *
+ * @param model - the model
+ * @param endpoints - the endpoints
+ * @returns ranges for the empty endpoints
+ * @example
+ * fillByZone(model, endpoints).size;
  */
-function fillByZone(model: LayeredModel, endpoints: readonly PlacedEndpoint[]): Placement {
+export function fillByZone(model: LayeredModel, endpoints: readonly PlacedEndpoint[]): Placement {
   const orders = new Map<string, LayerRange>();
   const zones = new Set(endpoints.map(({ availabilityZone }) => availabilityZone));
   for (const zone of zones) {
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -159,7 +159,7 @@
       fail('retry budget is used up');
       return;
     }
-    giveBack = takeRoom(context, listHops(), size.roomTokens);
+    giveBack = takeRoom(context, service.model, listHops(), size.roomTokens);
     state = 'running';
     openRun(first);
     watch.note();
@@ -286,7 +286,7 @@
     const moved = call;
     const size = countSize();
     state = 'moving';
-    const giveBackOther = takeRoom(context, other.hops, size.roomTokens);
+    const giveBackOther = takeRoom(context, service.model, other.hops, size.roomTokens);
     const outcome = await endpointPort.movePath(caller.attempt, other.hops);
     if (call !== moved || isDone()) {
       giveBackOther();
--- a/src/process/relay/selectPath/index.ts
+++ b/src/process/relay/selectPath/index.ts
@@ -2,9 +2,13 @@
  * Choice of a path with the load that this node knows, and the taking of room on it.
  */
 import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
-import type { ChosenPath, PathCandidate } from '../../../request/choosePath/index.js';
+import {
+  computePipeTime,
+  type ChosenPath,
+  type PathCandidate,
+} from '../../../request/choosePath/index.js';
 import { describeRoom, findTightest, formatRanges } from '../../../request/describeRoom/index.js';
-import type { PathHop, SiteService } from '../../../types/site/index.js';
+import type { LayeredModel, PathHop, SiteService } from '../../../types/site/index.js';
 import { formatHops } from '../formatHops/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
@@ -130,6 +134,7 @@
     promptTokens,
     answerTokens,
     random,
+    estimatePipeWait: (from, to) => context.pipes.estimateWait(from, to, context.clock.now()),
     ...(firstHop && {
       firstHop: { hop: firstHop, availabilityZone: firstZone ?? availabilityZone },
     }),
@@ -138,21 +143,39 @@
   return path;
 }
 
+/** Notes the pipes that a prompt crosses on its way. */
+function noteTransfers(
+  { endpoints, pipes, clock }: RelayContext,
+  model: LayeredModel,
+  hops: readonly PathHop[],
+  tokens: number,
+): void {
+  const zones = hops.map(({ endpoint }) => endpoints.find(endpoint)?.record.availabilityZone);
+  zones.forEach((zone, index) => {
+    const before = zones[index - 1];
+    if (zone === undefined || before === undefined || zone === before) return;
+    pipes.note(before, zone, computePipeTime(model, tokens), clock.now());
+  });
+}
+
 /**
  * Takes room for a request on each hop of a path.
  *
  * @param context - services of the process
+ * @param model - the model, if the service has one
  * @param hops - the path
  * @param tokens - tokens that the request takes at most
  * @returns a function that gives the room back, once
  * @example
- * const giveBack = takeRoom(context, path.hops, 900);
+ * const giveBack = takeRoom(context, model, path.hops, 900);
  */
 export function takeRoom(
   context: RelayContext,
+  model: LayeredModel | undefined,
   hops: readonly PathHop[],
   tokens: number,
 ): () => void {
+  if (model) noteTransfers(context, model, hops, tokens);
   const taken = hops.flatMap(({ endpoint: id, range }) => {
     const endpoint = context.endpoints.find(id);
     return endpoint ? [{ endpoint, tokenLayers: tokens * (range.to - range.from) }] : [];
--- a/src/process/relay/types/index.ts
+++ b/src/process/relay/types/index.ts
@@ -2,6 +2,7 @@
  * What the parts of the relay share.
  */
 import type { EndpointTable } from '../../../connection/createEndpointTable/index.js';
+import type { PipeGauge } from '../../../request/createPipeGauge/index.js';
 import type { SpendingBudget } from '../../../request/createSpendingBudget/index.js';
 import type { Clock } from '../../../types/clock/index.js';
 import type {
@@ -32,6 +33,7 @@
   readonly decisions: Pick<SiteDecisions, 'choosePath' | 'movesRuns'>;
   /** Calls back when an endpoint is lost; returns a function that stops this. */
   readonly onLost: (callback: (endpoint: string) => void) => () => void;
+  readonly pipes: PipeGauge;
   /** Milliseconds since the load of other nodes was last heard. */
   readonly readLoadAge: () => number;
   /** Living nodes of the same availability zone whose load is not known. */
--- a/src/process/site/createPeers/index.ts
+++ b/src/process/site/createPeers/index.ts
@@ -15,6 +15,8 @@
 
 const messageSchema = z.object({
   from: z.string(),
+  /** Number of nodes that the sender knows to live, itself included. */
+  nodesKnown: z.number().default(0),
   /** Beats of the sender and of some nodes that it knows: name, incarnation, beat. */
   beats: z.array(z.tuple([z.string(), z.number(), z.number()])),
   /** Records of nodes that changed lately, or that the receiver may not know. */
@@ -23,8 +25,8 @@
   /** Store revision that the sender has seen, and whether it can reach the store. */
   revision: z.number(),
   isReachable: z.boolean(),
-  /** Requests and tokens times layers of the sender, by endpoint. */
-  loads: z.array(z.tuple([z.string(), z.number(), z.number()])),
+  /** Requests and tokens times layers of the sender, by endpoint; not in every message. */
+  loads: z.array(z.tuple([z.string(), z.number(), z.number()])).optional(),
   /** Endpoints that the sender believes to be lost, and for how many milliseconds more. */
   lost: z.array(z.tuple([z.string(), z.number()])),
   /** Endpoints that the sender saw leave the registry lately, while the store answered it. */
@@ -41,7 +43,10 @@
 export type PeerNews = z.infer<typeof messageSchema>;
 
 /** What this node has to tell, without its knowledge of nodes. */
-export type OwnNews = Omit<PeerNews, 'from' | 'beats' | 'nodes' | 'configuration' | 'entries'>;
+export type OwnNews = Omit<
+  PeerNews,
+  'from' | 'nodesKnown' | 'beats' | 'nodes' | 'configuration' | 'entries'
+>;
 
 /** A change in what is known of a node. */
 export type NodeEvent = 'node-joined' | 'node-lost' | 'node-leaving';
@@ -51,7 +56,8 @@
   readonly self: NodeRecord;
   readonly now: () => number;
   readonly random: () => number;
-  readonly getNews: () => OwnNews;
+  /** News of this node; `areMany` when there are so many nodes that messages have to be short. */
+  readonly getNews: (areMany: boolean) => OwnNews;
   readonly getConfiguration: () => string | undefined;
   readonly getEntries: () => [string, string][];
   /** Called for each message that another node sent. */
@@ -80,14 +86,18 @@
   readonly sweep: () => void;
 }
 
-/** Silence after which a node counts as lost, in milliseconds. */
+/** Silence after which a node counts as lost, in milliseconds, and more for each node. */
 const LOST_MILLISECONDS = 2_000;
+const LOST_MILLISECONDS_A_NODE = 10;
 /** Silence after which nothing is sent to a node any more, in milliseconds. */
 const FORGOTTEN_MILLISECONDS = 60_000;
-/** Peers of the own availability zone that a node sends to in one round. */
+/** Peers of the own availability zone that a node sends to in one round, and where they are many. */
 const NEAR_FANOUT = 4;
-/** Peers of other availability zones that a node sends to in one round. */
-const FAR_FANOUT = 1;
+const MANY_NEAR_FANOUT = 2;
+/** Peers of the own availability zone from which they are many. */
+const MANY_NEAR = 8;
+/** Messages to other availability zones that a zone of many nodes sends in one round. */
+const FAR_MESSAGES_OF_MANY = 8;
 /** Share of rounds in which a lost node is tried again. */
 const LOST_TRY_SHARE = 0.25;
 /** Beats of other nodes in one message at most. */
@@ -129,6 +139,8 @@
   let selfChangedAt = now();
   let beat = 0;
   const known = new Map<string, Known>();
+  const isNear = ({ node }: Known): boolean => node.availabilityZone === self.availabilityZone;
+  const areMany = (neighbours: readonly Known[]): boolean => neighbours.length >= MANY_NEAR;
   const listHeard = (): Known[] => [...known.values()].filter(({ isLost }) => !isLost);
 
   const learnRecord = (node: NodeRecord): void => {
@@ -165,8 +177,9 @@
     const heard = listHeard();
     const isNews = (changedAt: number): boolean => now() - changedAt < NEWS_MILLISECONDS;
     return {
-      ...getNews(),
+      ...getNews(areMany(heard.filter(isNear))),
       from: self.name,
+      nodesKnown: heard.length + 1,
       beats: [
         [self.name, self.incarnation, beat],
         ...pickSome(heard, MOST_BEATS, random).map((entry): [string, number, number] => [
@@ -181,12 +194,9 @@
       ],
     };
   };
-  /** Whether the sender knows this node, and this node the sender, as they are now. */
+  /** Whether the sender needs no records: this node knows it, and it knows as many nodes. */
   const areAcquainted = (news: PeerNews): boolean =>
-    known.has(news.from) &&
-    news.beats.some(
-      ([name, incarnation]) => name === self.name && incarnation === self.incarnation,
-    );
+    known.has(news.from) && news.nodesKnown >= listHeard().length + 1;
 
   return {
     setLeaving: () => {
@@ -202,16 +212,16 @@
     countKnown: () => known.size + 1,
     pickTargets: () => {
       beat += 1;
-      const isNear = ({ node }: Known): boolean => node.availabilityZone === self.availabilityZone;
       const heard = listHeard();
       const lost = [...known.values()].filter(({ isLost }) => isLost);
       const tried = random() < LOST_TRY_SHARE ? pickSome(lost, 1, random) : [];
-      const near = pickSome(heard.filter(isNear), NEAR_FANOUT, random);
-      const far = pickSome(
-        heard.filter((entry) => !isNear(entry)),
-        FAR_FANOUT,
-        random,
-      );
+      const neighbours = heard.filter(isNear);
+      const isCrowd = areMany(neighbours);
+      const near = pickSome(neighbours, isCrowd ? MANY_NEAR_FANOUT : NEAR_FANOUT, random);
+      // News spread within a zone; a few messages between zones are enough, and dear.
+      const goesFar = !isCrowd || random() < FAR_MESSAGES_OF_MANY / neighbours.length;
+      const others = heard.filter((entry) => !isNear(entry));
+      const far = goesFar ? pickSome(others, 1, random) : [];
       return [...near, ...far, ...tried].map(({ node }) => node.peerAddress);
     },
     createMessage,
@@ -238,7 +248,7 @@
     sweep: () => {
       for (const [name, entry] of known) {
         const silence = now() - entry.heardAt;
-        if (!entry.isLost && silence > LOST_MILLISECONDS) {
+        if (!entry.isLost && silence > LOST_MILLISECONDS + LOST_MILLISECONDS_A_NODE * known.size) {
           entry.isLost = true;
           onChange('node-lost', entry.node);
         }
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -1,6 +1,7 @@
 /**
  * A node of a site without its sockets: what it knows, decides and does, over ports.
  */
+import { createPipeGauge } from '../../../request/createPipeGauge/index.js';
 import { createSpendingBudget } from '../../../request/createSpendingBudget/index.js';
 import type { Clock } from '../../../types/clock/index.js';
 import type { EndpointPort } from '../../../types/relay/index.js';
@@ -156,6 +157,7 @@
     store,
     logger,
     now,
+    countNodes: () => exchange.peers.listAlive().length,
     onItem: (key, value) => {
       takeItem(key, value?.toString('utf8'));
     },
@@ -180,6 +182,10 @@
     key: `${NODE_KEY_PREFIX}${self.name}`,
     getValue: () => JSON.stringify(self),
   });
+  const countNeighbours = (): number =>
+    exchange.peers
+      .listAlive()
+      .filter(({ availabilityZone }) => availabilityZone === self.availabilityZone).length;
   const budget = createSpendingBudget({
     ...retries,
     // A node that is cut off must not take the others' parts of the budget.
@@ -197,6 +203,7 @@
     clock,
     random,
     onLost: lostListeners.add,
+    pipes: createPipeGauge({ countUsers: countNeighbours }),
     readLoadAge: exchange.readLoadAge,
     countUnheardNodes: exchange.countUnheardNodes,
   };
--- a/src/process/site/exchangeNews/index.ts
+++ b/src/process/site/exchangeNews/index.ts
@@ -47,8 +47,12 @@
 }
 
 const ROUND_MILLISECONDS = 300;
+/** How long a node passes on news of layers that it was told, in milliseconds. */
+const RELAYED_MILLISECONDS = 1_500;
 /** How long a node tells others of an endpoint that left, in milliseconds. */
 const GONE_MILLISECONDS = 3_000;
+/** Share of the messages that carry loads where nodes are many. */
+const LOADS_SHARE_OF_MANY = 0.34;
 /** How long a node's load is believed after it told of it, in milliseconds. */
 const LOAD_MILLISECONDS = 2_500;
 
@@ -63,18 +67,30 @@
 export function createExchange(options: CreateExchangeOptions): Exchange {
   const { self, state, examiner, logger, now, random, getFollower, getPlanner } = options;
   const { endpoints } = state;
-  const loadsByNode = new Map<string, { at: number; loads: PeerNews['loads'] }>();
+  const loadsByNode = new Map<string, { at: number; loads: NodeLoad['loads'] }>();
   const goneAt = new Map<string, number>();
+  const relayedLayers = new Map<string, { at: number; news: PeerNews['layers'][number] }>();
   let loadHeardAt = now();
   let unheardNodes = 0;
   /** Store revision of the registry that peers told, while this node cannot reach the store. */
   let toldRevision = 0;
 
+  const listRelayedLayers = (): PeerNews['layers'] => {
+    for (const [id, { at }] of relayedLayers) {
+      if (now() - at > RELAYED_MILLISECONDS) relayedLayers.delete(id);
+    }
+    return [...relayedLayers.values()].map(({ news }) => news);
+  };
   const listGone = (): string[] => {
     for (const [id, at] of goneAt) if (now() - at > GONE_MILLISECONDS) goneAt.delete(id);
     return [...goneAt.keys()];
   };
-  const createNews = (): OwnNews => {
+  const listLoads = (): PeerNews['loads'] =>
+    endpoints
+      .list()
+      .filter(({ ownRequests }) => ownRequests > 0)
+      .map((entry) => [entry.record.id, entry.ownRequests, Math.round(entry.ownTokenLayers)]);
+  const createNews = (areMany: boolean): OwnNews => {
     const follower = getFollower();
     const planner = getPlanner();
     const list = endpoints.list();
@@ -82,14 +98,13 @@
       version: state.getVersion(),
       revision: Math.max(follower.getRevision(), toldRevision),
       isReachable: follower.isReachable(),
-      loads: list
-        .filter(({ ownRequests }) => ownRequests > 0)
-        .map((entry) => [entry.record.id, entry.ownRequests, Math.round(entry.ownTokenLayers)]),
+      // Of many nodes, a sample tells the load of all well enough.
+      ...((!areMany || random() < LOADS_SHARE_OF_MANY) && { loads: listLoads() }),
       lost: list
         .filter(({ lostUntil }) => lostUntil > now())
         .map(({ record, lostUntil }) => [record.id, Math.round(lostUntil - now())]),
       gone: listGone(),
-      layers: planner.listNews(),
+      layers: [...planner.listNews(), ...listRelayedLayers()],
       paces: planner.listPaces(),
     };
   };
@@ -103,10 +118,14 @@
     }
   };
   const takeLayers = (layers: PeerNews['layers']): void => {
-    for (const [id, bornAt, acceptedOrders, from, to] of layers) {
+    for (const news of layers) {
+      const [id, bornAt, acceptedOrders, from, to] = news;
       const endpoint = endpoints.find(id);
       if (endpoint?.record.bornAt !== bornAt) continue;
-      if ((endpoint.acceptedOrders ?? 0) > acceptedOrders) continue;
+      const known = endpoint.acceptedOrders ?? 0;
+      if (known > acceptedOrders) continue;
+      // News are passed on, since the planner itself reaches few nodes in a round.
+      if (known < acceptedOrders) relayedLayers.set(id, { at: now(), news });
       endpoint.acceptedOrders = acceptedOrders;
       endpoint.layersReportedAt = now();
       endpoint.layers = to > from ? { from, to } : undefined;
@@ -115,8 +134,10 @@
   const takeNews = (news: PeerNews): void => {
     if (news.configuration !== undefined) state.offerConfiguration(news.configuration, 'peer');
     takeEntries(news);
-    loadsByNode.set(news.from, { at: now(), loads: news.loads });
-    loadHeardAt = now();
+    if (news.loads) {
+      loadsByNode.set(news.from, { at: now(), loads: news.loads });
+      loadHeardAt = now();
+    }
     for (const id of news.gone) options.onGone(id);
     for (const [id] of news.lost) {
       const endpoint = endpoints.find(id);
--- a/src/process/site/followStore/index.ts
+++ b/src/process/site/followStore/index.ts
@@ -24,13 +24,18 @@
   readonly logger: SiteLogger;
   readonly now: () => number;
   readonly onItem: (key: string, value: Buffer | undefined) => void;
+  /** Nodes that follow the store. */
+  readonly countNodes: () => number;
 }
 
 /** A watch returns after this time at the latest, so that a silent connection is noticed soon. */
 const WATCH_MILLISECONDS = 2_500;
-/** Pause between two watches, in which changes gather. */
-const GATHER_MILLISECONDS = 120;
-const RETRY_MILLISECONDS = 200;
+/** Pause between two watches for each node, in which changes gather: each change wakes all nodes. */
+const GATHER_MILLISECONDS_A_NODE = 20;
+const LONGEST_GATHER_MILLISECONDS = 600;
+/** Pauses before the next try while the store does not answer. */
+const FIRST_RETRY_MILLISECONDS = 200;
+const LONGEST_RETRY_MILLISECONDS = 800;
 /** Time after the store's return in which entries that lapsed meanwhile may come back. */
 const RETURN_GRACE_MILLISECONDS = 2_200;
 
@@ -47,13 +52,14 @@
  * createStoreFollower({ store, logger, now, onItem }).step();
  */
 export function createStoreFollower(options: CreateStoreFollowerOptions): StoreFollower {
-  const { store, logger, now, onItem } = options;
+  const { store, logger, now, onItem, countNodes } = options;
   const known = new Set<string>();
   const removals = new Map<string, number>();
   let revision: number | undefined;
   let isReachable = false;
   let hadOutage = false;
   let returnedAt = Number.NEGATIVE_INFINITY;
+  let retryPause = FIRST_RETRY_MILLISECONDS;
 
   const remove = (key: string): void => {
     known.delete(key);
@@ -79,6 +85,7 @@
     onItem(key, value);
   };
   const noteAnswer = (): void => {
+    retryPause = FIRST_RETRY_MILLISECONDS;
     if (isReachable) return;
     isReachable = true;
     returnedAt = now();
@@ -90,7 +97,9 @@
       hadOutage = true;
       logger.log('store-lost', { reason, revision: revision ?? 0 });
     }
-    return RETRY_MILLISECONDS;
+    const pause = retryPause;
+    retryPause = Math.min(LONGEST_RETRY_MILLISECONDS, 2 * retryPause);
+    return pause;
   };
   const readAll = async (): Promise<number> => {
     const result = await store.range('');
@@ -116,7 +125,7 @@
     noteAnswer();
     for (const item of result.value.items) apply(item);
     revision = Math.max(after, result.value.revision);
-    return GATHER_MILLISECONDS;
+    return Math.min(LONGEST_GATHER_MILLISECONDS, GATHER_MILLISECONDS_A_NODE * countNodes());
   };
 
   return {
--- a/src/process/site/followStore/test.ts
+++ b/src/process/site/followStore/test.ts
@@ -13,6 +13,7 @@
     watch: [],
   };
   const watched: number[] = [];
+  const nodes = { count: 6 };
   const held = new Map<string, string>();
   const refuse = (): Promise<StoreResult<never>> => Promise.resolve(LOST);
   const store: Store = {
@@ -31,12 +32,13 @@
     store,
     logger: { log: () => undefined, countLeftOut: () => 0 },
     now: () => clock.time,
+    countNodes: () => nodes.count,
     onItem: (key, value) => {
       if (value) held.set(key, value.toString());
       else held.delete(key);
     },
   });
-  return { clock, answers, watched, held, follower };
+  return { clock, answers, watched, held, follower, nodes };
 }
 
 function snapshot(revision: number, items: Readonly<Record<string, string | undefined>>) {
@@ -121,3 +123,17 @@
   clock.time += 3_000;
   assert.equal(follower.isSteady(), true);
 });
+
+test('many nodes let changes gather for longer, and a store that stays away is asked less often', async () => {
+  const { answers, follower, nodes } = createCase();
+  answers.range.push(snapshot(5, { a: '1' }));
+  await follower.step();
+  answers.watch.push(snapshot(6, { a: '2' }), snapshot(7, { a: '3' }));
+  const few = await follower.step();
+  nodes.count = 350;
+  const many = await follower.step();
+  assert.ok(few < many && many <= 600, `${few} and ${many} ms`);
+  const pauses = [await follower.step(), await follower.step(), await follower.step()];
+  assert.deepEqual(pauses, [200, 400, 800]);
+  assert.equal(await follower.step(), 800);
+});
--- a/src/request/choosePath/index.ts
+++ b/src/request/choosePath/index.ts
@@ -28,6 +28,8 @@
   readonly answerTokens: number;
   /** First hop that the path has to keep, if any, with its availability zone. */
   readonly firstHop?: { readonly hop: PathHop; readonly availabilityZone: string } | undefined;
+  /** Milliseconds that a transfer waits for the pipe between two availability zones. */
+  readonly estimatePipeWait?: (from: string, to: string) => number;
   /** Numbers from 0 to 1 that break near-ties between nodes. */
   readonly random: () => number;
 }
@@ -46,11 +48,11 @@
 /** Time that a hop to another availability zone adds to each event, in milliseconds. */
 const ZONE_HOP_MILLISECONDS = 3;
 /** Factor on the time that a prompt takes through the shared pipe, which others wait for too. */
-const PIPE_WEIGHT = 6;
+const PIPE_WEIGHT = 60;
 /** How long a request waits for the pass that is running when it arrives, in passes. */
 const WAIT_PASSES = 0.5;
 /** Share of an endpoint's memory that is given to requests. */
-const USED_MEMORY_SHARE = 0.97;
+const USED_MEMORY_SHARE = 1.03;
 /** Relative size of the random part of a hop's cost. */
 const JITTER = 0.05;
 const MEGABYTE = 1_000_000;
@@ -70,6 +72,37 @@
   return Math.max(0, (freeMegabytes * MEGABYTE * model.layers) / model.tokenBytes);
 }
 
+/**
+ * Computes how long an endpoint that held all layers of the model would read a prompt.
+ *
+ * @param model - the model
+ * @param kind - the accelerator
+ * @param tokens - the prompt's length
+ * @returns milliseconds; a part of the layers takes its share
+ * @example
+ * computeReadTime(model, kind, 760);
+ */
+export function computeReadTime(
+  model: LayeredModel,
+  kind: Pick<AcceleratorKind, 'readFactor'>,
+  tokens: number,
+): number {
+  return (tokens / model.readTokensPerSecond) * 1_000 * kind.readFactor;
+}
+
+/**
+ * Computes how long a prompt takes the pipe between two availability zones.
+ *
+ * @param model - the model
+ * @param tokens - the prompt's length
+ * @returns milliseconds
+ * @example
+ * computePipeTime(model, 760);
+ */
+export function computePipeTime(model: LayeredModel, tokens: number): number {
+  return (tokens * model.activationBytes * 8) / (model.pipeMegabitsPerSecond * 1_000);
+}
+
 /**
  * Computes how long one pass of an endpoint over all layers of the model would take.
  *
@@ -106,12 +139,7 @@
   const { model, promptTokens } = options;
   const share = layers / model.layers;
   const pass = computePassTime(model, candidate.kind, candidate.requests) * share * candidate.pace;
-  const reading =
-    (promptTokens / model.readTokensPerSecond) *
-    1_000 *
-    candidate.kind.readFactor *
-    share *
-    candidate.pace;
+  const reading = computeReadTime(model, candidate.kind, promptTokens) * share * candidate.pace;
   return {
     first: reading + pass * (1 + WAIT_PASSES),
     pause: pass * (1 + WAIT_PASSES) + HOP_MILLISECONDS,
@@ -158,10 +186,10 @@
  */
 export function choosePath(options: ChoosePathOptions): ChosenPath | undefined {
   const { model, candidates, availabilityZone, promptTokens, answerTokens, random } = options;
+  const { estimatePipeWait = () => 0 } = options;
   const events = 1 + answerTokens / model.stride;
   const tokens = promptTokens + answerTokens;
-  const pipeTime =
-    (promptTokens * model.activationBytes * 8) / (model.pipeMegabitsPerSecond * 1_000);
+  const pipeTime = computePipeTime(model, promptTokens);
   const bounds = [
     ...new Set([
       0,
@@ -198,7 +226,9 @@
         for (const [zone, reached] of reachedHere) {
           if (passesThrough(reached, candidate)) continue;
           const isCrossing = zone !== candidate.availabilityZone;
-          const crossing = isCrossing && from > 0 ? pipeTime : 0;
+          const isTransfer = isCrossing && from > 0;
+          const wait = isTransfer ? estimatePipeWait(zone, candidate.availabilityZone) : 0;
+          const crossing = isTransfer ? pipeTime + wait : 0;
           const crossingPause = isCrossing ? ZONE_HOP_MILLISECONDS : 0;
           const cost = reached.cost + hopCost + crossing * PIPE_WEIGHT + events * crossingPause;
           const next = states.get(to) ?? new Map<string, Reached>();
--- a/src/request/choosePath/test.ts
+++ b/src/request/choosePath/test.ts
@@ -109,3 +109,47 @@
   assert.ok(computePassTime(MODEL, MIDDLE, 60) > computePassTime(MODEL, MIDDLE, 0));
   assert.ok(computePassTime(MODEL, SLOW, 0) > computePassTime(MODEL, MIDDLE, 0));
 });
+
+/** All layers near with many requests, and the second half also far with none. */
+function chooseNearOrFar(estimatePipeWait: () => number) {
+  const far = { availabilityZone: 'chilliwack', kind: FAST };
+  const near = [
+    createCandidate('1', 0, 40, { kind: FAST }),
+    createCandidate('2', 40, 80, { kind: FAST, requests: 60 }),
+  ];
+  const path = choosePath({
+    model: MODEL,
+    candidates: [...near, createCandidate('3', 40, 80, far)],
+    availabilityZone: 'mission',
+    promptTokens: 700,
+    answerTokens: 200,
+    estimatePipeWait,
+    random: MIDPOINT,
+  });
+  return path?.hops.map(({ endpoint }) => endpoint);
+}
+
+test('a busy endpoint of the own zone is preferred to a pipe that all prompts queue for', () => {
+  assert.deepEqual(
+    chooseNearOrFar(() => 0),
+    ['1', '2'],
+  );
+});
+
+test('the wait for a pipe counts into the time to the first event', () => {
+  const candidates = [
+    createCandidate('1', 0, 40, { kind: FAST }),
+    createCandidate('2', 40, 80, { kind: FAST, availabilityZone: 'chilliwack' }),
+  ];
+  const options = {
+    model: MODEL,
+    candidates,
+    availabilityZone: 'mission',
+    promptTokens: 700,
+    answerTokens: 200,
+    random: MIDPOINT,
+  };
+  const free = choosePath(options)?.firstEventMilliseconds ?? 0;
+  const busy = choosePath({ ...options, estimatePipeWait: () => 300 })?.firstEventMilliseconds ?? 0;
+  assert.ok(Math.abs(busy - free - 300) < 1);
+});
