Begin a broken run anew elsewhere; status, gauges and checks for operators on the platform

Ruled out: ejection (it begins after three failures, which this request itself used up). Change: the run after one that broke off begins at another endpoint, if a path allows it.

--- a/bench/spawnSite/index.ts
+++ b/bench/spawnSite/index.ts
@@ -90,7 +90,12 @@
     ['--import', 'tsx', 'scripts/standins.ts', '--settings', `${folder}/standins.json`],
     { stdio: ['ignore', 'pipe', 'inherit'] },
   );
-  await new Promise((done) => standins.stdout.once('data', done));
+  await new Promise((done, failed) => {
+    standins.stdout.once('data', done);
+    standins.once('exit', () => {
+      failed(new Error('the stand-ins did not start; what they said is above'));
+    });
+  });
   const files = Array.from(
     { length: options.nodes },
     (_, index) => `${folder}/node-${(index + 1).toString()}.json`,
--- a/scripts/load.ts
+++ b/scripts/load.ts
@@ -38,6 +38,9 @@
   site: settings.site,
   nodes: settings.nodes,
   command: [process.execPath, BUNDLE],
+}).catch((error: unknown): never => {
+  console.error(error instanceof Error ? error.message : String(error));
+  process.exit(1);
 });
 const result = await runLoad({ settings, site, keys }).finally(site.close);
 const flat = flatten(result);
--- a/scripts/standins.ts
+++ b/scripts/standins.ts
@@ -2,11 +2,18 @@
  * Starts all stand-ins of a site: `npm run standins -- --settings FILE`.
  */
 import { parseArgs } from 'node:util';
+import { explainPortFailure } from '../standins/explainPortFailure/index.js';
 import { readSite, startSite } from '../standins/startSite/index.js';
 
 const { values } = parseArgs({ options: { settings: { type: 'string' } } });
 const file = values.settings ?? 'examples/fit-desk/standins.json';
-const site = await startSite(readSite(file));
+const settings = readSite(file);
+const site = await startSite(settings).catch((error: unknown): never => {
+  const explanation = explainPortFailure(error, settings, file);
+  if (explanation === undefined) throw error;
+  console.error(explanation);
+  process.exit(1);
+});
 console.log(
   JSON.stringify({
     platform: site.platform.address,
--- a/src/commands/status/index.ts
+++ b/src/commands/status/index.ts
@@ -3,6 +3,7 @@
  */
 import { defineCommand } from 'citty';
 import { z } from 'zod';
+import { siteStatusSchema, type SiteStatus } from '../../process/site/describeSite/index.js';
 import { callOrPrint, NODE_ARGUMENTS } from '../callNode/index.js';
 import { formatTable, type Row } from '../printOutput/index.js';
 
@@ -23,6 +24,20 @@
   process.stdout.write(`${title}\n${formatTable(rows, process.stdout.isTTY)}\n\n`);
 }
 
+/** Prints the status of a node on a site, as the platform starts it. */
+function printSite(status: SiteStatus): void {
+  const { node, version, isStoreReachable, storeRevision, isPlanner, loadAge } = status;
+  const store = isStoreReachable ? 'reached' : 'out of reach';
+  process.stdout.write(
+    `${node}: configuration ${version}, store ${store} at revision ${storeRevision}, ` +
+      `planner ${isPlanner ? 'here' : 'elsewhere'}, load of others ${loadAge} ms old\n\n`,
+  );
+  printSection('Nodes', status.nodes);
+  printSection('Services', status.services);
+  printSection('Room for requests, tokens by layers (-1: nobody holds them)', status.room);
+  printSection('Endpoints', status.endpoints);
+}
+
 function roundLimits(row: Row): Row {
   return { ...row, limit: Math.round(Number(row.limit)) };
 }
@@ -32,7 +47,7 @@
   meta: {
     name: 'status',
     description:
-      'Show the state of the system as one node sees it. Example: status --node 127.0.0.1:8201',
+      'Show the state of the system as one node sees it; on the platform ask its readiness address. Example: status --node 127.0.0.1:8201',
   },
   args: { ...NODE_ARGUMENTS },
   run: async ({ args }) => {
@@ -42,6 +57,11 @@
       process.stdout.write(`${JSON.stringify(found)}\n`);
       return;
     }
+    const site = siteStatusSchema.safeParse(found).data;
+    if (site) {
+      printSite(site);
+      return;
+    }
     const status = statusSchema.parse(found);
     process.stdout.write(`${status.node}: revision ${status.revision.toString()}\n\n`);
     printSection('Nodes', status.nodes);
--- a/src/process/relay/createRelayMetrics/index.ts
+++ b/src/process/relay/createRelayMetrics/index.ts
@@ -3,16 +3,37 @@
  */
 import { build, type Histogram } from 'hdr-histogram-js';
 
+/** Percentiles of one histogram, in milliseconds. */
+export interface HistogramSummary {
+  readonly metric: string;
+  readonly account: string;
+  /** Kind of the requests, or `first-event`. */
+  readonly class: string;
+  readonly count: number;
+  readonly p50: number;
+  readonly p95: number;
+  readonly p99: number;
+  readonly maximum: number;
+}
+
 /** Counters and histograms. */
 export interface RelayMetrics {
   readonly count: (name: string, label?: string) => void;
   readonly record: (account: string, kind: string, milliseconds: number) => void;
+  /** Percentiles of each histogram, in milliseconds. */
+  readonly listHistograms: () => HistogramSummary[];
   /** Prometheus text. */
   readonly format: () => string;
 }
 
 /** Series of one kind at most, so that memory stays bounded. */
 const MOST_SERIES = 2_000;
+interface Recorded {
+  readonly account: string;
+  readonly kind: string;
+  readonly histogram: Histogram;
+}
+
 const QUANTILES = [50, 95, 99] as const;
 const HIGHEST_MILLISECONDS = 60_000;
 
@@ -25,7 +46,7 @@
  */
 export function createRelayMetrics(): RelayMetrics {
   const counters = new Map<string, number>();
-  const histograms = new Map<string, Histogram>();
+  const histograms = new Map<string, Recorded>();
   return {
     count: (name, label = '') => {
       const series = `marjoramcleat_${name}{label="${label}"}`;
@@ -34,20 +55,34 @@
     },
     record: (account, kind, milliseconds) => {
       const series = `account="${account}",kind="${kind}"`;
-      let histogram = histograms.get(series);
-      if (!histogram) {
+      let recorded = histograms.get(series);
+      if (!recorded) {
         if (histograms.size >= MOST_SERIES) return;
-        histogram = build({
+        const histogram = build({
           highestTrackableValue: HIGHEST_MILLISECONDS,
           numberOfSignificantValueDigits: 2,
         });
-        histograms.set(series, histogram);
+        recorded = { account, kind, histogram };
+        histograms.set(series, recorded);
       }
-      histogram.recordValue(Math.min(HIGHEST_MILLISECONDS, Math.max(0, Math.round(milliseconds))));
+      recorded.histogram.recordValue(
+        Math.min(HIGHEST_MILLISECONDS, Math.max(0, Math.round(milliseconds))),
+      );
     },
+    listHistograms: () =>
+      [...histograms.values()].map(({ account, kind, histogram }) => ({
+        metric: 'latency',
+        account,
+        class: kind,
+        count: histogram.totalCount,
+        p50: histogram.getValueAtPercentile(50),
+        p95: histogram.getValueAtPercentile(95),
+        p99: histogram.getValueAtPercentile(99),
+        maximum: histogram.maxValue,
+      })),
     format: () => {
       const lines = [...counters].map(([series, value]) => `${series} ${value}`);
-      for (const [series, histogram] of histograms) {
+      for (const [series, { histogram }] of histograms) {
         for (const quantile of QUANTILES) {
           const value = histogram.getValueAtPercentile(quantile);
           lines.push(`marjoramcleat_latency_ms{${series},quantile="${quantile}"} ${value}`);
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -52,6 +52,8 @@
   const { clock, endpointPort, budget, endpoints, examiner } = context;
   const { route, service, caller, finalAt, log } = request;
   const refusedBy = new Set<string>();
+  /** First endpoint of the last run, if it broke off there. */
+  let brokenAt: string | undefined;
   let state: RunState = 'idle';
   let call: EndpointCall | undefined;
   let path: ChosenPath | undefined;
@@ -148,7 +150,7 @@
 
   function startRun(): void {
     const size = countSize();
-    path = selectPath(context, request, { ...size, excluded: refusedBy });
+    path = selectRunPath(size);
     const [first] = listHops();
     if (!first) {
       fail('no path with room');
@@ -165,6 +167,16 @@
     watch.note();
   }
 
+  /** A path that does not begin where the last run broke off, unless there is no other. */
+  function selectRunPath(size: RequestSize): ChosenPath | undefined {
+    const broken = brokenAt;
+    brokenAt = undefined;
+    const elsewhere =
+      broken !== undefined &&
+      selectPath(context, request, { ...size, excluded: new Set([...refusedBy, broken]) });
+    return elsewhere || selectPath(context, request, { ...size, excluded: refusedBy });
+  }
+
   function openRun(first: PathHop): void {
     const opened: EndpointCall = openStreamRun({
       endpointPort,
@@ -191,6 +203,7 @@
       onWhole: endWhole,
       onBroken: (reason) => {
         noteFirstFailed(first, reason);
+        brokenAt = first.endpoint;
         recover(reason);
       },
       onNotSent: (reason) => {
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -21,6 +21,7 @@
   type SiteDecoders,
   type SiteState,
 } from '../createSiteState/index.js';
+import { describeSite, type SiteStatus } from '../describeSite/index.js';
 import { createExchange, type Exchange, type PeerPort } from '../exchangeNews/index.js';
 import { createStoreFollower, type StoreFollower } from '../followStore/index.js';
 import { createRegistration, type Registration } from '../registerNode/index.js';
@@ -75,6 +76,8 @@
   readonly follower: StoreFollower;
   readonly planner: Planner;
   readonly registration: Registration;
+  /** What the node believes now, for operators. */
+  readonly describe: () => SiteStatus;
   /** What has to be repeated as long as the node runs, by name. */
   readonly loops: Readonly<Record<string, LoopStep>>;
 }
@@ -218,6 +221,7 @@
     follower,
     planner,
     registration,
+    describe: () => describeSite({ self, context, state, exchange, follower, planner }),
     loops: {
       store: follower.step,
       registration: registration.step,
--- /dev/null
+++ b/src/process/site/describeSite/index.ts
@@ -0,0 +1,147 @@
+/**
+ * What a node of a site believes, for operators.
+ */
+import { z } from 'zod';
+import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
+import { describeRoom, formatRanges } from '../../../request/describeRoom/index.js';
+import type { NodeRecord, SiteService } from '../../../types/site/index.js';
+import { listCandidates } from '../../relay/selectPath/index.js';
+import type { RelayContext } from '../../relay/types/index.js';
+import type { SiteState } from '../createSiteState/index.js';
+import type { Exchange } from '../exchangeNews/index.js';
+import type { StoreFollower } from '../followStore/index.js';
+import type { Planner } from '../runPlanner/index.js';
+
+const nodeStatusSchema = z.object({
+  node: z.string(),
+  availabilityZone: z.string(),
+  address: z.string(),
+  state: z.enum(['alive', 'leaving']),
+});
+
+const endpointStatusSchema = z.object({
+  endpoint: z.string(),
+  service: z.string(),
+  availabilityZone: z.string(),
+  layers: z.string(),
+  state: z.enum(['usable', 'draining', 'lost', 'avoided']),
+  /** Requests known to be there, of this node and of others. */
+  requests: z.number(),
+  pace: z.number(),
+  /** Milliseconds since its layers were reported; -1 when the registry alone names them. */
+  reportAge: z.number(),
+});
+
+const serviceStatusSchema = z.object({
+  service: z.string(),
+  endpoints: z.number(),
+  usable: z.number(),
+  /** Repeats that this node may still make now. */
+  retriesLeft: z.number(),
+});
+
+const roomStatusSchema = z.object({
+  service: z.string(),
+  layers: z.string(),
+  /** Tokens that fit at the endpoint with the most room; -1 when nobody holds the layers. */
+  tokens: z.number(),
+});
+
+/** Schema of {@link SiteStatus}. */
+export const siteStatusSchema = z.object({
+  node: z.string(),
+  /** Version of the configuration in force; 0 until there is one. */
+  version: z.number(),
+  isStoreReachable: z.boolean(),
+  storeRevision: z.number(),
+  isPlanner: z.boolean(),
+  /** Milliseconds since the load of another node was last heard. */
+  loadAge: z.number(),
+  nodes: z.array(nodeStatusSchema),
+  endpoints: z.array(endpointStatusSchema),
+  services: z.array(serviceStatusSchema),
+  room: z.array(roomStatusSchema),
+});
+
+/** What a node believes. */
+export type SiteStatus = z.infer<typeof siteStatusSchema>;
+
+/** Options of {@link describeSite}. */
+export interface DescribeSiteOptions {
+  readonly self: NodeRecord;
+  readonly context: RelayContext;
+  readonly state: SiteState;
+  readonly exchange: Exchange;
+  readonly follower: StoreFollower;
+  readonly planner: Planner;
+}
+
+function findState(endpoint: Endpoint, now: number): SiteStatus['endpoints'][number]['state'] {
+  if (endpoint.record.isDraining) return 'draining';
+  if (endpoint.lostUntil > now) return 'lost';
+  return endpoint.avoidedUntil > now ? 'avoided' : 'usable';
+}
+
+function describeEndpoint(endpoint: Endpoint, now: number): SiteStatus['endpoints'][number] {
+  const { record, layers, layersReportedAt, pace } = endpoint;
+  return {
+    endpoint: record.id,
+    service: record.service,
+    availabilityZone: record.availabilityZone,
+    layers: layers ? formatRanges([layers]) : '',
+    state: findState(endpoint, now),
+    requests: endpoint.ownRequests + Math.round(endpoint.otherRequests),
+    pace,
+    reportAge: Number.isFinite(layersReportedAt) ? Math.round(now - layersReportedAt) : -1,
+  };
+}
+
+function listRoom(context: RelayContext, service: SiteService): SiteStatus['room'] {
+  const { model, name } = service;
+  if (!model) return [];
+  const sections = describeRoom(model, listCandidates(context, service, new Set()));
+  return sections.map(({ range, tokens }) => ({
+    service: name,
+    layers: formatRanges([range]),
+    tokens: tokens ?? -1,
+  }));
+}
+
+/**
+ * Describes what a node believes now.
+ *
+ * @param options - the parts of the node
+ * @returns the status
+ * @example
+ * describeSite(options).services;
+ */
+export function describeSite(options: DescribeSiteOptions): SiteStatus {
+  const { self, context, state, exchange, follower, planner } = options;
+  const now = context.clock.now();
+  const endpoints = state.endpoints.list();
+  const services = state.getCompiled()?.configuration.services ?? [];
+  return {
+    node: self.name,
+    version: state.getVersion(),
+    isStoreReachable: follower.isReachable(),
+    storeRevision: follower.getRevision(),
+    isPlanner: planner.isPlanner(),
+    loadAge: Math.round(exchange.readLoadAge()),
+    nodes: exchange.peers
+      .listAlive()
+      .map(({ name, availabilityZone, callerAddress, isLeaving }) => ({
+        node: name,
+        availabilityZone,
+        address: callerAddress,
+        state: isLeaving ? 'leaving' : 'alive',
+      })),
+    endpoints: endpoints.map((endpoint) => describeEndpoint(endpoint, now)),
+    services: services.map(({ name }) => ({
+      service: name,
+      endpoints: endpoints.filter(({ record }) => record.service === name).length,
+      usable: state.endpoints.listUsable(name, now).length,
+      retriesLeft: context.budget.countLeft(name, now),
+    })),
+    room: services.flatMap((service) => listRoom(context, service)),
+  };
+}
--- /dev/null
+++ b/src/process/site/formatGauges/index.ts
@@ -0,0 +1,60 @@
+/**
+ * A node's status as gauges in Prometheus text.
+ */
+import type { SiteStatus } from '../describeSite/index.js';
+
+/** What the status does not hold. */
+export interface GaugeExtras {
+  /** Requests that have no final answer yet. */
+  readonly open: number;
+  /** Log lines that were left out since the start. */
+  readonly leftOut: number;
+}
+
+const STATES = ['usable', 'draining', 'lost', 'avoided'] as const;
+
+function gauge(name: string, labels: Readonly<Record<string, string>>, value: number): string {
+  const text = Object.entries(labels)
+    .map(([label, content]) => `${label}="${content}"`)
+    .join(',');
+  return `marjoramcleat_${name}${text === '' ? '' : `{${text}}`} ${value}`;
+}
+
+/**
+ * Formats gauges: as many lines as services, states and layer ranges, never one for each request.
+ *
+ * @param status - the node's status
+ * @param extras - open requests and log lines left out
+ * @returns the text
+ * @example
+ * formatGauges(core.describe(), { open: 3, leftOut: 0 });
+ */
+export function formatGauges(status: SiteStatus, extras: GaugeExtras): string {
+  const { endpoints, services, room, nodes } = status;
+  const oldestReport = Math.max(0, ...endpoints.map(({ reportAge }) => reportAge));
+  const lines = [
+    gauge('configuration_version', {}, status.version),
+    gauge('store_reachable', {}, status.isStoreReachable ? 1 : 0),
+    gauge('store_revision', {}, status.storeRevision),
+    gauge('planner', {}, status.isPlanner ? 1 : 0),
+    gauge('load_age_ms', {}, status.loadAge),
+    gauge('oldest_report_age_ms', {}, oldestReport),
+    gauge('open_requests', {}, extras.open),
+    gauge('log_lines_left_out', {}, extras.leftOut),
+    gauge('nodes', { state: 'alive' }, nodes.filter(({ state }) => state === 'alive').length),
+    gauge('nodes', { state: 'leaving' }, nodes.filter(({ state }) => state === 'leaving').length),
+    ...services.flatMap(({ service, retriesLeft }) => [
+      gauge('retries_left', { service }, retriesLeft),
+      ...STATES.map((state) =>
+        gauge(
+          'endpoints',
+          { service, state },
+          endpoints.filter((endpoint) => endpoint.service === service && endpoint.state === state)
+            .length,
+        ),
+      ),
+    ]),
+    ...room.map(({ service, layers, tokens }) => gauge('room_tokens', { service, layers }, tokens)),
+  ];
+  return `${lines.join('\n')}\n`;
+}
--- a/src/process/site/runPlanner/index.ts
+++ b/src/process/site/runPlanner/index.ts
@@ -33,6 +33,8 @@
   readonly step: () => Promise<number>;
   /** Layers that orders of this node brought lately, for other nodes. */
   readonly listNews: () => [string, number, number, number, number][];
+  /** Whether this node orders layers now. */
+  readonly isPlanner: () => boolean;
   /** Slow endpoints and their factor, and those that were slow lately. */
   readonly listPaces: () => [string, number][];
 }
@@ -237,6 +239,7 @@
       }
       return ROUND_MILLISECONDS;
     },
+    isPlanner: () => isPlanner,
     listPaces: () => {
       const list: [string, number][] = [];
       for (const [id, at] of slowAt) {
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -24,6 +24,7 @@
   createPeerServer,
   startListeners,
 } from '../createSiteServers/index.js';
+import { formatGauges } from '../formatGauges/index.js';
 import type { SiteDecoders } from '../createSiteState/index.js';
 
 /** What callers ask a node beside their requests, translated from the site's wire. */
@@ -66,15 +67,18 @@
 const LEAVING_MARGIN_MILLISECONDS = 500;
 const LEAVING_CHECK_MILLISECONDS = 50;
 
+/** Answers whether the node is ready, and what operators ask, by path. */
 function createReadinessServer(
   questions: SiteQuestions,
   isReady: () => boolean,
-  formatMetrics: () => string,
+  pages: Readonly<Record<string, () => string>>,
 ): Server {
   return createServer((incoming, response) => {
-    const isAsked = questions.isReadinessPath(incoming.url ?? '');
-    if (!isAsked && incoming.url === '/metrics') response.end(formatMetrics());
-    else response.writeHead(isAsked ? (isReady() ? 200 : 503) : 404).end();
+    const url = incoming.url ?? '';
+    const page = pages[url];
+    if (questions.isReadinessPath(url)) response.writeHead(isReady() ? 200 : 503).end();
+    else if (page) response.end(page());
+    else response.writeHead(404).end();
   });
 }
 
@@ -125,7 +129,14 @@
     isLeaving,
   });
   const isReady = (): boolean => state.getCompiled() !== undefined && !isLeaving();
-  const readinessServer = createReadinessServer(questions, isReady, metrics.format);
+  const readinessServer = createReadinessServer(questions, isReady, {
+    '/metrics': () => {
+      const extras = { open: handler.countOpen(), leftOut: logger.countLeftOut() };
+      return `${metrics.format()}${formatGauges(core.describe(), extras)}`;
+    },
+    '/v1/status': () => JSON.stringify(core.describe()),
+    '/v1/histograms': () => JSON.stringify(metrics.listHistograms()),
+  });
   const directoryServer = createServer((incoming, response) => {
     questions.answerAddresses(exchange.peers.listAlive(), core.random)(incoming, response);
   });
--- a/src/request/createSpendingBudget/index.ts
+++ b/src/request/createSpendingBudget/index.ts
@@ -18,6 +18,8 @@
   readonly noteRequest: (service: string, now: number) => void;
   /** Takes one repeat; false when the budget is used up. */
   readonly take: (service: string, now: number) => boolean;
+  /** Repeats that this node may still make now. */
+  readonly countLeft: (service: string, now: number) => number;
 }
 
 /** Share of the budget that is used, so that nodes which see it differently stay within it. */
@@ -52,15 +54,19 @@
     dropOld(known.repeats, now - windowMilliseconds);
     return known;
   };
+  const countLeft = (service: string, now: number): number => {
+    const { requests, repeats } = findTimes(service, now);
+    const share = slack / Math.max(1, countNodes());
+    return Math.floor(USED_SHARE * (ratio * requests.length + share) - repeats.length);
+  };
   return {
+    countLeft,
     noteRequest: (service, now) => {
       findTimes(service, now).requests.push(now);
     },
     take: (service, now) => {
-      const { requests, repeats } = findTimes(service, now);
-      const share = slack / Math.max(1, countNodes());
-      if (repeats.length + 1 > USED_SHARE * (ratio * requests.length + share)) return false;
-      repeats.push(now);
+      if (countLeft(service, now) < 1) return false;
+      findTimes(service, now).repeats.push(now);
       return true;
     },
   };
--- /dev/null
+++ b/standins/explainPortFailure/test.ts
@@ -0,0 +1,38 @@
+import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
+import { createServer, type AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import { readSite } from '../startSite/index.js';
+import { explainPortFailure } from './index.js';
+
+const FILE = 'examples/fit-desk/standins.json';
+
+test('each port leads to the setting that it comes from', () => {
+  const settings = readSite(FILE);
+  const explain = (port: number): string | undefined =>
+    explainPortFailure({ code: 'EADDRINUSE', port }, settings, FILE);
+  assert.match(explain(settings.platform.port) ?? '', /change platform\.port in examples/);
+  const [engines] = settings.engines;
+  assert.ok(engines);
+  assert.match(explain(engines.firstPort + 1) ?? '', /engines\[0\]\.firstPort/);
+  assert.equal(explainPortFailure(new Error('other'), settings, FILE), undefined);
+});
+
+test('stand-ins whose port is in use say which, without a trace', async () => {
+  const server = createServer();
+  const { platform } = readSite(FILE);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(platform.port, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const { stderr, status } = spawnSync(
+    process.execPath,
+    ['--import', 'tsx', 'scripts/standins.ts', '--settings', FILE],
+    { encoding: 'utf8', timeout: 30_000 },
+  );
+  server.close();
+  assert.equal(status, 1);
+  assert.match(stderr, new RegExp(`^port ${port} is in use: .* platform\\.port in`));
+  assert.ok(!stderr.includes('    at '), stderr);
+});
--- a/standins/serveSiteEndpoint/index.ts
+++ b/standins/serveSiteEndpoint/index.ts
@@ -42,6 +42,10 @@
   stalled: string[];
   /** Whether it answers that it has no such request when one is to be moved. */
   refusesMoves: boolean;
+  /** Factor on its time that it reports; 1 is usual. */
+  pace: number;
+  /** Whether it accepts orders without carrying them out. */
+  ignoresOrders: boolean;
   /** Cuts every connection and stops listening, as a crash would. */
   readonly crash: () => Promise<void>;
 }
@@ -98,7 +102,8 @@
   const takeOrder = (text: string, response: ServerResponse): void => {
     const order = JSON.parse(text) as Order;
     endpoint.orders.push(order);
-    if (order.op === 'place') endpoint.layers = { from: order.from, to: order.to };
+    if (order.op === 'place' && !endpoint.ignoresOrders)
+      endpoint.layers = { from: order.from, to: order.to };
     const isRefused = order.op === 'repath' && endpoint.refusesMoves;
     reply(response, isRefused ? 404 : 202, {});
   };
@@ -107,7 +112,7 @@
       sequence: endpoint.orders.length,
       busy: false,
       layers: endpoint.layers && { ...endpoint.layers, version: 1 },
-      pace: 1,
+      pace: endpoint.pace,
       stalled: endpoint.stalled.map((address) => ({ id: 'any', address })),
     });
   };
@@ -151,6 +156,8 @@
     behaveEarly: undefined,
     stalled: [],
     refusesMoves: false,
+    pace: 1,
+    ignoresOrders: false,
     crash: () =>
       new Promise((resolve) => {
         server.close(() => {
--- a/tests/siteNode.test.ts
+++ b/tests/siteNode.test.ts
@@ -11,6 +11,7 @@
   type Behaviour,
   type SiteEndpoint,
 } from '../standins/serveSiteEndpoint/index.js';
+import { siteStatusSchema } from '../src/process/site/describeSite/index.js';
 import { LOG_EVENTS, type LogEventName } from '../src/process/site/logEvents/index.js';
 import type { SiteStore } from '../standins/serveSiteStore/index.js';
 import {
@@ -358,6 +359,27 @@
   assert.ok(resumed.includes('2'));
 });
 
+test('a run that its first endpoint breaks off is begun anew at another one', async () => {
+  resetEndpoints();
+  const [broken, slow] = engines;
+  assert.ok(broken && slow);
+  // The other one is slower, so that each choice by time alone would be the broken one again.
+  slow.pace = 9;
+  await waitFor('the node knows the slow engine', async () => {
+    const { body } = await call({ address: node.readiness, path: '/v1/status' });
+    const { endpoints } = siteStatusSchema.parse(JSON.parse(body));
+    return endpoints.some(({ endpoint, pace }) => endpoint === slow.id && pace > 1);
+  });
+  broken.behave = (_, response) => {
+    response.destroy();
+  };
+  const answer = await call({ address: node.callers, path: '/ask/', method: 'POST', body: 'q' });
+  slow.pace = 1;
+  assert.equal(answer.status, 200);
+  assert.equal(answer.body, WHOLE_STREAM);
+  assert.equal(broken.received.length, 1, 'the broken one was tried once');
+});
+
 test('a caller resumes after the event that it has', async () => {
   resetEndpoints();
   const headers = { 'Last-Event-Id': '3' };
@@ -516,6 +538,21 @@
   assert.ok(!body.includes('key-1'));
 });
 
+test('a node tells operators its status and gauges on its readiness address', async () => {
+  const { body } = await call({ address: node.readiness, path: '/v1/status' });
+  const status = siteStatusSchema.parse(JSON.parse(body));
+  assert.equal(status.node, 'node-1');
+  assert.ok(status.version > 0 && status.isStoreReachable);
+  assert.ok(status.services.some(({ service }) => service === MODEL_SERVICE));
+  assert.ok(status.room.some(({ tokens }) => tokens > 0));
+  const metrics = await call({ address: node.readiness, path: '/metrics' });
+  for (const name of ['configuration_version', 'store_reachable', 'retries_left', 'room_tokens']) {
+    assert.match(metrics.body, new RegExp(`^marjoramcleat_${name}`, 'm'));
+  }
+  const listed = await call({ address: node.readiness, path: '/v1/histograms' });
+  assert.ok((JSON.parse(listed.body) as unknown[]).length > 0);
+});
+
 test('the codes that only a site can give were provoked', () => {
   for (const code of [1401, 1404, 1413, 1431, 1504, 1506, 1509, 1510, 1511]) {
     assert.ok(provoked.has(code), String(code));
