Respect the first endpoint's slots, and spread choices where many nodes choose

Change: an endpoint whose slots are taken is no first hop; the random part grows with the nodes up to 30%. Tests for both. Also: engines that leave in turn, in the emulator.

--- a/emulator/applyTroubles/index.ts
+++ b/emulator/applyTroubles/index.ts
@@ -71,6 +71,15 @@
     const holding = listLiving(engines).filter(({ layers }) => layers);
     crashFor(system, pick(holding, count, random), seconds, isDark);
   },
+  drainEngines: ({ engines, random, time }, { count, seconds }) => {
+    const holding = listLiving(engines).filter(({ layers }) => layers);
+    for (const engine of pick(holding, count, random)) {
+      engines.drain(engine);
+      time.schedule(seconds * 1_000, () => {
+        engines.restart(engine);
+      });
+    }
+  },
   loseZone: (system, { zone, seconds }) => {
     const name = system.site.availabilityZones[zone];
     const lost = listLiving(system.engines).filter(
--- a/emulator/createEngineFleet/index.ts
+++ b/emulator/createEngineFleet/index.ts
@@ -34,6 +34,8 @@
   readonly report: (engine: VirtualEngine) => EndpointReport;
   readonly crash: (engine: VirtualEngine, isDark: boolean) => void;
   readonly restart: (engine: VirtualEngine) => void;
+  /** Says that an engine is leaving; it serves for two seconds more and ends. */
+  readonly drain: (engine: VirtualEngine) => void;
   /** Share of orders that get no answer and are carried out seconds later. */
   readonly setLateOrders: (share: number) => void;
 }
@@ -50,6 +52,8 @@
 export const MODEL_SERVICE = 'assistant';
 /** Time after a crash until the registry drops the entry, in milliseconds. */
 const ENTRY_MILLISECONDS = 3_600;
+/** How long a leaving engine still serves, in milliseconds. */
+const DRAIN_MILLISECONDS = 2_100;
 /** Loads before the first request take this share of the usual time. */
 const EARLY_LOAD_SHARE = 0.1;
 const LEAST_LATE_MILLISECONDS = 2_000;
@@ -119,14 +123,14 @@
   const passes = createPasses({ site, time, counts });
   let lateShare = 0;
 
-  const register = (engine: VirtualEngine): void => {
+  const register = (engine: VirtualEngine, isDraining = false): void => {
     const { id, address, availabilityZone, bornAt, kind, layers } = engine;
     const record = {
       id,
       service: MODEL_SERVICE,
       address,
       availabilityZone,
-      isDraining: false,
+      isDraining,
       bornAt,
       slots: model.slots,
       kind: kind.name,
@@ -292,6 +296,13 @@
     move,
     crash,
     restart,
+    drain: (engine) => {
+      register(engine, true);
+      time.schedule(DRAIN_MILLISECONDS, () => {
+        crash(engine, false);
+        store.put(`endpoints/${engine.id}`, undefined);
+      });
+    },
     report: (engine) => ({
       acceptedOrders: engine.acceptedOrders,
       isBusy: engine.isBusy,
--- a/emulator/playDay/test.ts
+++ b/emulator/playDay/test.ts
@@ -44,6 +44,15 @@
   assert.ok(figures.engines.moves > 0);
 });
 
+test('engines that leave in turn break no promise, and all callers are served', async () => {
+  const figures = await play([
+    { kind: 'drainEngines', at: 0.5, seconds: 4, count: 1 },
+    { kind: 'drainEngines', at: 3, seconds: 4, count: 1 },
+  ]);
+  assertUnbroken(figures);
+  assert.equal(figures.all.served, 1);
+});
+
 test('the end of all nodes and the absence of the store break no promise', async () => {
   const figures = await play([
     { kind: 'storeAway', at: 1, seconds: 2, share: 1 },
--- a/emulator/readScenario/index.ts
+++ b/emulator/readScenario/index.ts
@@ -81,6 +81,7 @@
     count: z.number(),
     isDark: z.boolean(),
   }),
+  z.object({ kind: z.literal('drainEngines'), ...spanSchema, count: z.number() }),
   z.object({ kind: z.literal('loseZone'), ...spanSchema, zone: z.number().int() }),
   z.object({
     kind: z.literal('slowEngines'),
--- a/emulator/summarizeDay/index.ts
+++ b/emulator/summarizeDay/index.ts
@@ -36,6 +36,7 @@
     readonly events: number;
     readonly preempted: number;
     readonly refused: number;
+    readonly refusedFor: Readonly<Record<string, number>>;
     readonly moves: number;
     readonly orders: number;
   };
@@ -199,6 +200,7 @@
       events: engineCounts.events,
       preempted: engineCounts.preempted,
       refused: [...engineCounts.refused.values()].reduce((sum, count) => sum + count, 0),
+      refusedFor: Object.fromEntries(engineCounts.refused),
       moves: portCounts.moves,
       orders: portCounts.orders,
     },
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -172,9 +172,10 @@
     const broken = brokenAt;
     brokenAt = undefined;
     const elsewhere =
-      broken !== undefined &&
-      selectPath(context, request, { ...size, excluded: new Set([...refusedBy, broken]) });
-    return elsewhere || selectPath(context, request, { ...size, excluded: refusedBy });
+      broken === undefined
+        ? undefined
+        : selectPath(context, request, { ...size, excluded: new Set([...refusedBy, broken]) });
+    return elsewhere ?? selectPath(context, request, { ...size, excluded: refusedBy });
   }
 
   function openRun(first: PathHop): void {
--- a/src/process/relay/selectPath/index.ts
+++ b/src/process/relay/selectPath/index.ts
@@ -134,6 +134,7 @@
     promptTokens,
     answerTokens,
     random,
+    nodes: context.countNodes(),
     estimatePipeWait: (from, to) => context.pipes.estimateWait(from, to, context.clock.now()),
     ...(firstHop && {
       firstHop: { hop: firstHop, availabilityZone: firstZone ?? availabilityZone },
--- a/src/process/relay/types/index.ts
+++ b/src/process/relay/types/index.ts
@@ -34,6 +34,8 @@
   /** Calls back when an endpoint is lost; returns a function that stops this. */
   readonly onLost: (callback: (endpoint: string) => void) => () => void;
   readonly pipes: PipeGauge;
+  /** Living nodes, this one included. */
+  readonly countNodes: () => number;
   /** Milliseconds since the load of other nodes was last heard. */
   readonly readLoadAge: () => number;
   /** Living nodes of the same availability zone whose load is not known. */
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -115,8 +115,14 @@
   const random = createRandom(hashText(`${self.name}/${self.incarnation}`));
   const metrics = createRelayMetrics();
   const { onConfiguration } = options;
-  const state = createSiteState({ decoders, logger, now, parse: parseJson, onConfiguration });
   const lostListeners = createLostListeners();
+  const state = createSiteState({
+    decoders,
+    logger,
+    now,
+    parse: parseJson,
+    onConfiguration,
+  });
   const examiner = createExaminer({
     endpoints: state.endpoints,
     endpointPort,
@@ -207,6 +213,7 @@
     random,
     onLost: lostListeners.add,
     pipes: createPipeGauge({ countUsers: countNeighbours }),
+    countNodes: () => exchange.peers.listAlive().length,
     readLoadAge: exchange.readLoadAge,
     countUnheardNodes: exchange.countUnheardNodes,
   };
--- a/src/request/choosePath/index.ts
+++ b/src/request/choosePath/index.ts
@@ -30,6 +30,8 @@
   readonly firstHop?: { readonly hop: PathHop; readonly availabilityZone: string } | undefined;
   /** Milliseconds that a transfer waits for the pipe between two availability zones. */
   readonly estimatePipeWait?: (from: string, to: string) => number;
+  /** Nodes that choose paths over the same endpoints. */
+  readonly nodes?: number;
   /** Numbers from 0 to 1 that break near-ties between nodes. */
   readonly random: () => number;
 }
@@ -53,8 +55,8 @@
 const WAIT_PASSES = 0.5;
 /** Share of an endpoint's memory that is given to requests. */
 const USED_MEMORY_SHARE = 1.03;
-/** Relative size of the random part of a hop's cost. */
-const JITTER = 0.05;
+/** Relative size of the random part of a hop's cost, for one node, for each node, and at most. */
+const JITTER = { least: 0.05, perNode: 0.004, most: 0.3 } as const;
 const MEGABYTE = 1_000_000;
 
 /**
@@ -209,13 +211,17 @@
       computeRoom(model, kind.memoryMegabytes, range.to - range.from) * USED_MEMORY_SHARE -
       usedTokenLayers,
   );
-  const jitters = candidates.map(() => 1 + JITTER * random());
+  // The more nodes choose by the same figures, the more they have to differ.
+  const jitter = Math.min(JITTER.most, JITTER.least + JITTER.perNode * (options.nodes ?? 1));
+  const jitters = candidates.map(() => 1 + jitter * random());
   for (const from of bounds) {
     const reachedHere = states.get(from);
     if (!reachedHere) continue;
     candidates.forEach((candidate, index) => {
       const { range } = candidate;
       if (range.from > from || range.to <= from) return;
+      // Only the first endpoint of a path counts a request against its slots.
+      if (from === 0 && candidate.requests >= model.slots) return;
       if (candidate.id === firstHop?.hop.endpoint) return;
       for (const to of bounds) {
         if (to <= from || to > range.to) continue;
--- a/src/request/choosePath/test.ts
+++ b/src/request/choosePath/test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
+import { createRandom } from '../../process/createRandom/index.js';
 import { createCandidate, FAST, MIDDLE, MODEL, SLOW } from '../../../tests/support/site/index.js';
 import { choosePath, computePassTime, computeRoom, type PathCandidate } from './index.js';
 
@@ -153,3 +154,33 @@
   const busy = choosePath({ ...options, estimatePipeWait: () => 300 })?.firstEventMilliseconds ?? 0;
   assert.ok(Math.abs(busy - free - 300) < 1);
 });
+
+test('an endpoint whose slots are taken is no first hop, and still a later one', () => {
+  const full = { kind: FAST, requests: MODEL.slots };
+  const rest = createCandidate('2', 40, 80, full);
+  assert.equal(choose([createCandidate('1', 0, 40, full), rest]), undefined);
+  assert.ok(choose([createCandidate('1', 0, 40, { kind: FAST }), rest]));
+});
+
+test('many nodes that know the same spread over endpoints that are nearly alike', () => {
+  const random = createRandom(5);
+  const candidates = [
+    createCandidate('1', 0, 80, { kind: FAST, requests: 10 }),
+    createCandidate('2', 0, 80, { kind: FAST, requests: 14 }),
+  ];
+  const large = { ...MODEL, layerMegabytes: 100 };
+  const countSecond = (nodes: number): number =>
+    Array.from({ length: 400 }, () =>
+      choosePath({
+        model: large,
+        candidates,
+        availabilityZone: 'mission',
+        promptTokens: 700,
+        answerTokens: 200,
+        nodes,
+        random,
+      }),
+    ).filter((path) => path?.hops[0]?.endpoint === '2').length;
+  assert.ok(countSecond(78) > countSecond(6));
+  assert.ok(countSecond(78) > 40);
+});
