--- a/src/process/runtime/callJson/test.ts
+++ b/src/process/runtime/callJson/test.ts
@@ -29,3 +29,14 @@
     [],
   );
 });
+
+test('a connection that goes silent ends a call at its time, and tells that it may have been done', async () => {
+  const server = createServer(() => undefined);
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const bound = server.address();
+  const address = `127.0.0.1:${typeof bound === 'object' && bound ? bound.port : 0}`;
+  const result = await callJson({ address, method: 'GET', path: '/', timeoutMilliseconds: 100 });
+  server.closeAllConnections();
+  server.close();
+  assert.deepEqual(result, { kind: 'unknown', reason: 'timeout' });
+});
--- a/src/process/site/runPlanner/test.ts
+++ b/src/process/site/runPlanner/test.ts
@@ -9,6 +9,7 @@
 import type { EndpointControl, OrderOutcome, PlaceOrder } from '../../../types/relay/index.js';
 import type { LayerRange } from '../../../types/site/index.js';
 import { planPlacement } from '../../../version/planPlacement/index.js';
+import { findOwner } from '../../hashRendezvous/index.js';
 import { createExaminer } from '../../relay/createExaminer/index.js';
 import { createSiteState } from '../createSiteState/index.js';
 import { createPlanner, type Planner } from './index.js';
@@ -192,3 +193,36 @@
   await run([planner], 40);
   assert.equal(sent.length, ordered, 'all still hold their layers');
 });
+
+test('a planner that dies in the middle of its plan is taken over, and all layers are held', async () => {
+  const { engines, startNode, run, listMissing } = createCase(5);
+  let alive = ['a', 'b'];
+  const planners = new Map(alive.map((name) => [name, startNode(name, () => alive)]));
+  const owner = findOwner('planner', alive);
+  const first = planners.get(owner ?? '');
+  assert.ok(first);
+  // Its first orders are out; one engine crashes and comes back empty while nobody plans.
+  await run([first], 3);
+  const crashed = engines.get('e0');
+  assert.ok(crashed);
+  Object.assign(crashed, { layers: undefined, acceptedOrders: 0, bornAt: 2 });
+  alive = alive.filter((name) => name !== owner);
+  const second = planners.get(alive[0] ?? '');
+  assert.ok(second);
+  await run([second], 40);
+  assert.deepEqual(listMissing(), []);
+});
+
+test('a planner that was paused and wakes with an old view undoes nothing', async () => {
+  const { engines, startNode, run, listMissing } = createCase(5);
+  const paused = startNode('a', () => ['a']);
+  await run([paused], 3);
+  const other = startNode('b', () => ['b']);
+  const crashed = engines.get('e1');
+  assert.ok(crashed);
+  crashed.isDown = true;
+  await run([other], 30);
+  assert.deepEqual(listMissing(), []);
+  await run([paused, other], 30);
+  assert.deepEqual(listMissing(), []);
+});
