Keep one copy of how faults, answered requests and checked files are told

The text of a thrown fault stood in three places, the end of an answered request's story and its share of told requests in two, the reading of a checked file in two, the count of living nodes in two; a message of answerFailure was never passed, a comment named what is gone. Change: describeFault, tellAnswered, checkFile, countAlive; the rest removed. Left alone: the same line in commands that read an error's message only, addresses split in six places (each with its own default port), the logs' text of paths made for requests that are not told.

--- a/emulator/createVirtualStore/index.ts
+++ b/emulator/createVirtualStore/index.ts
@@ -9,7 +9,7 @@
 
 /** A store. */
 export interface VirtualStore {
-  /** The store as one node reaches it; the connection ends when `isAlive` says so. */
+  /** The store as one node reaches it. */
   readonly connect: (node: string) => Store;
   /** Writes as an operator or an endpoint would; undefined removes. */
   readonly put: (key: string, value: string | undefined) => void;
--- a/src/process/relay/answerCaller/index.ts
+++ b/src/process/relay/answerCaller/index.ts
@@ -8,7 +8,6 @@
 /** Options of {@link answerFailure}. */
 export interface AnswerFailureOptions {
   readonly code: ResultCodeName;
-  readonly message?: string | undefined;
   /** When the caller may come back, in seconds. */
   readonly retryAfterSeconds?: number | undefined;
   readonly closes?: boolean;
@@ -24,9 +23,9 @@
  * answerFailure(response, { code: 'overloaded', retryAfterSeconds: 0.5 });
  */
 export function answerFailure(response: CallerResponse, options: AnswerFailureOptions): void {
-  const { code, message, retryAfterSeconds, closes = false } = options;
+  const { code, retryAfterSeconds, closes = false } = options;
   if (!response.isOpen()) return;
-  const body = formatError(code, message);
+  const body = formatError(code);
   const headers = [
     'Content-Type',
     'application/json',
--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { HeaderTranslation } from '../../../types/relay/index.js';
+import { describeFault } from '../../describeFault/index.js';
 import type { ResultCodeName } from '../../resultCodes/index.js';
 import type { SiteLogger } from '../../site/createSiteLogger/index.js';
 import type { AdmissionRefusal } from '../admitRequest/index.js';
@@ -111,8 +112,7 @@
       if (isLeaving()) response.setHeader('Connection', 'close');
       serve(incoming, response)
         .catch((error: unknown) => {
-          const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
-          logger.log('request-crashed', { reason });
+          logger.log('request-crashed', { reason: describeFault(error) });
           response.destroy();
         })
         .finally(() => {
--- a/src/process/relay/createStreamAnswer/index.ts
+++ b/src/process/relay/createStreamAnswer/index.ts
@@ -6,6 +6,7 @@
 import type { RawHeaders } from '../../../types/relay/index.js';
 import type { ResultCodeName } from '../../resultCodes/index.js';
 import { answerFailure, sendWholeAnswer, type WholeAnswer } from '../answerCaller/index.js';
+import { tellAnswered } from '../tellAnswered/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
 /** How often endpoints were asked for an answer. */
@@ -49,8 +50,6 @@
 
 /** Bytes that wait for a slow reader before the endpoint is paused. */
 const MOST_WAITING_BYTES = 262_144;
-/** Share of the answers in time that are told in the log. */
-const TOLD_SHARE = 0.05;
 
 /**
  * Creates the answer of one stream.
@@ -111,15 +110,8 @@
       const isSlow =
         first > route.objectiveMilliseconds || longestPause > route.longestPauseMilliseconds;
       metrics.count('streams', isSlow ? 'late' : 'in time');
-      log.note('request-answered', {
-        milliseconds: Math.round(clock.now() - arrivedAt),
-        first: Math.round(first),
-        pause: Math.round((lastAt - firstAt) / pauses),
-        longestPause: Math.round(longestPause),
-        sends,
-        told: isSlow ? 'slow' : 'sample',
-      });
-      log.end(isSlow || context.random() < TOLD_SHARE);
+      const pause = (lastAt - firstAt) / pauses;
+      tellAnswered(context, request, { first, pause, longestPause, sends, isSlow });
     },
     passFailure: (answer) => {
       sendWholeAnswer(response, answer);
--- a/src/process/relay/relayWhole/index.ts
+++ b/src/process/relay/relayWhole/index.ts
@@ -7,6 +7,7 @@
 import { answerFailure, sendWholeAnswer, type WholeAnswer } from '../answerCaller/index.js';
 import { noteFailure } from '../noteFailure/index.js';
 import { runWholeAttempt, type AttemptOutcome } from '../runWholeAttempt/index.js';
+import { tellAnswered } from '../tellAnswered/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
 /** When callers may come back if no endpoint takes their request, in seconds. */
@@ -18,8 +19,6 @@
 /** How long an endpoint that takes no connection is left alone, in milliseconds. */
 const REFUSED_CONNECTION_MILLISECONDS = 1_000;
 const FIRST_FAILURE_STATUS = 500;
-/** Share of the answers in time that are told in the log. */
-const TOLD_SHARE = 0.05;
 
 /** What became of the sends of one request so far. */
 interface Progress {
@@ -89,20 +88,11 @@
   answer: WholeAnswer,
   sends: number,
 ): void {
-  const { response, log, route, arrivedAt } = request;
+  const { response, route, arrivedAt } = request;
   sendWholeAnswer(response, answer);
-  const milliseconds = Math.round(context.clock.now() - arrivedAt);
-  const isSlow = milliseconds > route.objectiveMilliseconds;
-  const told = isSlow ? 'slow' : 'sample';
-  log.note('request-answered', {
-    milliseconds,
-    first: milliseconds,
-    pause: 0,
-    longestPause: 0,
-    sends,
-    told,
-  });
-  log.end(isSlow || context.random() < TOLD_SHARE);
+  const first = Math.round(context.clock.now() - arrivedAt);
+  const isSlow = first > route.objectiveMilliseconds;
+  tellAnswered(context, request, { first, pause: 0, longestPause: 0, sends, isSlow });
 }
 
 function failRequest(context: RelayContext, request: RelayedRequest, progress: Progress): void {
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -162,11 +162,12 @@
       exchange.peers.introduceValue(parseJson(text));
     }
   };
+  const countAlive = (): number => exchange.peers.listAlive().length;
   const follower: StoreFollower = createStoreFollower({
     store,
     logger,
     now,
-    countNodes: () => exchange.peers.listAlive().length,
+    countNodes: countAlive,
     onItem: (key, value) => {
       takeItem(key, value?.toString('utf8'));
     },
@@ -213,7 +214,7 @@
     random,
     onLost: lostListeners.add,
     pipes: createPipeGauge({ countUsers: countNeighbours }),
-    countNodes: () => exchange.peers.listAlive().length,
+    countNodes: countAlive,
     readLoadAge: exchange.readLoadAge,
     countUnheardNodes: exchange.countUnheardNodes,
   };
--- a/src/process/site/createSiteServers/index.ts
+++ b/src/process/site/createSiteServers/index.ts
@@ -38,7 +38,7 @@
   }
   const name = UNREADABLE_CODES[error.code ?? ''] ?? 'malformedRequest';
   const { httpStatus } = RESULT_CODES[name];
-  const body = formatError(name, undefined);
+  const body = formatError(name);
   const head = [
     `HTTP/1.1 ${httpStatus} ${STATUS_CODES[httpStatus] ?? ''}`,
     'Content-Type: application/json',
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -5,6 +5,7 @@
 import type { Wire } from '../../../types/relay/index.js';
 import type { NodeRecord } from '../../../types/site/index.js';
 import type { Store } from '../../../types/store/index.js';
+import { describeFault } from '../../describeFault/index.js';
 import { createLifeCycle } from '../../createLifeCycle/index.js';
 import { createCallerHandler } from '../../relay/createCallerHandler/index.js';
 import { createEndpointPort } from '../../relay/createEndpointPort/index.js';
@@ -149,8 +150,7 @@
   ]);
   for (const [name, step] of Object.entries(core.loops)) {
     const onFailure = (error: unknown): void => {
-      const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
-      logger.log('loop-failed', { loop: name, reason });
+      logger.log('loop-failed', { loop: name, reason: describeFault(error) });
     };
     runLoop({ name, lifeCycle, step, onFailure });
   }
