Part plans, times of endpoints, messages of nodes, orders and paths of a stream from their large modules

Change: computeRoom, computeReadTime, computePipeTime and computePassTime; countLayers, orderBySpeed, countCover, planChain and repairGaps; peerNews; createOrderBook; createStreamPaths; decideStreamFailure (with its test) have folders of their own. No behaviour changes.

--- a/bench/sitePlacement/index.ts
+++ b/bench/sitePlacement/index.ts
@@ -3,13 +3,11 @@
  */
 import { fillByZone } from '../../emulator/naive/index.js';
 import { readSite, type VirtualSite } from '../../emulator/readScenario/index.js';
-import { computeReadTime, computeRoom } from '../../src/request/choosePath/index.js';
+import { computeReadTime } from '../../src/request/computeReadTime/index.js';
+import { computeRoom } from '../../src/request/computeRoom/index.js';
 import type { LayeredModel, LayerRange } from '../../src/types/site/index.js';
-import {
-  planPlacement,
-  type PlacedEndpoint,
-  type Placement,
-} from '../../src/version/planPlacement/index.js';
+import type { PlacedEndpoint, Placement } from '../../src/types/placement/index.js';
+import { planPlacement } from '../../src/version/planPlacement/index.js';
 import { boundThroughput } from '../boundThroughput/index.js';
 import { round, type Measurement, type Target } from '../types.js';
 
--- a/emulator/naive/index.ts
+++ b/emulator/naive/index.ts
@@ -4,7 +4,7 @@
 import { SITE_DECISIONS, type SiteDecisions } from '../../src/process/site/siteDecisions/index.js';
 import type { PathCandidate } from '../../src/request/choosePath/index.js';
 import type { LayeredModel, LayerRange } from '../../src/types/site/index.js';
-import type { PlacedEndpoint, Placement } from '../../src/version/planPlacement/index.js';
+import type { PlacedEndpoint, Placement } from '../../src/types/placement/index.js';
 
 /** Share of each accelerator's memory that layers take. */
 const FILLED_SHARE = 0.78;
--- a/emulator/runPasses/index.ts
+++ b/emulator/runPasses/index.ts
@@ -1,7 +1,7 @@
 /**
  * Passes of the emulated engines, and the way of tokens from hop to hop.
  */
-import { computeRoom } from '../../src/request/choosePath/index.js';
+import { computeRoom } from '../../src/request/computeRoom/index.js';
 import type { VirtualEngine, VirtualStream, WorkItem } from '../createEngineFleet/types.js';
 import type { VirtualSite } from '../readScenario/index.js';
 import type { VirtualTime } from '../createVirtualTime/index.js';
--- /dev/null
+++ b/src/process/relay/createStreamPaths/index.ts
@@ -0,0 +1,102 @@
+/**
+ * Paths for the runs of one stream, by what earlier runs met.
+ */
+import type { ChosenPath } from '../../../request/choosePath/index.js';
+import type { RequestSize } from '../../../request/estimateSize/index.js';
+import type { PathHop } from '../../../types/site/index.js';
+import { noteFailure } from '../noteFailure/index.js';
+import { selectPath } from '../selectPath/index.js';
+import type { RelayContext, RelayedRequest } from '../types/index.js';
+
+/** Choice of paths for one stream. */
+export interface StreamPaths {
+  /** A path for the next run, if one has room. */
+  readonly select: (size: RequestSize) => ChosenPath | undefined;
+  /** A path that keeps its first hop, if one has room. */
+  readonly selectAfter: (
+    firstHop: PathHop | undefined,
+    size: RequestSize,
+  ) => ChosenPath | undefined;
+  /** Notes that a run broke off at its first endpoint. */
+  readonly noteBroken: (first: PathHop, reason: string) => void;
+  /** Notes that a run did not reach its first endpoint. */
+  readonly noteNotSent: (first: PathHop, reason: string) => void;
+  /** Notes that an endpoint refused a run; returns the endpoint, if it is known. */
+  readonly noteRefused: (
+    hops: readonly PathHop[],
+    status: number,
+    faultyAddress: string | undefined,
+  ) => string | undefined;
+  readonly noteWhole: (hops: readonly PathHop[]) => void;
+  /** First hop through an endpoint that is known to be lost. */
+  readonly findLost: (hops: readonly PathHop[]) => PathHop | undefined;
+}
+
+/** How long an endpoint that refused a run is left alone, in milliseconds. */
+const REFUSING_MILLISECONDS = 200;
+
+/**
+ * Creates the choice of paths for one stream.
+ *
+ * @param context - services of the process
+ * @param request - the request
+ * @returns the choice
+ * @example
+ * createStreamPaths(context, request).select(size)?.hops;
+ */
+export function createStreamPaths(context: RelayContext, request: RelayedRequest): StreamPaths {
+  const { clock, endpoints, examiner } = context;
+  const refusedBy = new Set<string>();
+  /** First endpoint of the last run, if it broke off there. */
+  let brokenAt: string | undefined;
+
+  const noteFirstFailed = (first: PathHop, reason: string): void => {
+    const endpoint = endpoints.find(first.endpoint);
+    if (endpoint) noteFailure(context, endpoint);
+    void examiner.examine(first.endpoint, reason);
+  };
+
+  return {
+    // A path that does not begin where the last run broke off, unless there is no other.
+    select: (size) => {
+      const broken = brokenAt;
+      brokenAt = undefined;
+      const elsewhere =
+        broken === undefined
+          ? undefined
+          : selectPath(context, request, { ...size, excluded: new Set([...refusedBy, broken]) });
+      return elsewhere ?? selectPath(context, request, { ...size, excluded: refusedBy });
+    },
+    selectAfter: (firstHop, size) =>
+      selectPath(context, request, { ...size, excluded: refusedBy, firstHop }),
+    noteBroken: (first, reason) => {
+      noteFirstFailed(first, reason);
+      brokenAt = first.endpoint;
+    },
+    noteNotSent: (first, reason) => {
+      noteFirstFailed(first, reason);
+      refusedBy.add(first.endpoint);
+    },
+    noteRefused: (hops, status, faultyAddress) => {
+      const named =
+        faultyAddress === undefined ? undefined : endpoints.findByAddress(faultyAddress);
+      const refusing = named ?? endpoints.find(hops[0]?.endpoint ?? '');
+      if (!refusing) return undefined;
+      const { id } = refusing.record;
+      refusedBy.add(id);
+      void examiner.examine(id, `status ${status}`);
+      endpoints.avoid(refusing, clock.now(), REFUSING_MILLISECONDS);
+      return id;
+    },
+    noteWhole: (hops) => {
+      for (const hop of hops) {
+        const endpoint = endpoints.find(hop.endpoint);
+        if (endpoint) endpoints.noteSuccess(endpoint);
+      }
+    },
+    findLost: (hops) => {
+      const now = clock.now();
+      return hops.find(({ endpoint }) => (endpoints.find(endpoint)?.lostUntil ?? 0) > now);
+    },
+  };
+}
--- /dev/null
+++ b/src/process/relay/decideStreamFailure/index.ts
@@ -0,0 +1,39 @@
+/**
+ * What a caller is told when its stream fails.
+ */
+import type { ResultCodeName } from '../../resultCodes/index.js';
+
+/** What is known of a stream that failed. */
+export interface StreamFailureFacts {
+  /** An event was passed on. */
+  readonly hasBegun: boolean;
+  /** A run may have begun at an endpoint. */
+  readonly mayHaveRun: boolean;
+  /** The final answer is due. */
+  readonly isTimeUp: boolean;
+}
+
+/** Result code, and when the caller may come back. */
+export interface StreamFailure {
+  readonly code: ResultCodeName;
+  readonly retryAfterSeconds?: number;
+}
+
+/** When callers may come back if no path has room, in seconds. */
+const NO_ROOM_RETRY_SECONDS = 0.5;
+
+/**
+ * Decides the code of a failed stream.
+ *
+ * Only a request that has not run and never will is refused; all else is told as failed or unknown.
+ *
+ * @param facts - how far the stream came
+ * @returns the code
+ * @example
+ * decideStreamFailure({ hasBegun: false, mayHaveRun: false, isTimeUp: false }).code; // 'overloaded'
+ */
+export function decideStreamFailure(facts: StreamFailureFacts): StreamFailure {
+  if (facts.hasBegun) return { code: 'interrupted' };
+  if (!facts.mayHaveRun) return { code: 'overloaded', retryAfterSeconds: NO_ROOM_RETRY_SECONDS };
+  return { code: facts.isTimeUp ? 'outcomeUnknown' : 'endpointFailed' };
+}
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -11,19 +11,16 @@
 import type { EndpointCall } from '../../../types/relay/index.js';
 import type { PathHop } from '../../../types/site/index.js';
 import { createStreamAnswer } from '../createStreamAnswer/index.js';
+import { createStreamPaths } from '../createStreamPaths/index.js';
+import { decideStreamFailure } from '../decideStreamFailure/index.js';
 import { formatHops } from '../formatHops/index.js';
-import { noteFailure } from '../noteFailure/index.js';
 import { openStreamRun, type RunRefusal } from '../openStreamRun/index.js';
-import { selectPath, takeRoom } from '../selectPath/index.js';
+import { takeRoom } from '../selectPath/index.js';
 import { createSilenceWatch } from '../watchSilence/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
 /** Runs that endpoints refused before a request is refused. */
 const MOST_REFUSED_RUNS = 3;
-/** How long an endpoint that refused a run is left alone, in milliseconds. */
-const REFUSING_MILLISECONDS = 200;
-/** When callers may come back if no path has room, in seconds. */
-const NO_ROOM_RETRY_SECONDS = 0.5;
 /** Rank of a run that goes on with an answer which has begun. */
 const GOING_ON_PRIORITY = 0;
 
@@ -49,11 +46,9 @@
   request: RelayedRequest,
   onDone: () => void,
 ): { start: () => void } {
-  const { clock, endpointPort, budget, endpoints, examiner } = context;
+  const { clock, endpointPort, budget, examiner } = context;
   const { route, service, caller, finalAt, log } = request;
-  const refusedBy = new Set<string>();
-  /** First endpoint of the last run, if it broke off there. */
-  let brokenAt: string | undefined;
+  const paths = createStreamPaths(context, request);
   let state: RunState = 'idle';
   let call: EndpointCall | undefined;
   let path: ChosenPath | undefined;
@@ -133,14 +128,13 @@
     if (state === 'done') return;
     // A run that is under way may have begun, although no event of it has come.
     if (call) mayHaveRun = true;
-    const counts = { sends: runs + (call ? 1 : 0), refused: refusedRuns };
-    if (answer.hasBegun()) answer.fail({ reason, code: 'interrupted', ...counts });
-    else if (mayHaveRun) {
-      answer.fail({ reason, code: isTimeUp ? 'outcomeUnknown' : 'endpointFailed', ...counts });
-    } else {
-      const retryAfterSeconds = NO_ROOM_RETRY_SECONDS;
-      answer.fail({ reason, code: 'overloaded', retryAfterSeconds, ...counts });
-    }
+    const hasBegun = answer.hasBegun();
+    answer.fail({
+      reason,
+      sends: runs + (call ? 1 : 0),
+      refused: refusedRuns,
+      ...decideStreamFailure({ hasBegun, mayHaveRun, isTimeUp }),
+    });
     finish();
   }
 
@@ -150,7 +144,7 @@
 
   function startRun(): void {
     const size = countSize();
-    path = selectRunPath(size);
+    path = paths.select(size);
     const [first] = listHops();
     if (!first) {
       fail('no path with room');
@@ -167,17 +161,6 @@
     watch.note();
   }
 
-  /** A path that does not begin where the last run broke off, unless there is no other. */
-  function selectRunPath(size: RequestSize): ChosenPath | undefined {
-    const broken = brokenAt;
-    brokenAt = undefined;
-    const elsewhere =
-      broken === undefined
-        ? undefined
-        : selectPath(context, request, { ...size, excluded: new Set([...refusedBy, broken]) });
-    return elsewhere ?? selectPath(context, request, { ...size, excluded: refusedBy });
-  }
-
   function openRun(first: PathHop): void {
     const opened: EndpointCall = openStreamRun({
       endpointPort,
@@ -203,42 +186,32 @@
       onRefusal: takeRefusal,
       onWhole: endWhole,
       onBroken: (reason) => {
-        noteFirstFailed(first, reason);
-        brokenAt = first.endpoint;
+        paths.noteBroken(first, reason);
         recover(reason);
       },
       onNotSent: (reason) => {
-        noteFirstFailed(first, reason);
-        refusedBy.add(first.endpoint);
+        paths.noteNotSent(first, reason);
         retryRefused(reason);
       },
     });
     call = opened;
   }
 
-  function noteFirstFailed(first: PathHop, reason: string): void {
-    const endpoint = endpoints.find(first.endpoint);
-    if (endpoint) noteFailure(context, endpoint);
-    void examiner.examine(first.endpoint, reason);
-  }
-
   function endWhole(): void {
     if (!answer.hasBegun()) {
       recover('answer without events');
       return;
     }
     answer.endWhole({ sends: runs + 1, refused: refusedRuns });
-    for (const hop of listHops()) {
-      const endpoint = endpoints.find(hop.endpoint);
-      if (endpoint) endpoints.noteSuccess(endpoint);
-    }
+    paths.noteWhole(listHops());
     finish();
   }
 
   function takeRefusal({ head, body }: RunRefusal): void {
     const { status, facts, headers } = head;
     if (facts.isNotRun) {
-      takeNotRun(status, facts.faultyAddress);
+      const refusing = paths.noteRefused(listHops(), status, facts.faultyAddress);
+      retryRefused(`status ${status} of ${refusing ?? 'an unknown endpoint'}`);
       return;
     }
     mayHaveRun = true;
@@ -251,18 +224,6 @@
     recover(`status ${status}`);
   }
 
-  function takeNotRun(status: number, faultyAddress: string | undefined): void {
-    const named = faultyAddress === undefined ? undefined : endpoints.findByAddress(faultyAddress);
-    const refusing = named ?? endpoints.find(listHops()[0]?.endpoint ?? '');
-    if (refusing) {
-      const { id } = refusing.record;
-      refusedBy.add(id);
-      void examiner.examine(id, `status ${status}`);
-      endpoints.avoid(refusing, clock.now(), REFUSING_MILLISECONDS);
-    }
-    retryRefused(`status ${status} of ${refusing?.record.id ?? 'an unknown endpoint'}`);
-  }
-
   /** Another run after one that an endpoint refused without running it. */
   function retryRefused(reason: string): void {
     endRun();
@@ -289,9 +250,7 @@
   function avoidLost(lost: string): void {
     const [firstHop] = listHops();
     const mustRunAnew = firstHop?.endpoint === lost || !context.decisions.movesRuns;
-    const other = mustRunAnew
-      ? undefined
-      : selectPath(context, request, { ...countSize(), excluded: refusedBy, firstHop });
+    const other = mustRunAnew ? undefined : paths.selectAfter(firstHop, countSize());
     if (other) void moveTo(other);
     else recover('endpoint lost');
   }
@@ -322,10 +281,7 @@
     giveBack = giveBackOther;
     path = other;
     watch.note();
-    const now = clock.now();
-    const lostNow = other.hops.find(
-      ({ endpoint }) => (endpoints.find(endpoint)?.lostUntil ?? 0) > now,
-    );
+    const lostNow = paths.findLost(other.hops);
     if (lostNow) avoidLost(lostNow.endpoint);
   }
 
--- a/src/process/relay/selectPath/index.ts
+++ b/src/process/relay/selectPath/index.ts
@@ -2,11 +2,8 @@
  * Choice of a path with the load that this node knows, and the taking of room on it.
  */
 import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
-import {
-  computePipeTime,
-  type ChosenPath,
-  type PathCandidate,
-} from '../../../request/choosePath/index.js';
+import { type ChosenPath, type PathCandidate } from '../../../request/choosePath/index.js';
+import { computePipeTime } from '../../../request/computePipeTime/index.js';
 import { describeRoom, findTightest, formatRanges } from '../../../request/describeRoom/index.js';
 import type { LayeredModel, PathHop, SiteService } from '../../../types/site/index.js';
 import { formatHops } from '../formatHops/index.js';
--- /dev/null
+++ b/src/process/site/createOrderBook/index.ts
@@ -0,0 +1,110 @@
+/**
+ * Orders of this node to endpoints, until their effect shows.
+ */
+import type { Endpoint, EndpointTable } from '../../../connection/createEndpointTable/index.js';
+import type { EndpointControl, OrderOutcome } from '../../../types/relay/index.js';
+import type { EndpointReport, LayerRange } from '../../../types/site/index.js';
+import type { SiteLogger } from '../createSiteLogger/index.js';
+
+/** Options of {@link createOrderBook}. */
+export interface CreateOrderBookOptions {
+  readonly endpoints: Pick<EndpointTable, 'find'>;
+  readonly endpointPort: Pick<EndpointControl, 'sendOrder'>;
+  readonly logger: SiteLogger;
+  /** Milliseconds on a clock that never goes back. */
+  readonly now: () => number;
+}
+
+/** Orders that are under way. */
+export interface OrderBook {
+  /** Sends an order, which holds only while the endpoint has accepted no other since. */
+  readonly send: (endpoint: Endpoint, range: LayerRange) => Promise<void>;
+  /** Ends the order of an endpoint that reports to be idle again. */
+  readonly takeReport: (endpoint: Endpoint, report: EndpointReport) => void;
+  /** Range that an endpoint is ordered to hold, if an order is under way. */
+  readonly findRange: (id: string) => LayerRange | undefined;
+  readonly has: (id: string) => boolean;
+  /** Gives up orders to endpoints that started anew, and those without an effect. */
+  readonly dropStale: () => void;
+  readonly clear: () => void;
+}
+
+interface Order {
+  readonly range: LayerRange;
+  readonly bornAt: number;
+  readonly sentAt: number;
+}
+
+/** An order whose effect does not show after this time is given up. */
+const ORDER_MILLISECONDS = 12_000;
+
+/**
+ * Tells whether two ranges are the same.
+ *
+ * @param left - a range, or none
+ * @param right - the other
+ * @returns whether both are missing or name the same layers
+ * @example
+ * isSameRange({ from: 0, to: 4 }, undefined); // false
+ */
+export function isSameRange(left: LayerRange | undefined, right: LayerRange | undefined): boolean {
+  return left?.from === right?.from && left?.to === right?.to;
+}
+
+/**
+ * Creates an empty order book.
+ *
+ * @param options - the endpoints, the wire, the log and the clock
+ * @returns the book
+ * @example
+ * await createOrderBook(options).send(endpoint, { from: 0, to: 26 });
+ */
+export function createOrderBook(options: CreateOrderBookOptions): OrderBook {
+  const { endpoints, endpointPort, logger, now } = options;
+  const orders = new Map<string, Order>();
+  return {
+    send: async (endpoint, range) => {
+      const { record } = endpoint;
+      orders.set(record.id, { range, bornAt: record.bornAt, sentAt: now() });
+      const outcome: OrderOutcome = await endpointPort.sendOrder({
+        endpoint: record.id,
+        address: record.address,
+        range,
+        acceptedOrders: endpoint.acceptedOrders ?? 0,
+      });
+      logger.log('order-sent', {
+        endpoint: record.id,
+        from: range.from,
+        to: range.to,
+        held: endpoint.layers ? `${endpoint.layers.from}-${endpoint.layers.to}` : '',
+        acceptedOrders: endpoint.acceptedOrders ?? 0,
+        outcome,
+      });
+      if (outcome === 'conflict' || outcome === 'refused') orders.delete(record.id);
+    },
+    takeReport: ({ record }, report) => {
+      const order = orders.get(record.id);
+      if (!order || report.isBusy) return;
+      if (isSameRange(order.range, report.layers)) {
+        logger.log('order-done', {
+          endpoint: record.id,
+          from: order.range.from,
+          to: order.range.to,
+          loadMilliseconds: Math.round(now() - order.sentAt),
+        });
+      }
+      orders.delete(record.id);
+    },
+    findRange: (id) => orders.get(id)?.range,
+    has: (id) => orders.has(id),
+    dropStale: () => {
+      for (const [id, order] of orders) {
+        const isSame = endpoints.find(id)?.record.bornAt === order.bornAt;
+        if (!isSame || now() - order.sentAt > ORDER_MILLISECONDS) orders.delete(id);
+      }
+    },
+    clear: () => {
+      orders.clear();
+    },
+  };
+}
--- a/src/process/site/createPeers/test.ts
+++ b/src/process/site/createPeers/test.ts
@@ -2,7 +2,8 @@
 import { test } from 'node:test';
 import type { NodeRecord } from '../../../types/site/index.js';
 import { createRandom } from '../../createRandom/index.js';
-import { createPeers, type OwnNews, type Peers } from './index.js';
+import type { OwnNews } from '../peerNews/index.js';
+import { createPeers, type Peers } from './index.js';
 
 const ROUND = 300;
 
--- a/src/process/site/exchangeNews/index.ts
+++ b/src/process/site/exchangeNews/index.ts
@@ -3,7 +3,8 @@
  */
 import type { NodeRecord } from '../../../types/site/index.js';
 import type { Examiner } from '../../relay/createExaminer/index.js';
-import { createPeers, type OwnNews, type Peers, type PeerNews } from '../createPeers/index.js';
+import { createPeers, type Peers } from '../createPeers/index.js';
+import type { OwnNews, PeerNews } from '../peerNews/index.js';
 import type { SiteLogger } from '../createSiteLogger/index.js';
 import type { SiteState } from '../createSiteState/index.js';
 import type { StoreFollower } from '../followStore/index.js';
--- a/src/process/site/runPlanner/index.ts
+++ b/src/process/site/runPlanner/index.ts
@@ -6,11 +6,12 @@
  * endpoint has accepted no other order since the order's plan was made.
  */
 import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
-import type { EndpointControl, OrderOutcome } from '../../../types/relay/index.js';
-import type { EndpointReport, LayeredModel, LayerRange } from '../../../types/site/index.js';
-import type { PlacedEndpoint } from '../../../version/planPlacement/index.js';
+import type { EndpointControl } from '../../../types/relay/index.js';
+import type { LayeredModel, LayerRange } from '../../../types/site/index.js';
+import type { PlacedEndpoint } from '../../../types/placement/index.js';
 import { findOwner } from '../../hashRendezvous/index.js';
 import type { Examiner } from '../../relay/createExaminer/index.js';
+import { createOrderBook, isSameRange } from '../createOrderBook/index.js';
 import type { SiteLogger } from '../createSiteLogger/index.js';
 import type { SiteDecisions } from '../siteDecisions/index.js';
 import type { SiteState } from '../createSiteState/index.js';
@@ -39,20 +40,12 @@
   readonly listPaces: () => [string, number][];
 }
 
-interface Order {
-  readonly range: LayerRange;
-  readonly bornAt: number;
-  readonly sentAt: number;
-}
-
 const ROUND_MILLISECONDS = 300;
 const IDLE_ROUND_MILLISECONDS = 500;
 /** The list of endpoints has to stay the same for this long before the first plan. */
 const SETTLE_MILLISECONDS = 700;
 /** The first plan waits no longer than this for the list to settle. */
 const LONGEST_SETTLE_MILLISECONDS = 4_000;
-/** An order whose effect does not show after this time is given up. */
-const ORDER_MILLISECONDS = 12_000;
 /** Pause between two questions to an endpoint that has no order under way. */
 const SURVEY_MILLISECONDS = 3_000;
 const NEWS_MILLISECONDS = 5_000;
@@ -61,10 +54,6 @@
 /** Share of the known endpoints that have to answer before a node plans. */
 const LEAST_LIVING_SHARE = 0.5;
 
-function isSameRange(left: LayerRange | undefined, right: LayerRange | undefined): boolean {
-  return left?.from === right?.from && left?.to === right?.to;
-}
-
 /**
  * Creates the planner of one node.
  *
@@ -75,7 +64,7 @@
  */
 export function createPlanner(options: CreatePlannerOptions): Planner {
   const { self, state, endpointPort, logger, now, listAlive, examiner, planPlacement } = options;
-  const orders = new Map<string, Order>();
+  const orders = createOrderBook({ endpoints: state.endpoints, endpointPort, logger, now });
   const news = new Map<string, number>();
   const slowAt = new Map<string, number>();
   const askedAt = new Map<string, number>();
@@ -87,22 +76,6 @@
   let settledAt = Number.POSITIVE_INFINITY;
   let firstSeenAt: number | undefined;
 
-  const takeReport = (endpoint: Endpoint, report: EndpointReport): void => {
-    const { record } = endpoint;
-    if (endpoint.pace > 1) slowAt.set(record.id, now());
-    const order = orders.get(record.id);
-    if (!order || report.isBusy) return;
-    if (isSameRange(order.range, report.layers)) {
-      logger.log('order-done', {
-        endpoint: record.id,
-        from: order.range.from,
-        to: order.range.to,
-        loadMilliseconds: Math.round(now() - order.sentAt),
-      });
-    }
-    orders.delete(record.id);
-  };
-
   const ask = async (endpoint: Endpoint): Promise<void> => {
     const { id } = endpoint.record;
     askedAt.set(id, now());
@@ -112,7 +85,8 @@
     if (report) {
       failedQuestions.delete(id);
       if (!isSameRange(before, report.layers)) news.set(id, now());
-      takeReport(endpoint, report);
+      if (endpoint.pace > 1) slowAt.set(id, now());
+      orders.takeReport(endpoint, report);
       return;
     }
     const failures = (failedQuestions.get(id) ?? 0) + 1;
@@ -133,33 +107,9 @@
     await Promise.all(due.map(ask));
   };
 
-  const send = async (endpoint: Endpoint, range: LayerRange): Promise<void> => {
-    const { record } = endpoint;
-    orders.set(record.id, { range, bornAt: record.bornAt, sentAt: now() });
-    const outcome: OrderOutcome = await endpointPort.sendOrder({
-      endpoint: record.id,
-      address: record.address,
-      range,
-      acceptedOrders: endpoint.acceptedOrders ?? 0,
-    });
-    logger.log('order-sent', {
-      endpoint: record.id,
-      from: range.from,
-      to: range.to,
-      held: endpoint.layers ? `${endpoint.layers.from}-${endpoint.layers.to}` : '',
-      acceptedOrders: endpoint.acceptedOrders ?? 0,
-      outcome,
-    });
-    askedAt.delete(record.id);
-    if (outcome === 'conflict' || outcome === 'refused') orders.delete(record.id);
-  };
-
-  const dropStaleOrders = (): void => {
-    for (const [id, order] of orders) {
-      const endpoint = state.endpoints.find(id);
-      const isSame = endpoint?.record.bornAt === order.bornAt;
-      if (!isSame || now() - order.sentAt > ORDER_MILLISECONDS) orders.delete(id);
-    }
+  const order = async (endpoint: Endpoint, range: LayerRange): Promise<void> => {
+    await orders.send(endpoint, range);
+    askedAt.delete(endpoint.record.id);
   };
 
   const hasSettled = (endpoints: readonly Endpoint[]): boolean => {
@@ -181,14 +131,14 @@
     const { record, layers } = endpoint;
     const kind = model.kinds.find(({ name }) => name === record.kind);
     if (!kind) return [];
-    const order = orders.get(record.id);
+    const ordered = orders.findRange(record.id);
     return [
       {
         id: record.id,
         availabilityZone: record.availabilityZone,
         kind,
-        range: order?.range ?? layers,
-        isBusy: order !== undefined,
+        range: ordered ?? layers,
+        isBusy: ordered !== undefined,
       },
     ];
   };
@@ -217,7 +167,7 @@
     );
     const sends = [...placement].flatMap(([id, range]) => {
       const endpoint = state.endpoints.find(id);
-      return endpoint ? [send(endpoint, range)] : [];
+      return endpoint ? [order(endpoint, range)] : [];
     });
     await Promise.all(sends);
   };
@@ -233,7 +183,7 @@
         logger.log(owns ? 'planner-begins' : 'planner-ends', { nodes: alive.length });
       }
       if (!owns) return IDLE_ROUND_MILLISECONDS;
-      dropStaleOrders();
+      orders.dropStale();
       for (const { name, model } of state.getCompiled()?.configuration.services ?? []) {
         if (model) await planService(name, model);
       }
--- a/src/request/choosePath/index.ts
+++ b/src/request/choosePath/index.ts
@@ -2,6 +2,10 @@
  * Choice of the endpoints that a request passes through, each with a part of the model's layers.
  */
 import type { AcceleratorKind, LayeredModel, LayerRange, PathHop } from '../../types/site/index.js';
+import { computePassTime } from '../computePassTime/index.js';
+import { computePipeTime } from '../computePipeTime/index.js';
+import { computeReadTime } from '../computeReadTime/index.js';
+import { computeRoom } from '../computeRoom/index.js';
 
 /** An endpoint that holds layers and takes requests. */
 export interface PathCandidate {
@@ -57,76 +61,6 @@
 const USED_MEMORY_SHARE = 1.03;
 /** Relative size of the random part of a hop's cost, for one node, for each node, and at most. */
 const JITTER = { least: 0.05, perNode: 0.004, most: 0.3 } as const;
-const MEGABYTE = 1_000_000;
-
-/**
- * Computes the memory for requests on an endpoint.
- *
- * @param model - the model
- * @param memoryMegabytes - the accelerator's memory
- * @param layers - layers that the endpoint holds
- * @returns tokens times layers that fit beside the layers
- * @example
- * computeRoom(model, 14_400, 6);
- */
-export function computeRoom(model: LayeredModel, memoryMegabytes: number, layers: number): number {
-  const freeMegabytes = memoryMegabytes - layers * model.layerMegabytes;
-  return Math.max(0, (freeMegabytes * MEGABYTE * model.layers) / model.tokenBytes);
-}
-
-/**
- * Computes how long an endpoint that held all layers of the model would read a prompt.
- *
- * @param model - the model
- * @param kind - the accelerator
- * @param tokens - the prompt's length
- * @returns milliseconds; a part of the layers takes its share
- * @example
- * computeReadTime(model, kind, 760);
- */
-export function computeReadTime(
-  model: LayeredModel,
-  kind: Pick<AcceleratorKind, 'readFactor'>,
-  tokens: number,
-): number {
-  return (tokens / model.readTokensPerSecond) * 1_000 * kind.readFactor;
-}
-
-/**
- * Computes how long a prompt takes the pipe between two availability zones.
- *
- * @param model - the model
- * @param tokens - the prompt's length
- * @returns milliseconds
- * @example
- * computePipeTime(model, 760);
- */
-export function computePipeTime(model: LayeredModel, tokens: number): number {
-  return (tokens * model.activationBytes * 8) / (model.pipeMegabitsPerSecond * 1_000);
-}
-
-/**
- * Computes how long one pass of an endpoint over all layers of the model would take.
- *
- * @param model - the model
- * @param kind - the accelerator
- * @param requests - requests in the batch
- * @returns milliseconds; a part of the layers takes its share
- * @example
- * computePassTime(model, kind, 40);
- */
-export function computePassTime(
-  model: LayeredModel,
-  kind: AcceleratorKind,
-  requests: number,
-): number {
-  const context = (model.usualPromptTokens + model.usualAnswerTokens / 2) / 1_000;
-  const step =
-    model.stepMilliseconds +
-    requests *
-      (model.stepMillisecondsPerSequence + context * model.stepMillisecondsPerThousandTokens);
-  return model.stride * step * kind.pace;
-}
 
 interface HopTimes {
   readonly first: number;
--- a/src/request/choosePath/test.ts
+++ b/src/request/choosePath/test.ts
@@ -3,7 +3,9 @@
 import fc from 'fast-check';
 import { createRandom } from '../../process/createRandom/index.js';
 import { createCandidate, FAST, MIDDLE, MODEL, SLOW } from '../../../tests/support/site/index.js';
-import { choosePath, computePassTime, computeRoom, type PathCandidate } from './index.js';
+import { computePassTime } from '../computePassTime/index.js';
+import { computeRoom } from '../computeRoom/index.js';
+import { choosePath, type PathCandidate } from './index.js';
 
 const MIDPOINT = (): number => 0.5;
 
--- a/src/request/describeRoom/index.ts
+++ b/src/request/describeRoom/index.ts
@@ -2,7 +2,8 @@
  * Room for requests by layer: where memory is tightest, and which layers nobody holds.
  */
 import type { LayeredModel, LayerRange } from '../../types/site/index.js';
-import { computeRoom, type PathCandidate } from '../choosePath/index.js';
+import type { PathCandidate } from '../choosePath/index.js';
+import { computeRoom } from '../computeRoom/index.js';
 
 /** Layers that follow each other and have the same room. */
 export interface RoomSection {
--- a/src/version/planPlacement/test.ts
+++ b/src/version/planPlacement/test.ts
@@ -3,7 +3,8 @@
 import fc from 'fast-check';
 import { FAST, MIDDLE, MODEL, SLOW } from '../../../tests/support/site/index.js';
 import type { AcceleratorKind, LayerRange } from '../../types/site/index.js';
-import { planPlacement, type PlacedEndpoint } from './index.js';
+import type { PlacedEndpoint } from '../../types/placement/index.js';
+import { planPlacement } from './index.js';
 
 function createFleet(
   zone: string,
