--- a/src/process/configuration/acceptChange/index.ts
+++ b/src/process/configuration/acceptChange/index.ts
@@ -8,12 +8,8 @@
 import { applyOperations, type ChangeRefusal } from '../../../version/applyOperations/index.js';
 import { splitShards, type StoredShard } from '../../../version/splitShards/index.js';
 import type { NodeContext } from '../../node/createContext/index.js';
-import {
-  HEAD_KEY,
-  nameShardKey,
-  readHead,
-  type ConfigurationStore,
-} from '../createConfiguration/index.js';
+import type { ConfigurationStore } from '../createConfiguration/index.js';
+import { HEAD_KEY, nameShardKey, readHead } from '../storedConfiguration/index.js';
 
 /** Why a change was not accepted, or not known to be. */
 export type ChangeFailure = ChangeRefusal | { readonly kind: 'unavailable' | 'unsettled' };
--- /dev/null
+++ b/src/process/configuration/chooseOfferPeers/index.ts
@@ -0,0 +1,32 @@
+/**
+ * Peers that a new configuration is offered to before it is acknowledged.
+ */
+import type { Member } from '../../../types/peer/index.js';
+
+/** Options of {@link chooseOfferPeers}. */
+export interface ChooseOfferPeersOptions {
+  readonly members: readonly Member[];
+  readonly self: Pick<Member, 'node' | 'availabilityZone'>;
+  /** Numbers from 0 to 1. */
+  readonly random: () => number;
+}
+
+const OFFERED_PEERS = 2;
+
+/**
+ * Chooses living peers at random, those of other availability zones first.
+ *
+ * @param options - members, this node, and random numbers
+ * @returns at most two peers
+ * @example
+ * chooseOfferPeers({ members, self, random });
+ */
+export function chooseOfferPeers({ members, self, random }: ChooseOfferPeersOptions): Member[] {
+  const peers = members
+    .filter(({ node, state }) => node !== self.node && state === 'alive')
+    .map((member) => ({ member, order: random() }))
+    .sort((left, right) => left.order - right.order)
+    .map(({ member }) => member);
+  const isFar = (member: Member): boolean => member.availabilityZone !== self.availabilityZone;
+  return [...peers.filter(isFar), ...peers.filter((peer) => !isFar(peer))].slice(0, OFFERED_PEERS);
+}
--- a/src/process/configuration/createConfiguration/index.ts
+++ b/src/process/configuration/createConfiguration/index.ts
@@ -2,17 +2,17 @@
  * The configuration in force on a node: how it is watched, fetched, passed on and applied.
  */
 import { WATCH_WAIT_MILLISECONDS } from '../../../constants/index.js';
-import {
-  headSchema,
-  shardSchema,
-  type Configuration,
-  type Head,
-} from '../../../types/configuration/index.js';
+import type { Configuration, Head } from '../../../types/configuration/index.js';
 import type { Member, PeerMessage } from '../../../types/peer/index.js';
 import type { PlatformResult } from '../../../types/platform/index.js';
 import { digestText } from '../../../version/digestText/index.js';
-import { parseJson } from '../../parseJson/index.js';
 import type { NodeContext } from '../../node/createContext/index.js';
+import {
+  buildConfiguration,
+  HEAD_KEY,
+  nameShardKey,
+  readHead,
+} from '../storedConfiguration/index.js';
 
 /** The configuration in force with the head and shards that it was built from. */
 export interface InForce {
@@ -52,48 +52,10 @@
   ) => void;
 }
 
-/** Platform key of the head. */
-export const HEAD_KEY = 'configuration/head';
-
 const EMPTY_HEAD: Head = { revision: 0, shards: [], changes: [] };
 const WATCH_RETRY_MILLISECONDS = 1_000;
 const REQUEST_INTERVAL_MILLISECONDS = 500;
 
-/**
- * Names the platform key of a shard.
- *
- * @param digest - digest of the shard's text
- * @returns the key
- * @example
- * nameShardKey(digest);
- */
-export function nameShardKey(digest: string): string {
-  return `configuration/shard/${digest}`;
-}
-
-/**
- * Reads a stored head.
- *
- * @param text - the stored value
- * @returns the head, or undefined when the value is not one
- * @example
- * readHead(entry.value)?.revision;
- */
-export function readHead(text: string): Head | undefined {
-  return headSchema.safeParse(parseJson(text)).data;
-}
-
-function buildConfiguration(head: Head, shards: ReadonlyMap<string, string>): Configuration {
-  const parts = head.shards.map(({ digest }) =>
-    shardSchema.parse(JSON.parse(shards.get(digest) ?? '{}')),
-  );
-  return {
-    revision: head.revision,
-    objects: parts.flatMap(({ objects }) => objects),
-    selectors: parts.flatMap(({ selectors }) => selectors),
-  };
-}
-
 /**
  * Creates the configuration of one node.
  *
--- /dev/null
+++ b/src/process/configuration/storedConfiguration/index.ts
@@ -0,0 +1,57 @@
+/**
+ * The configuration as the platform stores it: a head that names shards.
+ */
+import {
+  headSchema,
+  shardSchema,
+  type Configuration,
+  type Head,
+} from '../../../types/configuration/index.js';
+import { parseJson } from '../../parseJson/index.js';
+
+/** Platform key of the head. */
+export const HEAD_KEY = 'configuration/head';
+
+/**
+ * Names the platform key of a shard.
+ *
+ * @param digest - digest of the shard's text
+ * @returns the key
+ * @example
+ * nameShardKey(digest);
+ */
+export function nameShardKey(digest: string): string {
+  return `configuration/shard/${digest}`;
+}
+
+/**
+ * Reads a stored head.
+ *
+ * @param text - the stored value
+ * @returns the head, or undefined when the value is not one
+ * @example
+ * readHead(entry.value)?.revision;
+ */
+export function readHead(text: string): Head | undefined {
+  return headSchema.safeParse(parseJson(text)).data;
+}
+
+/**
+ * Builds a configuration from its head and shards.
+ *
+ * @param head - the head
+ * @param shards - texts of at least the head's shards, by digest
+ * @returns the configuration
+ * @example
+ * buildConfiguration(head, shards).objects;
+ */
+export function buildConfiguration(head: Head, shards: ReadonlyMap<string, string>): Configuration {
+  const parts = head.shards.map(({ digest }) =>
+    shardSchema.parse(JSON.parse(shards.get(digest) ?? '{}')),
+  );
+  return {
+    revision: head.revision,
+    objects: parts.flatMap(({ objects }) => objects),
+    selectors: parts.flatMap(({ selectors }) => selectors),
+  };
+}
--- a/src/process/membership/createMembership/index.ts
+++ b/src/process/membership/createMembership/index.ts
@@ -3,11 +3,14 @@
  */
 import { GOSSIP_ROUND_MILLISECONDS } from '../../../constants/index.js';
 import type { Fact, Member, MemberState, PeerMessage } from '../../../types/peer/index.js';
-import { hashText } from '../../hashRendezvous/index.js';
 import type { NodeContext } from '../../node/createContext/index.js';
 import { firstIncarnation, mergeMember } from '../mergeMember/index.js';
+import { createDigestCheck } from '../createDigestCheck/index.js';
+import { createMemberTable, digestMember } from '../createMemberTable/index.js';
+import { createSuspicions } from '../createSuspicions/index.js';
 import { createFacts } from '../keepFacts/index.js';
 import { createProber } from '../probeMembers/index.js';
+import { createMessageRouter, type MembershipMessage, type Packet } from '../routeMessage/index.js';
 import { createRumors } from '../spreadRumors/index.js';
 
 /** Concurrency limit of one pool, by hash of the pool's key. */
@@ -35,12 +38,6 @@
   readonly merge?: typeof mergeMember | undefined;
 }
 
-/** Messages that membership takes. */
-export type MembershipMessage = Extract<
-  PeerMessage,
-  { kind: 'ping' | 'ack' | 'indirectPing' | 'synchronize' }
->;
-
 /** The membership of one node. */
 export interface Membership {
   readonly start: () => void;
@@ -61,17 +58,7 @@
   readonly announce: () => void;
 }
 
-type Packet = Pick<
-  Extract<PeerMessage, { kind: 'ping' }>,
-  'from' | 'revision' | 'members' | 'facts' | 'limits'
->;
-
-const SUSPECT_MILLISECONDS = 4_000;
-const FORGET_DEAD_MILLISECONDS = 600_000;
 const URGENT_PEERS = 3;
-const MISMATCHES_BEFORE_SYNCHRONIZE = 8;
-const LEAST_SYNCHRONIZE_INTERVAL_MILLISECONDS = 60_000;
-const RELAY_MILLISECONDS = 2_000;
 const ROUNDS_BETWEEN_SWEEPS = 30;
 const ANNOUNCE_MILLISECONDS = 50;
 
@@ -89,10 +76,8 @@
  */
 export function createMembership(options: CreateMembershipOptions): Membership {
   const { context, merge = mergeMember } = options;
-  const members = new Map<string, Member>();
+  const members = createMemberTable();
   const facts = createFacts();
-  const suspicions = new Map<string, string>();
-  const relays = new Map<number, { readonly address: string; readonly sequence: number }>();
   const rumors = createRumors();
   let own: Member = {
     node: context.node,
@@ -105,29 +90,14 @@
   };
   let isAnnouncing = false;
   let round = 0;
-  let mismatches = 0;
-  let synchronizedAt = -LEAST_SYNCHRONIZE_INTERVAL_MILLISECONDS;
-  let memberDigest = 0;
 
-  const listPeers = (): Member[] => [...members.values()];
-  const countAlive = (): number => 1 + listPeers().filter(({ state }) => state === 'alive').length;
-  const digestMember = (member: Member): number =>
-    member.state === 'dead'
-      ? 0
-      : hashText(`${member.node}/${member.incarnation.toString()}/${member.state}`);
-  const computeDigest = (): number => (memberDigest ^ digestMember(own) ^ facts.digest()) >>> 0;
+  const computeDigest = (): number => (members.digest() ^ digestMember(own) ^ facts.digest()) >>> 0;
 
-  const store = (member: Member): void => {
-    const present = members.get(member.node);
-    if (present) memberDigest ^= digestMember(present);
-    memberDigest ^= digestMember(member);
-    members.set(member.node, member);
-  };
   const createPacket = (): Packet => ({
     from: context.node,
     revision: options.getRevision(),
     limits: options.getLimits(),
-    ...rumors.take(countAlive()),
+    ...rumors.take(1 + members.countAlive()),
   });
   const send = (address: string, message: PeerMessage): void => {
     context.emit({ kind: 'sendPeer', address, message });
@@ -136,11 +106,12 @@
     const digest = computeDigest();
     const packet = createPacket();
     const isDoubted = peer.state === 'suspect' || peer.state === 'dead';
-    const members = isDoubted ? [...packet.members, peer] : packet.members;
-    send(peer.peerAddress, { kind: 'ping', sequence, digest, ...packet, members });
+    const told = isDoubted ? [...packet.members, peer] : packet.members;
+    send(peer.peerAddress, { kind: 'ping', sequence, digest, ...packet, members: told });
   };
   const choosePeers = (count: number): Member[] =>
-    listPeers()
+    members
+      .list()
       .filter(({ state }) => state !== 'dead')
       .map((peer) => ({ peer, order: context.random() }))
       .sort((left, right) => left.order - right.order)
@@ -162,36 +133,18 @@
 
   const setState = (member: Member, state: MemberState): void => {
     const next = { ...member, state };
-    store(next);
+    members.put(next);
     rumors.add({ kind: 'member', member: next });
     announceSoon();
     context.log('warn', 'member-state', { node: member.node, state });
   };
-  const clearSuspicion = (node: string): void => {
-    const timer = suspicions.get(node);
-    if (timer === undefined) return;
-    context.cancel(timer);
-    suspicions.delete(node);
-  };
-  const awaitRefutation = (member: Member): void => {
-    clearSuspicion(member.node);
-    const timer = context.schedule(SUSPECT_MILLISECONDS, () => {
-      suspicions.delete(member.node);
-      const present = members.get(member.node);
-      if (present?.state !== 'suspect' || present.incarnation !== member.incarnation) return;
-      setState(present, 'dead');
-      context.schedule(FORGET_DEAD_MILLISECONDS, () => {
-        forgetDead(member.node);
-      });
-    });
-    suspicions.set(member.node, timer);
-  };
-  const forgetDead = (node: string): void => {
-    const present = members.get(node);
-    if (present?.state !== 'dead') return;
-    memberDigest ^= digestMember(present);
-    members.delete(node);
-  };
+  const suspicions = createSuspicions({
+    context,
+    members,
+    onDead: (member) => {
+      setState(member, 'dead');
+    },
+  });
   const refute = (incoming: Member): void => {
     if (incoming.incarnation < own.incarnation || incoming.state === own.state) return;
     if (incoming.state === 'alive' && own.state === 'leaving') return;
@@ -204,13 +157,13 @@
       refute(incoming);
       return;
     }
-    const present = members.get(incoming.node);
+    const present = members.find(incoming.node);
     const winner = merge(present, incoming);
     if (winner === present) return;
-    store(winner);
+    members.put(winner);
     rumors.add({ kind: 'member', member: winner });
-    if (winner.state === 'suspect') awaitRefutation(winner);
-    else clearSuspicion(winner.node);
+    if (winner.state === 'suspect') suspicions.await(winner);
+    else suspicions.clear(winner.node);
     if (present && winner.state !== present.state) announceSoon();
   };
   const takeFact = (fact: Fact, isUrgent = isUrgentFact(fact)): void => {
@@ -225,10 +178,10 @@
       takeFact(fact);
     });
     options.onLimits(packet.limits);
-    const sender = members.get(packet.from);
+    const sender = members.find(packet.from);
     if (!sender) return;
     if (packet.revision !== sender.revision) {
-      members.set(packet.from, { ...sender, revision: packet.revision });
+      members.put({ ...sender, revision: packet.revision });
     }
     if (packet.revision > options.getRevision()) options.onHigherRevision(sender);
     if (sender.state === 'suspect' || sender.state === 'dead') {
@@ -242,23 +195,22 @@
       from: context.node,
       revision: options.getRevision(),
       limits: [],
-      members: [own, ...members.values()],
+      members: [own, ...members.list()],
       facts: facts.listKept(),
     });
   };
-  const compareDigest = (from: string, digest: number): void => {
-    mismatches = digest === computeDigest() ? 0 : mismatches + 1;
-    const isRecent = context.now() - synchronizedAt < LEAST_SYNCHRONIZE_INTERVAL_MILLISECONDS;
-    const peer = members.get(from);
-    if (mismatches < MISMATCHES_BEFORE_SYNCHRONIZE || isRecent || !peer) return;
-    mismatches = 0;
-    synchronizedAt = context.now();
-    context.count('gossip_synchronized');
-    sendEverything(peer.peerAddress, true);
-  };
+  const compareDigest = createDigestCheck({
+    context,
+    computeDigest,
+    synchronize: (from) => {
+      const peer = members.find(from);
+      if (peer) sendEverything(peer.peerAddress, true);
+      return peer !== undefined;
+    },
+  });
   const prober = createProber({
     context,
-    listPeers,
+    listPeers: members.list,
     sendPing,
     sendIndirectPing: (helper, target, sequence) => {
       send(helper.peerAddress, {
@@ -269,56 +221,25 @@
       });
     },
     onSilence: (member) => {
-      const present = members.get(member.node);
+      const present = members.find(member.node);
       if (!present || present.state === 'dead' || present.state === 'suspect') return;
       setState(present, 'suspect');
-      awaitRefutation({ ...present, state: 'suspect' });
+      suspicions.await({ ...present, state: 'suspect' });
     },
   });
 
-  const HANDLERS: {
-    [Kind in MembershipMessage['kind']]: (
-      message: Extract<MembershipMessage, { kind: Kind }>,
-    ) => void;
-  } = {
-    ping: (message) => {
-      takePacket(message);
-      const peer = members.get(message.from);
-      if (!peer) return;
-      const { sequence } = message;
-      const digest = computeDigest();
-      send(peer.peerAddress, { kind: 'ack', sequence, digest, ...createPacket() });
-      compareDigest(message.from, message.digest);
-    },
-    ack: (message) => {
-      takePacket(message);
-      const relay = relays.get(message.sequence);
-      if (relay) {
-        relays.delete(message.sequence);
-        send(relay.address, { ...message, sequence: relay.sequence });
-        return;
-      }
-      prober.receiveAck(message.sequence);
-      compareDigest(message.from, message.digest);
-    },
-    indirectPing: (message) => {
-      takePacket(message);
-      const target = members.get(message.target);
-      const asker = members.get(message.from);
-      if (!target || !asker) return;
-      const sequence = prober.nextSequence();
-      relays.set(sequence, { address: asker.peerAddress, sequence: message.sequence });
-      context.schedule(RELAY_MILLISECONDS, () => {
-        relays.delete(sequence);
-      });
-      sendPing(target, sequence);
-    },
-    synchronize: (message) => {
-      takePacket(message);
-      const peer = members.get(message.from);
-      if (message.answer && peer) sendEverything(peer.peerAddress, false);
-    },
-  };
+  const takeMessage = createMessageRouter({
+    context,
+    members,
+    prober,
+    takePacket,
+    createPacket,
+    computeDigest,
+    compareDigest,
+    send,
+    sendPing,
+    sendEverything,
+  });
   const runRound = (): void => {
     round += 1;
     if (round % ROUNDS_BETWEEN_SWEEPS === 0) facts.forgetOld(context.now());
@@ -330,12 +251,9 @@
     start: () => {
       context.schedule(context.random() * GOSSIP_ROUND_MILLISECONDS, runRound);
     },
-    receive: (message) => {
-      const handler = HANDLERS[message.kind] as (received: MembershipMessage) => void;
-      handler(message);
-    },
+    receive: takeMessage,
     introduce: (introduced) => {
-      const isFirst = members.size === 0;
+      const isFirst = members.list().length === 0;
       introduced.forEach(takeMember);
       const [peer] = choosePeers(1);
       if (!isFirst || !peer) return;
@@ -348,11 +266,12 @@
       }
     },
     self: () => ({ ...own, revision: options.getRevision() }),
-    list: () => [{ ...own, revision: options.getRevision() }, ...members.values()],
-    find: (node) => (node === context.node ? own : members.get(node)),
+    list: () => [{ ...own, revision: options.getRevision() }, ...members.list()],
+    find: (node) => (node === context.node ? own : members.find(node)),
     listAlive: () => [
       ...(own.state === 'alive' ? [own.node] : []),
-      ...listPeers()
+      ...members
+        .list()
         .filter(({ state }) => state === 'alive')
         .map(({ node }) => node),
     ],
--- a/src/process/node/askPeers/index.ts
+++ b/src/process/node/askPeers/index.ts
@@ -3,12 +3,8 @@
  */
 import { RESULT_CODES, type ResultCodeName } from '../../resultCodes/index.js';
 import type { Member, PeerMessage } from '../../../types/peer/index.js';
-import type {
-  Booking,
-  BookingEnd,
-  Bookings,
-  BookingState,
-} from '../../../request/createBookings/index.js';
+import type { Bookings } from '../../../request/createBookings/index.js';
+import type { Booking, BookingEnd, BookingState } from '../../../types/booking/index.js';
 import { readTicket, type Tickets } from '../../../request/createTickets/index.js';
 import type { JournalRecord } from '../../../request/decideIntent/index.js';
 import type { CompiledVersion } from '../../../version/compileVersion/index.js';
--- /dev/null
+++ b/src/process/node/callService/index.ts
@@ -0,0 +1,157 @@
+/**
+ * Callers' calls of services: those that may be repeated, and bookings.
+ */
+import { DEFAULT_DEADLINE_MILLISECONDS } from '../../../constants/index.js';
+import { answerError } from '../../../request/answerError/index.js';
+import type { Bookings } from '../../../request/createBookings/index.js';
+import type { BookingEnd } from '../../../types/booking/index.js';
+import type { ServiceCalls } from '../../../request/createServiceCalls/index.js';
+import { readTicket } from '../../../request/createTickets/index.js';
+import type { NodeEvent } from '../../../types/node/index.js';
+import type { Account, CompiledVersion } from '../../../version/compileVersion/index.js';
+import { digestText } from '../../../version/digestText/index.js';
+import { selectServed } from '../../../version/selectServed/index.js';
+import type { RequestOutcome } from '../../resultCodes/index.js';
+import type { PeerQuestions } from '../askPeers/index.js';
+import type { NodeContext } from '../createContext/index.js';
+
+/** A request of a caller. */
+export type CallerRequest = Extract<NodeEvent, { kind: 'callerRequest' }>;
+
+/** A caller's request whose account is known and within its limit. */
+export interface AdmittedCall {
+  readonly event: CallerRequest;
+  readonly account: Account;
+  readonly version: CompiledVersion;
+}
+
+/** Options of {@link createServiceHandler}. */
+export interface CreateServiceHandlerOptions {
+  readonly context: NodeContext;
+  readonly bookings: Bookings;
+  readonly services: ServiceCalls;
+  readonly questions: PeerQuestions;
+}
+
+/** Methods without an effect, which may be sent again. */
+const SAFE_METHODS = new Set(['GET', 'HEAD', 'OPTIONS']);
+/** Paths of services: the service's name, then the path that is sent on. */
+export const SERVICE_PATH = /^\/v1\/services\/([A-Za-z0-9._-]+)(\/.*)?$/;
+const IDEMPOTENCY_KEY = /^[\x21-\x7e]{1,200}$/;
+const PASSED_HEADERS = ['content-type', 'accept', 'accept-language'];
+
+/** Reads the caller's number of a try under an idempotency key; 1 when it gives none. */
+function readTryNumber(event: CallerRequest): number {
+  const number = Number(event.headers['idempotency-attempt'] ?? 1);
+  return Number.isInteger(number) && number > 0 ? number : 1;
+}
+
+/**
+ * Reads the outcome of a refusal before the journal is read: a retry cannot be told that nothing ran.
+ *
+ * @param event - the caller's request
+ * @returns the outcome, if it differs from the code's own
+ * @example
+ * readEarlyOutcome(event);
+ */
+export function readEarlyOutcome(event: CallerRequest): RequestOutcome | undefined {
+  return readTryNumber(event) > 1 ? 'unknown' : undefined;
+}
+
+function readRemaining(text: string | undefined): number {
+  const remaining = Number(text ?? DEFAULT_DEADLINE_MILLISECONDS);
+  return Number.isFinite(remaining) && remaining > 0 ? remaining : DEFAULT_DEADLINE_MILLISECONDS;
+}
+
+/**
+ * Creates the handler of callers' calls of services.
+ *
+ * @param options - the parts of the node that call services
+ * @returns a function that takes each call
+ * @example
+ * createServiceHandler(options)({ event, account, version });
+ */
+export function createServiceHandler(
+  options: CreateServiceHandlerOptions,
+): (admitted: AdmittedCall) => void {
+  const { context } = options;
+
+  const answerEnd = (request: string, end: BookingEnd): void => {
+    if (end.kind === 'error') {
+      const isRetryable = end.code === 'storeUnavailable' || end.code === 'noEndpoint';
+      const retryAfterMilliseconds = isRetryable ? 1_000 : undefined;
+      context.emit(
+        answerError({ request, code: end.code, outcome: end.outcome, retryAfterMilliseconds }),
+      );
+      return;
+    }
+    const headers = { 'content-type': end.contentType || 'application/json' };
+    context.emit({ kind: 'answer', request, status: end.status, headers, body: end.body });
+  };
+
+  return ({ event, account, version }) => {
+    const { request, method, headers, body } = event;
+    const [, service = '', path = '/'] = SERVICE_PATH.exec(event.path) ?? [];
+    const selector = selectServed({
+      version,
+      account,
+      kind: 'service',
+      name: service,
+      draw: context.random(),
+    });
+    if (!selector) {
+      const message = `no selector serves the service '${service}' to this client account`;
+      const outcome = readEarlyOutcome(event);
+      context.emit(answerError({ request, code: 'notFound', message, outcome }));
+      return;
+    }
+    const isRepeatable = SAFE_METHODS.has(method);
+    const idempotencyKey = headers['idempotency-key'];
+    if (!isRepeatable && (idempotencyKey === undefined || !IDEMPOTENCY_KEY.test(idempotencyKey))) {
+      context.emit(answerError({ request, code: 'keyRequired' }));
+      return;
+    }
+    const passed = PASSED_HEADERS.flatMap((name) => {
+      const value = headers[name];
+      return value === undefined ? [] : [[name, value] as const];
+    });
+    const deadlineAt = context.now() + readRemaining(headers['x-deadline-milliseconds']);
+    const call = {
+      service,
+      selector,
+      method,
+      path,
+      body,
+      deadlineAt,
+      isRepeatable,
+      headers: {
+        ...Object.fromEntries(passed),
+        ...(idempotencyKey !== undefined && { 'idempotency-key': idempotencyKey }),
+        'x-client-account': account.name,
+      },
+    };
+    if (isRepeatable || idempotencyKey === undefined) {
+      options.services.send(call, (outcome) => {
+        if (outcome.kind === 'reply') answerEnd(request, { ...outcome, kind: 'answer' });
+        else {
+          const code = outcome.kind === 'notSent' ? 'noEndpoint' : 'outcomeUnknown';
+          answerEnd(request, { kind: 'error', code });
+        }
+      });
+      return;
+    }
+    const digest = digestText(`${method}\n${service}\n${path}\n${body}`);
+    const booking = {
+      account: account.name,
+      idempotencyKey,
+      digest,
+      call,
+      tryNumber: readTryNumber(event),
+    };
+    const answer = (end: BookingEnd): void => {
+      answerEnd(request, end);
+    };
+    if (readTicket(idempotencyKey)) options.questions.runTicket(booking, answer);
+    else options.bookings.run(booking, answer);
+  };
+}
--- a/src/process/node/createNode/index.ts
+++ b/src/process/node/createNode/index.ts
@@ -10,28 +10,29 @@
 import { createPrefixMemory } from '../../../request/createPrefixMemory/index.js';
 import { createRateLimiter } from '../../../request/createRateLimiter/index.js';
 import { createServiceCalls } from '../../../request/createServiceCalls/index.js';
-import type { decideIntent } from '../../../request/decideIntent/index.js';
-import type { guardToken } from '../../../request/guardToken/index.js';
 import { createTickets } from '../../../request/createTickets/index.js';
 import type { LinkCost } from '../../../request/buildChainPool/index.js';
 import type { Configuration } from '../../../types/configuration/index.js';
 import type { NodeEffect, NodeEvent } from '../../../types/node/index.js';
-import type { Fact, Member, PeerMessage } from '../../../types/peer/index.js';
 import type { Vm } from '../../../types/platform/index.js';
 import { compileVersion, type CompiledVersion } from '../../../version/compileVersion/index.js';
 import { createAcceptor } from '../../configuration/acceptChange/index.js';
+import { chooseOfferPeers } from '../../configuration/chooseOfferPeers/index.js';
 import { createConfiguration } from '../../configuration/createConfiguration/index.js';
 import { createLeaving } from '../../leaving/createLeaving/index.js';
 import { createMembership } from '../../membership/createMembership/index.js';
-import type { mergeMember } from '../../membership/mergeMember/index.js';
 import { createRegistration } from '../../membership/registerNode/index.js';
 import { createOrders } from '../../orders/createOrders/index.js';
 import { createPeerQuestions } from '../askPeers/index.js';
 import { createContext } from '../createContext/index.js';
+import { createDemandNews } from '../createDemandNews/index.js';
 import { describeStatus } from '../describeStatus/index.js';
+import type { NodeDecisions } from '../nodeDecisions/index.js';
 import { createPolling } from '../pollEndpoints/index.js';
 import { createCallerRouter } from '../routeCaller/index.js';
+import { createEventRouter } from '../routeEvent/index.js';
 import { createOperatorRouter } from '../routeOperator/index.js';
+import { createPeerRouter } from '../routePeer/index.js';
 
 /** Options of {@link createNode}. */
 export interface CreateNodeOptions {
@@ -56,24 +57,12 @@
   readonly decisions?: NodeDecisions | undefined;
 }
 
-/** Decisions that can be replaced. */
-export interface NodeDecisions {
-  readonly decideIntent?: typeof decideIntent;
-  readonly guardToken?: typeof guardToken;
-  readonly mergeMember?: typeof mergeMember;
-  readonly isNewerRevision?: (offered: number, inForce: number) => boolean;
-  /** Part of the claim's lease in which it no longer counts, in milliseconds. */
-  readonly claimMarginMilliseconds?: number;
-}
-
 /** A node. Time is in milliseconds since the epoch and never falls. */
 export interface Node {
   readonly receive: (event: NodeEvent, nowMilliseconds: number) => NodeEffect[];
 }
 
 const PREFIX_BLOCKS = 16_384;
-const DEMAND_INTERVAL_MILLISECONDS = 1_000;
-const OFFERED_PEERS = 2;
 
 const DEFAULT_LINK: LinkCost = { latencyMilliseconds: 0.5, perPromptTokenMilliseconds: 0.01 };
 
@@ -103,11 +92,6 @@
     availabilityZone: options.availabilityZone,
     findLink: options.findLink ?? (() => DEFAULT_LINK),
   });
-  const takeDemand = (fact: Fact): void => {
-    const [, account = '', node = ''] = fact.key.split('/');
-    if (node === context.node) return;
-    limiter.takePeerDemand(node, { account, requestsPerSecond: Number(fact.value) }, context.now());
-  };
   const membership = createMembership({
     context,
     peerAddress: options.peerAddress,
@@ -119,8 +103,7 @@
       pools.takeLimits(limits);
     },
     onFact: (fact) => {
-      if (fact.key.startsWith('demand/')) takeDemand(fact);
-      else polling.takeFact(fact);
+      if (!demands.takeFact(fact)) polling.takeFact(fact);
     },
     onHigherRevision: (peer) => {
       configuration.requestFrom(peer);
@@ -198,20 +181,16 @@
     onLeave: membership.leave,
     interruptAll: modelRequests.interruptAll,
   });
-  const choosePeers = (): Member[] => {
-    const peers = membership
-      .list()
-      .filter(({ node, state }) => node !== context.node && state === 'alive')
-      .map((member) => ({ member, order: context.random() }))
-      .sort((left, right) => left.order - right.order)
-      .map(({ member }) => member);
-    const isFar = (member: Member): boolean => member.availabilityZone !== options.availabilityZone;
-    return [...peers.filter(isFar), ...peers.filter((peer) => !isFar(peer))].slice(
-      0,
-      OFFERED_PEERS,
-    );
-  };
-  const acceptor = createAcceptor({ context, configuration, choosePeers });
+  const acceptor = createAcceptor({
+    context,
+    configuration,
+    choosePeers: () =>
+      chooseOfferPeers({
+        members: membership.list(),
+        self: membership.self(),
+        random: context.random,
+      }),
+  });
   const routeOperator = createOperatorRouter({
     context,
     configuration,
@@ -243,75 +222,31 @@
     addressExpirySeconds: options.addressExpirySeconds ?? 30,
   });
 
-  const tellDemands = (): void => {
-    for (const { account, requestsPerSecond } of limiter.listDemands(context.now())) {
-      membership.tell({
-        key: `demand/${account}/${context.node}`,
-        version: context.now(),
-        value: requestsPerSecond.toString(),
-      });
-    }
-    context.schedule(DEMAND_INTERVAL_MILLISECONDS, tellDemands);
-  };
+  const demands = createDemandNews({ context, limiter, tell: membership.tell });
   const start = (): void => {
     registration.start();
     membership.start();
     configuration.start();
     polling.start();
     orders.start();
-    tellDemands();
+    demands.start();
   };
 
-  const PEER_HANDLERS: Record<PeerMessage['kind'], (message: PeerMessage) => void> = {
-    ping: membership.receive as (message: PeerMessage) => void,
-    ack: membership.receive as (message: PeerMessage) => void,
-    indirectPing: membership.receive as (message: PeerMessage) => void,
-    synchronize: membership.receive as (message: PeerMessage) => void,
-    configurationRequest: configuration.receive as (message: PeerMessage) => void,
-    configurationOffer: configuration.receive as (message: PeerMessage) => void,
-    configurationTaken: configuration.receive as (message: PeerMessage) => void,
-    bookingQuery: questions.receive as (message: PeerMessage) => void,
-    bookingAnswer: questions.receive as (message: PeerMessage) => void,
-    ticketCall: questions.receive as (message: PeerMessage) => void,
-    ticketReply: questions.receive as (message: PeerMessage) => void,
-  };
-  const HANDLERS: {
-    [Kind in NodeEvent['kind']]: (event: Extract<NodeEvent, { kind: Kind }>) => void;
-  } = {
+  const routeEvent = createEventRouter({
     start,
-    callerRequest: routeCaller,
-    callerGone: ({ request }) => {
-      modelRequests.cancel(request);
-    },
-    operatorRequest: routeOperator,
-    tokens: ({ attempt, lines }) => {
-      attempts.receiveTokens(attempt, lines);
-    },
-    runEnded: ({ attempt }) => {
-      attempts.receiveEnd(attempt);
-    },
-    runFailed: attempts.receiveFailure,
-    reply: control.resumeEndpoint,
-    callFailed: control.resumeEndpoint,
-    peerMessage: ({ message }) => {
-      PEER_HANDLERS[message.kind](message);
-    },
-    platformResult: ({ call, result }) => {
-      control.resumePlatform(call, result);
-    },
-    timerDue: ({ timer }) => {
-      control.resumeTimer(timer);
-    },
-    leave: () => {
-      leaving.begin('signal');
-    },
-  };
+    control,
+    attempts,
+    modelRequests,
+    leaving,
+    routeCaller,
+    routeOperator,
+    routePeer: createPeerRouter({ membership, configuration, questions }),
+  });
 
   return {
     receive: (event, nowMilliseconds) => {
       control.advance(nowMilliseconds);
-      const handler = HANDLERS[event.kind] as (received: NodeEvent) => void;
-      handler(event);
+      routeEvent(event);
       return control.takeEffects();
     },
   };
--- /dev/null
+++ b/src/process/node/peerFacts/index.ts
@@ -0,0 +1,103 @@
+/**
+ * Facts about engines and VMs as text, and how they are read back.
+ */
+import { z } from 'zod';
+import { engineReportSchema, type EngineReport } from '../../../types/endpoint/index.js';
+import { vmSchema, type Vm } from '../../../types/platform/index.js';
+import { parseJson } from '../../parseJson/index.js';
+
+/**
+ * Reads an engine's report.
+ *
+ * @param body - body of the answer
+ * @returns the report, or undefined when it cannot be read
+ * @example
+ * parseReport(result.body)?.active;
+ */
+export function parseReport(body: string): EngineReport | undefined {
+  return engineReportSchema.safeParse(parseJson(body)).data;
+}
+
+const packedReportSchema = z.tuple([
+  z.string(),
+  z.string(),
+  z.string(),
+  z.array(z.string()),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number(),
+]);
+
+const LEAVING_FLAG = 1;
+const LOADING_FLAG = 2;
+const FENCING_FLAG = 4;
+
+/**
+ * Packs a report for gossip: without field names and load.
+ *
+ * @param report - the report
+ * @returns its text
+ * @example
+ * packReport(report);
+ */
+export function packReport(report: EngineReport): string {
+  const flags =
+    (report.leaving ? LEAVING_FLAG : 0) +
+    (report.loading ? LOADING_FLAG : 0) +
+    (report.checksFencing ? FENCING_FLAG : 0);
+  const { incarnation, model, version, adapters, from, to, layersPerSecond, fencing } = report;
+  return JSON.stringify([
+    incarnation,
+    model,
+    version,
+    adapters,
+    from,
+    to,
+    Math.round(layersPerSecond),
+    flags,
+    fencing,
+  ]);
+}
+
+/**
+ * Reads a report that a peer packed.
+ *
+ * @param text - what `packReport` returned
+ * @param active - requests at the engine, which are told apart
+ * @returns the report, or undefined when it cannot be read
+ * @example
+ * unpackReport(fact.value, 3);
+ */
+export function unpackReport(text: string, active: number): EngineReport | undefined {
+  const { data } = packedReportSchema.safeParse(parseJson(text));
+  if (!data) return undefined;
+  const [incarnation, model, version, adapters, from, to, layersPerSecond, flags, fencing] = data;
+  return {
+    incarnation,
+    model,
+    version,
+    adapters,
+    from,
+    to,
+    active,
+    layersPerSecond,
+    leaving: (flags & LEAVING_FLAG) !== 0,
+    loading: (flags & LOADING_FLAG) !== 0,
+    checksFencing: (flags & FENCING_FLAG) !== 0,
+    fencing,
+  };
+}
+
+/**
+ * Reads a VM that a peer tells of.
+ *
+ * @param text - the VM as JSON
+ * @returns the VM, or undefined when it cannot be read
+ * @example
+ * parseVm(fact.value)?.state;
+ */
+export function parseVm(text: string): Vm | undefined {
+  return vmSchema.safeParse(parseJson(text)).data;
+}
--- /dev/null
+++ b/src/process/node/peerFacts/test.ts
@@ -0,0 +1,30 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { packReport, parseReport, parseVm, unpackReport } from './index.js';
+
+const REPORT = {
+  incarnation: 'i-7',
+  model: 'assistant',
+  version: 'v3',
+  adapters: ['legal'],
+  from: 4,
+  to: 9,
+  active: 5,
+  layersPerSecond: 812,
+  leaving: true,
+  loading: false,
+  checksFencing: true,
+  fencing: 3,
+};
+
+test('a packed report is read back whole, with the load that is told apart', () => {
+  assert.deepEqual(unpackReport(packReport(REPORT), 5), REPORT);
+});
+
+test('facts that cannot be read are told as missing, never thrown', () => {
+  for (const text of ['', '{', '[]', '[1,2,3]', 'null']) {
+    assert.equal(unpackReport(text, 0), undefined);
+    assert.equal(parseReport(text), undefined);
+    assert.equal(parseVm(text), undefined);
+  }
+});
--- a/src/process/node/pollEndpoints/index.ts
+++ b/src/process/node/pollEndpoints/index.ts
@@ -6,13 +6,13 @@
   VM_LIST_INTERVAL_MILLISECONDS,
 } from '../../../constants/index.js';
 import type { Endpoint, Fleet } from '../../../connection/createFleet/index.js';
-import { z } from 'zod';
-import { engineReportSchema, type EngineReport } from '../../../types/endpoint/index.js';
+import type { EngineReport } from '../../../types/endpoint/index.js';
 import type { Fact } from '../../../types/peer/index.js';
-import { vmSchema, type Vm } from '../../../types/platform/index.js';
+import type { Vm } from '../../../types/platform/index.js';
 import { findOwner } from '../../hashRendezvous/index.js';
-import { parseJson } from '../../parseJson/index.js';
 import type { NodeContext } from '../createContext/index.js';
+import { packReport, parseReport, parseVm, unpackReport } from '../peerFacts/index.js';
+import { quantizeLoad } from '../quantizeLoad/index.js';
 
 /** Options of {@link createPolling}. */
 export interface CreatePollingOptions {
@@ -36,83 +36,12 @@
 
 const REPORT_TIMEOUT_MILLISECONDS = 900;
 const VM_LIST_NODES_PER_SECOND = 50;
-const LOAD_STEPS_PER_DOUBLING = 2;
 const LEAST_LOAD_INTERVAL_MILLISECONDS = 2_000;
 const LARGEST_SILENCE = 3;
 
 /** Age after which a told departure no longer counts; labels and the VM list say it by then. */
 const LEAVING_FACT_MILLISECONDS = 120_000;
 
-/** Quantizes a load in half steps of its binary logarithm, so that small changes are not told. */
-function quantizeLoad(load: number): number {
-  const steps = Math.round(Math.log2(1 + load) * LOAD_STEPS_PER_DOUBLING);
-  return Math.round(2 ** (steps / LOAD_STEPS_PER_DOUBLING) - 1);
-}
-
-function parseReport(body: string): EngineReport | undefined {
-  return engineReportSchema.safeParse(parseJson(body)).data;
-}
-
-const packedReportSchema = z.tuple([
-  z.string(),
-  z.string(),
-  z.string(),
-  z.array(z.string()),
-  z.number(),
-  z.number(),
-  z.number(),
-  z.number(),
-  z.number(),
-]);
-
-const LEAVING_FLAG = 1;
-const LOADING_FLAG = 2;
-const FENCING_FLAG = 4;
-
-/** Packs a report for gossip: without field names and load. */
-function packReport(report: EngineReport): string {
-  const flags =
-    (report.leaving ? LEAVING_FLAG : 0) +
-    (report.loading ? LOADING_FLAG : 0) +
-    (report.checksFencing ? FENCING_FLAG : 0);
-  const { incarnation, model, version, adapters, from, to, layersPerSecond, fencing } = report;
-  return JSON.stringify([
-    incarnation,
-    model,
-    version,
-    adapters,
-    from,
-    to,
-    Math.round(layersPerSecond),
-    flags,
-    fencing,
-  ]);
-}
-
-function unpackReport(text: string, active: number): EngineReport | undefined {
-  const { data } = packedReportSchema.safeParse(JSON.parse(text));
-  if (!data) return undefined;
-  const [incarnation, model, version, adapters, from, to, layersPerSecond, flags, fencing] = data;
-  return {
-    incarnation,
-    model,
-    version,
-    adapters,
-    from,
-    to,
-    active,
-    layersPerSecond,
-    leaving: (flags & LEAVING_FLAG) !== 0,
-    loading: (flags & LOADING_FLAG) !== 0,
-    checksFencing: (flags & FENCING_FLAG) !== 0,
-    fencing,
-  };
-}
-
-function parseVm(text: string): Vm | undefined {
-  return vmSchema.safeParse(parseJson(text)).data;
-}
-
 /**
  * Creates the polling of one node.
  *
--- /dev/null
+++ b/src/process/runtime/createPerformers/index.ts
@@ -0,0 +1,88 @@
+/**
+ * What carries the effects of a node out.
+ */
+import type http from 'node:http';
+import type { Histograms } from '../../createHistograms/index.js';
+import { callHttp } from '../callHttp/index.js';
+import type { createPlatformClient } from '../callPlatform/index.js';
+import type { Driver, Performers } from '../createDriver/index.js';
+import type { Timers } from '../createTimers/index.js';
+import type { EngineRuns } from '../runEngines/index.js';
+import type { PeerLinks } from '../sendPeers/index.js';
+import type { Responder } from '../serveCallers/index.js';
+
+/** Options of {@link createPerformers}. */
+export interface CreatePerformersOptions {
+  readonly callers: Responder;
+  readonly operators: Responder;
+  readonly engines: EngineRuns;
+  readonly peers: PeerLinks;
+  readonly timers: Timers;
+  readonly histograms: Histograms;
+  readonly getDriver: () => Driver;
+  readonly log: Performers['log'];
+  readonly exit: (code: number) => void;
+  readonly platform: ReturnType<typeof createPlatformClient>;
+  /** Kept connections for calls that may be repeated. */
+  readonly pollAgent: http.Agent;
+}
+
+/**
+ * Creates the performers of a node's effects.
+ *
+ * @param parts - sockets, timers and metrics of the process
+ * @returns a performer for each kind of effect
+ * @example
+ * createDriver({ node, performers: createPerformers(parts), clock, lifeCycle });
+ */
+export function createPerformers(parts: CreatePerformersOptions): Performers {
+  const { callers, operators, engines, peers, timers, histograms, platform, getDriver } = parts;
+  const answer = (effect: Parameters<Responder['perform']>[0]): void => {
+    callers.perform(effect);
+    operators.perform(effect);
+  };
+  return {
+    answer,
+    streamStart: answer,
+    streamData: answer,
+    streamEnd: answer,
+    run: ({ address, run }) => {
+      engines.start(address, run);
+    },
+    cancelRun: ({ attempt }) => {
+      engines.cancel(attempt);
+    },
+    callEndpoint: ({ call, ...request }) => {
+      const agent = request.method === 'GET' ? parts.pollAgent : undefined;
+      callHttp({ ...request, ...(agent && { agent }) }, (result) => {
+        getDriver().feed(
+          result.kind === 'reply'
+            ? { ...result, call }
+            : { kind: 'callFailed', call, sent: result.sent },
+        );
+      });
+    },
+    sendPeer: ({ address, message }) => {
+      peers.send(address, message);
+    },
+    callPlatform: ({ call, platformCall, timeoutMilliseconds }) => {
+      platform.call(platformCall, timeoutMilliseconds, (result) => {
+        getDriver().feed({ kind: 'platformResult', call, result });
+      });
+    },
+    setTimer: ({ timer, delayMilliseconds }) => {
+      timers.set(timer, delayMilliseconds);
+    },
+    clearTimer: ({ timer }) => {
+      timers.clear(timer);
+    },
+    log: parts.log,
+    observe: histograms.observe,
+    count: ({ counter }) => {
+      histograms.count(counter);
+    },
+    exit: ({ code }) => {
+      parts.exit(code);
+    },
+  };
+}
--- /dev/null
+++ b/src/process/runtime/openListeners/index.ts
@@ -0,0 +1,102 @@
+/**
+ * Listeners of a node: for peers, operators and callers.
+ */
+import type http from 'node:http';
+import { formatError } from '../../../request/answerError/index.js';
+import { equalsInConstantTime, readBearerKey } from '../../../request/authorizeCaller/index.js';
+import type { Histograms } from '../../createHistograms/index.js';
+import type { LifeCycle } from '../../createLifeCycle/index.js';
+import type { LoadedSettings } from '../../settings/readSettings/index.js';
+import type { Driver } from '../createDriver/index.js';
+import { listenHttp } from '../listenHttp/index.js';
+import type { Responder } from '../serveCallers/index.js';
+import { servePeers } from '../servePeers/index.js';
+
+/** Options of {@link openListeners}. */
+export interface OpenListenersOptions {
+  readonly options: Pick<LoadedSettings, 'settings' | 'secrets'>;
+  readonly lifeCycle: LifeCycle;
+  readonly callers: Responder;
+  readonly operators: Responder;
+  readonly histograms: Histograms;
+  readonly offer: Driver['offer'];
+}
+
+/** Ports that the listeners have. */
+export interface Ports {
+  readonly callers: number;
+  readonly operators: number;
+  readonly peers: number;
+}
+
+const OPERATOR_REQUEST_TIMEOUT_MILLISECONDS = 10_000;
+
+function guardOperators(
+  key: string,
+  histograms: Histograms,
+  responder: Responder,
+): (request: http.IncomingMessage, response: http.ServerResponse) => void {
+  const readReport = (path: string | undefined): [string, string] | undefined => {
+    if (path === '/metrics') return ['text/plain; version=0.0.4', histograms.formatPrometheus()];
+    if (path !== '/v1/histograms') return undefined;
+    return ['application/json', JSON.stringify(histograms.summarize())];
+  };
+  return (request, response) => {
+    const presented = readBearerKey(request.headers.authorization);
+    if (presented === undefined || !equalsInConstantTime(presented, key)) {
+      response.writeHead(401, { 'content-type': 'application/json', connection: 'close' });
+      response.end(formatError('unauthorized'));
+      return;
+    }
+    const report = request.method === 'GET' ? readReport(request.url) : undefined;
+    if (!report) {
+      responder.take(request, response);
+      return;
+    }
+    response.writeHead(200, { 'content-type': report[0] });
+    response.end(report[1]);
+  };
+}
+
+/**
+ * Opens the listeners of a node; closes everything when one cannot be opened.
+ *
+ * @param parts - settings, and what takes requests and messages
+ * @returns the ports; rejects with `ListenError` when an address is in use
+ * @example
+ * const { callers } = await openListeners(parts);
+ */
+export async function openListeners(parts: OpenListenersOptions): Promise<Ports> {
+  const { settings, secrets } = parts.options;
+  const { lifeCycle, offer } = parts;
+  try {
+    const peers = await servePeers({
+      listener: settings.peers,
+      key: secrets.peerKey,
+      lifeCycle,
+      feed: (message) => offer({ kind: 'peerMessage', message }),
+    });
+    const takeOperator = guardOperators(secrets.operatorKey, parts.histograms, parts.operators);
+    const operators = await listenHttp({
+      name: 'operators',
+      listener: settings.operators,
+      lifeCycle,
+      requestTimeoutMilliseconds: OPERATOR_REQUEST_TIMEOUT_MILLISECONDS,
+      onRequest: takeOperator,
+    });
+    const callers = await listenHttp({
+      name: 'callers',
+      listener: settings.callers,
+      lifeCycle,
+      requestTimeoutMilliseconds: settings.callers.bodyTimeoutMilliseconds,
+      onRequest: (request, response) => {
+        if (request.url === '/metrics') takeOperator(request, response);
+        else parts.callers.take(request, response);
+      },
+    });
+    return { callers, operators, peers };
+  } catch (error) {
+    await lifeCycle.close();
+    throw error;
+  }
+}
--- a/src/process/runtime/startNode/index.ts
+++ b/src/process/runtime/startNode/index.ts
@@ -4,25 +4,22 @@
 import { randomBytes } from 'node:crypto';
 import http from 'node:http';
 import { performance } from 'node:perf_hooks';
-import type { LinkCost } from '../../../request/buildChainPool/index.js';
-import { equalsInConstantTime, readBearerKey } from '../../../request/authorizeCaller/index.js';
-import { formatError } from '../../../request/answerError/index.js';
 import { createHistograms, type Histograms } from '../../createHistograms/index.js';
 import { createLifeCycle, type LifeCycle } from '../../createLifeCycle/index.js';
 import { createLogger } from '../../createLogger/index.js';
 import { hashText } from '../../hashRendezvous/index.js';
 import { createNode } from '../../node/createNode/index.js';
 import type { LoadedSettings } from '../../settings/readSettings/index.js';
-import type { ListenerSettings, Settings } from '../../settings/settingsSchema/index.js';
-import { callHttp } from '../callHttp/index.js';
+import type { ListenerSettings } from '../../settings/settingsSchema/index.js';
 import { createPlatformClient } from '../callPlatform/index.js';
-import { createDriver, type Driver, type Performers } from '../createDriver/index.js';
-import { createTimers, type Timers } from '../createTimers/index.js';
-import { listenHttp } from '../listenHttp/index.js';
-import { createEngineRuns, type EngineRuns } from '../runEngines/index.js';
-import { createPeerLinks, type PeerLinks } from '../sendPeers/index.js';
-import { servePeers } from '../servePeers/index.js';
-import { createCallerEvent, createResponder, type Responder } from '../serveCallers/index.js';
+import { createDriver, type Driver } from '../createDriver/index.js';
+import { createLinkTable } from '../createLinkTable/index.js';
+import { createPerformers } from '../createPerformers/index.js';
+import { createTimers } from '../createTimers/index.js';
+import { openListeners } from '../openListeners/index.js';
+import { createEngineRuns } from '../runEngines/index.js';
+import { createPeerLinks } from '../sendPeers/index.js';
+import { createCallerEvent, createResponder } from '../serveCallers/index.js';
 
 /** A node that runs. */
 export interface RunningNode {
@@ -45,7 +42,6 @@
   readonly seed?: number;
 }
 
-const OPERATOR_REQUEST_TIMEOUT_MILLISECONDS = 10_000;
 const OPERATOR_BODY_BYTES = 8_388_608;
 
 /** Milliseconds since the epoch that never fall while the process lives. */
@@ -57,110 +53,6 @@
   return listener.advertised ?? `${listener.host}:${port.toString()}`;
 }
 
-function createLinkTable(settings: Settings): (fromZone: string, toZone: string) => LinkCost {
-  const costs = new Map<string, LinkCost>();
-  for (const { between, ...cost } of settings.links) {
-    const [left = '', right = ''] = between;
-    costs.set(`${left}/${right}`, cost);
-    costs.set(`${right}/${left}`, cost);
-  }
-  return (fromZone, toZone) => costs.get(`${fromZone}/${toZone}`) ?? settings.defaultLink;
-}
-
-interface Parts {
-  readonly callers: Responder;
-  readonly operators: Responder;
-  readonly engines: EngineRuns;
-  readonly peers: PeerLinks;
-  readonly timers: Timers;
-  readonly histograms: Histograms;
-  readonly getDriver: () => Driver;
-  readonly log: Performers['log'];
-  readonly exit: (code: number) => void;
-  readonly platform: ReturnType<typeof createPlatformClient>;
-  /** Kept connections for calls that may be repeated. */
-  readonly pollAgent: http.Agent;
-}
-
-function createPerformers(parts: Parts): Performers {
-  const { callers, operators, engines, peers, timers, histograms, platform, getDriver } = parts;
-  const answer = (effect: Parameters<Responder['perform']>[0]): void => {
-    callers.perform(effect);
-    operators.perform(effect);
-  };
-  return {
-    answer,
-    streamStart: answer,
-    streamData: answer,
-    streamEnd: answer,
-    run: ({ address, run }) => {
-      engines.start(address, run);
-    },
-    cancelRun: ({ attempt }) => {
-      engines.cancel(attempt);
-    },
-    callEndpoint: ({ call, ...request }) => {
-      const agent = request.method === 'GET' ? parts.pollAgent : undefined;
-      callHttp({ ...request, ...(agent && { agent }) }, (result) => {
-        getDriver().feed(
-          result.kind === 'reply'
-            ? { ...result, call }
-            : { kind: 'callFailed', call, sent: result.sent },
-        );
-      });
-    },
-    sendPeer: ({ address, message }) => {
-      peers.send(address, message);
-    },
-    callPlatform: ({ call, platformCall, timeoutMilliseconds }) => {
-      platform.call(platformCall, timeoutMilliseconds, (result) => {
-        getDriver().feed({ kind: 'platformResult', call, result });
-      });
-    },
-    setTimer: ({ timer, delayMilliseconds }) => {
-      timers.set(timer, delayMilliseconds);
-    },
-    clearTimer: ({ timer }) => {
-      timers.clear(timer);
-    },
-    log: parts.log,
-    observe: histograms.observe,
-    count: ({ counter }) => {
-      histograms.count(counter);
-    },
-    exit: ({ code }) => {
-      parts.exit(code);
-    },
-  };
-}
-
-function guardOperators(
-  key: string,
-  histograms: Histograms,
-  responder: Responder,
-): (request: http.IncomingMessage, response: http.ServerResponse) => void {
-  const readReport = (path: string | undefined): [string, string] | undefined => {
-    if (path === '/metrics') return ['text/plain; version=0.0.4', histograms.formatPrometheus()];
-    if (path !== '/v1/histograms') return undefined;
-    return ['application/json', JSON.stringify(histograms.summarize())];
-  };
-  return (request, response) => {
-    const presented = readBearerKey(request.headers.authorization);
-    if (presented === undefined || !equalsInConstantTime(presented, key)) {
-      response.writeHead(401, { 'content-type': 'application/json', connection: 'close' });
-      response.end(formatError('unauthorized'));
-      return;
-    }
-    const report = request.method === 'GET' ? readReport(request.url) : undefined;
-    if (!report) {
-      responder.take(request, response);
-      return;
-    }
-    response.writeHead(200, { 'content-type': report[0] });
-    response.end(report[1]);
-  };
-}
-
 /**
  * Starts a node: listeners first, then the node itself.
  *
@@ -293,53 +185,3 @@
     lifeCycle,
   };
 }
-
-interface OpenListenersOptions {
-  readonly options: StartNodeOptions;
-  readonly lifeCycle: LifeCycle;
-  readonly callers: Responder;
-  readonly operators: Responder;
-  readonly histograms: Histograms;
-  readonly offer: Driver['offer'];
-}
-
-interface Ports {
-  readonly callers: number;
-  readonly operators: number;
-  readonly peers: number;
-}
-
-async function openListeners(parts: OpenListenersOptions): Promise<Ports> {
-  const { settings, secrets } = parts.options;
-  const { lifeCycle, offer } = parts;
-  try {
-    const peers = await servePeers({
-      listener: settings.peers,
-      key: secrets.peerKey,
-      lifeCycle,
-      feed: (message) => offer({ kind: 'peerMessage', message }),
-    });
-    const takeOperator = guardOperators(secrets.operatorKey, parts.histograms, parts.operators);
-    const operators = await listenHttp({
-      name: 'operators',
-      listener: settings.operators,
-      lifeCycle,
-      requestTimeoutMilliseconds: OPERATOR_REQUEST_TIMEOUT_MILLISECONDS,
-      onRequest: takeOperator,
-    });
-    const callers = await listenHttp({
-      name: 'callers',
-      listener: settings.callers,
-      lifeCycle,
-      requestTimeoutMilliseconds: settings.callers.bodyTimeoutMilliseconds,
-      onRequest: (request, response) => {
-        if (request.url === '/metrics') takeOperator(request, response);
-        else parts.callers.take(request, response);
-      },
-    });
-    return { callers, operators, peers };
-  } catch (error) {
-    await lifeCycle.close();
-    throw error;
-  }
-}
--- /dev/null
+++ b/src/request/abandonIntent/index.ts
@@ -0,0 +1,61 @@
+/**
+ * Giving up of a booking that this node will never send.
+ */
+import type { NodeContext } from '../../process/node/createContext/index.js';
+import type { Journal } from '../createJournal/index.js';
+import { readJournalRecord, type JournalRecord } from '../decideIntent/index.js';
+
+/** Options of {@link abandonIntent}. */
+export interface AbandonIntentOptions {
+  readonly context: NodeContext;
+  readonly journal: Journal;
+  /** Journal key of the booking. */
+  readonly key: string;
+  readonly attempt: string;
+  /** Record that replaces the intent. */
+  readonly record: JournalRecord;
+}
+
+const DELAY_MILLISECONDS = 1_000;
+const MOST_TRIES = 300;
+
+/**
+ * Makes sure that a retry may run: replaces this attempt's intent, wherever it stands.
+ *
+ * @param options - the journal, and what to replace by what
+ * @param tries - tries before this one
+ * @example
+ * abandonIntent({ context, journal, key, attempt, record });
+ */
+export function abandonIntent(options: AbandonIntentOptions, tries = 0): void {
+  const { context, journal, key, attempt, record } = options;
+  const again = (): void => {
+    if (tries >= MOST_TRIES) return;
+    context.schedule(DELAY_MILLISECONDS, () => {
+      abandonIntent(options, tries + 1);
+    });
+  };
+  const write = (expectedRevision: number): void => {
+    journal.swap({
+      key,
+      record,
+      expectedRevision,
+      done: (result) => {
+        if (result.kind !== 'swapped') again();
+      },
+    });
+  };
+  journal.read(key, (result) => {
+    if (result.kind !== 'entry') {
+      again();
+      return;
+    }
+    if (!result.entry) {
+      write(0);
+      return;
+    }
+    const stored = readJournalRecord(result.entry.value);
+    if (stored?.attempt !== attempt || stored.state !== 'intent') return;
+    write(result.entry.revision);
+  });
+}
--- /dev/null
+++ b/src/request/createActiveRequest/index.ts
@@ -0,0 +1,143 @@
+/**
+ * A model request while it is answered.
+ */
+import type { NodeContext } from '../../process/node/createContext/index.js';
+import type { Selector } from '../../types/configuration/index.js';
+import type { Account, CompiledVersion } from '../../version/compileVersion/index.js';
+import { listSelectors, selectServed } from '../../version/selectServed/index.js';
+import type { Pool, Pools, ServedModel } from '../createPools/index.js';
+import { createStreamTemplate, type StreamTemplate } from '../formatTokens/index.js';
+import type { Completion } from '../readCompletion/index.js';
+
+/** A model request as a caller asks for it. */
+export interface StartModelRequestOptions {
+  readonly request: string;
+  readonly account: Account;
+  readonly completion: Completion;
+  readonly version: CompiledVersion;
+}
+
+/** A model request, and how far its answer is. */
+export interface ActiveRequest {
+  readonly id: string;
+  readonly account: Account;
+  readonly completion: Completion;
+  readonly pool: Pool;
+  readonly template: StreamTemplate;
+  readonly answerId: string;
+  readonly arrivedAt: number;
+  readonly deadlineAt: number;
+  readonly promptTokens: number;
+  readonly cost: number;
+  readonly texts: string[];
+  readonly excluded: Set<string>;
+  admittedAt: number;
+  nextIndex: number;
+  attempt: string;
+  wasSent: boolean;
+  isStreaming: boolean;
+  faultAt: number;
+  deliveredAt: number;
+  /** Start and number of the tokens that the next slowdown is computed over. */
+  sampledAt: number;
+  sampledTokens: number;
+  /** Time that a token takes on the chain without load; 0 once the answer was resumed. */
+  unloadedMilliseconds: number;
+  deadlineTimer: string;
+  retryTimer: string;
+}
+
+const CHARACTERS_PER_TOKEN = 4;
+
+/**
+ * Chooses what serves a request: by draw, or what served the answer that it resumes.
+ *
+ * @param context - random numbers of the node
+ * @param options - the request
+ * @returns the selector, if one serves the model to the client account
+ * @example
+ * chooseSelector(context, options)?.name;
+ */
+export function chooseSelector(
+  context: Pick<NodeContext, 'random'>,
+  options: StartModelRequestOptions,
+): Selector | undefined {
+  const { version, account, completion } = options;
+  const wanted = { version, account, kind: 'model' as const, name: completion.model };
+  const { resume } = completion;
+  if (!resume) return selectServed({ ...wanted, draw: context.random() });
+  return listSelectors(wanted).find(({ name }) => name === resume.selector);
+}
+
+/** Options of {@link createActiveRequest}. */
+export interface CreateActiveRequestOptions {
+  readonly start: StartModelRequestOptions;
+  readonly selector: Selector;
+  readonly served: ServedModel;
+  readonly pools: Pools;
+  /** Milliseconds on the node's clock. */
+  readonly now: number;
+}
+
+/**
+ * Creates the state of a request that has just arrived.
+ *
+ * @param options - the request, what serves it, and the time
+ * @returns the state
+ * @example
+ * createActiveRequest({ start, selector, served, pools, now });
+ */
+export function createActiveRequest(options: CreateActiveRequestOptions): ActiveRequest {
+  const { start, selector, served, pools, now } = options;
+  const { request: id, account, completion } = start;
+  const answerId = `answer-${completion.digest}`;
+  const { resume } = completion;
+  const pool = resume
+    ? pools.find(selector, { ...served, version: resume.version, adapter: resume.adapter })
+    : pools.findServable(selector, served);
+  const { version, adapter } = pool.served;
+  const promptTokens = Math.ceil(completion.prompt.length / CHARACTERS_PER_TOKEN);
+  return {
+    id,
+    account,
+    completion,
+    pool,
+    template: createStreamTemplate({
+      form: completion.form,
+      answerId,
+      model: completion.model,
+      resumePrefix: `${selector.name}:${version}:${adapter}:${completion.digest}`,
+    }),
+    answerId,
+    arrivedAt: now,
+    deadlineAt: now + completion.deadlineMilliseconds,
+    promptTokens,
+    cost: promptTokens + completion.maximumTokens,
+    texts: [],
+    excluded: new Set(),
+    admittedAt: -1,
+    nextIndex: completion.resume?.nextIndex ?? 0,
+    attempt: '',
+    wasSent: false,
+    isStreaming: false,
+    faultAt: -1,
+    deliveredAt: -1,
+    sampledAt: -1,
+    sampledTokens: 0,
+    unloadedMilliseconds: 0,
+    deadlineTimer: '',
+    retryTimer: '',
+  };
+}
+
+/**
+ * Names the flow of a client account in a pool's queue.
+ *
+ * @param account - the client account
+ * @returns the name
+ * @example
+ * nameFlow(account); // 'gold/kiosk'
+ */
+export function nameFlow(account: Pick<Account, 'class' | 'name'>): string {
+  return `${account.class}/${account.name}`;
+}
--- a/src/request/createAttempts/index.ts
+++ b/src/request/createAttempts/index.ts
@@ -1,41 +1,22 @@
 /**
  * Attempts: one run of an answer's remaining tokens over one chain of engines.
  */
-import { addGap, type GapEstimate } from '../../connection/estimateGap/index.js';
+import { addGap } from '../../connection/estimateGap/index.js';
 import type { Fleet } from '../../connection/createFleet/index.js';
 import type { NodeContext } from '../../process/node/createContext/index.js';
 import type { Stage, TokenLine } from '../../types/endpoint/index.js';
-import { computeStallTimeout, computeTokenTime } from '../computeStallTimeout/index.js';
 import { chooseChain } from '../chooseChain/index.js';
-import type { Pool } from '../createPools/index.js';
 import type { PrefixMemory } from '../createPrefixMemory/index.js';
-import { formatTrace, guardToken, type TokenVerdict } from '../guardToken/index.js';
-import { PROMPT_TOKENS_PER_STEP, setChainCosts } from '../setChainCosts/index.js';
-
-/** How an attempt ended without its last token. */
-export type AttemptFault = 'refused' | 'died' | 'stalled' | 'truncated' | 'guarded';
-
-/** A failed attempt as its owner learns of it. */
-export interface AttemptFailure {
-  readonly fault: AttemptFault;
-  /** Time at which the fault began, as far as it is known, in milliseconds. */
-  readonly faultAt: number;
-  readonly suspects: readonly string[];
-  /** True when an endpoint may have acted on the request. */
-  readonly sent: boolean;
-}
-
-/** Options of {@link Attempts.start}. */
-export interface StartAttemptOptions {
-  readonly pool: Pool;
-  readonly prompt: string;
-  readonly promptTokens: number;
-  readonly startIndex: number;
-  readonly maximumTokens: number;
-  readonly excluded: ReadonlySet<string>;
-  readonly onTokens: (lines: readonly TokenLine[]) => void;
-  readonly onFailure: (failure: AttemptFailure) => void;
-}
+import {
+  createRunningAttempt,
+  readStallTimeout,
+  type AttemptFailure,
+  type RunningAttempt,
+  type StartAttemptOptions,
+} from '../createRunningAttempt/index.js';
+import { guardToken } from '../guardToken/index.js';
+import { ENDED_ATTEMPT_COUNTER, judgeLines } from '../judgeLines/index.js';
+import { setChainCosts } from '../setChainCosts/index.js';
 
 /** An attempt that has been started. */
 export interface StartedAttempt {
@@ -74,40 +55,8 @@
   readonly judge?: typeof guardToken | undefined;
 }
 
-interface Attempt {
-  readonly id: string;
-  readonly options: StartAttemptOptions;
-  readonly stages: readonly Stage[];
-  readonly trace: string;
-  readonly startedAt: number;
-  nextIndex: number;
-  progressAt: number;
-  received: number;
-  /** Estimate of the time between tokens, as a multiple of the chain's time without load. */
-  gaps: GapEstimate;
-  /** Time that a token takes on the chain without load, in milliseconds. */
-  readonly tokenMilliseconds: number;
-  /** Time that the first token takes on the chain without load or cache, in milliseconds. */
-  readonly firstTokenMilliseconds: number;
-  timer: string;
-}
-
 const PROBE_TIMEOUT_MILLISECONDS = 300;
 
-/** Events counted when a token is dropped, by verdict. */
-const DROP_COUNTERS: Record<Exclude<TokenVerdict, 'deliver'>, string> = {
-  duplicate: 'tokens_dropped_duplicate',
-  gap: 'tokens_dropped_gap',
-  wrongLayers: 'tokens_dropped_wrong_layers',
-  endedAttempt: 'tokens_dropped_ended_attempt',
-};
-
-function readStallTimeout(attempt: Attempt): number {
-  const { gaps, tokenMilliseconds, firstTokenMilliseconds, received } = attempt;
-  const { pool } = attempt.options;
-  return computeStallTimeout({ pool, gaps, tokenMilliseconds, firstTokenMilliseconds, received });
-}
-
 /**
  * Creates the attempts of one node.
  *
@@ -118,14 +67,14 @@
  */
 export function createAttempts(options: CreateAttemptsOptions): Attempts {
   const { context, fleet, prefixes, judge = guardToken } = options;
-  const attempts = new Map<string, Attempt>();
+  const attempts = new Map<string, RunningAttempt>();
 
-  const remove = (attempt: Attempt): void => {
+  const remove = (attempt: RunningAttempt): void => {
     attempts.delete(attempt.id);
     context.cancel(attempt.timer);
     for (const stage of attempt.stages) fleet.addOwn(stage.engine, -1);
   };
-  const fail = (attempt: Attempt, failure: AttemptFailure): void => {
+  const fail = (attempt: RunningAttempt, failure: AttemptFailure): void => {
     remove(attempt);
     attempt.options.onFailure(failure);
   };
@@ -143,7 +92,7 @@
       },
     );
   };
-  const endStalled = (attempt: Attempt): void => {
+  const endStalled = (attempt: RunningAttempt): void => {
     context.emit({ kind: 'cancelRun', attempt: attempt.id });
     context.count('attempts_stalled');
     attempt.stages.forEach((stage) => {
@@ -157,7 +106,7 @@
       sent: true,
     });
   };
-  const watch = (attempt: Attempt, delayMilliseconds: number): void => {
+  const watch = (attempt: RunningAttempt, delayMilliseconds: number): void => {
     attempt.timer = context.schedule(delayMilliseconds, () => {
       const dueAt = attempt.progressAt + readStallTimeout(attempt);
       if (context.now() >= dueAt) endStalled(attempt);
@@ -181,7 +130,7 @@
     });
     return chooseChain({ pool: pool.chain, promptTokens, expectedTokens })?.stages;
   };
-  const noteProgress = (attempt: Attempt): void => {
+  const noteProgress = (attempt: RunningAttempt): void => {
     const { pool } = attempt.options;
     const gap = context.now() - attempt.progressAt;
     attempt.progressAt = context.now();
@@ -195,38 +144,28 @@
     for (const name of names) fleet.updateHealth(name, 'success', context.now());
     prefixes.record(pool.key, attempt.options.prompt, names);
   };
-  const takeLoads = (attempt: Attempt, line: TokenLine): void => {
+  const takeLoads = (attempt: RunningAttempt, line: TokenLine): void => {
     line.loads?.forEach((load, index) => {
       const stage = attempt.stages[index];
       if (stage) fleet.takeLoad(stage.engine, load, context.now());
     });
   };
-  const endGuarded = (attempt: Attempt): void => {
+  const endGuarded = (attempt: RunningAttempt): void => {
     context.emit({ kind: 'cancelRun', attempt: attempt.id });
     const suspects = attempt.stages.map((stage) => stage.engine);
     suspects.forEach(fleet.penalize);
     fail(attempt, { fault: 'guarded', faultAt: context.now(), suspects, sent: true });
   };
-  const judgeLine = (attempt: Attempt, line: TokenLine): TokenVerdict => {
-    const verdict = judge({
-      line,
+  const acceptLines = (attempt: RunningAttempt, lines: readonly TokenLine[]): void => {
+    const { accepted, isBroken, dropped } = judgeLines({
+      lines,
+      judge,
       attempt: attempt.id,
-      liveAttempt: attempt.id,
       nextIndex: attempt.nextIndex,
       expectedTrace: attempt.trace,
     });
-    if (verdict !== 'deliver') context.count(DROP_COUNTERS[verdict]);
-    return verdict;
-  };
-  const acceptLines = (attempt: Attempt, lines: readonly TokenLine[]): void => {
-    const accepted: TokenLine[] = [];
-    let isBroken = false;
-    for (const line of lines) {
-      const verdict = judgeLine(attempt, line);
-      if (verdict === 'duplicate') continue;
-      isBroken = verdict !== 'deliver';
-      if (isBroken) break;
-      accepted.push(line);
+    dropped.forEach(context.count);
+    for (const line of accepted) {
       attempt.nextIndex = line.index + 1;
       takeLoads(attempt, line);
     }
@@ -242,30 +181,16 @@
     start: (start) => {
       const stages = choose(start);
       if (!stages) return undefined;
-      const { pool } = start;
       const now = context.now();
-      const tokenMilliseconds = computeTokenTime(pool, stages);
-      const prefillSteps = start.promptTokens / PROMPT_TOKENS_PER_STEP;
-      const attempt: Attempt = {
-        id: context.nextId('attempt'),
-        options: start,
-        stages,
-        trace: formatTrace(stages),
-        startedAt: now,
-        nextIndex: start.startIndex,
-        progressAt: now,
-        received: 0,
-        gaps: pool.gaps.samples > 0 ? { ...pool.gaps, samples: 1 } : pool.gaps,
-        tokenMilliseconds,
-        firstTokenMilliseconds: tokenMilliseconds * (1 + prefillSteps),
-        timer: '',
-      };
+      const id = context.nextId('attempt');
+      const attempt = createRunningAttempt({ id, start, stages, now });
       attempts.set(attempt.id, attempt);
       for (const { engine } of stages) {
         fleet.addOwn(engine, 1);
         if (fleet.find(engine)?.circuit.state !== 'closed')
           fleet.updateHealth(engine, 'probe', now);
       }
+      const { pool } = start;
       const { model, version, adapter } = pool.served;
       context.emit({
         kind: 'run',
@@ -283,7 +208,7 @@
         },
       });
       watch(attempt, readStallTimeout(attempt));
-      return { id: attempt.id, tokenMilliseconds };
+      return { id, tokenMilliseconds: attempt.tokenMilliseconds };
     },
     cancel: (id) => {
       const attempt = attempts.get(id);
@@ -294,7 +219,7 @@
     receiveTokens: (id, lines) => {
       const attempt = attempts.get(id);
       if (attempt) acceptLines(attempt, lines);
-      else context.count(DROP_COUNTERS.endedAttempt);
+      else context.count(ENDED_ATTEMPT_COUNTER);
     },
     receiveEnd: (id) => {
       const attempt = attempts.get(id);
--- a/src/request/createBookings/index.ts
+++ b/src/request/createBookings/index.ts
@@ -3,47 +3,16 @@
  */
 import { MAXIMUM_STORED_ANSWER_BYTES } from '../../constants/index.js';
 import type { NodeContext } from '../../process/node/createContext/index.js';
-import type { RequestOutcome, ResultCodeName } from '../../process/resultCodes/index.js';
+import type { ResultCodeName } from '../../process/resultCodes/index.js';
+import type { Booking, BookingEnd, BookingState } from '../../types/booking/index.js';
 import type { PlatformResult } from '../../types/platform/index.js';
+import { abandonIntent } from '../abandonIntent/index.js';
 import { nameJournalKey, type Journal } from '../createJournal/index.js';
-import type { ServiceCall, ServiceCalls, ServiceOutcome } from '../createServiceCalls/index.js';
-import {
-  decideIntent,
-  readJournalRecord,
-  type IntentDecision,
-  type JournalRecord,
-} from '../decideIntent/index.js';
-
-/** How a booking ended, as the caller is told. */
-export type BookingEnd =
-  | {
-      readonly kind: 'answer';
-      readonly status: number;
-      readonly contentType: string;
-      readonly body: string;
-    }
-  | {
-      readonly kind: 'error';
-      readonly code: ResultCodeName;
-      /** Outcome when it differs from the code's own. */
-      readonly outcome?: RequestOutcome;
-    };
-
-/** A booking as a caller asks for it. */
-export interface Booking {
-  readonly account: string;
-  readonly idempotencyKey: string;
-  /** Digest of method, path and body. */
-  readonly digest: string;
-  readonly call: ServiceCall;
-  /** The caller's number of this try; above 1 an earlier one may have run. */
-  readonly tryNumber: number;
-}
-
-/** State of a booking on the node that runs it. */
-export type BookingState =
-  | { readonly state: 'running' | 'absent' }
-  | { readonly state: 'answered'; readonly status: number; readonly body: string };
+import { createJournalRecord, type JournalOutcome } from '../createJournalRecord/index.js';
+import { createRecentAnswers } from '../createRecentAnswers/index.js';
+import type { ServiceCalls, ServiceOutcome } from '../createServiceCalls/index.js';
+import { decideIntent, type IntentDecision, type JournalRecord } from '../decideIntent/index.js';
+import { storeOutcome } from '../storeOutcome/index.js';
 
 /** Options of {@link createBookings}. */
 export interface CreateBookingsOptions {
@@ -80,10 +49,6 @@
 const LARGEST_SETTLE_TRIES = 3;
 const SETTLE_DELAY_MILLISECONDS = 100;
 const JOIN_DELAY_MILLISECONDS = 200;
-const ABANDON_DELAY_MILLISECONDS = 1_000;
-const LARGEST_ABANDON_TRIES = 300;
-const RECENT_ANSWERS = 1_024;
-const CONFIRM_MILLISECONDS = 1_000;
 
 /**
  * Creates the bookings of one node.
@@ -100,24 +65,10 @@
 export function createBookings(options: CreateBookingsOptions): Bookings {
   const { context, journal, services, decide = decideIntent } = options;
   const running = new Map<string, Running>();
-  const recent = new Map<string, Extract<BookingState, { state: 'answered' }>>();
+  const recent = createRecentAnswers();
 
-  const createRecord = (
-    active: Running,
-    state: JournalRecord['state'],
-    outcome: Partial<JournalRecord> = {},
-  ): JournalRecord => ({
-    attempt: active.attempt,
-    node: context.node,
-    incarnation: context.incarnation,
-    digest: active.booking.digest,
-    tryNumber: active.booking.tryNumber,
-    state,
-    status: 0,
-    contentType: '',
-    body: '',
-    ...outcome,
-  });
+  const createRecord = ({ booking, attempt }: Running, outcome: JournalOutcome): JournalRecord =>
+    createJournalRecord({ booking, attempt, owner: context, outcome });
   const end = (active: Running, result: BookingEnd): void => {
     if (running.get(active.key) === active) running.delete(active.key);
     for (const waiter of active.waiters.splice(0)) waiter(result);
@@ -134,78 +85,21 @@
   };
   const isExpired = (active: Running): boolean => context.now() >= active.booking.call.deadlineAt;
 
-  const remember = (key: string, status: number, body: string): void => {
-    recent.set(key, { state: 'answered', status, body });
-    const [oldest] = recent.keys();
-    if (recent.size > RECENT_ANSWERS && oldest !== undefined) recent.delete(oldest);
-  };
-  /** Makes sure that a retry may run: replaces this attempt's intent, wherever it stands. */
-  const abandon = (active: Running, tries = 0): void => {
-    const again = (): void => {
-      if (tries >= LARGEST_ABANDON_TRIES) return;
-      context.schedule(ABANDON_DELAY_MILLISECONDS, () => {
-        abandon(active, tries + 1);
-      });
-    };
-    const write = (expectedRevision: number): void => {
-      journal.swap({
-        key: active.key,
-        record: createRecord(active, 'abandoned'),
-        expectedRevision,
-        done: (result) => {
-          if (result.kind !== 'swapped') again();
-        },
-      });
-    };
-    journal.read(active.key, (result) => {
-      if (result.kind !== 'entry') {
-        again();
-        return;
-      }
-      if (!result.entry) {
-        write(0);
-        return;
-      }
-      const record = readJournalRecord(result.entry.value);
-      if (record?.attempt !== active.attempt || record.state !== 'intent') return;
-      write(result.entry.revision);
-    });
-  };
   const refuse = (active: Running, code: ResultCodeName): void => {
-    abandon(active);
+    const { key, attempt } = active;
+    const record = createRecord(active, { state: 'abandoned' });
+    abandonIntent({ context, journal, key, attempt, record });
     endWith(active, code);
   };
 
-  const storeOutcome = (
-    active: Running,
-    revision: number,
-    record: JournalRecord,
-    done: () => void,
-  ): void => {
-    let isDone = false;
-    const finish = (): void => {
-      if (isDone) return;
-      isDone = true;
-      done();
-    };
-    const timer = context.schedule(CONFIRM_MILLISECONDS, finish);
-    journal.settle({
-      key: active.key,
-      record,
-      expectedRevision: revision,
-      done: () => {
-        context.cancel(timer);
-        finish();
-      },
-    });
-  };
   const takeOutcome = (active: Running, revision: number, outcome: ServiceOutcome): void => {
     if (outcome.kind === 'notSent') {
       refuse(active, 'noEndpoint');
       return;
     }
     if (outcome.kind === 'unknown') {
-      storeOutcome(active, revision, createRecord(active, 'unknown'), () => {
+      const record = createRecord(active, { state: 'unknown' });
+      storeOutcome({ context, journal, key: active.key, revision, record }, () => {
         endWith(active, 'outcomeUnknown');
       });
       return;
@@ -213,8 +107,9 @@
     const { status, contentType, body } = outcome;
     const isStored = Buffer.byteLength(body) <= MAXIMUM_STORED_ANSWER_BYTES;
     const stored = { status, contentType, body: isStored ? body : '' };
-    remember(active.key, status, stored.body);
-    storeOutcome(active, revision, createRecord(active, 'answered', stored), () => {
+    recent.remember(active.key, status, stored.body);
+    const record = createRecord(active, { state: 'answered', ...stored });
+    storeOutcome({ context, journal, key: active.key, revision, record }, () => {
       context.count('bookings_answered');
       end(active, { kind: 'answer', status, contentType, body });
     });
@@ -315,7 +210,7 @@
     }
     journal.swap({
       key: active.key,
-      record: createRecord(active, 'intent'),
+      record: createRecord(active, { state: 'intent' }),
       expectedRevision,
       done: (result) => {
         follow(active, result);
@@ -345,7 +240,7 @@
       claim(active, 0);
     },
     inspect: (bookingKey) => {
-      const answered = recent.get(bookingKey);
+      const answered = recent.find(bookingKey);
       if (answered) return answered;
       return { state: running.has(bookingKey) ? 'running' : 'absent' };
     },
--- a/src/request/createModelRequests/index.ts
+++ b/src/request/createModelRequests/index.ts
@@ -3,28 +3,20 @@
  */
 import type { NodeContext } from '../../process/node/createContext/index.js';
 import type { ResultCodeName } from '../../process/resultCodes/index.js';
-import type { Selector } from '../../types/configuration/index.js';
 import type { TokenLine } from '../../types/endpoint/index.js';
-import { type Account, type CompiledVersion } from '../../version/compileVersion/index.js';
-import { listSelectors, selectServed } from '../../version/selectServed/index.js';
 import { answerError } from '../answerError/index.js';
-import type { AttemptFailure, Attempts } from '../createAttempts/index.js';
-import type { Pool, Pools, ServedModel } from '../createPools/index.js';
 import {
-  createStreamTemplate,
-  formatToken,
-  formatWholeAnswer,
-  type StreamTemplate,
-} from '../formatTokens/index.js';
-import type { Completion } from '../readCompletion/index.js';
-
-/** Options of {@link ModelRequests.start}. */
-export interface StartModelRequestOptions {
-  readonly request: string;
-  readonly account: Account;
-  readonly completion: Completion;
-  readonly version: CompiledVersion;
-}
+  chooseSelector,
+  createActiveRequest,
+  nameFlow,
+  type ActiveRequest,
+  type StartModelRequestOptions,
+} from '../createActiveRequest/index.js';
+import type { Attempts } from '../createAttempts/index.js';
+import type { Pools } from '../createPools/index.js';
+import { formatToken, formatWholeAnswer } from '../formatTokens/index.js';
+import type { AttemptFailure } from '../createRunningAttempt/index.js';
+import { observeDelivery } from '../observeDelivery/index.js';
 
 /** The model requests of one node. */
 export interface ModelRequests {
@@ -42,37 +34,6 @@
   readonly attempts: Attempts;
 }
 
-interface ActiveRequest {
-  readonly id: string;
-  readonly account: Account;
-  readonly completion: Completion;
-  readonly pool: Pool;
-  readonly template: StreamTemplate;
-  readonly answerId: string;
-  readonly arrivedAt: number;
-  readonly deadlineAt: number;
-  readonly promptTokens: number;
-  readonly cost: number;
-  readonly texts: string[];
-  readonly excluded: Set<string>;
-  admittedAt: number;
-  nextIndex: number;
-  attempt: string;
-  wasSent: boolean;
-  isStreaming: boolean;
-  faultAt: number;
-  deliveredAt: number;
-  /** Start and number of the tokens that the next slowdown is computed over. */
-  sampledAt: number;
-  sampledTokens: number;
-  /** Time that a token takes on the chain without load; 0 once the answer was resumed. */
-  unloadedMilliseconds: number;
-  deadlineTimer: string;
-  retryTimer: string;
-}
-
-const CHARACTERS_PER_TOKEN = 4;
-const SLOWDOWN_TOKENS = 4;
 const NO_CHAIN_RETRY_MILLISECONDS = 100;
 const NO_ENDPOINT_RETRY_MILLISECONDS = 1_000;
 
@@ -81,22 +42,6 @@
 
 const STREAM_HEADERS = { 'content-type': 'text/event-stream', 'cache-control': 'no-store' };
 
-function chooseSelector(
-  context: NodeContext,
-  options: StartModelRequestOptions,
-): Selector | undefined {
-  const { version, account, completion } = options;
-  const wanted = { version, account, kind: 'model' as const, name: completion.model };
-  const { resume } = completion;
-  if (!resume) return selectServed({ ...wanted, draw: context.random() });
-  return listSelectors(wanted).find(({ name }) => name === resume.selector);
-}
-
-/** Flow of a client account in a pool's queue. */
-function nameFlow(account: Account): string {
-  return `${account.class}/${account.name}`;
-}
-
 /**
  * Creates the model requests of one node.
  *
@@ -197,36 +142,9 @@
     });
     retry(active);
   };
-  /** Tells the pool's limit how slow tokens come, once every few tokens. */
-  const observeSlowdown = (active: ActiveRequest, count: number): void => {
-    active.sampledTokens += count;
-    if (active.sampledTokens < SLOWDOWN_TOKENS || active.unloadedMilliseconds === 0) return;
-    const gap = (context.now() - active.sampledAt) / active.sampledTokens;
-    const { gate, leastTokenMilliseconds } = active.pool;
-    const accepted = Math.max(active.unloadedMilliseconds, leastTokenMilliseconds);
-    gate.observe(Math.max(1, gap / accepted));
-    active.sampledTokens = 0;
-    active.sampledAt = context.now();
-  };
-  const observeDelivery = (active: ActiveRequest, count: number): void => {
-    const now = context.now();
-    const { name, class: accountClass } = active.account;
-    if (active.faultAt >= 0) {
-      context.observe('recovery', name, accountClass, now - active.faultAt);
-      active.faultAt = -1;
-    }
-    if (active.deliveredAt < 0) {
-      context.observe('firstToken', name, accountClass, now - active.arrivedAt);
-      active.sampledAt = now;
-    } else {
-      context.observe('betweenTokens', name, accountClass, (now - active.deliveredAt) / count);
-      observeSlowdown(active, count);
-    }
-    active.deliveredAt = now;
-  };
   const deliver = (active: ActiveRequest, lines: readonly TokenLine[]): void => {
     active.wasSent = true;
-    observeDelivery(active, lines.length);
+    observeDelivery(context, active, lines.length);
     let data = '';
     for (const line of lines) {
       active.nextIndex = line.index + 1;
@@ -277,52 +195,6 @@
     startAttempt(active);
     if (requests.has(active.id) && active.completion.stream) openStream(active);
   };
-  const create = (
-    start: StartModelRequestOptions,
-    selector: Selector,
-    served: ServedModel,
-  ): ActiveRequest => {
-    const { request: id, account, completion } = start;
-    const answerId = `answer-${completion.digest}`;
-    const { resume } = completion;
-    const pool = resume
-      ? pools.find(selector, { ...served, version: resume.version, adapter: resume.adapter })
-      : pools.findServable(selector, served);
-    const { version, adapter } = pool.served;
-    const promptTokens = Math.ceil(completion.prompt.length / CHARACTERS_PER_TOKEN);
-    const now = context.now();
-    return {
-      id,
-      account,
-      completion,
-      pool,
-      template: createStreamTemplate({
-        form: completion.form,
-        answerId,
-        model: completion.model,
-        resumePrefix: `${selector.name}:${version}:${adapter}:${completion.digest}`,
-      }),
-      answerId,
-      arrivedAt: now,
-      deadlineAt: now + completion.deadlineMilliseconds,
-      promptTokens,
-      cost: promptTokens + completion.maximumTokens,
-      texts: [],
-      excluded: new Set(),
-      admittedAt: -1,
-      nextIndex: completion.resume?.nextIndex ?? 0,
-      attempt: '',
-      wasSent: false,
-      isStreaming: false,
-      faultAt: -1,
-      deliveredAt: -1,
-      sampledAt: -1,
-      sampledTokens: 0,
-      unloadedMilliseconds: 0,
-      deadlineTimer: '',
-      retryTimer: '',
-    };
-  };
   const enqueue = (active: ActiveRequest): void => {
     const { id, account, cost, deadlineAt, pool } = active;
     const weight = account.weight * PRIORITY_WEIGHT ** pool.selector.priority;
@@ -355,7 +227,8 @@
         context.emit(answerError({ request, code: 'notFound', message }));
         return;
       }
-      const active = create(start, selector, selector.serve);
+      const now = context.now();
+      const active = createActiveRequest({ start, selector, served: selector.serve, pools, now });
       requests.set(request, active);
       active.deadlineTimer = context.schedule(completion.deadlineMilliseconds, () => {
         expire(active);
--- /dev/null
+++ b/src/request/createRunningAttempt/index.ts
@@ -0,0 +1,105 @@
+/**
+ * An attempt while it runs.
+ */
+import type { GapEstimate } from '../../connection/estimateGap/index.js';
+import type { Stage, TokenLine } from '../../types/endpoint/index.js';
+import { computeStallTimeout, computeTokenTime } from '../computeStallTimeout/index.js';
+import type { Pool } from '../createPools/index.js';
+import { formatTrace } from '../guardToken/index.js';
+import { PROMPT_TOKENS_PER_STEP } from '../setChainCosts/index.js';
+
+/** How an attempt ended without its last token. */
+export type AttemptFault = 'refused' | 'died' | 'stalled' | 'truncated' | 'guarded';
+
+/** A failed attempt as its owner learns of it. */
+export interface AttemptFailure {
+  readonly fault: AttemptFault;
+  /** Time at which the fault began, as far as it is known, in milliseconds. */
+  readonly faultAt: number;
+  readonly suspects: readonly string[];
+  /** True when an endpoint may have acted on the request. */
+  readonly sent: boolean;
+}
+
+/** Options of {@link Attempts.start}. */
+export interface StartAttemptOptions {
+  readonly pool: Pool;
+  readonly prompt: string;
+  readonly promptTokens: number;
+  readonly startIndex: number;
+  readonly maximumTokens: number;
+  readonly excluded: ReadonlySet<string>;
+  readonly onTokens: (lines: readonly TokenLine[]) => void;
+  readonly onFailure: (failure: AttemptFailure) => void;
+}
+
+/** An attempt, and how far it is. */
+export interface RunningAttempt {
+  readonly id: string;
+  readonly options: StartAttemptOptions;
+  readonly stages: readonly Stage[];
+  readonly trace: string;
+  readonly startedAt: number;
+  nextIndex: number;
+  progressAt: number;
+  received: number;
+  /** Estimate of the time between tokens, as a multiple of the chain's time without load. */
+  gaps: GapEstimate;
+  /** Time that a token takes on the chain without load, in milliseconds. */
+  readonly tokenMilliseconds: number;
+  /** Time that the first token takes on the chain without load or cache, in milliseconds. */
+  readonly firstTokenMilliseconds: number;
+  timer: string;
+}
+
+/** Options of {@link createRunningAttempt}. */
+export interface CreateRunningAttemptOptions {
+  readonly id: string;
+  readonly start: StartAttemptOptions;
+  readonly stages: readonly Stage[];
+  /** Milliseconds on the node's clock. */
+  readonly now: number;
+}
+
+/**
+ * Creates an attempt that begins now.
+ *
+ * @param options - what to run, and over which stages
+ * @returns the attempt
+ * @example
+ * createRunningAttempt({ id, start, stages, now });
+ */
+export function createRunningAttempt(options: CreateRunningAttemptOptions): RunningAttempt {
+  const { id, start, stages, now } = options;
+  const { pool } = start;
+  const tokenMilliseconds = computeTokenTime(pool, stages);
+  const prefillSteps = start.promptTokens / PROMPT_TOKENS_PER_STEP;
+  return {
+    id,
+    options: start,
+    stages,
+    trace: formatTrace(stages),
+    startedAt: now,
+    nextIndex: start.startIndex,
+    progressAt: now,
+    received: 0,
+    gaps: pool.gaps.samples > 0 ? { ...pool.gaps, samples: 1 } : pool.gaps,
+    tokenMilliseconds,
+    firstTokenMilliseconds: tokenMilliseconds * (1 + prefillSteps),
+    timer: '',
+  };
+}
+
+/**
+ * Reads how long an attempt may be silent.
+ *
+ * @param attempt - the attempt
+ * @returns milliseconds since its last progress
+ * @example
+ * readStallTimeout(attempt);
+ */
+export function readStallTimeout(attempt: RunningAttempt): number {
+  const { gaps, tokenMilliseconds, firstTokenMilliseconds, received } = attempt;
+  const { pool } = attempt.options;
+  return computeStallTimeout({ pool, gaps, tokenMilliseconds, firstTokenMilliseconds, received });
+}
--- a/src/request/createTickets/index.ts
+++ b/src/request/createTickets/index.ts
@@ -6,7 +6,7 @@
  */
 import { createHmac } from 'node:crypto';
 import type { NodeContext } from '../../process/node/createContext/index.js';
-import type { Booking, BookingEnd } from '../createBookings/index.js';
+import type { Booking, BookingEnd } from '../../types/booking/index.js';
 import { equalsInConstantTime } from '../authorizeCaller/index.js';
 import type { ServiceCalls } from '../createServiceCalls/index.js';
 
--- /dev/null
+++ b/src/request/judgeLines/index.ts
@@ -0,0 +1,61 @@
+/**
+ * Judgement of the lines that an engine sent.
+ */
+import type { TokenLine } from '../../types/endpoint/index.js';
+import type { guardToken, TokenVerdict } from '../guardToken/index.js';
+
+/** Options of {@link judgeLines}. */
+export interface JudgeLinesOptions {
+  readonly lines: readonly TokenLine[];
+  readonly judge: typeof guardToken;
+  readonly attempt: string;
+  /** Index of the next token of the answer. */
+  readonly nextIndex: number;
+  readonly expectedTrace: string;
+}
+
+/** Lines to pass on, and what was wrong with others. */
+export interface JudgedLines {
+  readonly accepted: readonly TokenLine[];
+  /** A line must not be passed on, nor any after it. */
+  readonly isBroken: boolean;
+  /** Counters of lines that were dropped. */
+  readonly dropped: readonly string[];
+}
+
+/** Events counted when a token is dropped, by verdict. */
+const DROP_COUNTERS: Record<Exclude<TokenVerdict, 'deliver'>, string> = {
+  duplicate: 'tokens_dropped_duplicate',
+  gap: 'tokens_dropped_gap',
+  wrongLayers: 'tokens_dropped_wrong_layers',
+  endedAttempt: 'tokens_dropped_ended_attempt',
+};
+
+/** Counter of lines that came for an attempt which had ended. */
+export const ENDED_ATTEMPT_COUNTER = DROP_COUNTERS.endedAttempt;
+
+/**
+ * Judges lines in order, up to the first that must not be passed on.
+ *
+ * @param options - the lines, and what is expected
+ * @returns lines to pass on, each once and in order
+ * @example
+ * judgeLines({ lines, judge, attempt, nextIndex, expectedTrace }).accepted;
+ */
+export function judgeLines(options: JudgeLinesOptions): JudgedLines {
+  const { lines, judge, attempt, expectedTrace } = options;
+  const accepted: TokenLine[] = [];
+  const dropped: string[] = [];
+  let nextIndex = options.nextIndex;
+  for (const line of lines) {
+    const verdict = judge({ line, attempt, liveAttempt: attempt, nextIndex, expectedTrace });
+    if (verdict === 'deliver') {
+      accepted.push(line);
+      nextIndex = line.index + 1;
+      continue;
+    }
+    dropped.push(DROP_COUNTERS[verdict]);
+    if (verdict !== 'duplicate') return { accepted, isBroken: true, dropped };
+  }
+  return { accepted, isBroken: false, dropped };
+}
--- /dev/null
+++ b/src/request/observeDelivery/index.ts
@@ -0,0 +1,45 @@
+/**
+ * Measurement of delivered tokens.
+ */
+import type { NodeContext } from '../../process/node/createContext/index.js';
+import type { ActiveRequest } from '../createActiveRequest/index.js';
+
+const SLOWDOWN_TOKENS = 4;
+
+/** Tells the pool's limit how slow tokens come, once every few tokens. */
+function observeSlowdown(context: NodeContext, active: ActiveRequest, count: number): void {
+  active.sampledTokens += count;
+  if (active.sampledTokens < SLOWDOWN_TOKENS || active.unloadedMilliseconds === 0) return;
+  const gap = (context.now() - active.sampledAt) / active.sampledTokens;
+  const { gate, leastTokenMilliseconds } = active.pool;
+  const accepted = Math.max(active.unloadedMilliseconds, leastTokenMilliseconds);
+  gate.observe(Math.max(1, gap / accepted));
+  active.sampledTokens = 0;
+  active.sampledAt = context.now();
+}
+
+/**
+ * Measures tokens that were delivered: recovery, first token, time between tokens.
+ *
+ * @param context - clock and histograms of the node
+ * @param active - the request
+ * @param count - tokens delivered at once
+ * @example
+ * observeDelivery(context, active, lines.length);
+ */
+export function observeDelivery(context: NodeContext, active: ActiveRequest, count: number): void {
+  const now = context.now();
+  const { name, class: accountClass } = active.account;
+  if (active.faultAt >= 0) {
+    context.observe('recovery', name, accountClass, now - active.faultAt);
+    active.faultAt = -1;
+  }
+  if (active.deliveredAt < 0) {
+    context.observe('firstToken', name, accountClass, now - active.arrivedAt);
+    active.sampledAt = now;
+  } else {
+    context.observe('betweenTokens', name, accountClass, (now - active.deliveredAt) / count);
+    observeSlowdown(context, active, count);
+  }
+  active.deliveredAt = now;
+}
--- /dev/null
+++ b/src/request/storeOutcome/index.ts
@@ -0,0 +1,47 @@
+/**
+ * Storing of a booking's outcome.
+ */
+import type { NodeContext } from '../../process/node/createContext/index.js';
+import type { Journal } from '../createJournal/index.js';
+import type { JournalRecord } from '../decideIntent/index.js';
+
+/** Options of {@link storeOutcome}. */
+export interface StoreOutcomeOptions {
+  readonly context: NodeContext;
+  readonly journal: Journal;
+  /** Journal key of the booking. */
+  readonly key: string;
+  /** Revision of the intent that the record replaces. */
+  readonly revision: number;
+  readonly record: JournalRecord;
+}
+
+const CONFIRM_MILLISECONDS = 1_000;
+
+/**
+ * Stores an outcome; the caller waits for it for a second at most.
+ *
+ * @param options - the journal and the record
+ * @param done - called once, when the record is stored or the wait is over
+ * @example
+ * storeOutcome({ context, journal, key, revision, record }, answer);
+ */
+export function storeOutcome(options: StoreOutcomeOptions, done: () => void): void {
+  const { context, journal, key, revision, record } = options;
+  let isDone = false;
+  const finish = (): void => {
+    if (isDone) return;
+    isDone = true;
+    done();
+  };
+  const timer = context.schedule(CONFIRM_MILLISECONDS, finish);
+  journal.settle({
+    key,
+    record,
+    expectedRevision: revision,
+    done: () => {
+      context.cancel(timer);
+      finish();
+    },
+  });
+}
--- a/standins/createVirtualSystem/index.ts
+++ b/standins/createVirtualSystem/index.ts
@@ -1,11 +1,8 @@
 /**
  * Whole nodes in one process under a virtual clock, driven through the node interface alone.
  */
-import {
-  createNode,
-  type Node,
-  type NodeDecisions,
-} from '../../src/process/node/createNode/index.js';
+import { createNode, type Node } from '../../src/process/node/createNode/index.js';
+import type { NodeDecisions } from '../../src/process/node/nodeDecisions/index.js';
 import type { NodeEffect, NodeEvent } from '../../src/types/node/index.js';
 import type { PlatformCall, PlatformResult } from '../../src/types/platform/index.js';
 import { createEventQueue, type EventQueue } from '../createEventQueue/index.js';
--- a/tests/membership.test.ts
+++ b/tests/membership.test.ts
@@ -3,7 +3,7 @@
  */
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import type { NodeDecisions } from '../src/process/node/createNode/index.js';
+import type { NodeDecisions } from '../src/process/node/nodeDecisions/index.js';
 import { createVirtualFleet } from '../standins/createVirtualFleet/index.js';
 import type { VirtualSystem } from '../standins/createVirtualSystem/index.js';
 import { startSystem } from './support/index.js';
--- a/tests/recovery.test.ts
+++ b/tests/recovery.test.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import { createRandom } from '../src/process/createRandom/index.js';
-import type { NodeDecisions } from '../src/process/node/createNode/index.js';
+import type { NodeDecisions } from '../src/process/node/nodeDecisions/index.js';
 import type { TokenLine } from '../src/types/endpoint/index.js';
 import {
   createVirtualEngine,
