Replace a silent run before its caller goes, and only where another can take its place

Change: a run without a first event is replaced after 1.5 s, one between events after 1.7 s as before, but only if the budget has a repeat left and a path that begins elsewhere has room; else it goes on, and is tried again each 0.4 s. An engine's silence alone ends no answer any more. Tests: the watch, its limits, a silent first run within a deadline of 3 s.

--- a/src/process/relay/createStreamPaths/index.ts
+++ b/src/process/relay/createStreamPaths/index.ts
@@ -12,6 +12,8 @@
 export interface StreamPaths {
   /** A path for the next run, if one has room. */
   readonly select: (size: RequestSize) => ChosenPath | undefined;
+  /** A path that does not begin at an endpoint, if one has room. */
+  readonly selectElsewhere: (endpoint: string, size: RequestSize) => ChosenPath | undefined;
   /** A path that keeps its first hop, if one has room. */
   readonly selectAfter: (
     firstHop: PathHop | undefined,
@@ -56,17 +58,18 @@
     void examiner.examine(first.endpoint, reason);
   };
 
+  const selectElsewhere: StreamPaths['selectElsewhere'] = (endpoint, size) =>
+    selectPath(context, request, { ...size, excluded: new Set([...refusedBy, endpoint]) });
+
   return {
     // A path that does not begin where the last run broke off, unless there is no other.
     select: (size) => {
       const broken = brokenAt;
       brokenAt = undefined;
-      const elsewhere =
-        broken === undefined
-          ? undefined
-          : selectPath(context, request, { ...size, excluded: new Set([...refusedBy, broken]) });
+      const elsewhere = broken === undefined ? undefined : selectElsewhere(broken, size);
       return elsewhere ?? selectPath(context, request, { ...size, excluded: refusedBy });
     },
+    selectElsewhere,
     selectAfter: (firstHop, size) =>
       selectPath(context, request, { ...size, excluded: refusedBy, firstHop }),
     noteBroken: (first, reason) => {
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -73,16 +73,14 @@
   const watch = createSilenceWatch({
     clock,
     getLimit: () => limitSilence(path, answer.hasBegun()).ask,
-    getGiveUp: () => limitSilence(path, answer.hasBegun()).giveUp,
+    getReplace: () => limitSilence(path, answer.hasBegun()).replace,
     onSilence: (round) => {
       examiner.examinePath(
         listHops().map(({ endpoint }) => endpoint),
         round,
       );
     },
-    onGiveUp: () => {
-      recover('silence');
-    },
+    onReplace: replaceSilent,
   });
   const stopLostListener = context.onLost((lost) => {
     const isMet = listHops().some(({ endpoint }) => endpoint === lost);
@@ -142,9 +140,9 @@
     return estimateSize({ caller, model: service.model, lastEvent: answer.getLast() });
   }
 
-  function startRun(): void {
+  function startRun(chosen?: ChosenPath): void {
     const size = countSize();
-    path = paths.select(size);
+    path = chosen ?? paths.select(size);
     const [first] = listHops();
     if (!first) {
       fail('no path with room');
@@ -233,16 +231,30 @@
     else startRun();
   }
 
-  /** Another run after one that broke off. */
-  function recover(reason: string): void {
+  function mayRunAgain(): boolean {
+    return route.isResumable && runs < Math.max(2, route.mostAttempts) && finalAt > clock.now();
+  }
+
+  /** Another run for one that is silent; one that nothing can replace goes on. */
+  function replaceSilent(): boolean {
+    const [first] = listHops();
+    if (!first || !mayRunAgain() || budget.countLeft(service.name, clock.now()) < 1) return false;
+    const other = paths.selectElsewhere(first.endpoint, countSize());
+    if (!other) return false;
+    recover('silence', other);
+    return true;
+  }
+
+  /** Another run after one that broke off, on a path that was chosen already or a new one. */
+  function recover(reason: string, chosen?: ChosenPath): void {
     if (state === 'done') return;
     mayHaveRun = true;
     endRun();
+    const isReplaceable = mayRunAgain();
     runs += 1;
     const lastEvent = answer.getLast();
     log.note('run-broken', { reason, runs, lastEvent, path: formatHops(listHops()) });
-    const mayRunAgain = route.isResumable && runs < Math.max(2, route.mostAttempts) + 1;
-    if (mayRunAgain && finalAt > clock.now()) startRun();
+    if (isReplaceable) startRun(chosen);
     else fail(reason);
   }
 
@@ -285,5 +297,9 @@
     if (lostNow) avoidLost(lostNow.endpoint);
   }
 
-  return { start: startRun };
+  return {
+    start: () => {
+      startRun();
+    },
+  };
 }
--- a/src/process/relay/watchSilence/index.ts
+++ b/src/process/relay/watchSilence/index.ts
@@ -9,11 +9,12 @@
   readonly clock: Clock;
   /** Silence after which `onSilence` is called, first and then at doubled times. */
   readonly getLimit: () => number;
-  /** Silence after which the run is given up, in milliseconds. */
-  readonly getGiveUp: () => number;
+  /** Silence after which the run is replaced if it can be, in milliseconds. */
+  readonly getReplace: () => number;
   /** Called with the number of the silence's round, from 1. */
   readonly onSilence: (round: number) => void;
-  readonly onGiveUp: () => void;
+  /** Called when the run is to be replaced; false when it cannot be now. */
+  readonly onReplace: () => boolean;
 }
 
 /** A watch. */
@@ -24,6 +25,8 @@
 }
 
 const LEAST_PAUSE_MILLISECONDS = 20;
+/** Pause between two tries to replace a silent run, in milliseconds. */
+const REPLACE_AGAIN_MILLISECONDS = 400;
 
 /**
  * Creates a watch that has not begun; `note` begins it.
@@ -35,20 +38,20 @@
  * watch.note();
  */
 export function createSilenceWatch(options: CreateSilenceWatchOptions): SilenceWatch {
-  const { clock, getLimit, getGiveUp, onSilence, onGiveUp } = options;
+  const { clock, getLimit, getReplace, onSilence, onReplace } = options;
   let heardAt = 0;
   let asked = 0;
   let cancelTimer: (() => void) | undefined;
-  const getDue = (): number => Math.min(getLimit() * 2 ** asked, getGiveUp());
+  const getDue = (): number => Math.min(getLimit() * 2 ** asked, getReplace());
   const arm = (): void => {
     const pause = heardAt + getDue() - clock.now();
     cancelTimer = clock.schedule(Math.max(LEAST_PAUSE_MILLISECONDS, pause), onDue);
   };
   const onDue = (): void => {
     const silence = clock.now() - heardAt;
-    if (silence >= getGiveUp()) {
+    if (silence >= getReplace()) {
       cancelTimer = undefined;
-      onGiveUp();
+      if (!onReplace()) cancelTimer = clock.schedule(REPLACE_AGAIN_MILLISECONDS, onDue);
       return;
     }
     const isDue = silence >= getDue();
--- /dev/null
+++ b/src/process/relay/watchSilence/test.ts
@@ -0,0 +1,50 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createVirtualTime } from '../../../../emulator/createVirtualTime/index.js';
+import { createSilenceWatch } from './index.js';
+
+const LIMIT = 200;
+const REPLACE = 1_500;
+
+function createCase(replaceableFrom: number) {
+  const clock = createVirtualTime();
+  const rounds: number[] = [];
+  const tries: number[] = [];
+  const watch = createSilenceWatch({
+    clock,
+    getLimit: () => LIMIT,
+    getReplace: () => REPLACE,
+    onSilence: () => {
+      rounds.push(clock.now());
+    },
+    onReplace: () => {
+      tries.push(clock.now());
+      return clock.now() >= replaceableFrom;
+    },
+  });
+  return { clock, rounds, tries, watch };
+}
+
+test('questions are asked at doubled times, and then the run is replaced once', async () => {
+  const { clock, rounds, tries, watch } = createCase(0);
+  watch.note();
+  await clock.run(10_000);
+  assert.deepEqual(rounds, [200, 400, 800]);
+  assert.deepEqual(tries, [REPLACE]);
+});
+
+test('a run that nothing can replace goes on, and is replaced as soon as it can be', async () => {
+  const { clock, tries, watch } = createCase(2_500);
+  watch.note();
+  await clock.run(10_000);
+  assert.deepEqual(tries, [1_500, 1_900, 2_300, 2_700]);
+});
+
+test('an event that comes late ends the tries to replace the run', async () => {
+  const { clock, tries, watch } = createCase(Number.POSITIVE_INFINITY);
+  watch.note();
+  await clock.run(2_000);
+  watch.note();
+  await clock.run(3_400);
+  assert.deepEqual(tries, [1_500, 1_900]);
+});
--- a/src/request/limitSilence/index.ts
+++ b/src/request/limitSilence/index.ts
@@ -7,14 +7,14 @@
 export interface SilenceLimits {
   /** After this, the endpoints of the path are asked. */
   readonly ask: number;
-  /** After this, the run is given up although no endpoint is known to be lost. */
-  readonly giveUp: number;
+  /** After this, the run is replaced, if it can be, although no endpoint is known to be lost. */
+  readonly replace: number;
 }
 
 /** Limits before the first event, in milliseconds, and the factor on its predicted time. */
-const FIRST = { least: 200, most: 450, factor: 3, giveUp: 3_500 } as const;
+const FIRST = { least: 200, most: 450, factor: 3, replace: 1_500 } as const;
 /** Limits between events, in milliseconds, and the factor on their predicted pause. */
-const BETWEEN = { least: 110, most: 300, factor: 4, giveUp: 1_700 } as const;
+const BETWEEN = { least: 110, most: 300, factor: 4, replace: 1_700 } as const;
 
 /**
  * Computes the limits of a silence from the path's predicted times.
@@ -26,7 +26,7 @@
  * limitSilence(path, true).ask;
  */
 export function limitSilence(path: ChosenPath | undefined, hasBegun: boolean): SilenceLimits {
-  const { least, most, factor, giveUp } = hasBegun ? BETWEEN : FIRST;
+  const { least, most, factor, replace } = hasBegun ? BETWEEN : FIRST;
   const predicted = hasBegun ? path?.pauseMilliseconds : path?.firstEventMilliseconds;
-  return { ask: Math.min(most, Math.max(least, (predicted ?? 0) * factor)), giveUp };
+  return { ask: Math.min(most, Math.max(least, (predicted ?? 0) * factor)), replace };
 }
--- a/tests/siteMoves.test.ts
+++ b/tests/siteMoves.test.ts
@@ -144,6 +144,30 @@
   assert.ok(held[0]?.request.wasCut, 'the stalled run was ended');
 });
 
+test('a run without a first event is replaced elsewhere before its caller goes', async () => {
+  await forgetLost();
+  held.length = 0;
+  for (const engine of engines) {
+    engine.stalled = [];
+    engine.behave = (request, response, endpoint) => {
+      held.push({ request, response, endpoint });
+      if (held.length === 1) return;
+      writeEvents(request, response, LAST_EVENT);
+      response.end();
+    };
+  }
+  const answer = await call({
+    address: node.callers,
+    path: '/ask/',
+    method: 'POST',
+    body: 'q',
+    headers: { 'Deadline-Ms': '3000' },
+  });
+  assert.equal(answer.body, WHOLE_STREAM);
+  assert.equal(held.length, 2);
+  assert.notEqual(held[0]?.endpoint, held[1]?.endpoint);
+});
+
 test('a caller that stops reading holds up the engine, and then gets the whole answer', async () => {
   await forgetLost();
   const events = 3_000;
