--- a/scripts/checkPlatform.ts
+++ b/scripts/checkPlatform.ts
@@ -1,14 +1,12 @@
 /**
  * Checks what the platform reads: `npm run check-platform -- [--settings FILE] [--deploy FILE]`.
  */
-import { parseArgs } from 'node:util';
 import { checkDeployFile, checkSettingsFile } from '../platform/checkFiles/index.js';
+import { readOptions } from './readOptions/index.js';
 
-const { values } = parseArgs({
-  options: {
-    settings: { type: 'string', default: 'examples/platform/settings.json' },
-    deploy: { type: 'string', default: 'deploy/system.toml' },
-  },
+const values = readOptions({
+  settings: { type: 'string', default: 'examples/platform/settings.json' },
+  deploy: { type: 'string', default: 'deploy/system.toml' },
 });
 const faults = [...checkSettingsFile(values.settings), ...checkDeployFile(values.deploy)];
 for (const fault of faults) console.error(fault);
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -1,11 +1,11 @@
 /**
  * The demonstration: `npm run demo -- --site fit-desk|strathbrae`.
  */
-import { parseArgs } from 'node:util';
 import { formatTable } from '../src/commands/printOutput/index.js';
 import { runDemo } from './demo/runDemo.js';
+import { readOptions } from './readOptions/index.js';
 
-const { values } = parseArgs({ options: { site: { type: 'string', default: 'fit-desk' } } });
+const values = readOptions({ site: { type: 'string', default: 'fit-desk' } });
 const startedAt = performance.now();
 const summary = await runDemo(values.site, (text) => {
   const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1).padStart(5);
--- a/scripts/experiment.ts
+++ b/scripts/experiment.ts
@@ -5,23 +5,21 @@
  */
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import { parseArgs } from 'node:util';
 import { DECISIONS } from '../emulator/naive/index.js';
 import { playDay } from '../emulator/playDay/index.js';
 import { plotDay, type PlottedVersion } from '../emulator/plotDay/index.js';
 import { readDay, readSite } from '../emulator/readScenario/index.js';
 import { summarizeDay } from '../emulator/summarizeDay/index.js';
 import { formatTable, type Row } from '../src/commands/printOutput/index.js';
+import { readOptions } from './readOptions/index.js';
 
-const { values } = parseArgs({
-  options: {
-    site: { type: 'string', default: 'examples/emulator/fit-desk.json' },
-    day: { type: 'string', default: 'examples/emulator/days/calm.json' },
-    versions: { type: 'string', default: 'product' },
-    seeds: { type: 'string', default: '1' },
-    rate: { type: 'string' },
-    out: { type: 'string' },
-  },
+const values = readOptions({
+  site: { type: 'string', default: 'examples/emulator/fit-desk.json' },
+  day: { type: 'string', default: 'examples/emulator/days/calm.json' },
+  versions: { type: 'string', default: 'product' },
+  seeds: { type: 'string', default: '1' },
+  rate: { type: 'string' },
+  out: { type: 'string' },
 });
 const site = readSite(values.site);
 const day = readDay(values.day);
--- a/scripts/load.ts
+++ b/scripts/load.ts
@@ -2,11 +2,11 @@
  * Load on an example site: `npm run load -- --settings FILE [--compare FILE] [--out FILE]`.
  */
 import { readFileSync, writeFileSync } from 'node:fs';
-import { parseArgs } from 'node:util';
 import { BUNDLE, buildBundle } from '../bench/buildBundle/index.js';
 import { formatTable, type Row } from '../src/commands/printOutput/index.js';
 import { readLoad, runLoad, type LoadResult } from '../bench/runLoad/index.js';
 import { spawnSite } from '../bench/spawnSite/index.js';
+import { readOptions } from './readOptions/index.js';
 
 /** Flattens a result to one value a name. */
 function flatten(result: LoadResult): Record<string, number> {
@@ -21,12 +21,10 @@
   return flat;
 }
 
-const { values } = parseArgs({
-  options: {
-    settings: { type: 'string', default: 'examples/fit-desk/load.json' },
-    compare: { type: 'string' },
-    out: { type: 'string' },
-  },
+const values = readOptions({
+  settings: { type: 'string', default: 'examples/fit-desk/load.json' },
+  compare: { type: 'string' },
+  out: { type: 'string' },
 });
 const settings = readLoad(values.settings);
 await buildBundle();
--- a/scripts/standins.ts
+++ b/scripts/standins.ts
@@ -1,11 +1,11 @@
 /**
  * Starts all stand-ins of a site: `npm run standins -- --settings FILE`.
  */
-import { parseArgs } from 'node:util';
 import { explainPortFailure } from '../standins/explainPortFailure/index.js';
 import { readSite, startSite } from '../standins/startSite/index.js';
+import { readOptions } from './readOptions/index.js';
 
-const { values } = parseArgs({ options: { settings: { type: 'string' } } });
+const values = readOptions({ settings: { type: 'string' } });
 const file = values.settings ?? 'examples/fit-desk/standins.json';
 const settings = readSite(file);
 const site = await startSite(settings).catch((error: unknown): never => {
--- a/tests/commandLine.test.ts
+++ b/tests/commandLine.test.ts
@@ -108,6 +108,17 @@
   rmSync(folder, { recursive: true });
 });
 
+test('a script that is called wrongly names its options, without a trace', () => {
+  for (const script of ['demo', 'experiment', 'checkPlatform', 'standins', 'load']) {
+    const options = { encoding: 'utf8' } as const;
+    const file = `scripts/${script}.ts`;
+    const wrong = spawnSync(process.execPath, ['--import', 'tsx', file, '--nonsense'], options);
+    assert.equal(wrong.status, 2, script);
+    assert.match(wrong.stderr, /'--nonsense'.*\noptions of [a-zA-Z]+: --/s);
+    assert.doesNotMatch(wrong.stderr, /^ +at /m);
+  }
+});
+
 test('a reader that closes the pipe early ends a command quietly', () => {
   const folder = mkdtempSync(join(tmpdir(), 'marjoramcleat-'));
   const file = join(folder, 'node-1.log');
