Keep slots and memory free where many nodes choose by load that is told late

The trace of paths shows two or three chains of the fastest kind in 35 to 45% of the told paths from all zones, their first endpoints at all their slots with a queue, while slower ones stood free: each node sent there while it knew of one free slot, by load that was 0.13 s old at the median and 0.5 s at the 95th percentile. Change: beyond eight nodes, each node more lowers the share of slots (to 0.75) and of memory (to 0.85) that is filled; watches of the store last up to 6 s where nodes are many, as each return is a call (tests for both).

--- a/src/process/site/followStore/index.ts
+++ b/src/process/site/followStore/index.ts
@@ -30,6 +30,11 @@
 
 /** A watch returns after this time at the latest, so that a silent connection is noticed soon. */
 const WATCH_MILLISECONDS = 2_500;
+/** Longer watches of many nodes, which also learn from each other: more for each node, at most. */
+const WATCH_MILLISECONDS_A_NODE = 60;
+const LONGEST_WATCH_MILLISECONDS = 6_000;
+/** Nodes up to which watches stay short. */
+const FEW_NODES = 10;
 /** Pause between two watches for each node, in which changes gather: each change wakes all nodes. */
 const GATHER_MILLISECONDS_A_NODE = 20;
 const LONGEST_GATHER_MILLISECONDS = 600;
@@ -113,7 +118,11 @@
     return 0;
   };
   const watch = async (after: number): Promise<number> => {
-    const nextRemoval = Math.min(...removals.values(), now() + WATCH_MILLISECONDS);
+    const longest = Math.min(
+      LONGEST_WATCH_MILLISECONDS,
+      WATCH_MILLISECONDS + WATCH_MILLISECONDS_A_NODE * Math.max(0, countNodes() - FEW_NODES),
+    );
+    const nextRemoval = Math.min(...removals.values(), now() + longest);
     const waitMilliseconds = Math.max(1, Math.ceil(nextRemoval - now()));
     const result = await store.watch({ prefix: '', after, waitMilliseconds });
     if (result.kind === 'rejected') {
--- a/src/process/site/followStore/test.ts
+++ b/src/process/site/followStore/test.ts
@@ -14,13 +14,15 @@
     watch: [],
   };
   const watched: number[] = [];
+  const waits: number[] = [];
   const nodes = { count: 6 };
   const held = new Map<string, string>();
   const refuse = (): Promise<StoreResult<never>> => Promise.resolve(LOST);
   const store: Store = {
     range: () => Promise.resolve(answers.range.shift() ?? LOST),
-    watch: ({ after }) => {
+    watch: ({ after, waitMilliseconds }) => {
       watched.push(after);
+      waits.push(waitMilliseconds);
       return Promise.resolve(answers.watch.shift() ?? LOST);
     },
     transact: refuse,
@@ -39,7 +41,7 @@
       else held.delete(key);
     },
   });
-  return { clock, answers, watched, held, follower, nodes };
+  return { clock, answers, watched, waits, held, follower, nodes };
 }
 
 function snapshot(revision: number, items: Readonly<Record<string, string | undefined>>) {
@@ -138,3 +140,18 @@
   assert.deepEqual(pauses, [200, 400, 800]);
   assert.equal(await follower.step(), 800);
 });
+
+test('watches of many nodes last longer, yet end before a silent connection hides changes for long', async () => {
+  const { answers, waits, follower, nodes } = createCase();
+  answers.range.push(snapshot(5, { a: '1' }));
+  answers.watch.push(snapshot(6, {}), snapshot(7, {}), snapshot(8, {}));
+  await follower.step();
+  for (const count of [6, 78, 350]) {
+    nodes.count = count;
+    await follower.step();
+  }
+  const [few = 0, many = 0, most = 0] = waits;
+  assert.ok(few <= 2_500);
+  assert.ok(many > 2 * few);
+  assert.ok(most <= 6_000);
+});
--- a/src/request/choosePath/index.ts
+++ b/src/request/choosePath/index.ts
@@ -57,11 +57,23 @@
 const PIPE_WEIGHT = 60;
 /** How long a request waits for the pass that is running when it arrives, in passes. */
 const WAIT_PASSES = 0.5;
-/** Share of an endpoint's memory that is given to requests. */
-const USED_MEMORY_SHARE = 1.03;
+/** Share of an endpoint's memory that is given to requests, less for each node beyond a few. */
+const USED_MEMORY_SHARE = { most: 1.03, lessPerNode: 0.0026, least: 0.85 } as const;
+/** Share of a first endpoint's slots that is filled, less for each node beyond a few. */
+const USED_SLOTS_SHARE = { most: 1, lessPerNode: 0.0036, least: 0.75 } as const;
+/** Nodes up to which load is told so soon that nothing is kept free. */
+const FEW_NODES = 8;
 /** Relative size of the random part of a hop's cost, for one node, for each node, and at most. */
 const JITTER = { least: 0.05, perNode: 0.004, most: 0.3 } as const;
 
+/** The more nodes choose by load that is told late, the more is kept free for what is not told yet. */
+function computeUsedShare(
+  share: typeof USED_MEMORY_SHARE | typeof USED_SLOTS_SHARE,
+  nodes: number,
+): number {
+  return Math.max(share.least, share.most - share.lessPerNode * Math.max(0, nodes - FEW_NODES));
+}
+
 interface HopTimes {
   readonly first: number;
   readonly pause: number;
@@ -140,13 +152,16 @@
   const { firstHop } = options;
   const startZone = firstHop?.availabilityZone ?? availabilityZone;
   states.set(firstHop?.hop.range.to ?? 0, new Map([[startZone, { cost: 0, first: 0, pause: 0 }]]));
+  const { nodes = 1 } = options;
+  const memoryShare = computeUsedShare(USED_MEMORY_SHARE, nodes);
+  const slots = model.slots * computeUsedShare(USED_SLOTS_SHARE, nodes);
   const rooms = candidates.map(
     ({ kind, range, usedTokenLayers }) =>
-      computeRoom(model, kind.memoryMegabytes, range.to - range.from) * USED_MEMORY_SHARE -
+      computeRoom(model, kind.memoryMegabytes, range.to - range.from) * memoryShare -
       usedTokenLayers,
   );
   // The more nodes choose by the same figures, the more they have to differ.
-  const jitter = Math.min(JITTER.most, JITTER.least + JITTER.perNode * (options.nodes ?? 1));
+  const jitter = Math.min(JITTER.most, JITTER.least + JITTER.perNode * nodes);
   const jitters = candidates.map(() => 1 + jitter * random());
   for (const from of bounds) {
     const reachedHere = states.get(from);
@@ -155,7 +170,7 @@
       const { range } = candidate;
       if (range.from > from || range.to <= from) return;
       // Only the first endpoint of a path counts a request against its slots.
-      if (from === 0 && candidate.requests >= model.slots) return;
+      if (from === 0 && candidate.requests >= slots) return;
       if (candidate.id === firstHop?.hop.endpoint) return;
       for (const to of bounds) {
         if (to <= from || to > range.to) continue;
--- a/src/request/choosePath/test.ts
+++ b/src/request/choosePath/test.ts
@@ -9,7 +9,7 @@
 
 const MIDPOINT = (): number => 0.5;
 
-function choose(candidates: readonly PathCandidate[], tokens = 900) {
+function choose(candidates: readonly PathCandidate[], tokens = 900, nodes = 1) {
   return choosePath({
     model: MODEL,
     candidates,
@@ -17,6 +17,7 @@
     promptTokens: tokens - 200,
     answerTokens: 200,
     random: MIDPOINT,
+    nodes,
   });
 }
 
@@ -63,6 +64,18 @@
   assert.equal(choose([full, rest, spare])?.hops[0]?.endpoint, '3');
 });
 
+test('many nodes leave some slots and memory free for load that is not told yet', () => {
+  const slots = Math.floor(MODEL.slots * 0.95);
+  const memory = computeRoom(MODEL, FAST.memoryMegabytes, 40) * 0.95 - 900 * 40;
+  const rest = createCandidate('2', 40, 80, { kind: FAST });
+  const busy = createCandidate('1', 0, 40, { kind: FAST, requests: slots });
+  const full = createCandidate('1', 0, 40, { kind: FAST, usedTokenLayers: memory });
+  for (const first of [busy, full]) {
+    assert.ok(choose([first, rest], 900, 6));
+    assert.equal(choose([first, rest], 900, 78), undefined);
+  }
+});
+
 test('a path within one availability zone goes before one that crosses the shared pipe', () => {
   const near = [0, 20, 40, 60].map((from) =>
     createCandidate(`n${from}`, from, from + 20, { kind: FAST, requests: 20 }),
