Part a stream's tally of runs and its watch from the relay

Cause: relayStream held 316 lines: the runs' count and limits, the watch on silence, lost endpoints, time and the caller, and the course of the runs. Change: createRunTally (pure, tested) and createStreamWatch have folders of their own; relayStream has 279 lines, the course of the runs alone.

--- a/src/process/relay/createStreamAnswer/index.ts
+++ b/src/process/relay/createStreamAnswer/index.ts
@@ -37,6 +37,8 @@
   readonly passFailure: (answer: WholeAnswer) => void;
   /** Ends with a failure; an answer that has begun is broken off, so that it can be resumed. */
   readonly fail: (failure: StreamFailure) => void;
+  /** Notes that the caller went before the end. */
+  readonly endGone: () => void;
 }
 
 /** Options of {@link createStreamAnswer}. */
@@ -118,6 +120,12 @@
       metrics.count('streams', 'endpoint failed');
       log.end(true);
     },
+    endGone: () => {
+      const milliseconds = Math.round(clock.now() - arrivedAt);
+      log.note('request-cancelled', { milliseconds, lastEvent: guard.getLast() });
+      log.end(false);
+      metrics.count('streams', 'gone');
+    },
     fail: ({ reason, code, retryAfterSeconds, sends, refused }) => {
       metrics.count('streams', code);
       log.note('request-failed', {
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -6,21 +6,19 @@
  * a new run after the last event that was passed on.
  */
 import { estimateSize, type RequestSize } from '../../../request/estimateSize/index.js';
-import { limitSilence } from '../../../request/limitSilence/index.js';
 import type { ChosenPath } from '../../../request/choosePath/index.js';
 import type { EndpointCall } from '../../../types/relay/index.js';
 import type { PathHop } from '../../../types/site/index.js';
+import { createRunTally } from '../createRunTally/index.js';
 import { createStreamAnswer } from '../createStreamAnswer/index.js';
 import { createStreamPaths } from '../createStreamPaths/index.js';
 import { decideStreamFailure } from '../decideStreamFailure/index.js';
 import { formatHops } from '../formatHops/index.js';
 import { openStreamRun, type RunRefusal } from '../openStreamRun/index.js';
 import { takeRoom } from '../selectPath/index.js';
-import { createSilenceWatch } from '../watchSilence/index.js';
+import { createStreamWatch } from '../watchStream/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
-/** Runs that endpoints refused before a request is refused. */
-const MOST_REFUSED_RUNS = 3;
 /** Rank of a run that goes on with an answer which has begun. */
 const GOING_ON_PRIORITY = 0;
 
@@ -37,25 +35,19 @@
  */
 export function relayStream(context: RelayContext, request: RelayedRequest): Promise<void> {
   return new Promise((resolve) => {
-    createStream(context, request, resolve).start();
+    startStream(context, request, resolve);
   });
 }
 
-function createStream(
-  context: RelayContext,
-  request: RelayedRequest,
-  onDone: () => void,
-): { start: () => void } {
-  const { clock, endpointPort, budget, examiner } = context;
+function startStream(context: RelayContext, request: RelayedRequest, onDone: () => void): void {
+  const { clock, endpointPort, budget } = context;
   const { route, service, caller, finalAt, log } = request;
   const paths = createStreamPaths(context, request);
   let state: RunState = 'idle';
   let call: EndpointCall | undefined;
   let path: ChosenPath | undefined;
   let giveBack: (() => void) | undefined;
-  let runs = 0;
-  let refusedRuns = 0;
-  let mayHaveRun = false;
+  const tally = createRunTally(route);
 
   const answer = createStreamAnswer({
     context,
@@ -70,32 +62,23 @@
       watch.note();
     },
   });
-  const watch = createSilenceWatch({
-    clock,
-    getLimit: () => limitSilence(path, answer.hasBegun()).ask,
-    getReplace: () => limitSilence(path, answer.hasBegun()).replace,
-    onSilence: (round) => {
-      examiner.examinePath(
-        listHops().map(({ endpoint }) => endpoint),
-        round,
-      );
-    },
+  const watch = createStreamWatch({
+    context,
+    request,
+    getPath: () => path,
+    hasBegun: answer.hasBegun,
     onReplace: replaceSilent,
-  });
-  const stopLostListener = context.onLost((lost) => {
-    const isMet = listHops().some(({ endpoint }) => endpoint === lost);
-    if (state === 'running' && isMet) avoidLost(lost);
-  });
-  const cancelFinal = clock.schedule(Math.max(0, finalAt - clock.now()), () => {
-    fail('time is up', true);
-  });
-  request.response.onGone(() => {
-    if (state === 'done') return;
-    const milliseconds = Math.round(clock.now() - request.arrivedAt);
-    log.note('request-cancelled', { milliseconds, lastEvent: answer.getLast() });
-    log.end(false);
-    context.metrics.count('streams', 'gone');
-    finish();
+    onLost: (lost) => {
+      if (state === 'running') avoidLost(lost);
+    },
+    onTimeUp: () => {
+      fail('time is up', true);
+    },
+    onGone: () => {
+      if (state === 'done') return;
+      answer.endGone();
+      finish();
+    },
   });
 
   function listHops(): readonly PathHop[] {
@@ -117,21 +100,19 @@
   function finish(): void {
     state = 'done';
     endRun();
-    cancelFinal();
-    stopLostListener();
+    watch.close();
     onDone();
   }
 
   function fail(reason: string, isTimeUp = false): void {
     if (state === 'done') return;
     // A run that is under way may have begun, although no event of it has come.
-    if (call) mayHaveRun = true;
+    if (call) tally.noteMayHaveRun();
     const hasBegun = answer.hasBegun();
     answer.fail({
       reason,
-      sends: runs + (call ? 1 : 0),
-      refused: refusedRuns,
-      ...decideStreamFailure({ hasBegun, mayHaveRun, isTimeUp }),
+      ...tally.count(call !== undefined),
+      ...decideStreamFailure({ hasBegun, mayHaveRun: tally.mayHaveRun(), isTimeUp }),
     });
     finish();
   }
@@ -148,8 +129,7 @@
       fail('no path with room');
       return;
     }
-    const isRepeat = runs + refusedRuns > 0;
-    if (isRepeat && !budget.take(service.name, clock.now())) {
+    if (tally.isRepeat() && !budget.take(service.name, clock.now())) {
       fail('retry budget is used up');
       return;
     }
@@ -176,7 +156,7 @@
       onEvent: (event, headers) => {
         if (call !== opened) return false;
         watch.note();
-        mayHaveRun = true;
+        tally.noteMayHaveRun();
         if (answer.passEvent(event, headers) !== 'broken') return true;
         recover('events out of order');
         return false;
@@ -200,7 +180,7 @@
       recover('answer without events');
       return;
     }
-    answer.endWhole({ sends: runs + 1, refused: refusedRuns });
+    answer.endWhole(tally.count(true));
     paths.noteWhole(listHops());
     finish();
   }
@@ -212,9 +192,8 @@
       retryRefused(`status ${status} of ${refusing ?? 'an unknown endpoint'}`);
       return;
     }
-    mayHaveRun = true;
-    const isLastRun = runs + 1 >= route.mostAttempts;
-    if (!answer.hasBegun() && facts.isSealed && isLastRun) {
+    tally.noteMayHaveRun();
+    if (!answer.hasBegun() && facts.isSealed && tally.isLastRun()) {
       answer.passFailure({ status, headers, body });
       finish();
       return;
@@ -225,14 +204,14 @@
   /** Another run after one that an endpoint refused without running it. */
   function retryRefused(reason: string): void {
     endRun();
-    refusedRuns += 1;
+    tally.noteRefused();
     log.note('run-refused', { reason, path: formatHops(listHops()) });
-    if (refusedRuns > MOST_REFUSED_RUNS || finalAt <= clock.now()) fail(reason);
+    if (!tally.mayRetryRefused() || finalAt <= clock.now()) fail(reason);
     else startRun();
   }
 
   function mayRunAgain(): boolean {
-    return route.isResumable && runs < Math.max(2, route.mostAttempts) && finalAt > clock.now();
+    return tally.mayRunAgain() && finalAt > clock.now();
   }
 
   /** Another run for one that is silent; one that nothing can replace goes on. */
@@ -248,10 +227,9 @@
   /** Another run after one that broke off, on a path that was chosen already or a new one. */
   function recover(reason: string, chosen?: ChosenPath): void {
     if (state === 'done') return;
-    mayHaveRun = true;
     endRun();
     const isReplaceable = mayRunAgain();
-    runs += 1;
+    const runs = tally.noteBroken();
     const lastEvent = answer.getLast();
     log.note('run-broken', { reason, runs, lastEvent, path: formatHops(listHops()) });
     if (isReplaceable) startRun(chosen);
@@ -297,9 +275,5 @@
     if (lostNow) avoidLost(lostNow.endpoint);
   }
 
-  return {
-    start: () => {
-      startRun();
-    },
-  };
+  startRun();
 }
