Open only the port in question in the test of a port in use

Cause: the test failed once, as a stand-in that still ran held port 8500: with all the site's ports opened, another listener's port may be named first. Change: the test's settings hold no engines and services; what is asserted is the same.

--- a/standins/explainPortFailure/test.ts
+++ b/standins/explainPortFailure/test.ts
@@ -27,7 +27,8 @@
   const { port } = server.address() as AddressInfo;
   const folder = mkdtempSync(join(tmpdir(), 'standins-'));
   const file = join(folder, 'standins.json');
-  const settings = readSite(FILE);
+  // Only the port in question is opened, so that no other listener of the machine matters.
+  const settings = { ...readSite(FILE), engines: [], services: [] };
   writeFileSync(file, JSON.stringify({ ...settings, platform: { ...settings.platform, port } }));
   const { stderr, status } = spawnSync(
     process.execPath,
