--- a/bench/siteDays/index.ts
+++ b/bench/siteDays/index.ts
@@ -26,10 +26,14 @@
   readonly day: VirtualDay;
   readonly seed?: number;
   readonly version?: string;
+  /** Nodes in each availability zone, if not those of the site. */
+  readonly nodes?: readonly number[];
 }): Promise<Played> {
   const { site = FIT_DESK, day, seed = 1, version = 'product' } = options;
   const decisions = DECISIONS[version];
-  const result = await playDay({ site: readSite(site), day, seed, decisions });
+  const read = readSite(site);
+  const played = { ...read, nodes: [...(options.nodes ?? read.nodes)] };
+  const result = await playDay({ site: played, day, seed, decisions });
   return { result, figures: summarizeDay(result) };
 }
 
@@ -199,13 +203,22 @@
   };
 }
 
-/** Calls to the store and between nodes, at 6 and at 78 nodes. */
+const LARGE_SITE = 'examples/emulator/fit-desk-large.json';
+/** Sites with their nodes, whose calls are counted. */
+const SIZES = [
+  { site: FIT_DESK },
+  { site: LARGE_SITE, nodes: [8, 8, 8] },
+  { site: LARGE_SITE, nodes: [16, 16, 16] },
+  { site: LARGE_SITE },
+] as const;
+
+/** Calls to the store and between nodes, at 6 to 78 nodes. */
 export async function measureSiteStore(): Promise<Measurement> {
   const rows: Row[] = [];
   const perNode: number[] = [];
-  for (const site of [FIT_DESK, 'examples/emulator/fit-desk-large.json']) {
+  for (const size of SIZES) {
     const day = { name: 'calm', seconds: 8, rate: 1, troubles: [] };
-    const { result, figures } = await play({ site, day });
+    const { result, figures } = await play({ ...size, day });
     const { callsPerSecond, peerBytesPerNodeSecond } = figures;
     rows.push({
       nodes: result.nodes,
@@ -220,8 +233,8 @@
       {
         name: 'bytes between nodes, a node and second, at 78 nodes',
         target: 'at most 6,144',
-        measured: String(perNode[1] ?? 0),
-        isMet: (perNode[1] ?? 0) <= 6_144,
+        measured: String(perNode.at(-1) ?? 0),
+        isMet: (perNode.at(-1) ?? 0) <= 6_144,
       },
     ],
   };
