--- a/src/process/membership/createMembership/index.ts
+++ b/src/process/membership/createMembership/index.ts
@@ -2,7 +2,7 @@
  * Membership: which nodes live, and facts that nodes tell each other.
  */
 import { GOSSIP_ROUND_MILLISECONDS } from '../../../constants/index.js';
-import type { Fact, Member, MemberState, PeerMessage } from '../../../types/peer/index.js';
+import type { Fact, Member, MemberState } from '../../../types/peer/index.js';
 import type { NodeContext } from '../../node/createContext/index.js';
 import { firstIncarnation, mergeMember } from '../mergeMember/index.js';
 import { createDigestCheck } from '../createDigestCheck/index.js';
@@ -10,7 +10,8 @@
 import { createSuspicions } from '../createSuspicions/index.js';
 import { createFacts } from '../keepFacts/index.js';
 import { createProber } from '../probeMembers/index.js';
-import { createMessageRouter, type MembershipMessage, type Packet } from '../routeMessage/index.js';
+import { createMessageSender, type Packet } from '../sendMessages/index.js';
+import { createMessageRouter, type MembershipMessage } from '../routeMessage/index.js';
 import { createRumors } from '../spreadRumors/index.js';
 
 /** Concurrency limit of one pool, by hash of the pool's key. */
@@ -93,22 +94,17 @@
 
   const computeDigest = (): number => (members.digest() ^ digestMember(own) ^ facts.digest()) >>> 0;
 
-  const createPacket = (): Packet => ({
-    from: context.node,
-    revision: options.getRevision(),
-    limits: options.getLimits(),
-    ...rumors.take(1 + members.countAlive()),
+  const sender = createMessageSender({
+    context,
+    getOwn: () => own,
+    getRevision: options.getRevision,
+    getLimits: options.getLimits,
+    computeDigest,
+    members,
+    facts,
+    rumors,
   });
-  const send = (address: string, message: PeerMessage): void => {
-    context.emit({ kind: 'sendPeer', address, message });
-  };
-  const sendPing = (peer: Member, sequence: number): void => {
-    const digest = computeDigest();
-    const packet = createPacket();
-    const isDoubted = peer.state === 'suspect' || peer.state === 'dead';
-    const told = isDoubted ? [...packet.members, peer] : packet.members;
-    send(peer.peerAddress, { kind: 'ping', sequence, digest, ...packet, members: told });
-  };
+  const { sendPing, sendEverything } = sender;
   const choosePeers = (count: number): Member[] =>
     members
       .list()
@@ -178,27 +174,16 @@
       takeFact(fact);
     });
     options.onLimits(packet.limits);
-    const sender = members.find(packet.from);
-    if (!sender) return;
-    if (packet.revision !== sender.revision) {
-      members.put({ ...sender, revision: packet.revision });
+    const known = members.find(packet.from);
+    if (!known) return;
+    if (packet.revision !== known.revision) {
+      members.put({ ...known, revision: packet.revision });
     }
-    if (packet.revision > options.getRevision()) options.onHigherRevision(sender);
-    if (sender.state === 'suspect' || sender.state === 'dead') {
-      rumors.add({ kind: 'member', member: sender });
+    if (packet.revision > options.getRevision()) options.onHigherRevision(known);
+    if (known.state === 'suspect' || known.state === 'dead') {
+      rumors.add({ kind: 'member', member: known });
     }
   };
-  const sendEverything = (address: string, answer: boolean): void => {
-    send(address, {
-      kind: 'synchronize',
-      answer,
-      from: context.node,
-      revision: options.getRevision(),
-      limits: [],
-      members: [own, ...members.list()],
-      facts: facts.listKept(),
-    });
-  };
   const compareDigest = createDigestCheck({
     context,
     computeDigest,
@@ -212,14 +197,7 @@
     context,
     listPeers: members.list,
     sendPing,
-    sendIndirectPing: (helper, target, sequence) => {
-      send(helper.peerAddress, {
-        kind: 'indirectPing',
-        sequence,
-        target: target.node,
-        ...createPacket(),
-      });
-    },
+    sendIndirectPing: sender.sendIndirectPing,
     onSilence: (member) => {
       const present = members.find(member.node);
       if (!present || present.state === 'dead' || present.state === 'suspect') return;
@@ -232,13 +210,10 @@
     context,
     members,
     prober,
+    sender,
     takePacket,
-    createPacket,
     computeDigest,
     compareDigest,
-    send,
-    sendPing,
-    sendEverything,
   });
   const runRound = (): void => {
     round += 1;
--- a/src/process/membership/routeMessage/index.ts
+++ b/src/process/membership/routeMessage/index.ts
@@ -1,10 +1,11 @@
 /**
  * Messages of membership, by kind.
  */
-import type { Member, PeerMessage } from '../../../types/peer/index.js';
+import type { PeerMessage } from '../../../types/peer/index.js';
 import type { NodeContext } from '../../node/createContext/index.js';
 import type { MemberTable } from '../createMemberTable/index.js';
 import type { Prober } from '../probeMembers/index.js';
+import type { MessageSender, Packet } from '../sendMessages/index.js';
 
 /** Messages that membership takes. */
 export type MembershipMessage = Extract<
@@ -12,24 +13,15 @@
   { kind: 'ping' | 'ack' | 'indirectPing' | 'synchronize' }
 >;
 
-/** What each message carries along. */
-export type Packet = Pick<
-  Extract<PeerMessage, { kind: 'ping' }>,
-  'from' | 'revision' | 'members' | 'facts' | 'limits'
->;
-
 /** Options of {@link createMessageRouter}. */
 export interface CreateMessageRouterOptions {
   readonly context: NodeContext;
   readonly members: MemberTable;
   readonly prober: Pick<Prober, 'nextSequence' | 'receiveAck'>;
+  readonly sender: MessageSender;
   readonly takePacket: (packet: Packet) => void;
-  readonly createPacket: () => Packet;
   readonly computeDigest: () => number;
   readonly compareDigest: (from: string, digest: number) => void;
-  readonly send: (address: string, message: PeerMessage) => void;
-  readonly sendPing: (peer: Member, sequence: number) => void;
-  readonly sendEverything: (address: string, answer: boolean) => void;
 }
 
 const RELAY_MILLISECONDS = 2_000;
@@ -45,8 +37,8 @@
 export function createMessageRouter(
   options: CreateMessageRouterOptions,
 ): (message: MembershipMessage) => void {
-  const { context, members, prober, takePacket, createPacket, computeDigest } = options;
-  const { compareDigest, send, sendPing, sendEverything } = options;
+  const { context, members, prober, takePacket, computeDigest, compareDigest } = options;
+  const { createPacket, send, sendPing, sendEverything } = options.sender;
   const relays = new Map<number, { readonly address: string; readonly sequence: number }>();
   const handlers: {
     [Kind in MembershipMessage['kind']]: (
--- /dev/null
+++ b/src/process/membership/sendMessages/index.ts
@@ -0,0 +1,89 @@
+/**
+ * Messages of membership that a node sends.
+ */
+import type { Member, PeerMessage } from '../../../types/peer/index.js';
+import type { NodeContext } from '../../node/createContext/index.js';
+import type { MemberTable } from '../createMemberTable/index.js';
+import type { createFacts } from '../keepFacts/index.js';
+import type { createRumors } from '../spreadRumors/index.js';
+
+/** What each message carries along. */
+export type Packet = Pick<
+  Extract<PeerMessage, { kind: 'ping' }>,
+  'from' | 'revision' | 'members' | 'facts' | 'limits'
+>;
+
+/** Options of {@link createMessageSender}. */
+export interface CreateMessageSenderOptions {
+  readonly context: NodeContext;
+  readonly getOwn: () => Member;
+  readonly getRevision: () => number;
+  readonly getLimits: () => Packet['limits'];
+  readonly computeDigest: () => number;
+  readonly members: MemberTable;
+  readonly facts: ReturnType<typeof createFacts>;
+  readonly rumors: ReturnType<typeof createRumors>;
+}
+
+/** Sender of messages. */
+export interface MessageSender {
+  /** News that a message carries along; what it takes counts as told. */
+  readonly createPacket: () => Packet;
+  readonly send: (address: string, message: PeerMessage) => void;
+  readonly sendPing: (peer: Member, sequence: number) => void;
+  /** Asks a helper to ping a target that is silent to this node. */
+  readonly sendIndirectPing: (helper: Member, target: Member, sequence: number) => void;
+  /** Sends all that this node knows; `answer` asks for the same. */
+  readonly sendEverything: (address: string, answer: boolean) => void;
+}
+
+/**
+ * Creates the sender of one node.
+ *
+ * @param options - what the node knows
+ * @returns the sender
+ * @example
+ * createMessageSender(options).sendPing(peer, sequence);
+ */
+export function createMessageSender(options: CreateMessageSenderOptions): MessageSender {
+  const { context, getOwn, getRevision, getLimits, computeDigest, members, facts } = options;
+  const createPacket = (): Packet => ({
+    from: context.node,
+    revision: getRevision(),
+    limits: getLimits(),
+    ...options.rumors.take(1 + members.countAlive()),
+  });
+  const send = (address: string, message: PeerMessage): void => {
+    context.emit({ kind: 'sendPeer', address, message });
+  };
+  return {
+    createPacket,
+    send,
+    sendPing: (peer, sequence) => {
+      const digest = computeDigest();
+      const packet = createPacket();
+      const isDoubted = peer.state === 'suspect' || peer.state === 'dead';
+      const told = isDoubted ? [...packet.members, peer] : packet.members;
+      send(peer.peerAddress, { kind: 'ping', sequence, digest, ...packet, members: told });
+    },
+    sendIndirectPing: (helper, target, sequence) => {
+      send(helper.peerAddress, {
+        kind: 'indirectPing',
+        sequence,
+        target: target.node,
+        ...createPacket(),
+      });
+    },
+    sendEverything: (address, answer) => {
+      send(address, {
+        kind: 'synchronize',
+        answer,
+        from: context.node,
+        revision: getRevision(),
+        limits: [],
+        members: [getOwn(), ...members.list()],
+        facts: facts.listKept(),
+      });
+    },
+  };
+}
