--- /dev/null
+++ b/src/process/relay/openRequestRun/index.ts
@@ -0,0 +1,57 @@
+/**
+ * One run of a request: what its first endpoint is told.
+ */
+import type { EndpointCall } from '../../../types/relay/index.js';
+import type { PathHop } from '../../../types/site/index.js';
+import { openStreamRun, type OpenStreamRunOptions } from '../openStreamRun/index.js';
+import type { RelayContext, RelayedRequest } from '../types/index.js';
+
+/** Options of {@link openRequestRun}. */
+export interface OpenRequestRunOptions extends Pick<
+  OpenStreamRunOptions,
+  'onEvent' | 'onRefusal' | 'onWhole' | 'onBroken' | 'onNotSent'
+> {
+  readonly context: Pick<RelayContext, 'clock' | 'endpointPort'>;
+  readonly request: RelayedRequest;
+  readonly first: PathHop;
+  readonly path: readonly PathHop[];
+  /** Number of the last event that the caller has. */
+  readonly lastEvent: number;
+  /** Whether an event was passed on by this node. */
+  readonly hasBegun: boolean;
+}
+
+/** Rank of a run that goes on with an answer which has begun. */
+const GOING_ON_PRIORITY = 0;
+
+/**
+ * Opens a run of a request.
+ *
+ * @param options - the request, its path, and what to call
+ * @returns the call, to be aborted when its answer is no longer wanted
+ * @example
+ * const run = openRequestRun(options);
+ */
+export function openRequestRun(options: OpenRequestRunOptions): EndpointCall {
+  const { context, request, first, path, lastEvent, hasBegun } = options;
+  const { onEvent, onRefusal, onWhole, onBroken, onNotSent } = options;
+  return openStreamRun({
+    endpointPort: context.endpointPort,
+    forwarded: request.forwarded,
+    attempt: request.caller.attempt,
+    passedOn: {
+      address: first.address,
+      endpoint: first.endpoint,
+      account: request.account,
+      deadlineMilliseconds: request.finalAt - context.clock.now(),
+      priority: hasBegun ? GOING_ON_PRIORITY : request.priority,
+      path,
+      lastEvent,
+    },
+    onEvent,
+    onRefusal,
+    onWhole,
+    onBroken,
+    onNotSent,
+  });
+}
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -14,14 +14,13 @@
 import { createStreamPaths } from '../createStreamPaths/index.js';
 import { decideStreamFailure } from '../decideStreamFailure/index.js';
 import { formatHops } from '../formatHops/index.js';
-import { openStreamRun, type RunRefusal } from '../openStreamRun/index.js';
+import { moveStream } from '../moveStream/index.js';
+import { openRequestRun } from '../openRequestRun/index.js';
+import type { RunRefusal } from '../openStreamRun/index.js';
 import { takeRoom } from '../selectPath/index.js';
 import { createStreamWatch } from '../watchStream/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
-/** Rank of a run that goes on with an answer which has begun. */
-const GOING_ON_PRIORITY = 0;
-
 type RunState = 'idle' | 'running' | 'moving' | 'done';
 
 /**
@@ -40,7 +39,7 @@
 }
 
 function startStream(context: RelayContext, request: RelayedRequest, onDone: () => void): void {
-  const { clock, endpointPort, budget } = context;
+  const { clock, budget } = context;
   const { route, service, caller, finalAt, log } = request;
   const paths = createStreamPaths(context, request);
   let state: RunState = 'idle';
@@ -140,19 +139,13 @@
   }
 
   function openRun(first: PathHop): void {
-    const opened: EndpointCall = openStreamRun({
-      endpointPort,
-      forwarded: request.forwarded,
-      attempt: caller.attempt,
-      passedOn: {
-        address: first.address,
-        endpoint: first.endpoint,
-        account: request.account,
-        deadlineMilliseconds: finalAt - clock.now(),
-        priority: answer.hasBegun() ? GOING_ON_PRIORITY : request.priority,
-        path: listHops(),
-        lastEvent: answer.getLast(),
-      },
+    const opened: EndpointCall = openRequestRun({
+      context,
+      request,
+      first,
+      path: listHops(),
+      lastEvent: answer.getLast(),
+      hasBegun: answer.hasBegun(),
       onEvent: (event, headers) => {
         if (call !== opened) return false;
         watch.note();
@@ -247,28 +240,22 @@
 
   async function moveTo(other: ChosenPath): Promise<void> {
     const moved = call;
-    const size = countSize();
     state = 'moving';
-    const giveBackOther = takeRoom(context, service.model, other.hops, size.roomTokens);
-    const outcome = await endpointPort.movePath(caller.attempt, other.hops);
+    const move = { path: listHops(), newPath: other.hops, size: countSize() };
+    const { outcome, isBegun, giveBackNew, note } = await moveStream(context, request, move);
     if (call !== moved || isDone()) {
-      giveBackOther();
+      giveBackNew();
       return;
     }
-    log.note('run-moved', {
-      outcome,
-      lastEvent: answer.getLast(),
-      path: formatHops(listHops()),
-      newPath: formatHops(other.hops),
-    });
+    note(answer.getLast());
     state = 'running';
-    if (outcome !== 'begun' && outcome !== 'done') {
-      giveBackOther();
+    if (!isBegun) {
+      giveBackNew();
       recover(`not moved: ${outcome}`);
       return;
     }
     giveBack?.();
-    giveBack = giveBackOther;
+    giveBack = giveBackNew;
     path = other;
     watch.note();
     const lostNow = paths.findLost(other.hops);
