Shuffle peers and describe histograms in one place

Found on the last reading: three places put members into a random order by the same three steps (probeMembers, createMembership, chooseOfferPeers), and two modules held the same type of a histogram's summary. Left alone: openRequestRun names the five handlers that it passes on.

--- a/src/process/configuration/chooseOfferPeers/index.ts
+++ b/src/process/configuration/chooseOfferPeers/index.ts
@@ -2,6 +2,7 @@
  * Peers that a new configuration is offered to before it is acknowledged.
  */
 import type { Member } from '../../../types/peer/index.js';
+import { shuffleItems } from '../../shuffleItems/index.js';
 
 /** Options of {@link chooseOfferPeers}. */
 export interface ChooseOfferPeersOptions {
@@ -22,11 +23,8 @@
  * chooseOfferPeers({ members, self, random });
  */
 export function chooseOfferPeers({ members, self, random }: ChooseOfferPeersOptions): Member[] {
-  const peers = members
-    .filter(({ node, state }) => node !== self.node && state === 'alive')
-    .map((member) => ({ member, order: random() }))
-    .sort((left, right) => left.order - right.order)
-    .map(({ member }) => member);
+  const living = members.filter(({ node, state }) => node !== self.node && state === 'alive');
+  const peers = shuffleItems(living, random);
   const isFar = (member: Member): boolean => member.availabilityZone !== self.availabilityZone;
   return [...peers.filter(isFar), ...peers.filter((peer) => !isFar(peer))].slice(0, OFFERED_PEERS);
 }
--- a/src/process/createHistograms/index.ts
+++ b/src/process/createHistograms/index.ts
@@ -3,6 +3,7 @@
  */
 import * as hdr from 'hdr-histogram-js';
 import type { Metric } from '../../types/node/index.js';
+import type { HistogramSummary } from '../../types/histogram/index.js';
 
 /** One value to record. */
 export interface Observation {
@@ -12,23 +13,11 @@
   readonly milliseconds: number;
 }
 
-/** Percentiles of one histogram, in milliseconds. */
-export interface HistogramSummary {
-  readonly metric: Metric;
-  readonly account: string;
-  readonly class: string;
-  readonly count: number;
-  readonly p50: number;
-  readonly p95: number;
-  readonly p99: number;
-  readonly maximum: number;
-}
-
 /** The histograms and counters of one process. */
 export interface Histograms {
   readonly observe: (observation: Observation) => void;
   readonly count: (counter: string) => void;
-  readonly summarize: () => HistogramSummary[];
+  readonly summarize: () => HistogramSummary<Metric>[];
   readonly readCounters: () => ReadonlyMap<string, number>;
   /** Formats everything as Prometheus text. */
   readonly formatPrometheus: () => string;
@@ -60,7 +49,7 @@
   account,
   class: accountClass,
   histogram,
-}: Entry): HistogramSummary {
+}: Entry): HistogramSummary<Metric> {
   const read = (percentile: number): number =>
     histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MILLISECOND;
   return {
@@ -75,7 +64,7 @@
   };
 }
 
-function formatSummary(summary: HistogramSummary): string[] {
+function formatSummary(summary: HistogramSummary<Metric>): string[] {
   const name = `marjoramcleat_${summary.metric.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`)}_milliseconds`;
   const labels = `account="${summary.account}",class="${summary.class}"`;
   const values = { 50: summary.p50, 95: summary.p95, 99: summary.p99 };
--- a/src/process/membership/createMembership/index.ts
+++ b/src/process/membership/createMembership/index.ts
@@ -4,6 +4,7 @@
 import { GOSSIP_ROUND_MILLISECONDS } from '../../../constants/index.js';
 import type { Fact, Member, MemberState } from '../../../types/peer/index.js';
 import type { NodeContext } from '../../node/createContext/index.js';
+import { shuffleItems } from '../../shuffleItems/index.js';
 import { firstIncarnation, mergeMember } from '../mergeMember/index.js';
 import { createDigestCheck } from '../createDigestCheck/index.js';
 import { createMemberTable, digestMember } from '../createMemberTable/index.js';
@@ -106,13 +107,10 @@
   });
   const { sendPing, sendEverything } = sender;
   const choosePeers = (count: number): Member[] =>
-    members
-      .list()
-      .filter(({ state }) => state !== 'dead')
-      .map((peer) => ({ peer, order: context.random() }))
-      .sort((left, right) => left.order - right.order)
-      .slice(0, count)
-      .map(({ peer }) => peer);
+    shuffleItems(
+      members.list().filter(({ state }) => state !== 'dead'),
+      context.random,
+    ).slice(0, count);
   const announce = (): void => {
     for (const peer of choosePeers(URGENT_PEERS)) sendPing(peer, prober.nextSequence());
   };
--- a/src/process/membership/probeMembers/index.ts
+++ b/src/process/membership/probeMembers/index.ts
@@ -4,6 +4,7 @@
 import { GOSSIP_ROUND_MILLISECONDS } from '../../../constants/index.js';
 import type { Member } from '../../../types/peer/index.js';
 import type { NodeContext } from '../../node/createContext/index.js';
+import { shuffleItems } from '../../shuffleItems/index.js';
 
 /** Options of {@link createProber}. */
 export interface CreateProberOptions {
@@ -68,13 +69,11 @@
     return undefined;
   };
   const askHelpers = (target: Member, awaitedSequence: number): void => {
-    const helpers = options
+    const living = options
       .listPeers()
-      .filter((peer) => peer.node !== target.node && peer.state !== 'dead')
-      .map((peer) => ({ peer, order: context.random() }))
-      .sort((left, right) => left.order - right.order)
-      .slice(0, HELPERS);
-    for (const { peer } of helpers) options.sendIndirectPing(peer, target, awaitedSequence);
+      .filter((peer) => peer.node !== target.node && peer.state !== 'dead');
+    const helpers = shuffleItems(living, context.random).slice(0, HELPERS);
+    for (const peer of helpers) options.sendIndirectPing(peer, target, awaitedSequence);
   };
   const probe = (target: Member): void => {
     sequence += 1;
--- a/src/process/relay/createRelayMetrics/index.ts
+++ b/src/process/relay/createRelayMetrics/index.ts
@@ -2,19 +2,7 @@
  * Counters and latency histograms of the relay, by client account and route kind.
  */
 import { build, type Histogram } from 'hdr-histogram-js';
-
-/** Percentiles of one histogram, in milliseconds. */
-export interface HistogramSummary {
-  readonly metric: string;
-  readonly account: string;
-  /** Kind of the requests, or `first-event`. */
-  readonly class: string;
-  readonly count: number;
-  readonly p50: number;
-  readonly p95: number;
-  readonly p99: number;
-  readonly maximum: number;
-}
+import type { HistogramSummary } from '../../../types/histogram/index.js';
 
 /** Counters and histograms. */
 export interface RelayMetrics {
