Send nothing to endpoints that say that they leave or ask for rest

Cause: an endpoint may say that it is leaving in the header of any answer, before or without the registry, and one that is full may name a time in which it wants nothing.

Telling other nodes of a rest: the endpoint asks one node for it, and others would lose room that it offers them.

Change: the header is read from every kind of answer, reports included; the endpoint takes no new request and no layers until it is born again, and other nodes are told. Where all endpoints of a service rest, callers are refused at once with the time at which the first rest ends.

--- a/emulator/createEndpointPorts/index.ts
+++ b/emulator/createEndpointPorts/index.ts
@@ -49,7 +49,13 @@
   attempt: string,
   facts: Partial<AnswerHead['facts']>,
 ): AnswerHead {
-  const sealed = { attempt, isSealed: true, isNotRun: false, isEncoded: false };
+  const sealed = {
+    attempt,
+    isSealed: true,
+    isNotRun: false,
+    isEncoded: false,
+    isLeaving: false,
+  };
   return { status, facts: { ...sealed, ...facts }, headers: [] };
 }
 
--- a/emulator/createEngineFleet/index.ts
+++ b/emulator/createEngineFleet/index.ts
@@ -319,6 +319,7 @@
       totalTokenLayers: 0,
       bornAt: engine.bornAt,
       stalledAddresses: [...engine.stalledFor].map(({ address }) => address),
+      isLeaving: false,
     }),
     setLateOrders: (share) => {
       lateShare = share;
--- a/src/connection/createEndpointTable/index.ts
+++ b/src/connection/createEndpointTable/index.ts
@@ -33,6 +33,10 @@
   failures: number;
   /** Until when the endpoint is believed to be lost, in milliseconds. */
   lostUntil: number;
+  /** When this node learnt that the endpoint says that it is leaving; undefined when it does not. */
+  leavingSince: number | undefined;
+  /** Until when the endpoint wants no requests of this node, in milliseconds. */
+  restsUntil: number;
 }
 
 /** Endpoints by identifier. */
@@ -52,6 +56,12 @@
   /** Believes that the endpoint is lost, for a time in milliseconds; true when this is news. */
   readonly markLost: (endpoint: Endpoint, now: number, milliseconds: number) => boolean;
   readonly markFound: (endpoint: Endpoint) => void;
+  /** Believes that the endpoint is leaving, until it starts again; true when this is news. */
+  readonly markLeaving: (endpoint: Endpoint, now: number) => boolean;
+  /** Sends nothing there for a time in milliseconds that the endpoint asked for. */
+  readonly rest: (endpoint: Endpoint, now: number, milliseconds: number) => void;
+  /** Takes an endpoint's own word that it has started again, before the registry says so. */
+  readonly noteStart: (endpoint: Endpoint, bornAt: number) => void;
 }
 
 /** Failures in a row after which an endpoint is left alone for a time. */
@@ -80,9 +90,23 @@
     avoidedUntil: Number.NEGATIVE_INFINITY,
     failures: 0,
     lostUntil: Number.NEGATIVE_INFINITY,
+    leavingSince: undefined,
+    restsUntil: Number.NEGATIVE_INFINITY,
   };
 }
 
+/**
+ * Tells whether an endpoint is leaving, by the registry or by its own word.
+ *
+ * @param endpoint - the endpoint
+ * @returns whether it is
+ * @example
+ * isLeavingEndpoint(endpoint); // false
+ */
+export function isLeavingEndpoint({ record, leavingSince }: Endpoint): boolean {
+  return record.isDraining || leavingSince !== undefined;
+}
+
 /**
  * Creates an empty table.
  *
@@ -127,8 +151,9 @@
       const usable: Endpoint[] = [];
       for (const endpoint of endpoints.values()) {
         const { record } = endpoint;
-        if (record.service !== service || record.isDraining) continue;
+        if (record.service !== service || isLeavingEndpoint(endpoint)) continue;
         if (endpoint.avoidedUntil > now || endpoint.lostUntil > now) continue;
+        if (endpoint.restsUntil > now) continue;
         usable.push(endpoint);
       }
       return usable;
@@ -152,6 +177,19 @@
     markFound: (endpoint) => {
       endpoint.lostUntil = Number.NEGATIVE_INFINITY;
     },
+    markLeaving: (endpoint, now) => {
+      if (endpoint.leavingSince !== undefined) return false;
+      endpoint.leavingSince = now;
+      return true;
+    },
+    rest: (endpoint, now, milliseconds) => {
+      endpoint.restsUntil = Math.max(endpoint.restsUntil, now + milliseconds);
+    },
+    noteStart: (endpoint, bornAt) => {
+      endpoint.record = { ...endpoint.record, bornAt };
+      endpoint.leavingSince = undefined;
+      endpoint.restsUntil = Number.NEGATIVE_INFINITY;
+    },
     avoid: (endpoint, now, milliseconds) => {
       endpoint.avoidedUntil = Math.max(endpoint.avoidedUntil, now + milliseconds);
     },
--- a/src/process/relay/createExaminer/index.ts
+++ b/src/process/relay/createExaminer/index.ts
@@ -83,7 +83,10 @@
   const takeReport = (endpoint: Endpoint, report: EndpointReport): void => {
     const { record } = endpoint;
     if (report.bornAt !== 0 && report.bornAt < record.bornAt) return;
-    if (report.bornAt > record.bornAt) endpoint.record = { ...record, bornAt: report.bornAt };
+    if (report.bornAt > record.bornAt) endpoints.noteStart(endpoint, report.bornAt);
+    if (report.isLeaving && endpoints.markLeaving(endpoint, now())) {
+      logger.log('endpoint-leaving', { endpoint: record.id, source: 'itself' });
+    }
     endpoint.acceptedOrders = report.acceptedOrders;
     endpoint.layers = report.layers;
     endpoint.layersReportedAt = now();
--- a/src/process/relay/createExaminer/test.ts
+++ b/src/process/relay/createExaminer/test.ts
@@ -14,6 +14,7 @@
   totalTokenLayers: 100,
   bornAt: 1,
   stalledAddresses: [],
+  isLeaving: false,
 };
 
 /** An examiner over endpoints `i-0`, `i-1`, … whose reports are given by address. */
--- a/src/process/relay/decideStreamFailure/index.ts
+++ b/src/process/relay/decideStreamFailure/index.ts
@@ -11,6 +11,8 @@
   readonly mayHaveRun: boolean;
   /** The final answer is due. */
   readonly isTimeUp: boolean;
+  /** Milliseconds until the first endpoint that asked for rest takes requests again, if one did. */
+  readonly restMilliseconds?: number | undefined;
 }
 
 /** Result code, and when the caller may come back. */
@@ -21,6 +23,7 @@
 
 /** When callers may come back if no path has room, in seconds. */
 const NO_ROOM_RETRY_SECONDS = 0.5;
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /**
  * Decides the code of a failed stream.
@@ -34,6 +37,12 @@
  */
 export function decideStreamFailure(facts: StreamFailureFacts): StreamFailure {
   if (facts.hasBegun) return { code: 'interrupted' };
-  if (!facts.mayHaveRun) return { code: 'overloaded', retryAfterSeconds: NO_ROOM_RETRY_SECONDS };
+  if (!facts.mayHaveRun) {
+    const restSeconds = (facts.restMilliseconds ?? 0) / MILLISECONDS_PER_SECOND;
+    return {
+      code: 'overloaded',
+      retryAfterSeconds: Math.max(NO_ROOM_RETRY_SECONDS, restSeconds),
+    };
+  }
   return { code: facts.isTimeUp ? 'outcomeUnknown' : 'endpointFailed' };
 }
--- a/src/process/relay/openRequestRun/index.ts
+++ b/src/process/relay/openRequestRun/index.ts
@@ -4,6 +4,7 @@
 import type { EndpointCall } from '../../../types/relay/index.js';
 import type { PathHop } from '../../../types/site/index.js';
 import { openStreamRun, type OpenStreamRunOptions } from '../openStreamRun/index.js';
+import { noteAnswer } from '../noteAnswer/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
 /** Options of {@link openRequestRun}. */
@@ -11,7 +12,10 @@
   OpenStreamRunOptions,
   'onEvent' | 'onRefusal' | 'onWhole' | 'onBroken' | 'onNotSent'
 > {
-  readonly context: Pick<RelayContext, 'clock' | 'endpointPort'>;
+  readonly context: Pick<
+    RelayContext,
+    'clock' | 'endpointPort' | 'endpoints' | 'logger' | 'random'
+  >;
   readonly request: RelayedRequest;
   readonly first: PathHop;
   readonly path: readonly PathHop[];
@@ -48,6 +52,10 @@
       path,
       lastEvent,
     },
+    onFacts: (facts) => {
+      const endpoint = context.endpoints.find(first.endpoint);
+      if (endpoint) noteAnswer(context, endpoint, facts);
+    },
     onEvent,
     onRefusal,
     onWhole,
--- a/src/process/relay/openStreamRun/index.ts
+++ b/src/process/relay/openStreamRun/index.ts
@@ -25,6 +25,8 @@
   readonly passedOn: PassedOn;
   /** The attempt that the answer has to belong to. */
   readonly attempt: string;
+  /** Takes what the endpoint says of itself, with an answer of any kind. */
+  readonly onFacts: (facts: EndpointAnswer) => void;
   /** Takes an event; false ends the run's reading. */
   readonly onEvent: (event: StreamEvent, headers: RawHeaders) => boolean;
   readonly onRefusal: (refusal: RunRefusal) => void;
@@ -44,7 +46,7 @@
  */
 export function openStreamRun(options: OpenStreamRunOptions): EndpointCall {
   const { endpointPort, forwarded, passedOn, attempt } = options;
-  const { onEvent, onRefusal, onWhole, onBroken, onNotSent } = options;
+  const { onFacts, onEvent, onRefusal, onWhole, onBroken, onNotSent } = options;
   const splitter = createEventSplitter();
   const refusal: Buffer[] = [];
   let head: AnswerHead | undefined;
@@ -56,6 +58,7 @@
   return endpointPort.send(forwarded, passedOn, {
     onHead: (received) => {
       head = received;
+      onFacts(received.facts);
       if (isStream(received) && !isOurs(received.facts)) onBroken('not an answer of the endpoint');
     },
     onData: (chunk) => {
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -7,6 +7,7 @@
  */
 import { estimateSize, type RequestSize } from '../../../request/estimateSize/index.js';
 import type { ChosenPath } from '../../../request/choosePath/index.js';
+import { findRestEnd } from '../../../request/findRestEnd/index.js';
 import type { EndpointCall } from '../../../types/relay/index.js';
 import type { PathHop } from '../../../types/site/index.js';
 import { createRunTally } from '../createRunTally/index.js';
@@ -39,7 +40,7 @@
 }
 
 function startStream(context: RelayContext, request: RelayedRequest, onDone: () => void): void {
-  const { clock, budget } = context;
+  const { clock, budget, endpoints } = context;
   const { route, service, caller, finalAt, log } = request;
   const paths = createStreamPaths(context, request);
   let state: RunState = 'idle';
@@ -111,7 +112,12 @@
     answer.fail({
       reason,
       ...tally.count(call !== undefined),
-      ...decideStreamFailure({ hasBegun, mayHaveRun: tally.mayHaveRun(), isTimeUp }),
+      ...decideStreamFailure({
+        hasBegun,
+        mayHaveRun: tally.mayHaveRun(),
+        isTimeUp,
+        restMilliseconds: findRestEnd(endpoints.list(), service.name, clock.now()),
+      }),
     });
     finish();
   }
--- a/src/process/relay/relayWhole/index.ts
+++ b/src/process/relay/relayWhole/index.ts
@@ -3,6 +3,7 @@
  */
 import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
 import { chooseEndpoint } from '../../../request/chooseEndpoint/index.js';
+import { findRestEnd } from '../../../request/findRestEnd/index.js';
 import type { ResultCodeName } from '../../resultCodes/index.js';
 import { answerFailure, sendWholeAnswer, type WholeAnswer } from '../answerCaller/index.js';
 import { noteFailure } from '../noteFailure/index.js';
@@ -12,6 +13,7 @@
 
 /** When callers may come back if no endpoint takes their request, in seconds. */
 const RETRY_AFTER_SECONDS = 0.3;
+const MILLISECONDS_PER_SECOND = 1_000;
 /** Share of the time left that one attempt gets while another may follow. */
 const ATTEMPT_TIME_SHARE = 0.5;
 /** Connections that may fail for one request before it is refused. */
@@ -62,7 +64,8 @@
 ): void {
   const now = context.clock.now();
   progress.reason = outcome.reason;
-  noteFailure(context, endpoint);
+  // One that asked for rest is full, not faulty.
+  if (endpoint.restsUntil <= now) noteFailure(context, endpoint);
   request.log.note('attempt-failed', {
     endpoint: endpoint.record.id,
     outcome: outcome.kind,
@@ -95,6 +98,14 @@
   tellAnswered(context, request, { first, pause: 0, longestPause: 0, sends, isSlow });
 }
 
+/** Seconds until an endpoint may take the request: the end of the first rest, if all of them rest. */
+function findRetryTime({ endpoints, clock }: RelayContext, { service }: RelayedRequest): number {
+  const now = clock.now();
+  if (endpoints.listUsable(service.name, now).length > 0) return RETRY_AFTER_SECONDS;
+  const rest = findRestEnd(endpoints.list(), service.name, now) ?? 0;
+  return Math.max(RETRY_AFTER_SECONDS, rest / MILLISECONDS_PER_SECOND);
+}
+
 function failRequest(context: RelayContext, request: RelayedRequest, progress: Progress): void {
   const { mayHaveRun, timedOut, reason, sends, refused } = progress;
   const failure: ResultCodeName = timedOut ? 'outcomeUnknown' : 'endpointFailed';
@@ -109,7 +120,7 @@
     milliseconds: Math.round(context.clock.now() - request.arrivedAt),
   });
   request.log.end(true);
-  const retryAfter = !mayHaveRun && { retryAfterSeconds: RETRY_AFTER_SECONDS };
+  const retryAfter = !mayHaveRun && { retryAfterSeconds: findRetryTime(context, request) };
   answerFailure(request.response, { code, ...retryAfter });
 }
 
--- a/src/process/relay/runWholeAttempt/index.ts
+++ b/src/process/relay/runWholeAttempt/index.ts
@@ -4,6 +4,7 @@
 import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
 import type { AnswerHead, EndpointCall } from '../../../types/relay/index.js';
 import type { WholeAnswer } from '../answerCaller/index.js';
+import { noteAnswer } from '../noteAnswer/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
 /** Outcome of one send. */
@@ -20,13 +21,6 @@
   readonly timeoutMilliseconds: number;
 }
 
-function noteLoad(endpoint: Endpoint, { facts }: AnswerHead, now: number): void {
-  if (facts.running === undefined) return;
-  endpoint.running = facts.running;
-  endpoint.waiting = facts.waiting ?? 0;
-  endpoint.loadReadAt = now;
-}
-
 function judgeAnswer(head: AnswerHead, attempt: string, body: Buffer): AttemptOutcome {
   const { status, facts, headers } = head;
   if (facts.attempt !== undefined && facts.attempt !== attempt) {
@@ -79,7 +73,7 @@
     const call: EndpointCall = endpointPort.send(request.forwarded, passedOn, {
       onHead: (received) => {
         head = received;
-        noteLoad(endpoint, received, clock.now());
+        noteAnswer(context, endpoint, received.facts);
       },
       onData: (chunk) => {
         chunks.push(chunk);
--- a/src/process/runtime/callJson/index.ts
+++ b/src/process/runtime/callJson/index.ts
@@ -17,7 +17,12 @@
 
 /** Result of a call: an answer, or how far the call came without one. */
 export type JsonResult =
-  | { readonly kind: 'answered'; readonly status: number; readonly value: unknown }
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly headers: NodeJS.Dict<string | string[]>;
+      readonly value: unknown;
+    }
   | { readonly kind: 'notSent'; readonly reason: string }
   | { readonly kind: 'unknown'; readonly reason: string };
 
@@ -90,7 +95,8 @@
       });
       answer.on('end', () => {
         const value = parseJson(Buffer.concat(chunks).toString('utf8'));
-        finish({ kind: 'answered', status: answer.statusCode ?? 0, value });
+        const { statusCode: status = 0, headers: answerHeaders } = answer;
+        finish({ kind: 'answered', status, headers: answerHeaders, value });
       });
     });
     outgoing.end(text);
--- a/src/process/site/createPeers/test.ts
+++ b/src/process/site/createPeers/test.ts
@@ -23,6 +23,7 @@
     loads: [],
     lost: [],
     gone: [],
+    leaving: [],
     layers: [],
     paces: [],
     ...changes,
--- a/src/process/site/describeSite/index.ts
+++ b/src/process/site/describeSite/index.ts
@@ -24,7 +24,7 @@
   service: z.string(),
   availabilityZone: z.string(),
   layers: z.string(),
-  state: z.enum(['usable', 'draining', 'lost', 'avoided']),
+  state: z.enum(['usable', 'draining', 'leaving', 'lost', 'resting', 'avoided']),
   /** Requests known to be there, of this node and of others. */
   requests: z.number(),
   pace: z.number(),
@@ -78,7 +78,9 @@
 
 function findState(endpoint: Endpoint, now: number): SiteStatus['endpoints'][number]['state'] {
   if (endpoint.record.isDraining) return 'draining';
+  if (endpoint.leavingSince !== undefined) return 'leaving';
   if (endpoint.lostUntil > now) return 'lost';
+  if (endpoint.restsUntil > now) return 'resting';
   return endpoint.avoidedUntil > now ? 'avoided' : 'usable';
 }
 
--- a/src/process/site/exchangeNews/index.ts
+++ b/src/process/site/exchangeNews/index.ts
@@ -105,6 +105,11 @@
         .filter(({ lostUntil }) => lostUntil > now())
         .map(({ record, lostUntil }) => [record.id, Math.round(lostUntil - now())]),
       gone: listGone(),
+      leaving: list
+        .filter(
+          ({ leavingSince = Number.NEGATIVE_INFINITY }) => now() - leavingSince < GONE_MILLISECONDS,
+        )
+        .map(({ record }) => [record.id, record.bornAt]),
       layers: [...planner.listNews(), ...listRelayedLayers()],
       paces: planner.listPaces(),
     };
@@ -132,6 +137,13 @@
       endpoint.layers = to > from ? { from, to } : undefined;
     }
   };
+  const takeLeaving = (leaving: PeerNews['leaving']): void => {
+    for (const [id, bornAt] of leaving) {
+      const endpoint = endpoints.find(id);
+      if (endpoint?.record.bornAt !== bornAt || !endpoints.markLeaving(endpoint, now())) continue;
+      logger.log('endpoint-leaving', { endpoint: id, source: 'peer' });
+    }
+  };
   const takeNews = (news: PeerNews): void => {
     if (news.configuration !== undefined) state.offerConfiguration(news.configuration, 'peer');
     takeEntries(news);
@@ -140,6 +152,7 @@
       loadHeardAt = now();
     }
     for (const id of news.gone) options.onGone(id);
+    takeLeaving(news.leaving);
     for (const [id] of news.lost) {
       const endpoint = endpoints.find(id);
       // The sender may be the one that is cut off, so its word is checked.
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -95,6 +95,22 @@
     reason,
   }),
   'endpoint-found': define('info', 'A lost endpoint answers again.', { endpoint }),
+  'endpoint-leaving': define('info', 'An endpoint says that it is leaving, before the registry.', {
+    endpoint,
+    source: z.enum(['itself', 'peer']).describe('from whom the node has it'),
+  }),
+  'endpoint-rests': define('info', 'An endpoint asked to be left alone by this node.', {
+    endpoint,
+    milliseconds: number('for how long'),
+  }),
+  'endpoint-rest-unreadable': define(
+    'warn',
+    'An endpoint asked for rest without a readable time.',
+    {
+      endpoint,
+      text: text('what it sent'),
+    },
+  ),
   'endpoint-ejected': define('warn', 'An endpoint failed several times and is left alone.', {
     endpoint,
     failures: number('failures in a row'),
--- a/src/process/site/peerNews/index.ts
+++ b/src/process/site/peerNews/index.ts
@@ -32,6 +32,8 @@
   lost: z.array(z.tuple([z.string(), z.number()])),
   /** Endpoints that the sender saw leave the registry lately, while the store answered it. */
   gone: z.array(z.string()).default([]),
+  /** Endpoints that said lately that they are leaving, each with its birth. */
+  leaving: z.array(z.tuple([z.string(), z.number()])).default([]),
   /** Layers that orders brought lately: endpoint, its birth, its accepted orders, from, to. */
   layers: z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()])),
   /** Slow endpoints and their factor. */
--- a/src/process/site/runPlanner/index.ts
+++ b/src/process/site/runPlanner/index.ts
@@ -5,7 +5,7 @@
  * themselves for the chosen one do no harm: orders are absolute, and each holds only while the
  * endpoint has accepted no other order since the order's plan was made.
  */
-import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
+import { isLeavingEndpoint, type Endpoint } from '../../../connection/createEndpointTable/index.js';
 import type { EndpointControl } from '../../../types/relay/index.js';
 import type { LayeredModel, LayerRange } from '../../../types/site/index.js';
 import type { PlacedEndpoint } from '../../../types/placement/index.js';
@@ -156,7 +156,7 @@
   const planService = async (service: string, model: LayeredModel): Promise<void> => {
     const endpoints = state.endpoints
       .list()
-      .filter(({ record }) => record.service === service && !record.isDraining);
+      .filter((endpoint) => endpoint.record.service === service && !isLeavingEndpoint(endpoint));
     if (!hasSettled(endpoints)) return;
     await survey(endpoints);
     const living = endpoints.filter((endpoint) => endpoint.lostUntil <= now());
--- a/src/process/site/runPlanner/test.ts
+++ b/src/process/site/runPlanner/test.ts
@@ -55,6 +55,7 @@
         usedTokenLayers: 0,
         totalTokenLayers: 1,
         stalledAddresses: [],
+        isLeaving: false,
       });
     },
     sendOrder: (order) => {
--- a/src/types/relay/index.ts
+++ b/src/types/relay/index.ts
@@ -46,8 +46,17 @@
   readonly running?: number | undefined;
   readonly waiting?: number | undefined;
   readonly isEncoded: boolean;
+  /** The endpoint says that it is leaving. */
+  readonly isLeaving: boolean;
+  /** How long the endpoint wants no requests of this node; undefined when it did not ask for rest. */
+  readonly rest?: RestDemand | undefined;
 }
 
+/** A demand for rest: its time in milliseconds, or the text that cannot be read as one. */
+export type RestDemand =
+  | { readonly kind: 'timed'; readonly milliseconds: number }
+  | { readonly kind: 'unreadable'; readonly text: string };
+
 /** Outcome of an order. */
 export type OrderOutcome = 'begun' | 'done' | 'conflict' | 'refused' | 'unknown';
 
--- a/src/types/site/index.ts
+++ b/src/types/site/index.ts
@@ -129,6 +129,8 @@
   readonly bornAt: number;
   /** Addresses that requests of this endpoint wait for in vain. */
   readonly stalledAddresses: readonly string[];
+  /** The endpoint says that it is leaving. */
+  readonly isLeaving: boolean;
 }
 
 /** One hop of a request through endpoints that each hold a part of the layers. */
--- a/standins/serveSiteEndpoint/index.ts
+++ b/standins/serveSiteEndpoint/index.ts
@@ -46,6 +46,8 @@
   pace: number;
   /** Whether it accepts orders without carrying them out. */
   ignoresOrders: boolean;
+  /** Whether it says in its reports that it is leaving. */
+  isLeaving: boolean;
   /** Cuts every connection and stops listening, as a crash would. */
   readonly crash: () => Promise<void>;
 }
@@ -108,6 +110,7 @@
     reply(response, isRefused ? 404 : 202, {});
   };
   const report = (response: ServerResponse): void => {
+    if (endpoint.isLeaving) response.setHeader('Server-Leaving', '1');
     reply(response, 200, {
       sequence: endpoint.orders.length,
       busy: false,
@@ -158,6 +161,7 @@
     refusesMoves: false,
     pace: 1,
     ignoresOrders: false,
+    isLeaving: false,
     crash: () =>
       new Promise((resolve) => {
         server.close(() => {
