Drop messages between nodes that wait when their links close

Cause: createPeerLinks closed the client of each link while its goroutine still held messages, one of which it takes in each turn. The next request on the closed client threw "Channel has been shut down" as an uncaught exception: the crash of a process in a planned stop, and the failure that tests/callerInterface.test.ts showed once beside about 200 busy processes. A message sent after the close opened a new link that nobody owned.

Ruled out: a fault of the test; closing the links before other parts changes nothing, as the goroutine runs in later turns.

Change: after the close, messages are counted as dropped and no link is opened.

--- a/src/process/runtime/sendPeers/index.ts
+++ b/src/process/runtime/sendPeers/index.ts
@@ -58,6 +58,7 @@
  */
 export function createPeerLinks(options: CreatePeerLinksOptions): PeerLinks {
   const links = new Map<string, Link>();
+  let isClosed = false;
   const metadata = new grpc.Metadata();
   metadata.set('authorization', `Bearer ${options.key}`);
 
@@ -81,7 +82,9 @@
       for (;;) {
         const message = yield csp.take(link.messages);
         if (message === null) break;
-        sendOne(link.client, message);
+        // A client that its owner closed throws on its next request.
+        if (isClosed) options.onDropped();
+        else sendOne(link.client, message);
       }
       link.client.close();
     });
@@ -109,6 +112,7 @@
   options.lifeCycle.own({
     name: 'peer-links',
     close: () => {
+      isClosed = true;
       clearInterval(sweep);
       for (const link of links.values()) {
         link.messages.close();
@@ -120,6 +124,10 @@
 
   return {
     send: (address, message) => {
+      if (isClosed) {
+        options.onDropped();
+        return;
+      }
       const link = links.get(address) ?? openLink(address);
       link.usedAt = Date.now();
       if (!csp.offer(link.messages, message)) options.onDropped();
