Bound every place of an endpoint's answer in bytes, and act on a refusal by its head

Cause: an endpoint in trouble may send bytes that are no answer without end. Tests with raw sockets, one for each place, showed what had no bound: interim answers, the size of a chunk, bodies, events, the body of a refusal (504 at the route's time, or over 33 MB taken). They also showed that bytes after a whole answer turned it into a 502: the parser's error on them hid the answer that was already there.

Ruled out: leaving it to the runtime's parser, which bounds only header blocks, trailers and chunk extensions; bounding by time alone, as memory of the node grows meanwhile.

Change: bytes that bring no part of the body are counted for each call; whole answers have a longest length and share one allowance of memory; events, refusals, reports and answers to orders have longest lengths; a refusal that says that the request did not run takes effect by its head. An answer that is whole stays whole, whatever follows on its connection.

--- a/src/process/relay/createBodyAllowance/index.ts
+++ b/src/process/relay/createBodyAllowance/index.ts
@@ -1,5 +1,5 @@
 /**
- * Memory that callers' bodies may take together.
+ * Memory that the bodies of requests, or of answers, may take together.
  */
 
 /** Memory held for one request. */
--- a/src/process/relay/openEndpointCall/index.ts
+++ b/src/process/relay/openEndpointCall/index.ts
@@ -24,6 +24,9 @@
 /** Longest wait for a connection; an endpoint's queue of connections that is full drops the opening. */
 const CONNECT_MILLISECONDS = 250;
 
+/** Bytes that may come without any of the answer's body, such as of its head or between chunks. */
+const MOST_BYTES_WITHOUT_BODY = 262_144;
+
 /** Tells whether only the end of the connection marks the end of an answer. */
 function isEndedByConnection({ headers }: IncomingMessage): boolean {
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
@@ -81,6 +84,12 @@
     if (await wasReset) fail('reset');
     else if (finish()) onEnd();
   };
+  let bytesWithoutBody = 0;
+  /** Ends a call whose head, framing or interim answers never end; the parser does not bound all. */
+  const noteBytes = (bytes: number): void => {
+    bytesWithoutBody += bytes;
+    if (bytesWithoutBody > MOST_BYTES_WITHOUT_BODY) fail('answer without a body');
+  };
   const connectTimer = setTimeout(() => {
     fail('connect timeout');
   }, CONNECT_MILLISECONDS);
@@ -90,18 +99,23 @@
       state = 'sent';
       clearTimeout(connectTimer);
     });
+    socket.on('data', (chunk: Buffer) => {
+      noteBytes(chunk.length);
+    });
     socket.prependOnceListener('end', () => {
       if (answer && isEndedByConnection(answer)) wasReset = probeReset(socket);
     });
   });
   outgoing.on('error', (error) => {
-    fail(error.message);
+    // Bytes after a whole answer belong to no request, and take nothing from it.
+    if (!answer?.complete) fail(error.message);
   });
   outgoing.on('response', (incoming) => {
     answer = incoming;
     if (isDone) return;
     onAnswer(incoming);
     incoming.on('data', (chunk: Buffer) => {
+      bytesWithoutBody = 0;
       if (!isDone) onData(chunk);
     });
     incoming.on('error', (error) => {
--- a/src/process/relay/openStreamRun/index.ts
+++ b/src/process/relay/openStreamRun/index.ts
@@ -36,6 +36,11 @@
   readonly onNotSent: (reason: string) => void;
 }
 
+/** Longest event, in bytes. */
+const MOST_EVENT_BYTES = 1_048_576;
+/** Longest answer that is no stream, in bytes. */
+const MOST_REFUSAL_BYTES = 1_048_576;
+
 /**
  * Opens a run.
  *
@@ -49,33 +54,46 @@
   const { onFacts, onEvent, onRefusal, onWhole, onBroken, onNotSent } = options;
   const splitter = createEventSplitter();
   const refusal: Buffer[] = [];
+  let refusalBytes = 0;
   let head: AnswerHead | undefined;
+  let isRefused = false;
+  const isOfAttempt = (facts: EndpointAnswer): boolean =>
+    facts.attempt === undefined || facts.attempt === attempt;
   const isOurs = (facts: EndpointAnswer): boolean =>
-    (facts.attempt === undefined || facts.attempt === attempt) &&
-    facts.isSealed &&
-    !facts.isEncoded;
+    isOfAttempt(facts) && facts.isSealed && !facts.isEncoded;
   const isStream = ({ status }: AnswerHead): boolean => status === 200;
   return endpointPort.send(forwarded, passedOn, {
     onHead: (received) => {
       head = received;
       onFacts(received.facts);
-      if (isStream(received) && !isOurs(received.facts)) onBroken('not an answer of the endpoint');
+      if (isStream(received)) {
+        if (!isOurs(received.facts)) onBroken('not an answer of the endpoint');
+        return;
+      }
+      if (!received.facts.isNotRun || !isOfAttempt(received.facts)) return;
+      // The head says all; the body may take its time.
+      isRefused = true;
+      onRefusal({ head: received, body: Buffer.alloc(0) });
     },
     onData: (chunk) => {
-      if (!head) return;
+      if (!head || isRefused) return;
       if (!isStream(head)) {
         refusal.push(chunk);
+        refusalBytes += chunk.length;
+        if (refusalBytes > MOST_REFUSAL_BYTES) onBroken('answer too long');
         return;
       }
       for (const event of splitter.add(chunk)) if (!onEvent(event, head.headers)) return;
+      if (splitter.countPending() > MOST_EVENT_BYTES) onBroken('event too long');
     },
     onEnd: () => {
-      if (!head) return;
+      if (!head || isRefused) return;
       if (!isStream(head)) onRefusal({ head, body: Buffer.concat(refusal) });
       else if (splitter.countPending() > 0) onBroken('answer broke off');
       else onWhole();
     },
     onFailure: (state, reason) => {
+      if (isRefused) return;
       if (state === 'notSent') onNotSent(reason);
       else onBroken(reason);
     },
--- a/src/process/relay/runWholeAttempt/index.ts
+++ b/src/process/relay/runWholeAttempt/index.ts
@@ -21,6 +21,9 @@
   readonly timeoutMilliseconds: number;
 }
 
+/** Longest whole answer, in bytes. */
+const MOST_ANSWER_BYTES = 4_194_304;
+
 function judgeAnswer(head: AnswerHead, attempt: string, body: Buffer): AttemptOutcome {
   const { status, facts, headers } = head;
   if (facts.attempt !== undefined && facts.attempt !== attempt) {
@@ -53,6 +56,8 @@
   const { record } = endpoint;
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
+    const memory = context.answerMemory.open();
+    let size = 0;
     let head: AnswerHead | undefined;
     endpoint.ownRequests += 1;
     let isDone = false;
@@ -61,6 +66,7 @@
       isDone = true;
       cancelTimer();
       call.abort();
+      memory.release();
       endpoint.ownRequests = Math.max(0, endpoint.ownRequests - 1);
       resolve(outcome);
     };
@@ -74,9 +80,16 @@
       onHead: (received) => {
         head = received;
         noteAnswer(context, endpoint, received.facts);
+        const { status, facts } = received;
+        const isOfAttempt = (facts.attempt ?? request.caller.attempt) === request.caller.attempt;
+        // The head says all; the body may take its time.
+        if (facts.isNotRun && isOfAttempt) finish({ kind: 'notRun', reason: `status ${status}` });
       },
       onData: (chunk) => {
-        chunks.push(chunk);
+        size += chunk.length;
+        if (size > MOST_ANSWER_BYTES) finish({ kind: 'unknown', reason: 'answer too long' });
+        else if (!memory.add(chunk.length)) finish({ kind: 'unknown', reason: 'no memory' });
+        else chunks.push(chunk);
       },
       onEnd: () => {
         if (head) finish(judgeAnswer(head, request.caller.attempt, Buffer.concat(chunks)));
--- a/src/process/relay/types/index.ts
+++ b/src/process/relay/types/index.ts
@@ -13,6 +13,7 @@
 } from '../../../types/relay/index.js';
 import type { SiteRoute, SiteService } from '../../../types/site/index.js';
 import type { SiteLogger } from '../../site/createSiteLogger/index.js';
+import type { BodyAllowance } from '../createBodyAllowance/index.js';
 import type { Examiner } from '../createExaminer/index.js';
 import type { SiteDecisions } from '../../site/siteDecisions/index.js';
 import type { RelayMetrics } from '../createRelayMetrics/index.js';
@@ -34,6 +35,8 @@
   /** Calls back when an endpoint is lost; returns a function that stops this. */
   readonly onLost: (callback: (endpoint: string) => void) => () => void;
   readonly pipes: PipeGauge;
+  /** Memory for whole answers that are being read. */
+  readonly answerMemory: BodyAllowance;
   /** Living nodes, this one included. */
   readonly countNodes: () => number;
   /** Milliseconds since the load of other nodes was last heard. */
--- a/src/process/runtime/callJson/index.ts
+++ b/src/process/runtime/callJson/index.ts
@@ -13,6 +13,8 @@
   readonly timeoutMilliseconds: number;
   readonly agent?: Agent | false;
   readonly headers?: Readonly<Record<string, string>>;
+  /** Longest answer, in bytes. */
+  readonly mostAnswerBytes?: number;
 }
 
 /** Result of a call: an answer, or how far the call came without one. */
@@ -40,6 +42,7 @@
  */
 export function callJson(options: CallJsonOptions): Promise<JsonResult> {
   const { address, method, path, body, timeoutMilliseconds, agent = false, headers } = options;
+  const { mostAnswerBytes = MOST_ANSWER_BYTES } = options;
   const [host, port] = address.split(':');
   const text = body === undefined ? undefined : JSON.stringify(body);
   return new Promise((resolve) => {
@@ -87,7 +90,7 @@
       let size = 0;
       answer.on('data', (chunk: Buffer) => {
         size += chunk.length;
-        if (size <= MOST_ANSWER_BYTES) chunks.push(chunk);
+        if (size <= mostAnswerBytes) chunks.push(chunk);
         else outgoing.destroy(new Error('answer too large'));
       });
       answer.on('error', (error) => {
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -10,6 +10,7 @@
 import { createRandom } from '../../createRandom/index.js';
 import { hashText } from '../../hashRendezvous/index.js';
 import { parseJson } from '../../parseJson/index.js';
+import { createBodyAllowance } from '../../relay/createBodyAllowance/index.js';
 import { createExaminer } from '../../relay/createExaminer/index.js';
 import { createRelay, type Relay } from '../../relay/createRelay/index.js';
 import { createRelayMetrics, type RelayMetrics } from '../../relay/createRelayMetrics/index.js';
@@ -83,6 +84,8 @@
 }
 
 const NODE_KEY_PREFIX = 'nodes/';
+/** Memory that whole answers may take together while they are read. */
+const MOST_ANSWER_BYTES = 33_554_432;
 
 /** Those who want to know of each endpoint that is lost. */
 function createLostListeners() {
@@ -214,6 +217,7 @@
     random,
     onLost: lostListeners.add,
     pipes: createPipeGauge({ countUsers: countNeighbours }),
+    answerMemory: createBodyAllowance(MOST_ANSWER_BYTES),
     countNodes: countAlive,
     readLoadAge: exchange.readLoadAge,
     countUnheardNodes: exchange.countUnheardNodes,
