--- a/emulator/createVirtualNodes/index.ts
+++ b/emulator/createVirtualNodes/index.ts
@@ -84,22 +84,29 @@
 export function createVirtualNodes(options: CreateVirtualNodesOptions): VirtualNodes {
   const { site, time, store } = options;
   const byAddress = new Map<string, VirtualNode>();
+  /** One node of each availability zone, as the platform names them to new nodes. */
+  const seeds = site.nodes.flatMap((count, zone) => (count > 0 ? [`peer:node-${zone}-0`] : []));
   const lines: VirtualLine[] = [];
   const allCounts: PortCounts[] = [];
   let peerBytes = 0;
 
-  const peerPort: PeerPort = {
-    tell: async (address, message) => {
-      const text = JSON.stringify(message);
+  const findCore = (address: string): SiteCore | undefined => byAddress.get(address)?.getCore();
+  const createPort = (from: string): PeerPort => ({
+    send: (address, message) => {
+      peerBytes += message.length;
+      time.schedule(PEER_MILLISECONDS, () => findCore(address)?.exchange.receive(message, from));
+    },
+    ask: async (address, question) => {
+      const text = JSON.stringify(question);
       peerBytes += text.length;
       await time.delay(PEER_MILLISECONDS, undefined);
-      const core = byAddress.get(address)?.getCore();
+      const core = findCore(address);
       if (!core) return time.delay(PEER_TIMEOUT_MILLISECONDS, undefined);
-      const answer = JSON.stringify(core.exchange.peers.receive(JSON.parse(text)));
+      const answer = JSON.stringify(core.exchange.answer(JSON.parse(text)));
       peerBytes += answer.length;
       return time.delay(PEER_MILLISECONDS, JSON.parse(answer) as unknown);
     },
-  };
+  });
   const createOne = (name: string, availabilityZone: string): VirtualNode => {
     let core: SiteCore | undefined;
     let leavingSince: number | undefined;
@@ -132,7 +139,7 @@
       endings.add(closeAll);
       const created: SiteCore = createSiteNode({
         self,
-        seeds: [],
+        seeds: seeds.filter((address) => address !== `peer:${name}`),
         clock: {
           now: time.now,
           schedule: (milliseconds, action) =>
@@ -142,7 +149,7 @@
         },
         store: store.connect(name),
         endpointPort: port,
-        peerPort,
+        peerPort: createPort(`peer:${name}`),
         logger: {
           log: (event, fields) => {
             lines.push({ at: time.now(), node: name, event, fields });
--- a/src/connection/createEndpointTable/index.ts
+++ b/src/connection/createEndpointTable/index.ts
@@ -1,6 +1,7 @@
 /**
  * Endpoints that a node knows, with their load and health.
  */
+import { hashText } from '../../process/hashRendezvous/index.js';
 import type { EndpointRecord, LayerRange } from '../../types/site/index.js';
 
 /** One endpoint with what this node observed of it. */
@@ -33,6 +34,8 @@
   failures: number;
   /** Until when the endpoint is believed to be lost, in milliseconds. */
   lostUntil: number;
+  /** When this node itself last found the endpoint to be lost; undefined when it did not. */
+  lossFoundAt: number | undefined;
   /** When this node learnt that the endpoint says that it is leaving; undefined when it does not. */
   leavingSince: number | undefined;
   /** Until when the endpoint wants no requests of this node, in milliseconds. */
@@ -45,6 +48,8 @@
   readonly update: (id: string, record: EndpointRecord | undefined, now: number) => boolean;
   readonly find: (id: string) => Endpoint | undefined;
   readonly findByAddress: (address: string) => Endpoint | undefined;
+  /** The endpoint whose identifier has a hash. */
+  readonly findByTag: (tag: number) => Endpoint | undefined;
   readonly list: () => Endpoint[];
   /** Endpoints of a service that take new requests. */
   readonly listUsable: (service: string, now: number) => Endpoint[];
@@ -90,6 +95,7 @@
     avoidedUntil: Number.NEGATIVE_INFINITY,
     failures: 0,
     lostUntil: Number.NEGATIVE_INFINITY,
+    lossFoundAt: undefined,
     leavingSince: undefined,
     restsUntil: Number.NEGATIVE_INFINITY,
   };
@@ -119,6 +125,7 @@
  */
 export function createEndpointTable(): EndpointTable {
   const endpoints = new Map<string, Endpoint>();
+  const idsByTag = new Map<number, string>();
   const isSame = (left: EndpointRecord, right: EndpointRecord): boolean =>
     left.bornAt === right.bornAt &&
     left.address === right.address &&
@@ -127,12 +134,16 @@
     record.address === known.address && record.bornAt !== 0 && record.bornAt < known.bornAt;
   return {
     update: (id, record, now) => {
-      if (!record) return endpoints.delete(id);
+      if (!record) {
+        idsByTag.delete(hashText(id));
+        return endpoints.delete(id);
+      }
       const known = endpoints.get(id);
       // A report may have told of a new start before the registry does.
       if (known && isOlder(known.record, record)) return false;
       if (!known || !isSame(known.record, record)) {
         endpoints.set(id, createEndpoint(record));
+        idsByTag.set(hashText(id), id);
         return true;
       }
       if (now - known.layersReportedAt > REGISTRY_LAG_MILLISECONDS) known.layers = record.layers;
@@ -146,6 +157,7 @@
       }
       return undefined;
     },
+    findByTag: (tag) => endpoints.get(idsByTag.get(tag) ?? ''),
     list: () => [...endpoints.values()],
     listUsable: (service, now) => {
       const usable: Endpoint[] = [];
@@ -176,6 +188,7 @@
     },
     markFound: (endpoint) => {
       endpoint.lostUntil = Number.NEGATIVE_INFINITY;
+      endpoint.lossFoundAt = undefined;
     },
     markLeaving: (endpoint, now) => {
       if (endpoint.leavingSince !== undefined) return false;
--- a/src/process/relay/createExaminer/index.ts
+++ b/src/process/relay/createExaminer/index.ts
@@ -72,7 +72,10 @@
   };
   const reportLost = (id: string, reason: string): void => {
     const endpoint = endpoints.find(id);
-    if (!endpoint || !endpoints.markLost(endpoint, now(), LOST_MILLISECONDS)) return;
+    if (!endpoint) return;
+    const isNews = endpoints.markLost(endpoint, now(), LOST_MILLISECONDS);
+    endpoint.lossFoundAt = now();
+    if (!isNews) return;
     logger.log('endpoint-lost', { endpoint: id, reason });
     if (!seemsCutOff()) onLost(id);
   };
--- /dev/null
+++ b/src/process/site/chooseFollowers/test.ts
@@ -0,0 +1,38 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { chooseRole } from './index.js';
+
+function listRoles(names: readonly string[], cut: readonly string[] = []): Map<string, string> {
+  return new Map(
+    names.map((self) => {
+      const others = names.filter((name) => name !== self && !cut.includes(name));
+      return [self, chooseRole({ self, others, isReachable: !cut.includes(self) })];
+    }),
+  );
+}
+
+function listFollowers(roles: ReadonlyMap<string, string>): string[] {
+  return [...roles].filter(([, role]) => role === 'forOthers').map(([name]) => name);
+}
+
+const NAMES = Array.from({ length: 39 }, (_, index) => `node-${index}`);
+
+test('few nodes follow alone', () => {
+  for (const role of listRoles(['a', 'b', 'c', 'd', 'e', 'f']).values())
+    assert.equal(role, 'alone');
+});
+
+test('of many nodes two follow for all', () => {
+  assert.equal(listFollowers(listRoles(NAMES)).length, 2);
+});
+
+test('others take the place of followers that do not reach the store', () => {
+  const followers = listFollowers(listRoles(NAMES));
+  const roles = listRoles(NAMES, followers);
+  assert.equal(listFollowers(roles).length, 2);
+  for (const name of followers) assert.equal(roles.get(name), 'throughOthers');
+});
+
+test('a node that knows of nobody who reaches the store follows alone', () => {
+  assert.equal(chooseRole({ self: 'a', others: [], isReachable: false }), 'alone');
+});
--- a/src/process/site/createPeers/index.ts
+++ b/src/process/site/createPeers/index.ts
@@ -1,8 +1,11 @@
 /**
- * What nodes tell each other: who lives, which configuration and registry they know, and their load.
+ * What a node knows of the other nodes of its site: who lives, and whom to send messages to.
  */
 import type { NodeRecord } from '../../../types/site/index.js';
-import { messageSchema, nodeSchema, type OwnNews, type PeerNews } from '../peerNews/index.js';
+import { shuffleItems } from '../../shuffleItems/index.js';
+import { hashText } from '../../hashRendezvous/index.js';
+import { tagNode } from '../codeMessage/index.js';
+import { nodeSchema, type OwnNews, type PeerNews } from '../peerNews/index.js';
 
 /** A change in what is known of a node. */
 export type NodeEvent = 'node-joined' | 'node-lost' | 'node-leaving';
@@ -12,32 +15,39 @@
   readonly self: NodeRecord;
   readonly now: () => number;
   readonly random: () => number;
-  /** News of this node; `areMany` when there are so many nodes that messages have to be short. */
-  readonly getNews: (areMany: boolean) => OwnNews;
-  readonly getConfiguration: () => string | undefined;
-  readonly getEntries: () => [string, string][];
-  /** Called for each message that another node sent. */
-  readonly onNews: (news: PeerNews) => void;
   readonly onChange: (event: NodeEvent, node: NodeRecord) => void;
 }
 
 /** Nodes that this node knows. */
 export interface Peers {
   readonly setLeaving: () => void;
-  readonly isLeaving: () => boolean;
+  readonly getSelf: () => NodeRecord;
   /** Adds a node that the store names, from its parsed entry. */
   readonly introduceValue: (value: unknown) => void;
+  /** Adds nodes that another node told of. */
+  readonly introduce: (nodes: readonly NodeRecord[]) => void;
   /** Nodes that live, this one included. */
   readonly listAlive: () => NodeRecord[];
+  /**
+   * Living other nodes that follow the store together with this one: those of its availability zone
+   * where they are many, else those of the site.
+   */
+  readonly listGroup: () => NodeRecord[];
+  /** Those of the group that do not leave and reach the store, as they say. */
+  readonly listReaching: () => NodeRecord[];
   /** Number of nodes that live or were lost lately, this one included. */
   readonly countKnown: () => number;
+  /** Whether the own availability zone has so many nodes that messages have to be short. */
+  readonly areMany: () => boolean;
+  /** Name of the availability zone with a tag. */
+  readonly findZoneByTag: (tag: number) => string | undefined;
+  /** Name and incarnation of the node with a tag. */
+  readonly findByTag: (tag: number) => NodeRecord | undefined;
   /** Begins a round; returns the addresses to send its message to. */
   readonly pickTargets: () => string[];
-  readonly createMessage: () => PeerNews;
-  /** Takes a message; returns the answer to it, or undefined when it cannot be read. */
-  readonly receive: (value: unknown) => PeerNews | undefined;
-  /** Takes the answer to a message of this node. */
-  readonly takeAnswer: (value: unknown) => void;
+  readonly createMessage: (own: OwnNews, wantsAnswer: boolean) => PeerNews;
+  /** Takes what a message says of nodes; false when a newer one of its sender was taken before. */
+  readonly learn: (news: PeerNews) => boolean;
   /** Notes nodes that fell silent. */
   readonly sweep: () => void;
 }
@@ -45,44 +55,65 @@
 /** Silence after which a node counts as lost, in milliseconds, and more for each node. */
 const LOST_MILLISECONDS = 2_000;
 const LOST_MILLISECONDS_A_NODE = 10;
+/** The same for a node of another zone whose beats come seldom; its own zone tells of its loss. */
+const FAR_LOST_MILLISECONDS = 20_000;
+/** Silence of all nodes of another zone, towards the own zone, after which they count as lost. */
+const ZONE_LOST_MILLISECONDS = 3_000;
 /** Silence after which nothing is sent to a node any more, in milliseconds. */
 const FORGOTTEN_MILLISECONDS = 60_000;
-/** Peers of the own availability zone that a node sends to in one round, and where they are many. */
+/** Peers of the own availability zone that a node sends to in one round, and in a site of many nodes. */
 const NEAR_FANOUT = 4;
 const MANY_NEAR_FANOUT = 2;
+/** Nodes from which a site has many. */
+const MANY_NODES = 12;
 /** Peers of the own availability zone from which they are many. */
 const MANY_NEAR = 8;
-/** Messages to other availability zones that a zone of many nodes sends in one round. */
+/** Messages to other availability zones that a zone sends in one round, in a site of many nodes. */
 const FAR_MESSAGES_OF_MANY = 8;
+/** Share of rounds in which a node of such a site sends to another zone at most. */
+const MOST_FAR_SHARE = 0.5;
 /** Share of rounds in which a lost node is tried again. */
 const LOST_TRY_SHARE = 0.25;
-/** Beats of other nodes in one message at most. */
-const MOST_BEATS = 32;
-/** How long a node's record goes along after it changed, in milliseconds. */
+/** Beats in one message at most, of nodes of the own availability zone and of others. */
+const MOST_NEAR_BEATS = 20;
+const MOST_FAR_BEATS = 10;
+/** How long changes of nodes go along with messages, in milliseconds, and how many at most. */
 const NEWS_MILLISECONDS = 3_000;
+const MOST_NODES = 3;
+const MOST_LOST_NODES = 12;
 
 interface Known {
   node: NodeRecord;
+  readonly tag: number;
   beat: number;
   heardAt: number;
   changedAt: number;
   isLost: boolean;
+  lostAt: number;
+  /** Whether others are told of its loss: it was told by its own zone, or this node is in it. */
+  isLossTold: boolean;
+  /** Whether the node reaches the store, as it said last. */
+  isReachable: boolean;
+  /** Beat of the last message that came from the node itself. */
+  messageBeat: number;
 }
 
 function pickSome<Item>(items: readonly Item[], count: number, random: () => number): Item[] {
-  const rest = [...items];
-  const picked: Item[] = [];
-  while (picked.length < count && rest.length > 0) {
-    picked.push(...rest.splice(Math.floor(random() * rest.length), 1));
+  if (items.length <= count) return shuffleItems(items, random);
+  const picked = new Set<Item>();
+  while (picked.size < count) {
+    const item = items[Math.floor(random() * items.length)];
+    if (item !== undefined) picked.add(item);
   }
-  return picked;
+  return [...picked];
 }
 
 /**
  * Creates the knowledge of peers.
  *
  * Each node counts its own rounds; a count that rises, heard directly or through others, shows that
- * the node lives. A node that started again has a higher incarnation.
+ * the node lives. A node that started again has a higher incarnation. Where nodes are many, messages
+ * hold few counts of other availability zones; a loss there is told by the zone itself.
  *
  * @param options - this node, the clock, and what to tell
  * @returns the peers
@@ -90,32 +121,51 @@
  * createPeers(options).listAlive();
  */
 export function createPeers(options: CreatePeersOptions): Peers {
-  const { now, random, getNews, getConfiguration, getEntries, onNews, onChange } = options;
+  const { now, random, onChange } = options;
   let self = options.self;
   let selfChangedAt = now();
   let beat = 0;
   const known = new Map<string, Known>();
+  const byTag = new Map<number, Known>();
+  /** When a node of the own zone last heard a node of another zone directly, by that zone. */
+  const zoneHeardAt = new Map<string, number>();
+  const zonesByTag = new Map<number, string>();
   const isNear = ({ node }: Known): boolean => node.availabilityZone === self.availabilityZone;
-  const areMany = (neighbours: readonly Known[]): boolean => neighbours.length >= MANY_NEAR;
   const listHeard = (): Known[] => [...known.values()].filter(({ isLost }) => !isLost);
+  const areMany = (): boolean => listHeard().filter(isNear).length >= MANY_NEAR;
 
+  const setKnown = (node: NodeRecord): void => {
+    const at = now();
+    const before = known.get(node.name);
+    if (before) byTag.delete(before.tag);
+    const entry: Known = {
+      node,
+      tag: tagNode(node),
+      beat: 0,
+      heardAt: at,
+      changedAt: at,
+      isLost: false,
+      lostAt: Number.NEGATIVE_INFINITY,
+      isLossTold: false,
+      isReachable: true,
+      messageBeat: -1,
+    };
+    known.set(node.name, entry);
+    zonesByTag.set(hashText(node.availabilityZone), node.availabilityZone);
+    byTag.set(entry.tag, entry);
+  };
   const learnRecord = (node: NodeRecord): void => {
     if (node.name === self.name) return;
     const entry = known.get(node.name);
-    if (!entry) {
-      const at = now();
-      known.set(node.name, { node, beat: 0, heardAt: at, changedAt: at, isLost: false });
-      onChange('node-joined', node);
+    if (!entry || node.incarnation > entry.node.incarnation) {
+      setKnown(node);
+      onChange(node.isLeaving ? 'node-leaving' : 'node-joined', node);
       return;
     }
-    if (node.incarnation < entry.node.incarnation) return;
-    const isRestart = node.incarnation > entry.node.incarnation;
     const leaves = node.isLeaving && !entry.node.isLeaving;
-    if (!isRestart && !leaves) return;
-    const isLost = isRestart ? false : entry.isLost;
-    const heard = isRestart ? { beat: 0, heardAt: now() } : {};
-    Object.assign(entry, { node, changedAt: now(), isLost, ...heard });
-    onChange(leaves ? 'node-leaving' : 'node-joined', node);
+    if (node.incarnation < entry.node.incarnation || !leaves) return;
+    Object.assign(entry, { node, changedAt: now() });
+    onChange('node-leaving', node);
   };
   const learnBeat = (name: string, incarnation: number, heardBeat: number): void => {
     const entry = known.get(name);
@@ -123,92 +173,142 @@
     if (entry.isLost) onChange('node-joined', entry.node);
     Object.assign(entry, { beat: heardBeat, heardAt: now(), isLost: false });
   };
-  const learn = (news: PeerNews): void => {
-    for (const node of news.nodes) learnRecord(node);
-    for (const [name, incarnation, heardBeat] of news.beats)
-      learnBeat(name, incarnation, heardBeat);
-    onNews(news);
+  const noteZone = (zone: string, age: number): void => {
+    const at = Math.max(zoneHeardAt.get(zone) ?? Number.NEGATIVE_INFINITY, now() - age);
+    zoneHeardAt.set(zone, at);
+  };
+  const learnZones = (sender: NodeRecord, zones: PeerNews['zones']): void => {
+    noteZone(sender.availabilityZone, 0);
+    if (sender.availabilityZone !== self.availabilityZone) return;
+    for (const [zone, age] of zones) noteZone(zone, age);
+  };
+  const lose = (entry: Known, isLossTold: boolean): void => {
+    Object.assign(entry, { isLost: true, lostAt: now(), isLossTold });
+    onChange('node-lost', entry.node);
+  };
+  /** Others heard no later beat than this node did, so that the loss is no news that is out of date. */
+  const learnLoss = (name: string, incarnation: number, lastBeat: number): void => {
+    const entry = known.get(name);
+    if (!entry || entry.isLost || isNear(entry)) return;
+    if (entry.node.incarnation === incarnation && entry.beat <= lastBeat) lose(entry, true);
   };
-  const createMessage = (): PeerNews => {
+  const tellBeat = ({ node, beat: heard }: Known): [string, number, number] => [
+    node.name,
+    node.incarnation,
+    heard,
+  ];
+  const pickBeats = (heard: readonly Known[]): Known[] => [
+    ...pickSome(heard.filter(isNear), MOST_NEAR_BEATS, random),
+    ...pickSome(
+      heard.filter((entry) => !isNear(entry)),
+      MOST_FAR_BEATS,
+      random,
+    ),
+  ];
+  const listGroup = (): Known[] => {
     const heard = listHeard();
-    const isNews = (changedAt: number): boolean => now() - changedAt < NEWS_MILLISECONDS;
-    return {
-      ...getNews(areMany(heard.filter(isNear))),
-      from: self.name,
-      nodesKnown: heard.length + 1,
-      beats: [
-        [self.name, self.incarnation, beat],
-        ...pickSome(heard, MOST_BEATS, random).map((entry): [string, number, number] => [
-          entry.node.name,
-          entry.node.incarnation,
-          entry.beat,
-        ]),
-      ],
-      nodes: [
-        ...(isNews(selfChangedAt) ? [self] : []),
-        ...heard.filter(({ changedAt }) => isNews(changedAt)).map(({ node }) => node),
-      ],
-    };
+    const near = heard.filter(isNear);
+    return near.length >= MANY_NEAR ? near : heard;
+  };
+  const isRecent = (at: number): boolean => now() - at < NEWS_MILLISECONDS;
+  const listLossesToTell = (): Known[] => {
+    const near = [...known.values()].filter(isNear);
+    // A node that hears few of its own zone is more likely cut off itself.
+    const seemsCutOff = near.filter(({ isLost }) => isLost).length > near.length / 2;
+    if (seemsCutOff) return [];
+    return [...known.values()].filter(
+      ({ isLost, isLossTold, lostAt }) => isLost && isLossTold && isRecent(lostAt),
+    );
+  };
+  const findLimit = (entry: Known): number => {
+    const isAlwaysTold = known.size <= MOST_FAR_BEATS;
+    if (!isNear(entry) && !isAlwaysTold) return FAR_LOST_MILLISECONDS;
+    return LOST_MILLISECONDS + LOST_MILLISECONDS_A_NODE * known.size;
+  };
+  const isSilent = (entry: Known): boolean => {
+    if (now() - entry.heardAt > findLimit(entry)) return true;
+    const zoneHeard = zoneHeardAt.get(entry.node.availabilityZone) ?? entry.heardAt;
+    const since = Math.max(zoneHeard, entry.changedAt);
+    return !isNear(entry) && now() - since > ZONE_LOST_MILLISECONDS;
   };
-  /** Whether the sender needs no records: this node knows it, and it knows as many nodes. */
-  const areAcquainted = (news: PeerNews): boolean =>
-    known.has(news.from) && news.nodesKnown >= listHeard().length + 1;
 
   return {
     setLeaving: () => {
       self = { ...self, isLeaving: true };
       selfChangedAt = now();
     },
-    isLeaving: () => self.isLeaving,
+    getSelf: () => self,
     introduceValue: (value) => {
       const parsed = nodeSchema.safeParse(value);
       if (parsed.success) learnRecord(parsed.data);
     },
+    introduce: (nodes) => {
+      for (const node of nodes) learnRecord(node);
+    },
     listAlive: () => [self, ...listHeard().map(({ node }) => node)],
+    listGroup: () => listGroup().map(({ node }) => node),
+    listReaching: () =>
+      listGroup()
+        .filter(({ node, isReachable }) => isReachable && !node.isLeaving)
+        .map(({ node }) => node),
     countKnown: () => known.size + 1,
+    areMany,
+    findZoneByTag: (tag) => zonesByTag.get(tag),
+    findByTag: (tag) => byTag.get(tag)?.node,
     pickTargets: () => {
       beat += 1;
       const heard = listHeard();
       const lost = [...known.values()].filter(({ isLost }) => isLost);
       const tried = random() < LOST_TRY_SHARE ? pickSome(lost, 1, random) : [];
       const neighbours = heard.filter(isNear);
-      const isCrowd = areMany(neighbours);
+      const isCrowd = heard.length >= MANY_NODES;
       const near = pickSome(neighbours, isCrowd ? MANY_NEAR_FANOUT : NEAR_FANOUT, random);
       // News spread within a zone; a few messages between zones are enough, and dear.
-      const goesFar = !isCrowd || random() < FAR_MESSAGES_OF_MANY / neighbours.length;
+      const farShare = Math.min(MOST_FAR_SHARE, FAR_MESSAGES_OF_MANY / neighbours.length);
+      const goesFar = !isCrowd || random() < farShare;
       const others = heard.filter((entry) => !isNear(entry));
       const far = goesFar ? pickSome(others, 1, random) : [];
       return [...near, ...far, ...tried].map(({ node }) => node.peerAddress);
     },
-    createMessage,
-    receive: (value) => {
-      const parsed = messageSchema.safeParse(value);
-      if (!parsed.success) return undefined;
-      const news = parsed.data;
-      const isKnown = areAcquainted(news);
-      learn(news);
-      const answer = createMessage();
-      const isBehind = news.version < answer.version;
-      const needsEntries = !news.isReachable && news.revision < answer.revision;
+    createMessage: (own, wantsAnswer) => {
+      const heard = listHeard();
+      const changed = heard.filter(({ changedAt }) => isRecent(changedAt));
       return {
-        ...answer,
-        ...(!isKnown && { nodes: [self, ...listHeard().map(({ node }) => node)] }),
-        ...(isBehind && { configuration: getConfiguration() }),
-        ...(needsEntries && { entries: getEntries() }),
+        ...own,
+        from: self.name,
+        wantsAnswer,
+        nodesKnown: heard.length + 1,
+        beats: [[self.name, self.incarnation, beat], ...pickBeats(heard).map(tellBeat)],
+        lostNodes: pickSome(listLossesToTell(), MOST_LOST_NODES, random).map(tellBeat),
+        zones: [...zoneHeardAt]
+          .filter(([zone]) => zone !== self.availabilityZone)
+          .map(([zone, at]) => [zone, now() - at]),
+        nodes: [
+          ...(isRecent(selfChangedAt) ? [self] : []),
+          ...pickSome(changed, MOST_NODES, random).map(({ node }) => node),
+        ],
       };
     },
-    takeAnswer: (value) => {
-      const parsed = messageSchema.safeParse(value);
-      if (parsed.success) learn(parsed.data);
+    learn: (news) => {
+      const [, , senderBeat = 0] = news.beats[0] ?? [];
+      if (senderBeat < (known.get(news.from)?.messageBeat ?? 0)) return false;
+      for (const node of news.nodes) learnRecord(node);
+      for (const [name, incarnation, heardBeat] of news.beats)
+        learnBeat(name, incarnation, heardBeat);
+      for (const [name, incarnation, lastBeat] of news.lostNodes)
+        learnLoss(name, incarnation, lastBeat);
+      const sender = known.get(news.from);
+      if (!sender) return true;
+      Object.assign(sender, { isReachable: news.isReachable, messageBeat: senderBeat });
+      learnZones(sender.node, news.zones);
+      return true;
     },
     sweep: () => {
       for (const [name, entry] of known) {
-        const silence = now() - entry.heardAt;
-        if (!entry.isLost && silence > LOST_MILLISECONDS + LOST_MILLISECONDS_A_NODE * known.size) {
-          entry.isLost = true;
-          onChange('node-lost', entry.node);
-        }
-        if (silence > FORGOTTEN_MILLISECONDS) known.delete(name);
+        if (!entry.isLost && isSilent(entry)) lose(entry, isNear(entry));
+        if (now() - entry.heardAt <= FORGOTTEN_MILLISECONDS) continue;
+        known.delete(name);
+        byTag.delete(entry.tag);
       }
     },
   };
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -24,9 +24,11 @@
 } from '../createSiteState/index.js';
 import { describeSite, type SiteStatus } from '../describeSite/index.js';
 import { createExchange, type Exchange, type PeerPort } from '../exchangeNews/index.js';
+import { chooseRole } from '../chooseFollowers/index.js';
 import { createStoreFollower, type StoreFollower } from '../followStore/index.js';
-import { createRegistration, type Registration } from '../registerNode/index.js';
+import { createRegistration, isIntroducer, type Registration } from '../registerNode/index.js';
 import { createPlanner, type Planner } from '../runPlanner/index.js';
+import { splitChanges } from '../splitChanges/index.js';
 import { SITE_DECISIONS, type SiteDecisions } from '../siteDecisions/index.js';
 
 /** Keys of the store that the node reads. */
@@ -124,7 +126,12 @@
     logger,
     now,
     parse: parseJson,
-    onConfiguration,
+    onConfiguration: (compiled) => {
+      onConfiguration(compiled);
+      follower.settle();
+      // Others hear of it without waiting for the next round.
+      void exchange.step();
+    },
   });
   const examiner = createExaminer({
     endpoints: state.endpoints,
@@ -151,6 +158,13 @@
     onGone: (id) => {
       follower.confirmRemoval(`${keys.endpointPrefix}${id}`);
     },
+    onChanges: ({ after, revision, items, isShortened }) => {
+      const decoded = items.map(({ value, ...item }) => ({
+        ...item,
+        value: value === undefined ? undefined : Buffer.from(value),
+      }));
+      follower.takeChanges({ after, revision, items: decoded, isShortened });
+    },
   });
   const takeItem = (key: string, text: string | undefined): void => {
     if (key.startsWith(keys.endpointPrefix)) {
@@ -171,6 +185,21 @@
     logger,
     now,
     countNodes: countAlive,
+    getRole: () =>
+      chooseRole({
+        self: self.name,
+        others: exchange.peers.listReaching().map(({ name }) => name),
+        isReachable: follower.isReachable(),
+      }),
+    onChanges: (batch) => {
+      for (const part of splitChanges(batch)) {
+        const items = part.items.map(({ value, ...item }) => ({
+          ...item,
+          value: value?.toString('utf8'),
+        }));
+        exchange.passOn({ ...part, from: self.name, items });
+      }
+    },
     onItem: (key, value) => {
       takeItem(key, value?.toString('utf8'));
     },
@@ -190,15 +219,17 @@
     examiner,
     planPlacement: decisions.planPlacement,
   });
+  const listNeighbours = (): string[] =>
+    exchange.peers
+      .listAlive()
+      .filter(({ availabilityZone }) => availabilityZone === self.availabilityZone)
+      .map(({ name }) => name);
   const registration = createRegistration({
     store,
     key: `${NODE_KEY_PREFIX}${self.name}`,
     getValue: () => JSON.stringify(self),
+    isWanted: () => isIntroducer(self.name, listNeighbours()),
   });
-  const countNeighbours = (): number =>
-    exchange.peers
-      .listAlive()
-      .filter(({ availabilityZone }) => availabilityZone === self.availabilityZone).length;
   const budget = createSpendingBudget({
     ...retries,
     // A node that is cut off must not take the others' parts of the budget.
@@ -216,7 +247,7 @@
     clock,
     random,
     onLost: lostListeners.add,
-    pipes: createPipeGauge({ countUsers: countNeighbours }),
+    pipes: createPipeGauge({ countUsers: () => listNeighbours().length }),
     answerMemory: createBodyAllowance(MOST_ANSWER_BYTES),
     countNodes: countAlive,
     readLoadAge: exchange.readLoadAge,
--- a/src/process/site/createSiteServers/index.ts
+++ b/src/process/site/createSiteServers/index.ts
@@ -18,7 +18,7 @@
 
 /** Header block that a listener reads at most, in bytes; the configuration's limit is below it. */
 const MOST_HEADER_BYTES = 32_768;
-const MOST_MESSAGE_BYTES = 8_388_608;
+const MOST_QUESTION_BYTES = 16_384;
 /** Connections of callers at most; each may need a second descriptor towards an endpoint. */
 const MOST_CALLER_CONNECTIONS = 1_800;
 /** How much longer than the configuration says a connection is kept, in milliseconds. */
@@ -81,24 +81,24 @@
 }
 
 /**
- * Creates the server that takes messages of other nodes.
+ * Creates the server that takes questions of other nodes.
  *
- * @param receive - takes a message; returns the answer, or undefined when it cannot be read
+ * @param answerQuestion - returns the answer, or undefined when the question cannot be read
  * @returns the server, which does not listen yet
  * @example
- * createPeerServer(peers.receive);
+ * createPeerServer(exchange.answer);
  */
-export function createPeerServer(receive: (value: unknown) => unknown): Server {
+export function createPeerServer(answerQuestion: (value: unknown) => unknown): Server {
   return createServer((incoming, response) => {
     const chunks: Buffer[] = [];
     let size = 0;
     incoming.on('data', (chunk: Buffer) => {
       size += chunk.length;
-      if (size > MOST_MESSAGE_BYTES) incoming.destroy();
+      if (size > MOST_QUESTION_BYTES) incoming.destroy();
       else chunks.push(chunk);
     });
     incoming.on('end', () => {
-      const answer = receive(parseJson(Buffer.concat(chunks).toString('utf8')));
+      const answer = answerQuestion(parseJson(Buffer.concat(chunks).toString('utf8')));
       response.writeHead(answer === undefined ? 400 : 200, { 'Content-Type': 'application/json' });
       response.end(answer === undefined ? undefined : JSON.stringify(answer));
     });
--- a/src/process/site/exchangeNews/index.ts
+++ b/src/process/site/exchangeNews/index.ts
@@ -2,9 +2,21 @@
  * Exchange of news with other nodes: what this node tells, and what it takes from what it is told.
  */
 import type { NodeRecord } from '../../../types/site/index.js';
+import { shuffleItems } from '../../shuffleItems/index.js';
 import type { Examiner } from '../../relay/createExaminer/index.js';
 import { createPeers, type Peers } from '../createPeers/index.js';
-import type { OwnNews, PeerNews } from '../peerNews/index.js';
+import { decodeMessage, encodeChanges, encodeNews } from '../codeMessage/index.js';
+import {
+  answerSchema,
+  questionSchema,
+  type EndpointLoadNews,
+  type LayerNews,
+  type OwnNews,
+  type PeerAnswer,
+  type PeerNews,
+  type PeerQuestion,
+  type StoreChanges,
+} from '../peerNews/index.js';
 import type { SiteLogger } from '../createSiteLogger/index.js';
 import type { SiteState } from '../createSiteState/index.js';
 import type { StoreFollower } from '../followStore/index.js';
@@ -13,8 +25,10 @@
 
 /** Port to other nodes. */
 export interface PeerPort {
-  /** Sends a message; resolves to the answer, or undefined when there is none. */
-  readonly tell: (address: string, message: PeerNews) => Promise<unknown>;
+  /** Sends a short message, which may be lost. */
+  readonly send: (address: string, message: Uint8Array) => void;
+  /** Asks a node for what is too long for messages; undefined without an answer. */
+  readonly ask: (address: string, question: PeerQuestion) => Promise<unknown>;
 }
 
 /** Options of {@link createExchange}. */
@@ -31,6 +45,8 @@
   readonly getFollower: () => Pick<StoreFollower, 'getRevision' | 'isReachable'>;
   /** Called for an endpoint that a peer saw leave the registry. */
   readonly onGone: (endpoint: string) => void;
+  /** Called for changes of the store that a peer passed on. */
+  readonly onChanges: (changes: StoreChanges) => void;
   readonly getPlanner: () => Pick<Planner, 'listNews' | 'listPaces'>;
 }
 
@@ -39,12 +55,27 @@
   readonly peers: Peers;
   /** One round; resolves to the pause before the next one, in milliseconds. */
   readonly step: () => Promise<number>;
+  /** Takes the bytes of a message from an address. */
+  readonly receive: (bytes: Uint8Array, address: string) => void;
+  /** Answers a question; undefined when it cannot be read. */
+  readonly answer: (question: unknown) => PeerAnswer | undefined;
+  /** Passes changes of the store on to the nodes that follow it together with this one. */
+  readonly passOn: (changes: StoreChanges) => void;
   /** Tells others that an endpoint left the registry, while the store answered this node. */
   readonly noteGone: (endpoint: string) => void;
   /** Milliseconds since the load of another node was last heard. */
   readonly readLoadAge: () => number;
   /** Living other nodes of the own availability zone, as long as none of them told its load. */
   readonly countUnheardNodes: () => number;
+  /** Messages that could not be read since the start. */
+  readonly countUnreadable: () => number;
+}
+
+/** The messages of one round, and when they were encoded. */
+interface EncodedRound {
+  readonly at: number;
+  readonly tells: Uint8Array;
+  readonly answers: Uint8Array;
 }
 
 const ROUND_MILLISECONDS = 300;
@@ -56,6 +87,16 @@
 const LOADS_SHARE_OF_MANY = 0.34;
 /** How long a node's load is believed after it told of it, in milliseconds. */
 const LOAD_MILLISECONDS = 2_500;
+/** Loads, layers and other facts on endpoints in one message at most, of each kind. */
+const MOST_FACTS = 40;
+/** Nodes of a group that check a loss that they were told of, beside those that use the endpoint. */
+const CHECKERS = 4;
+/** How long a loss that two nodes told of is believed without being checked, in milliseconds. */
+const BELIEVED_LOSS_MILLISECONDS = 1_500;
+/** Pause between two questions for the same reason, in milliseconds. */
+const ASK_AGAIN_MILLISECONDS = 600;
+/** Pause between two questions since others know more nodes, in milliseconds. */
+const ASK_NODES_MILLISECONDS = 2_000;
 
 /**
  * Creates the exchange.
@@ -67,54 +108,62 @@
  */
 export function createExchange(options: CreateExchangeOptions): Exchange {
   const { self, state, examiner, logger, now, random, getFollower, getPlanner } = options;
+  const { peerPort, onGone, onChanges } = options;
   const { endpoints } = state;
   const loadsByNode = new Map<string, { at: number; loads: NodeLoad['loads'] }>();
   const goneAt = new Map<string, number>();
+  /** Who told first of the loss of an endpoint, and when. */
+  const tellers = new Map<string, { readonly teller: string; readonly at: number }>();
   const relayedLayers = new Map<string, { at: number; news: PeerNews['layers'][number] }>();
   let loadHeardAt = now();
   let unheardNodes = 0;
   /** Store revision of the registry that peers told, while this node cannot reach the store. */
   let toldRevision = 0;
+  let unreadable = 0;
+  const askedAt = new Map<string, number>();
 
-  const listRelayedLayers = (): PeerNews['layers'] => {
+  const listRelayedLayers = (): LayerNews[] => {
     for (const [id, { at }] of relayedLayers) {
       if (now() - at > RELAYED_MILLISECONDS) relayedLayers.delete(id);
     }
     return [...relayedLayers.values()].map(({ news }) => news);
   };
+  const isToldStill = (since = Number.NEGATIVE_INFINITY): boolean =>
+    now() - since < GONE_MILLISECONDS;
   const listGone = (): string[] => {
     for (const [id, at] of goneAt) if (now() - at > GONE_MILLISECONDS) goneAt.delete(id);
     return [...goneAt.keys()];
   };
-  const listLoads = (): PeerNews['loads'] =>
+  const listLoads = (): EndpointLoadNews[] =>
     endpoints
       .list()
       .filter(({ ownRequests }) => ownRequests > 0)
       .map((entry) => [entry.record.id, entry.ownRequests, Math.round(entry.ownTokenLayers)]);
-  const createNews = (areMany: boolean): OwnNews => {
-    const follower = getFollower();
+  const pickFacts = <Fact>(facts: readonly Fact[]): Fact[] =>
+    facts.length <= MOST_FACTS ? [...facts] : shuffleItems(facts, random).slice(0, MOST_FACTS);
+  const getRevision = (): number => Math.max(getFollower().getRevision(), toldRevision);
+  const createNews = (): OwnNews => {
     const planner = getPlanner();
     const list = endpoints.list();
+    const isToldNow = !peers.areMany() || random() < LOADS_SHARE_OF_MANY;
     return {
       version: state.getVersion(),
-      revision: Math.max(follower.getRevision(), toldRevision),
-      isReachable: follower.isReachable(),
+      revision: getRevision(),
+      isReachable: getFollower().isReachable(),
       // Of many nodes, a sample tells the load of all well enough.
-      ...((!areMany || random() < LOADS_SHARE_OF_MANY) && { loads: listLoads() }),
-      lost: list
-        .filter(({ lostUntil }) => lostUntil > now())
-        .map(({ record, lostUntil }) => [record.id, Math.round(lostUntil - now())]),
-      gone: listGone(),
-      leaving: list
-        .filter(
-          ({ leavingSince = Number.NEGATIVE_INFINITY }) => now() - leavingSince < GONE_MILLISECONDS,
-        )
-        .map(({ record }) => [record.id, record.bornAt]),
-      layers: [...planner.listNews(), ...listRelayedLayers()],
-      paces: planner.listPaces(),
+      loads: isToldNow ? pickFacts(listLoads()) : undefined,
+      lost: pickFacts(list.filter(({ lossFoundAt }) => isToldStill(lossFoundAt))).map(
+        ({ record }) => record.id,
+      ),
+      gone: pickFacts(listGone()),
+      leaving: pickFacts(list.filter(({ leavingSince }) => isToldStill(leavingSince))).map(
+        ({ record }) => [record.id, record.bornAt] as const,
+      ),
+      layers: pickFacts([...planner.listNews(), ...listRelayedLayers()]),
+      paces: pickFacts(planner.listPaces()),
     };
   };
-  const takeEntries = ({ entries, revision }: PeerNews): void => {
+  const takeEntries = ({ entries, revision }: PeerAnswer): void => {
     if (!entries || getFollower().isReachable() || revision <= toldRevision) return;
     toldRevision = revision;
     const present = new Set(entries.map(([id]) => id));
@@ -144,21 +193,31 @@
       logger.log('endpoint-leaving', { endpoint: id, source: 'peer' });
     }
   };
+  /**
+   * A node that tells of a loss may be the one that is cut off, so its word is checked: by those that
+   * use the endpoint, and by a few others, as a node tells only what it found itself.
+   */
+  const takeLoss = (id: string, teller: string): void => {
+    const endpoint = endpoints.find(id);
+    if (!endpoint || endpoint.lostUntil > now()) return;
+    const told = tellers.get(id);
+    if (told && now() - told.at < GONE_MILLISECONDS) {
+      if (told.teller !== teller) endpoints.markLost(endpoint, now(), BELIEVED_LOSS_MILLISECONDS);
+      return;
+    }
+    tellers.set(id, { teller, at: now() });
+    const share = CHECKERS / Math.max(1, peers.listGroup().length);
+    const isChecked = endpoint.ownRequests > 0 || random() < share;
+    if (isChecked) void examiner.examine(id, `told by ${teller}`);
+  };
   const takeNews = (news: PeerNews): void => {
-    if (news.configuration !== undefined) state.offerConfiguration(news.configuration, 'peer');
-    takeEntries(news);
     if (news.loads) {
       loadsByNode.set(news.from, { at: now(), loads: news.loads });
       loadHeardAt = now();
     }
-    for (const id of news.gone) options.onGone(id);
+    for (const id of news.gone) onGone(id);
     takeLeaving(news.leaving);
-    for (const [id] of news.lost) {
-      const endpoint = endpoints.find(id);
-      // The sender may be the one that is cut off, so its word is checked.
-      const isNews = endpoint && endpoint.lostUntil <= now();
-      if (isNews) void examiner.examine(id, `told by ${news.from}`);
-    }
+    for (const id of news.lost) takeLoss(id, news.from);
     takeLayers(news.layers);
     for (const [id, pace] of news.paces) {
       const endpoint = endpoints.find(id);
@@ -169,14 +228,68 @@
     self,
     now,
     random,
-    getNews: createNews,
-    getConfiguration: state.getText,
-    getEntries: state.listEntries,
-    onNews: takeNews,
     onChange: (event, node) => {
       logger.log(event, { peer: node.name, incarnation: node.incarnation });
     },
   });
+  const takeAnswer = (value: unknown): void => {
+    const parsed = answerSchema.safeParse(value);
+    if (!parsed.success) return;
+    const answer = parsed.data;
+    peers.introduce(answer.nodes);
+    if (answer.configuration !== undefined) state.offerConfiguration(answer.configuration, 'peer');
+    takeEntries(answer);
+  };
+  /** Asks a node, unless one was asked for the same reason just now. */
+  const askFor = (reason: string, address: string, pause = ASK_AGAIN_MILLISECONDS): void => {
+    if (now() - (askedAt.get(reason) ?? Number.NEGATIVE_INFINITY) < pause) return;
+    askedAt.set(reason, now());
+    const question = {
+      node: peers.getSelf(),
+      version: state.getVersion(),
+      revision: getRevision(),
+      isReachable: getFollower().isReachable(),
+    };
+    void peerPort.ask(address, question).then(takeAnswer);
+  };
+  const askWhatIsMissing = (news: PeerNews, address: string): void => {
+    if (news.version > state.getVersion()) askFor('configuration', address);
+    const needsEntries = !getFollower().isReachable() && news.isReachable;
+    if (needsEntries && news.revision > getRevision()) askFor('entries', address);
+    if (news.nodesKnown > peers.listAlive().length)
+      askFor('nodes', address, ASK_NODES_MILLISECONDS);
+  };
+  /** Messages of this round, which are alike for all that they are sent to. */
+  let encoded: EncodedRound | undefined;
+  const encodeRound = (): EncodedRound => {
+    const message = peers.createMessage(createNews(), true);
+    const answers = encodeNews({ ...message, wantsAnswer: false });
+    const round = { at: now(), tells: encodeNews(message), answers };
+    encoded = round;
+    return round;
+  };
+  const answerNews = (address: string): void => {
+    const isFresh = encoded && now() - encoded.at < ROUND_MILLISECONDS;
+    const { answers } = encoded && isFresh ? encoded : encodeRound();
+    peerPort.send(address, answers);
+  };
+  const takeMessage = (news: PeerNews, address: string): void => {
+    if (!peers.learn(news)) return;
+    takeNews(news);
+    askWhatIsMissing(news, address);
+    if (news.wantsAnswer) answerNews(address);
+  };
+  const receive = (bytes: Uint8Array, address: string): void => {
+    const message = decodeMessage(bytes, {
+      findNode: peers.findByTag,
+      findZone: peers.findZoneByTag,
+      findEndpoint: (tag) => endpoints.findByTag(tag)?.record.id,
+    });
+    if (message.kind === 'news') takeMessage(message.news, address);
+    else if (message.kind === 'changes') onChanges(message.changes);
+    else if (message.kind === 'unknownSender') askFor(`sender ${address}`, address);
+    else unreadable += 1;
+  };
 
   const sumOtherLoads = (): void => {
     const alive = peers.listAlive().filter(({ name }) => name !== self.name);
@@ -202,25 +315,46 @@
     }
   };
 
-  const tell = async (address: string, body: PeerNews): Promise<void> => {
-    const answer = await options.peerPort.tell(address, body);
-    if (answer !== undefined) peers.takeAnswer(answer);
-  };
   return {
     peers,
-    step: async () => {
+    step: () => {
       peers.sweep();
       sumOtherLoads();
+      for (const [reason, at] of askedAt) {
+        if (now() - at > ASK_NODES_MILLISECONDS) askedAt.delete(reason);
+      }
       const targets = peers.pickTargets();
-      const body = peers.createMessage();
-      const addresses = targets.length > 0 ? targets : options.seeds;
-      await Promise.all(addresses.map((address) => tell(address, body)));
-      return ROUND_MILLISECONDS;
+      const { tells } = encodeRound();
+      for (const address of targets) peerPort.send(address, tells);
+      if (targets.length === 0)
+        for (const address of options.seeds) askFor(`seed ${address}`, address);
+      return Promise.resolve(ROUND_MILLISECONDS);
+    },
+    receive,
+    answer: (value) => {
+      const parsed = questionSchema.safeParse(value);
+      if (!parsed.success) return undefined;
+      const question = parsed.data;
+      peers.introduce([question.node]);
+      const revision = getRevision();
+      const isBehind = question.version < state.getVersion();
+      const needsEntries = !question.isReachable && question.revision < revision;
+      return {
+        nodes: peers.listAlive(),
+        revision,
+        ...(isBehind && { configuration: state.getText() }),
+        ...(needsEntries && { entries: state.listEntries() }),
+      };
+    },
+    passOn: (changes) => {
+      const bytes = encodeChanges(changes, self.incarnation);
+      for (const { peerAddress } of peers.listGroup()) peerPort.send(peerAddress, bytes);
     },
     noteGone: (endpoint) => {
       goneAt.set(endpoint, now());
     },
     readLoadAge: () => now() - loadHeardAt,
     countUnheardNodes: () => unheardNodes,
+    countUnreadable: () => unreadable,
   };
 }
--- a/src/process/site/followStore/index.ts
+++ b/src/process/site/followStore/index.ts
@@ -1,9 +1,23 @@
 /**
- * Following of the store's items by one watch.
+ * Following of the store's items: by watches of this node, or through other nodes that watch.
  */
 import type { Store, StoreItem } from '../../../types/store/index.js';
 import type { SiteLogger } from '../createSiteLogger/index.js';
 
+/**
+ * How a node follows the store: by itself, for other nodes too, or through nodes that do so.
+ */
+export type FollowerRole = 'alone' | 'forOthers' | 'throughOthers';
+
+/** Changes between two revisions of the store. */
+export interface ChangeBatch {
+  readonly after: number;
+  readonly revision: number;
+  readonly items: readonly StoreItem[];
+  /** Whether items are left out for their length. */
+  readonly isShortened: boolean;
+}
+
 /** Follower of the store. */
 export interface StoreFollower {
   /** One round; resolves to the pause before the next one, in milliseconds. */
@@ -16,6 +30,10 @@
   readonly getRevision: () => number;
   /** Removes an item at once that is missing but was kept for a time after an outage. */
   readonly confirmRemoval: (key: string) => void;
+  /** Takes changes that another node read and passed on. */
+  readonly takeChanges: (batch: ChangeBatch) => void;
+  /** Notes that what a shortened batch left out has come another way. */
+  readonly settle: () => void;
 }
 
 /** Options of {@link createStoreFollower}. */
@@ -26,6 +44,10 @@
   readonly onItem: (key: string, value: Buffer | undefined) => void;
   /** Nodes that follow the store. */
   readonly countNodes: () => number;
+  /** `alone` by default. */
+  readonly getRole?: () => FollowerRole;
+  /** Called with what a watch told while this node follows for others. */
+  readonly onChanges?: (batch: ChangeBatch) => void;
 }
 
 /** A watch returns after this time at the latest, so that a silent connection is noticed soon. */
@@ -38,9 +60,21 @@
 /** Pause between two watches for each node, in which changes gather: each change wakes all nodes. */
 const GATHER_MILLISECONDS_A_NODE = 20;
 const LONGEST_GATHER_MILLISECONDS = 600;
+/** Watches of a node that follows for others: short, since each answer tells them that it still does. */
+const RELAYED_WATCH_MILLISECONDS = 1_000;
+const RELAYED_GATHER_MILLISECONDS = 300;
+/** How long a node that follows through others goes without hearing from them before it watches. */
+const CONFIRMED_MILLISECONDS = 1_800;
+/** Longest pause between two looks at whether the others still tell. */
+const LISTEN_MILLISECONDS = 400;
+/** How long what a shortened batch left out may take to come another way. */
+const OWED_MILLISECONDS = 1_500;
 /** Pauses before the next try while the store does not answer. */
 const FIRST_RETRY_MILLISECONDS = 200;
 const LONGEST_RETRY_MILLISECONDS = 800;
+/** More of the longest pause for each node beyond a few, and at most: refused calls cost, too. */
+const LONGEST_RETRY_MILLISECONDS_A_NODE = 6;
+const MOST_RETRY_MILLISECONDS = 2_000;
 /** Time after the store's return in which entries that lapsed meanwhile may come back. */
 const RETURN_GRACE_MILLISECONDS = 2_200;
 
@@ -58,6 +92,7 @@
  */
 export function createStoreFollower(options: CreateStoreFollowerOptions): StoreFollower {
   const { store, logger, now, onItem, countNodes } = options;
+  const { getRole = () => 'alone', onChanges = () => undefined } = options;
   const known = new Set<string>();
   const removals = new Map<string, number>();
   let revision: number | undefined;
@@ -65,6 +100,10 @@
   let hadOutage = false;
   let returnedAt = Number.NEGATIVE_INFINITY;
   let retryPause = FIRST_RETRY_MILLISECONDS;
+  /** When this node last knew that nothing was missing. */
+  let confirmedAt = Number.NEGATIVE_INFINITY;
+  /** Revision before the oldest item that a shortened batch left out, and when that was. */
+  let owed: { readonly after: number; readonly at: number } | undefined;
 
   const remove = (key: string): void => {
     known.delete(key);
@@ -91,6 +130,7 @@
   };
   const noteAnswer = (): void => {
     retryPause = FIRST_RETRY_MILLISECONDS;
+    confirmedAt = now();
     if (isReachable) return;
     isReachable = true;
     returnedAt = now();
@@ -103,7 +143,9 @@
       logger.log('store-lost', { reason, revision: revision ?? 0 });
     }
     const pause = retryPause;
-    retryPause = Math.min(LONGEST_RETRY_MILLISECONDS, 2 * retryPause);
+    const more = LONGEST_RETRY_MILLISECONDS_A_NODE * Math.max(0, countNodes() - FEW_NODES);
+    const longest = Math.min(MOST_RETRY_MILLISECONDS, LONGEST_RETRY_MILLISECONDS + more);
+    retryPause = Math.min(longest, 2 * retryPause);
     return pause;
   };
   const readAll = async (): Promise<number> => {
@@ -117,11 +159,8 @@
     revision = result.value.revision;
     return 0;
   };
-  const watch = async (after: number): Promise<number> => {
-    const longest = Math.min(
-      LONGEST_WATCH_MILLISECONDS,
-      WATCH_MILLISECONDS + WATCH_MILLISECONDS_A_NODE * Math.max(0, countNodes() - FEW_NODES),
-    );
+  /** One watch; resolves to its changes, or to the pause after a failure. */
+  const watch = async (after: number, longest: number): Promise<ChangeBatch | number> => {
     const nextRemoval = Math.min(...removals.values(), now() + longest);
     const waitMilliseconds = Math.max(1, Math.ceil(nextRemoval - now()));
     const result = await store.watch({ prefix: '', after, waitMilliseconds });
@@ -132,14 +171,43 @@
     }
     if (result.kind !== 'done') return noteFailure(result.reason);
     noteAnswer();
-    for (const item of result.value.items) apply(item);
-    revision = Math.max(after, result.value.revision);
+    owed = undefined;
+    const { items } = result.value;
+    for (const item of items) apply(item);
+    revision = Math.max(revision ?? after, result.value.revision);
+    return { after, revision: Math.max(after, result.value.revision), items, isShortened: false };
+  };
+  const followAlone = async (after: number): Promise<number> => {
+    const longest = Math.min(
+      LONGEST_WATCH_MILLISECONDS,
+      WATCH_MILLISECONDS + WATCH_MILLISECONDS_A_NODE * Math.max(0, countNodes() - FEW_NODES),
+    );
+    const batch = await watch(after, longest);
+    if (typeof batch === 'number') return batch;
     return Math.min(LONGEST_GATHER_MILLISECONDS, GATHER_MILLISECONDS_A_NODE * countNodes());
   };
+  const followForOthers = async (after: number): Promise<number> => {
+    const batch = await watch(after, RELAYED_WATCH_MILLISECONDS);
+    if (typeof batch === 'number') return batch;
+    onChanges(batch);
+    return batch.items.length > 0 ? RELAYED_GATHER_MILLISECONDS : 0;
+  };
+  const followThroughOthers = async (after: number): Promise<number> => {
+    const isOverdue = owed !== undefined && now() - owed.at > OWED_MILLISECONDS;
+    const left = confirmedAt + CONFIRMED_MILLISECONDS - now();
+    if (left > 0 && !isOverdue) return Math.min(LISTEN_MILLISECONDS, left);
+    const batch = await watch(owed?.after ?? after, RELAYED_WATCH_MILLISECONDS);
+    return typeof batch === 'number' ? batch : 0;
+  };
+  const follow: Readonly<Record<FollowerRole, (after: number) => Promise<number>>> = {
+    alone: followAlone,
+    forOthers: followForOthers,
+    throughOthers: followThroughOthers,
+  };
 
   return {
     step: async () => {
-      const pause = revision === undefined ? await readAll() : await watch(revision);
+      const pause = revision === undefined ? await readAll() : await follow[getRole()](revision);
       removeDue();
       return pause;
     },
@@ -149,5 +217,21 @@
     confirmRemoval: (key) => {
       if (removals.has(key)) remove(key);
     },
+    takeChanges: ({ after, revision: upTo, items, isShortened }) => {
+      if (revision === undefined || upTo < revision) return;
+      if (after > revision) {
+        // Something is missing in between, which a watch brings at once.
+        confirmedAt = Number.NEGATIVE_INFINITY;
+        return;
+      }
+      noteAnswer();
+      const before = revision;
+      for (const item of items) if (item.revision > before) apply(item);
+      revision = upTo;
+      if (isShortened) owed ??= { after: before, at: now() };
+    },
+    settle: () => {
+      owed = undefined;
+    },
   };
 }
--- a/src/process/site/registerNode/index.ts
+++ b/src/process/site/registerNode/index.ts
@@ -1,6 +1,7 @@
 /**
  * Registration of this node in the store, for nodes that start later.
  */
+import { rankRendezvous } from '../../hashRendezvous/index.js';
 import type { Store } from '../../../types/store/index.js';
 
 /** Options of {@link createRegistration}. */
@@ -9,6 +10,8 @@
   readonly key: string;
   /** What the store shall hold under the key. */
   readonly getValue: () => string;
+  /** Whether the node shall be registered now. */
+  readonly isWanted: () => boolean;
 }
 
 /** Registration of a node. */
@@ -22,11 +25,30 @@
 const LEASE_MILLISECONDS = 15_000;
 const ROUND_MILLISECONDS = 5_000;
 const RETRY_MILLISECONDS = 1_000;
+/** Time in which a new node gets to know its neighbours, and whether they register already. */
+const FIRST_PAUSE_MILLISECONDS = 1_500;
+
+/** Nodes of an availability zone that are registered; they know all others. */
+const INTRODUCERS = 4;
+
+/**
+ * Tells whether a node is one of those that introduce newcomers to the nodes of their zone.
+ *
+ * @param self - name of the node
+ * @param neighbours - names of the living nodes of its availability zone, itself included
+ * @returns whether it is
+ * @example
+ * isIntroducer('node-1', ['node-1', 'node-2']); // true
+ */
+export function isIntroducer(self: string, neighbours: readonly string[]): boolean {
+  return rankRendezvous('introduces', neighbours).slice(0, INTRODUCERS).includes(self);
+}
 
 /**
  * Creates a registration under a lease.
  *
- * It only introduces nodes to each other: that a node lives is learnt from its messages.
+ * It only introduces nodes to each other: that a node lives is learnt from its messages. A node that
+ * is no longer wanted lets its lease lapse.
  *
  * @param options - the store, the key and the value
  * @returns the registration
@@ -34,8 +56,9 @@
  * createRegistration({ store, key: 'nodes/node-1', getValue }).step();
  */
 export function createRegistration(options: CreateRegistrationOptions): Registration {
-  const { store, key, getValue } = options;
+  const { store, key, getValue, isWanted } = options;
   let lease: number | undefined;
+  let hasWaited = false;
   const keep = async (held: number): Promise<number> => {
     const kept = await store.keepLease(held);
     if (kept.kind === 'done') return ROUND_MILLISECONDS;
@@ -56,7 +79,17 @@
     return ROUND_MILLISECONDS;
   };
   return {
-    step: () => (lease === undefined ? begin() : keep(lease)),
+    step: () => {
+      if (!hasWaited) {
+        hasWaited = true;
+        return Promise.resolve(FIRST_PAUSE_MILLISECONDS);
+      }
+      if (!isWanted()) {
+        lease = undefined;
+        return Promise.resolve(RETRY_MILLISECONDS);
+      }
+      return lease === undefined ? begin() : keep(lease);
+    },
     end: async () => {
       if (lease !== undefined) await store.endLease(lease);
     },
--- /dev/null
+++ b/src/process/site/splitChanges/index.ts
@@ -0,0 +1,61 @@
+/**
+ * Splitting of changes of the store into parts that fit into datagrams.
+ */
+import type { StoreItem } from '../../../types/store/index.js';
+import type { ChangeBatch } from '../followStore/index.js';
+
+/** Longest value that is passed on, in bytes; longer ones are asked for. */
+const MOST_VALUE_BYTES = 900;
+/** Bytes of items in one part. */
+const MOST_PART_BYTES = 1_100;
+/** Items of a batch beyond which none is passed on: who misses them reads them from the store. */
+const MOST_ITEMS = 48;
+/** Bytes that an item takes beside its key and value. */
+const ITEM_BYTES = 12;
+
+function countBytes({ key, value }: StoreItem): number {
+  return key.length + (value?.length ?? 0) + ITEM_BYTES;
+}
+
+/**
+ * Splits a batch of changes.
+ *
+ * Each part names the revision after which it holds all changes, so that a lost one leaves a gap that
+ * its receiver notices. Changes of one revision stay together.
+ *
+ * @param batch - the changes
+ * @returns the parts in order; at least one
+ * @example
+ * splitChanges({ after: 5, revision: 7, items: [], isShortened: false }).length; // 1
+ */
+export function splitChanges({ after, revision, items }: ChangeBatch): ChangeBatch[] {
+  // The gap that this leaves lets its receivers watch.
+  if (items.length > MOST_ITEMS)
+    return [{ after: revision, revision, items: [], isShortened: false }];
+  const sorted = [...items].sort((left, right) => left.revision - right.revision);
+  const parts: ChangeBatch[] = [];
+  let part: StoreItem[] = [];
+  let bytes = 0;
+  let isShortened = false;
+  let begin = after;
+  const close = (end: number): void => {
+    parts.push({ after: begin, revision: end, items: part, isShortened });
+    begin = end;
+    part = [];
+    bytes = 0;
+    isShortened = false;
+  };
+  let last = after;
+  for (const item of sorted) {
+    const isLong = (item.value?.length ?? 0) > MOST_VALUE_BYTES;
+    const isFull = bytes + (isLong ? 0 : countBytes(item)) > MOST_PART_BYTES;
+    if (isFull && item.revision > last && part.length > 0) close(last);
+    last = item.revision;
+    isShortened ||= isLong;
+    if (isLong) continue;
+    part.push(item);
+    bytes += countBytes(item);
+  }
+  close(revision);
+  return parts;
+}
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -103,13 +103,23 @@
   const callerServer = createCallerServer((incoming, response) => {
     handler.handle(incoming, response);
   });
+  const peerPort = await createPeerPort({
+    address: self.peerAddress,
+    lifeCycle,
+    onMessage: (bytes, address) => {
+      core.exchange.receive(bytes, address);
+    },
+    onFailure: (error) => {
+      logger.log('loop-failed', { loop: 'messages', reason: error.message });
+    },
+  });
   const core: SiteCore = createSiteNode({
     self,
     seeds: options.seeds,
     clock,
     store,
     endpointPort: createEndpointPort(wire),
-    peerPort: createPeerPort(lifeCycle),
+    peerPort,
     logger,
     decoders: options.decoders,
     keys: options.keys,
@@ -143,7 +153,7 @@
   });
   lifeCycle.own({ name: 'store connections', close: store.close });
   await startListeners(lifeCycle, [
-    { name: 'peers', server: createPeerServer(exchange.peers.receive), address: self.peerAddress },
+    { name: 'peers', server: createPeerServer(exchange.answer), address: self.peerAddress },
     { name: 'directory', server: directoryServer, address: options.directoryAddress },
     { name: 'callers', server: callerServer, address: self.callerAddress },
     { name: 'readiness', server: readinessServer, address: options.readinessAddress },
