--- a/scripts/buildPlatform.ts
+++ b/scripts/buildPlatform.ts
@@ -7,6 +7,7 @@
 import { resolve } from 'node:path';
 import { Script } from 'node:vm';
 import { build, type BuildOptions } from 'esbuild';
+import type { BundleFunction } from '../platform/loadBundle.js';
 import { exerciseNodes, type NodeProgram } from './exerciseNodes/index.js';
 
 const BUNDLE = 'target/marjoramcleat-platform.bundle.js';
@@ -25,14 +26,6 @@
   define: { 'process.env.NODE_ENV': '"production"' },
 };
 
-type BundleFunction = (
-  exports: object,
-  require: NodeJS.Require,
-  module: { exports: object },
-  filename: string,
-  folder: string,
-) => void;
-
 /** Loads the bundle as the program does. */
 function loadProgram(script: Script): NodeProgram {
   const bundle = { exports: {} };
--- a/scripts/exerciseNodes/index.ts
+++ b/scripts/exerciseNodes/index.ts
@@ -7,6 +7,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { Writable } from 'node:stream';
+import { sleep } from '../../bench/sleep/index.js';
 import {
   createNodeSettings,
   PLATFORM_SITE_HOST,
@@ -32,10 +33,6 @@
 const ORDERS_MILLISECONDS = 4_000;
 const PAUSE_MILLISECONDS = 40;
 
-function sleep(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 /** Ports that are free at the same time. */
 async function findFreePorts(count: number): Promise<number[]> {
   const servers = Array.from({ length: count }, () => createServer());
