--- a/src/process/relay/openEndpointCall/index.ts
+++ b/src/process/relay/openEndpointCall/index.ts
@@ -27,6 +27,9 @@
 /** Bytes that may come without any of the answer's body, such as of its head or between chunks. */
 const MOST_BYTES_WITHOUT_BODY = 262_144;
 
+/** Interim answers that may come before the answer. */
+const MOST_INTERIM_ANSWERS = 256;
+
 /** Tells whether only the end of the connection marks the end of an answer. */
 function isEndedByConnection({ headers }: IncomingMessage): boolean {
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
@@ -90,6 +93,11 @@
     bytesWithoutBody += bytes;
     if (bytesWithoutBody > MOST_BYTES_WITHOUT_BODY) fail('answer without a body');
   };
+  let interimAnswers = 0;
+  const noteInterimAnswer = (): void => {
+    interimAnswers += 1;
+    if (interimAnswers > MOST_INTERIM_ANSWERS) fail('interim answers');
+  };
   const connectTimer = setTimeout(() => {
     fail('connect timeout');
   }, CONNECT_MILLISECONDS);
@@ -106,6 +114,7 @@
       if (answer && isEndedByConnection(answer)) wasReset = probeReset(socket);
     });
   });
+  outgoing.on('information', noteInterimAnswer);
   outgoing.on('error', (error) => {
     // Bytes after a whole answer belong to no request, and take nothing from it.
     if (!answer?.complete) fail(error.message);
