Let the endless stand-in write large pieces

The stand-in wrote interim answers and header lines in pieces of 27 and 98 bytes, a system call each, and it shares its process with the node: the node did not run for 6 to 8 s ("interim answers", 504 for 502), and the sound endpoint beside it was lost meanwhile (tests 19 and 20). Change: short pieces are repeated up to 16 KiB. What is sent, and every check, stays; a failure now prints the node's log.

--- a/tests/endlessAnswers.test.ts
+++ b/tests/endlessAnswers.test.ts
@@ -25,6 +25,11 @@
 /** Bytes that a node may read of one answer before it drops the connection. */
 const MOST_READ_BYTES = 16 * 1_024 * 1_024;
 const PIECE_BYTES = 16_384;
+
+/** Repeats a text up to the usual size of a piece, so that few writes carry many bytes. */
+function fillPiece(text: string): string {
+  return text.repeat(Math.ceil(PIECE_BYTES / text.length));
+}
 /** Time that requests may take, in milliseconds. */
 const PATIENCE_MILLISECONDS = 20_000;
 const FILLER = 'x'.repeat(PIECE_BYTES);
@@ -46,15 +51,19 @@
 const WHOLE_ANSWERS: Readonly<Record<string, EndlessAnswer>> = {
   'a status line': { start: 'HTTP/1.1 200 ', piece: FILLER, status: 502 },
   'a header': { start: `${STATUS}Long: `, piece: FILLER, status: 502 },
-  'a header block': { start: STATUS, piece: `Name: ${'x'.repeat(90)}\r\n`, status: 502 },
-  'interim answers': { start: '', piece: 'HTTP/1.1 102 Processing\r\n\r\n', status: 502 },
+  'a header block': { start: STATUS, piece: fillPiece(`Name: ${'x'.repeat(90)}\r\n`), status: 502 },
+  'interim answers': {
+    start: '',
+    piece: fillPiece('HTTP/1.1 102 Processing\r\n\r\n'),
+    status: 502,
+  },
   'a chunk size': { start: CHUNKED, piece: '0'.repeat(PIECE_BYTES), status: 502 },
   'a chunk extension': { start: `${CHUNKED}1;`, piece: FILLER, status: 502 },
   'a chunked body': { start: CHUNKED, piece: CHUNK, status: 502 },
   'a trailer': { start: `${CHUNKED}0\r\nLong: `, piece: FILLER, status: 502 },
   'a block of trailers': {
     start: `${CHUNKED}0\r\n`,
-    piece: `Name: ${'x'.repeat(90)}\r\n`,
+    piece: fillPiece(`Name: ${'x'.repeat(90)}\r\n`),
     status: 502,
   },
   'a body that only the connection ends': {
@@ -85,7 +94,11 @@
     status: 502,
   },
   'the body of a refusal': { start: `${FULL}\r\n`, piece: FILLER, status: 503 },
-  'the head of a stream': { start: STATUS, piece: `Name: ${'x'.repeat(90)}\r\n`, status: 502 },
+  'the head of a stream': {
+    start: STATUS,
+    piece: fillPiece(`Name: ${'x'.repeat(90)}\r\n`),
+    status: 502,
+  },
 };
 
 const LAYERS = { from: 0, to: 4 };
@@ -280,7 +293,7 @@
   );
   for (let index = 0; index < 4; index += 1) {
     const answer = await ask();
-    assert.equal(answer.status, 200);
+    assert.equal(answer.status, 200, `${answer.body} ${node.logs.slice(-20).join('\n')}`);
     assert.equal(answer.body, 'id: 1\ndata: t1\n\n');
   }
 });
@@ -300,7 +313,8 @@
       .slice(seen)
       .some((line) => line.includes('"endpoint-lost"') && line.includes('"engine-1"')),
   );
-  for (const answer of await answers) assert.equal(answer.status, 200);
+  for (const answer of await answers)
+    assert.equal(answer.status, 200, `${answer.body} ${node.logs.slice(-30).join('\n')}`);
   await waitFor('the connection is dropped', () => engine.isClosed);
   assert.ok(engine.written < MOST_READ_BYTES, `${engine.written} bytes were taken`);
 });
