Tell the beats of the whole neighbourhood, and take silent nodes for lost after 1.7 s

A message held the beats of 20 of 38 neighbours, so that beats were late by chance and the silence had to be 2.4 s to make no false losses. Change: 40 beats of the own availability zone, 1.7 s of silence, the same for every size of zone. The test plays four victims instead of one, and is no longer marked. Before: 3.3 s, one victim.

--- a/src/process/site/createPeers/index.ts
+++ b/src/process/site/createPeers/index.ts
@@ -52,9 +52,8 @@
   readonly sweep: () => void;
 }
 
-/** Silence after which a node counts as lost, in milliseconds, and more for each node of its zone. */
-const LOST_MILLISECONDS = 2_000;
-const LOST_MILLISECONDS_A_NODE = 10;
+/** Silence after which a node counts as lost, in milliseconds. */
+const LOST_MILLISECONDS = 1_700;
 /** The same for a node of another zone whose beats come seldom; its own zone tells of its loss. */
 const FAR_LOST_MILLISECONDS = 20_000;
 /** Silence of all nodes of another zone, towards the own zone, after which they count as lost. */
@@ -75,7 +74,7 @@
 /** Share of rounds in which a lost node is tried again. */
 const LOST_TRY_SHARE = 0.25;
 /** Beats in one message at most, of nodes of the own availability zone and of others. */
-const MOST_NEAR_BEATS = 20;
+const MOST_NEAR_BEATS = 40;
 const MOST_FAR_BEATS = 10;
 /** How long changes of nodes go along with messages, in milliseconds, and how many at most. */
 const NEWS_MILLISECONDS = 3_000;
@@ -220,13 +219,12 @@
       ({ isLost, isLossTold, lostAt }) => isLost && isLossTold && isRecent(lostAt),
     );
   };
-  const findLimit = (entry: Known, neighbours: number): number => {
+  const findLimit = (entry: Known): number => {
     const isAlwaysTold = known.size <= MOST_FAR_BEATS;
-    if (!isNear(entry) && !isAlwaysTold) return FAR_LOST_MILLISECONDS;
-    return LOST_MILLISECONDS + LOST_MILLISECONDS_A_NODE * neighbours;
+    return isNear(entry) || isAlwaysTold ? LOST_MILLISECONDS : FAR_LOST_MILLISECONDS;
   };
-  const isSilent = (entry: Known, neighbours: number): boolean => {
-    if (now() - entry.heardAt > findLimit(entry, neighbours)) return true;
+  const isSilent = (entry: Known): boolean => {
+    if (now() - entry.heardAt > findLimit(entry)) return true;
     const zoneHeard = zoneHeardAt.get(entry.node.availabilityZone) ?? entry.heardAt;
     const since = Math.max(zoneHeard, entry.changedAt);
     return !isNear(entry) && now() - since > ZONE_LOST_MILLISECONDS;
@@ -304,9 +302,8 @@
       return true;
     },
     sweep: () => {
-      const neighbours = [...known.values()].filter(isNear).length;
       for (const [name, entry] of known) {
-        if (!entry.isLost && isSilent(entry, neighbours)) lose(entry, isNear(entry));
+        if (!entry.isLost && isSilent(entry)) lose(entry, isNear(entry));
         if (now() - entry.heardAt <= FORGOTTEN_MILLISECONDS) continue;
         known.delete(name);
         byTag.delete(entry.tag);
--- a/src/process/site/createPeers/test.ts
+++ b/src/process/site/createPeers/test.ts
@@ -126,18 +126,14 @@
   return Number.POSITIVE_INFINITY;
 }
 
-const LATE_LOSS = { todo: 'listed in KNOWN-RED.txt' };
-
-test(
-  'in a large site the death of a node is known to 99 in 100, in all zones, within three seconds',
-  LATE_LOSS,
-  () => {
+test('in a large site the death of a node is known to 99 in 100, in all zones, within three seconds', () => {
+  for (const victim of ['n7', 'n11', 'n100', 'n194']) {
     const cluster = createCluster(195, 5);
     for (let round = 0; round < 20; round += 1) cluster.round();
-    const time = measureLoss(cluster, 'n7', 0.99);
-    assert.ok(time <= 3_000, `${time} ms`);
-  },
-);
+    const time = measureLoss(cluster, victim, 0.99);
+    assert.ok(time <= 3_000, `${victim}: ${time} ms`);
+  }
+});
 
 test('a zone that falls silent as a whole is lost to the others within five seconds', () => {
   const cluster = createCluster(100, 5);
