Let requests wait for a moment at a node that has just started

The log shows 136 requests in the tenth of a second after clients got addresses again, all refused as notConfigured: the store answered 0.6 s later, and the clients had no tries left. After the first configuration 217 more were refused for want of a path: entries of the registry that lapsed come back one by one. Ruled out: the time to come back (0.3 s) alone, as clients come back a few times only; the wait for the store, which is the store's own (all nodes reached it within 0.4 s).

--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -69,12 +69,15 @@
     const arrivedAt = now();
     const caller = translation.readRequest(incoming.headers);
     const port = createCallerResponse(response);
+    const hasGone = (): boolean => response.destroyed;
     const refuse = (code: ResultCodeName, retryAfterSeconds?: number): void => {
       // What is left of the body would be read as the next request.
       const closes = !incoming.complete;
       answerFailure(port, { code, retryAfterSeconds, closes });
       incoming.resume();
     };
+    await relay.waitForStart(caller);
+    if (hasGone()) return;
     const { url = '/', method = 'GET', rawHeaders } = incoming;
     const host = incoming.headers.host ?? '';
     const headerBytes = countHeaderBytes(incoming);
@@ -91,7 +94,7 @@
         timeoutMilliseconds: limits.headerTimeoutMilliseconds,
         memory,
       });
-      if (outcome.kind === 'gone' || response.destroyed) return;
+      if (outcome.kind === 'gone' || hasGone()) return;
       if (outcome.kind !== 'whole') {
         const { code, retryAfterSeconds } = BODY_REFUSALS[outcome.kind];
         options.metrics.count('refusals', code);
--- a/src/process/relay/createRelay/index.ts
+++ b/src/process/relay/createRelay/index.ts
@@ -18,6 +18,7 @@
 import { createRequestLog } from '../createRequestLog/index.js';
 import { relayStream } from '../relayStream/index.js';
 import { relayWhole } from '../relayWhole/index.js';
+import type { StartGate } from '../createStartGate/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
 /** Options of {@link createRelay}. */
@@ -26,6 +27,10 @@
   readonly getCompiled: () => CompiledSite | undefined;
   /** When the node began to leave, if it did. */
   readonly getLeavingSince: () => number | undefined;
+  /** Opens with the first configuration. */
+  readonly configurationGate: Pick<StartGate, 'wait'>;
+  /** Opens when the node first knows endpoints for each layer, or soon after. */
+  readonly coverGate: Pick<StartGate, 'wait'>;
 }
 
 /** A request whose body has been read. */
@@ -39,6 +44,8 @@
 
 /** Relay of one node. */
 export interface Relay {
+  /** Resolves when the node has a configuration, or when the caller should wait no longer. */
+  readonly waitForStart: (caller: CallerRequest) => Promise<void>;
   readonly admit: (head: RequestHead) => Admission;
   /** Resolves when the caller has its answer or has gone. */
   readonly run: (request: WholeRequest) => Promise<void>;
@@ -56,6 +63,8 @@
 const NO_SERVICE_RETRY_SECONDS = 0.3;
 /** How long before the caller's deadline its final answer is sent, in milliseconds. */
 const DEADLINE_MARGIN_MILLISECONDS = 30;
+/** Share of a caller's time for which its request waits at a node that has just started. */
+const START_PATIENCE_SHARE = 0.5;
 const DEFAULT_PRIORITY = 5;
 const MOST_PRIORITY = 9;
 
@@ -88,9 +97,14 @@
  * createRelay(options).admit(head);
  */
 export function createRelay(options: CreateRelayOptions): Relay {
-  const { context, getCompiled, getLeavingSince } = options;
+  const { context, getCompiled, getLeavingSince, configurationGate, coverGate } = options;
   const { clock, metrics, logger, budget, random } = context;
   return {
+    waitForStart: ({ deadlineMilliseconds }) => {
+      if (getLeavingSince() !== undefined) return Promise.resolve();
+      const patience = deadlineMilliseconds ?? Number.POSITIVE_INFINITY;
+      return configurationGate.wait(patience * START_PATIENCE_SHARE);
+    },
     admit: (head) => {
       const leavingSince = getLeavingSince();
       const leavingMilliseconds =
@@ -125,6 +139,10 @@
       });
       metrics.count('requests', route.kind);
       budget.noteRequest(service.name, clock.now());
+      if (route.kind === 'stream') {
+        await coverGate.wait((finalAt - clock.now()) * START_PATIENCE_SHARE);
+      }
+      if (!response.isOpen()) return;
       await HANDLERS[route.kind](context, {
         caller,
         forwarded,
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -13,8 +13,10 @@
 import { createBodyAllowance } from '../../relay/createBodyAllowance/index.js';
 import { createExaminer } from '../../relay/createExaminer/index.js';
 import { createRelay, type Relay } from '../../relay/createRelay/index.js';
+import { createStartGate } from '../../relay/createStartGate/index.js';
 import { createRelayMetrics, type RelayMetrics } from '../../relay/createRelayMetrics/index.js';
 import type { RelayContext } from '../../relay/types/index.js';
+import { watchCover } from '../../relay/watchCover/index.js';
 import type { SiteLogger } from '../createSiteLogger/index.js';
 import {
   createSiteState,
@@ -121,6 +123,19 @@
   const metrics = createRelayMetrics();
   const { onConfiguration } = options;
   const lostListeners = createLostListeners();
+  const configurationGate = createStartGate({ clock });
+  const coverGate = createStartGate({ clock });
+  let watchesCover = false;
+  const startWatchingCover = (): void => {
+    if (watchesCover) return;
+    watchesCover = true;
+    watchCover({
+      gate: coverGate,
+      clock,
+      endpoints: state.endpoints,
+      listServices: () => state.getCompiled()?.configuration.services ?? [],
+    });
+  };
   const state = createSiteState({
     decoders,
     logger,
@@ -128,6 +143,8 @@
     parse: parseJson,
     onConfiguration: (compiled) => {
       onConfiguration(compiled);
+      configurationGate.open();
+      startWatchingCover();
       follower.settle();
       // Others hear of it without waiting for the next round.
       void exchange.step();
@@ -259,7 +276,7 @@
     random,
     metrics,
     state,
-    relay: createRelay({ context, getCompiled, getLeavingSince }),
+    relay: createRelay({ context, getCompiled, getLeavingSince, configurationGate, coverGate }),
     exchange,
     follower,
     planner,
--- /dev/null
+++ b/tests/nodeStart.test.ts
@@ -0,0 +1,104 @@
+/**
+ * Requests that reach a node before its first configuration.
+ */
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, test } from 'node:test';
+import {
+  serveSiteEndpoint,
+  createSeal,
+  writeEvents,
+  type SiteEndpoint,
+} from '../standins/serveSiteEndpoint/index.js';
+import type { SiteStore } from '../standins/serveSiteStore/index.js';
+import {
+  call,
+  createWireConfiguration,
+  MODEL_SERVICE,
+  PLAIN_SERVICE,
+  registerEndpoint,
+  startNode,
+  startStore,
+  waitUntilReady,
+  type CallerAnswer,
+  type TestNode,
+} from './support/siteNodes/index.js';
+
+const LAYERS = { from: 0, to: 4 };
+const BEFORE_CONFIGURATION_MILLISECONDS = 300;
+
+let store: SiteStore;
+let endpoint: SiteEndpoint;
+let node: TestNode;
+
+beforeEach(async () => {
+  store = await startStore();
+  endpoint = await serveSiteEndpoint({
+    id: 'engine-1',
+    behave: (request, response) => {
+      response.writeHead(200, createSeal(request));
+      response.end('booked');
+    },
+  });
+  registerEndpoint(store, endpoint, PLAIN_SERVICE);
+  node = await startNode('node-1', store);
+});
+
+afterEach(async () => {
+  await node.node.leave();
+  await Promise.all([endpoint.crash(), store.close()]);
+});
+
+function book(): Promise<CallerAnswer> {
+  return call({ address: node.callers, path: '/book/one', method: 'POST', body: 'book' });
+}
+
+test('a request that comes before the configuration is served when it is there', async () => {
+  const answers = Promise.all([book(), book(), book()]);
+  await new Promise((resolve) => setTimeout(resolve, BEFORE_CONFIGURATION_MILLISECONDS));
+  store.put('op/config', createWireConfiguration(1));
+  for (const { status, body } of await answers) {
+    assert.equal(status, 200, body);
+    assert.equal(body, 'booked');
+  }
+  assert.equal(endpoint.received.length, 3);
+});
+
+test('without a configuration a request is refused as not run, with a time to come back', async () => {
+  const { status, headers } = await book();
+  assert.equal(status, 503);
+  assert.ok(Number(headers['retry-after']) > 0, String(headers['retry-after']));
+  assert.equal(endpoint.received.length, 0);
+});
+
+test('a caller that goes while its request waits leaves nothing behind', async () => {
+  const [host, port] = node.callers.split(':');
+  const aborted = new AbortController();
+  const gone = fetch(`http://${host}:${port}/look/one`, { signal: aborted.signal });
+  await new Promise((resolve) => setTimeout(resolve, BEFORE_CONFIGURATION_MILLISECONDS));
+  aborted.abort();
+  await assert.rejects(gone);
+  store.put('op/config', createWireConfiguration(1));
+  assert.equal((await book()).status, 200);
+  assert.equal(endpoint.received.length, 1);
+});
+
+test('a stream waits for endpoints that the registry names late', async () => {
+  const engine = await serveSiteEndpoint({
+    id: 'engine-2',
+    behave: (request, response) => {
+      writeEvents(request, response, 1);
+      response.end();
+    },
+  });
+  engine.layers = LAYERS;
+  store.put('op/config', createWireConfiguration(1));
+  await waitUntilReady(node);
+  const headers = { 'Token-Counts': '20,10' };
+  const answer = call({ address: node.callers, path: '/ask/one', headers });
+  await new Promise((resolve) => setTimeout(resolve, BEFORE_CONFIGURATION_MILLISECONDS));
+  registerEndpoint(store, engine, MODEL_SERVICE, { layers: LAYERS });
+  const { status, body } = await answer;
+  await engine.crash();
+  assert.equal(status, 200, body);
+  assert.equal(body, 'id: 1\ndata: t1\n\n');
+});
