Add a fault soak of the platform's nodes as separate processes

Cause: the promises were checked in one process, by the emulator and by the users' bench; nothing put the built program, its links and its store in trouble from outside. Change: soak/ (proxy of links, endpoints with troubles, callers, a schedule drawn from a seed, forty kinds of faults, thirteen checks on what callers and endpoints see), npm run soak, a short run at the end of npm test, docs/SOAK.md. Nodes are spawned by one module, which the processor measure uses as well; each process that spawns some has a range of loopback addresses of its own. Planted faults: a relay with one of twelve defects, each found by its check; a sound one before endpoints in five modes breaks nothing (one of these found the relay's own fault: it did not end where its endpoint broke off). Each check has a record that breaks it.

--- /dev/null
+++ b/bench/askWhole/index.ts
@@ -0,0 +1,35 @@
+/**
+ * One request over HTTP of which only the status matters.
+ */
+import { request } from 'node:http';
+
+/**
+ * Asks for a path and reads the whole answer.
+ *
+ * @param address - host and port
+ * @param path - the path
+ * @param headers - headers of the request
+ * @returns the status, or 0 without a whole answer
+ * @example
+ * await askWhole('127.0.0.1:8080', '/readyz', {}); // 200
+ */
+export function askWhole(
+  address: string,
+  path: string,
+  headers: Record<string, string>,
+): Promise<number> {
+  const [host, port] = address.split(':');
+  return new Promise((resolve) => {
+    const outgoing = request({ host, port: Number(port), path, headers, agent: false });
+    outgoing.on('error', () => {
+      resolve(0);
+    });
+    outgoing.on('response', (incoming) => {
+      incoming.resume();
+      incoming.on('close', () => {
+        resolve(incoming.complete ? (incoming.statusCode ?? 0) : 0);
+      });
+    });
+    outgoing.end();
+  });
+}
--- /dev/null
+++ b/bench/spawnNode/index.ts
@@ -0,0 +1,147 @@
+/**
+ * One node of the platform's bundle as a process on a loopback address of its own.
+ */
+import { spawn } from 'node:child_process';
+import { openSync, closeSync, readFileSync, readdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { createNodeSettings } from '../../standins/servePlatformSite/index.js';
+import { askWhole } from '../askWhole/index.js';
+import { sleep } from '../sleep/index.js';
+
+/** Options of {@link spawnNode}. */
+export interface SpawnNodeOptions {
+  /** Number of the node, which decides its name and availability zone. */
+  readonly index: number;
+  /** Loopback address; {@link findHost} gives one for each node. */
+  readonly host: string;
+  readonly storeAddress: string;
+  /** Hosts of nodes to begin with. */
+  readonly seeds: readonly string[];
+  /** Folder for the settings. */
+  readonly folder: string;
+  readonly program: string;
+  /** File that log lines are added to; they are dropped by default. */
+  readonly logFile?: string;
+  /** Settings beside those of the stand-in. */
+  readonly settings?: object;
+}
+
+/** A node that runs, or ran. */
+export interface SpawnedNode {
+  readonly host: string;
+  readonly callerAddress: string;
+  readonly kill: (signal: NodeJS.Signals) => void;
+  /** Exit code; null when a signal ended the process. */
+  readonly ended: Promise<number | null>;
+  readonly hasEnded: () => boolean;
+  /** Resolves when the node says that it is ready; rejects when it does not in time. */
+  readonly waitUntilReady: () => Promise<void>;
+  /** Processor time since the start, in seconds. */
+  readonly readProcessorSeconds: () => number;
+  readonly readMemoryMegabytes: () => number;
+  /** Number of open files and sockets. */
+  readonly countDescriptors: () => number;
+}
+
+const CALLER_PORT = 8_227;
+const READINESS_PORT = 8_220;
+const DIRECTORY_PORT = 8_224;
+const PEER_PORT = 7_340;
+const NODES_A_NETWORK = 200;
+const FIRST_NETWORK = 20;
+/** Second number of the loopback addresses; runs at the same time have different ones. */
+const FIRST_RANGE = 64;
+const RANGES = 128;
+const READY_CHECK_MILLISECONDS = 50;
+const READY_TIMEOUT_MILLISECONDS = 60_000;
+const CLOCK_TICKS_PER_SECOND = 100;
+const KILOBYTES_PER_MEGABYTE = 1_024;
+
+/**
+ * Finds the loopback address of a node of this process, so that ports can be the same for all.
+ *
+ * @param index - number of the node, from 0
+ * @returns the address
+ * @example
+ * findHost(0); // '127.77.20.1' in a process whose range is 77
+ */
+export function findHost(index: number): string {
+  const range = FIRST_RANGE + (process.pid % RANGES);
+  const network = FIRST_NETWORK + Math.floor(index / NODES_A_NETWORK);
+  return `127.${range}.${network}.${1 + (index % NODES_A_NETWORK)}`;
+}
+
+function readProcessorSeconds(processId: number): number {
+  const stat = readFileSync(`/proc/${processId}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  return (Number(fields[11]) + Number(fields[12])) / CLOCK_TICKS_PER_SECOND;
+}
+
+function readPrivateMegabytes(processId: number): number {
+  const text = readFileSync(`/proc/${processId}/smaps_rollup`, 'utf8');
+  const kilobytes = [...text.matchAll(/^Private_\w+:\s+(\d+) kB/gm)].map(([, value]) =>
+    Number(value),
+  );
+  return kilobytes.reduce((sum, value) => sum + value, 0) / KILOBYTES_PER_MEGABYTE;
+}
+
+function createSettings(options: SpawnNodeOptions): object {
+  const { index, host, storeAddress, seeds, settings = {} } = options;
+  const addresses = {
+    ip: host,
+    callerPort: CALLER_PORT,
+    readinessPort: READINESS_PORT,
+    directoryPort: DIRECTORY_PORT,
+    peerPort: PEER_PORT,
+  };
+  const site = { storeAddress, seeds: seeds.map((seed) => `${seed}:${PEER_PORT}`) };
+  return { ...createNodeSettings(index, addresses, site), ...settings };
+}
+
+/**
+ * Starts a node.
+ *
+ * @param options - which node, where, and which program
+ * @returns the node, which may not be ready yet
+ * @example
+ * await spawnNode(options).waitUntilReady();
+ */
+export function spawnNode(options: SpawnNodeOptions): SpawnedNode {
+  const { index, host, folder, program, logFile } = options;
+  const settings = join(folder, `node-${index}.json`);
+  writeFileSync(settings, JSON.stringify(createSettings(options)));
+  const log = logFile === undefined ? undefined : openSync(logFile, 'a');
+  const child = spawn(process.execPath, ['--max-old-space-size=200', program], {
+    stdio: ['ignore', log ?? 'ignore', log ?? 'inherit'],
+    env: { ...process.env, MARJORAMCLEAT_BOOT: settings },
+  });
+  if (log !== undefined) closeSync(log);
+  const processId = child.pid ?? 0;
+  let hasEnded = false;
+  const ended = new Promise<number | null>((resolve) => {
+    child.once('exit', (code) => {
+      hasEnded = true;
+      resolve(code);
+    });
+  });
+  return {
+    host,
+    callerAddress: `${host}:${CALLER_PORT}`,
+    kill: (signal) => {
+      child.kill(signal);
+    },
+    ended,
+    hasEnded: () => hasEnded,
+    waitUntilReady: async () => {
+      const until = performance.now() + READY_TIMEOUT_MILLISECONDS;
+      while (performance.now() < until && !hasEnded) {
+        if ((await askWhole(`${host}:${READINESS_PORT}`, '/readyz', {})) === 200) return;
+        await sleep(READY_CHECK_MILLISECONDS);
+      }
+      throw new Error(`the node at ${host} did not become ready`);
+    },
+    readProcessorSeconds: () => readProcessorSeconds(processId),
+    readMemoryMegabytes: () => readPrivateMegabytes(processId),
+    countDescriptors: () => readdirSync(`/proc/${processId}/fd`).length,
+  };
+}
--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -5,7 +5,7 @@
 import { readdirSync } from 'node:fs';
 import { join } from 'node:path';
 
-const FOLDERS = ['src', 'platform', 'standins', 'bench', 'emulator', 'tests'];
+const FOLDERS = ['src', 'platform', 'standins', 'bench', 'emulator', 'soak', 'tests'];
 
 function listTests(folder: string): string[] {
   return readdirSync(folder, { withFileTypes: true }).flatMap((entry) => {
--- /dev/null
+++ b/scripts/soak.ts
@@ -0,0 +1,55 @@
+/**
+ * Fault soak of the platform's nodes: `npm run soak -- --seed N [--runs R] [--seconds S] [--nodes K]`.
+ */
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { describeRun } from '../soak/describeRun/index.js';
+import { runSoak } from '../soak/runSoak/index.js';
+import { readOptions } from './readOptions/index.js';
+
+const PROGRAM = 'target/marjoramcleat-platform.cjs';
+
+/** Builds the program that nodes run. */
+function buildProgram(): void {
+  const command = ['--import', 'tsx', 'scripts/buildPlatform.ts'];
+  const { status } = spawnSync(process.execPath, command, { stdio: 'inherit' });
+  if (status !== 0) process.exit(1);
+}
+
+/** Runs one seed; tells whether all promises held. Logs and observations of a failure are kept. */
+async function runSeed(seed: number, seconds: number, nodes: number, program: string) {
+  const folder = mkdtempSync(join(tmpdir(), `marjoramcleat-soak-${seed}-`));
+  const result = await runSoak({ seed, milliseconds: seconds * 1_000, nodes, program, folder });
+  console.log(`seed ${seed}, ${seconds} s of faults, ${nodes} nodes`);
+  console.log(describeRun(result, folder).join('\n'));
+  const isSound = result.violations.length === 0;
+  if (isSound) {
+    rmSync(folder, { recursive: true });
+    return true;
+  }
+  writeFileSync(join(folder, 'record.json'), JSON.stringify(result.record));
+  writeFileSync(join(folder, 'schedule.json'), JSON.stringify(result.schedule));
+  console.log(`kept in ${folder}`);
+  console.log(`again: npm run soak -- --seed ${seed} --seconds ${seconds} --nodes ${nodes}`);
+  return false;
+}
+
+const values = readOptions({
+  seed: { type: 'string', default: '1' },
+  runs: { type: 'string', default: '1' },
+  seconds: { type: 'string', default: '60' },
+  nodes: { type: 'string', default: '6' },
+  program: { type: 'string' },
+});
+if (values.program === undefined) buildProgram();
+const program = values.program ?? PROGRAM;
+const first = Number(values.seed);
+const failed: number[] = [];
+for (let seed = first; seed < first + Number(values.runs); seed += 1) {
+  const isSound = await runSeed(seed, Number(values.seconds), Number(values.nodes), program);
+  if (!isSound) failed.push(seed);
+}
+console.log(failed.length === 0 ? 'all promises held' : `broken with seeds ${failed.join(', ')}`);
+process.exit(failed.length === 0 ? 0 : 1);
--- /dev/null
+++ b/soak/drawSchedule/index.ts
@@ -0,0 +1,125 @@
+/**
+ * The faults of a run, drawn from its seed.
+ */
+import { createRandom } from '../../src/process/createRandom/index.js';
+
+/** What a fault hits. */
+export type FaultTarget = 'node' | 'endpoint' | 'store' | 'configuration';
+
+/** Kinds of faults, by what they hit, with their weights. */
+export const FAULT_KINDS = {
+  freezeNode: { target: 'node', weight: 2 },
+  killNode: { target: 'node', weight: 2 },
+  stopNode: { target: 'node', weight: 2 },
+  moveNode: { target: 'node', weight: 1 },
+  reloadNode: { target: 'node', weight: 1 },
+  delayCallers: { target: 'node', weight: 1 },
+  trickleCallers: { target: 'node', weight: 1 },
+  resetCallers: { target: 'node', weight: 1 },
+  cutToNode: { target: 'node', weight: 1 },
+  cutToCallers: { target: 'node', weight: 1 },
+  silenceCallers: { target: 'node', weight: 1 },
+  delayStoreLink: { target: 'node', weight: 1 },
+  resetStoreLink: { target: 'node', weight: 1 },
+  cutToStore: { target: 'node', weight: 1 },
+  cutFromStore: { target: 'node', weight: 1 },
+  silenceStoreLink: { target: 'node', weight: 2 },
+  repeatStoreAnswers: { target: 'node', weight: 1 },
+  delayEndpoint: { target: 'endpoint', weight: 1 },
+  trickleEndpoint: { target: 'endpoint', weight: 1 },
+  resetEndpoint: { target: 'endpoint', weight: 1 },
+  cutToEndpoint: { target: 'endpoint', weight: 1 },
+  cutFromEndpoint: { target: 'endpoint', weight: 1 },
+  silenceEndpoint: { target: 'endpoint', weight: 2 },
+  repeatEndpointAnswers: { target: 'endpoint', weight: 1 },
+  crashEndpoint: { target: 'endpoint', weight: 3 },
+  replaceEndpoint: { target: 'endpoint', weight: 1 },
+  slowEndpoint: { target: 'endpoint', weight: 1 },
+  stallEndpoint: { target: 'endpoint', weight: 2 },
+  endlessEndpoint: { target: 'endpoint', weight: 2 },
+  breakOffEndpoint: { target: 'endpoint', weight: 1 },
+  restEndpoint: { target: 'endpoint', weight: 3 },
+  fillEndpoint: { target: 'endpoint', weight: 1 },
+  leaveEndpoint: { target: 'endpoint', weight: 3 },
+  doubleEndpointAnswers: { target: 'endpoint', weight: 1 },
+  slowStore: { target: 'store', weight: 1 },
+  downStore: { target: 'store', weight: 1 },
+  losingStore: { target: 'store', weight: 1 },
+  forgetfulStore: { target: 'store', weight: 1 },
+  changeConfiguration: { target: 'configuration', weight: 3 },
+  stormConfiguration: { target: 'configuration', weight: 1 },
+} as const satisfies Record<string, { readonly target: FaultTarget; readonly weight: number }>;
+
+/** Kind of a fault. */
+export type FaultKind = keyof typeof FAULT_KINDS;
+
+/** One fault of a schedule. */
+export interface ScheduledFault {
+  /** Time since the start of the run, in milliseconds. */
+  readonly at: number;
+  readonly kind: FaultKind;
+  /** Number of the node or endpoint; 0 for what there is one of. */
+  readonly index: number;
+  /** How long it lasts, in milliseconds. */
+  readonly milliseconds: number;
+}
+
+/** Options of {@link drawSchedule}. */
+export interface DrawScheduleOptions {
+  readonly seed: number;
+  /** Length of the run, in milliseconds. */
+  readonly milliseconds: number;
+  readonly nodes: number;
+  readonly endpoints: number;
+}
+
+/** Mean pause between the beginnings of two faults, in milliseconds; bursts have a fifth of it. */
+const PAUSE_MILLISECONDS = 700;
+const BURST_SHARE = 0.25;
+const BURST_FACTOR = 0.2;
+const SHORTEST_MILLISECONDS = 200;
+const LONGEST_MILLISECONDS = 5_000;
+
+const KINDS = Object.keys(FAULT_KINDS) as FaultKind[];
+const WEIGHTS = KINDS.reduce((sum, kind) => sum + FAULT_KINDS[kind].weight, 0);
+
+function pickKind(random: () => number): FaultKind {
+  let left = random() * WEIGHTS;
+  for (const kind of KINDS) {
+    left -= FAULT_KINDS[kind].weight;
+    if (left < 0) return kind;
+  }
+  return 'changeConfiguration';
+}
+
+/**
+ * Draws a schedule: faults come in series and overlap.
+ *
+ * @param options - the seed, the length in milliseconds, and what can be hit
+ * @returns the faults in the order of their beginnings
+ * @example
+ * drawSchedule({ seed: 7, milliseconds: 30_000, nodes: 6, endpoints: 8 });
+ */
+export function drawSchedule(options: DrawScheduleOptions): ScheduledFault[] {
+  const { seed, milliseconds, nodes, endpoints } = options;
+  const random = createRandom(seed);
+  const counts: Readonly<Record<FaultTarget, number>> = {
+    node: nodes,
+    endpoint: endpoints,
+    store: 1,
+    configuration: 1,
+  };
+  const faults: ScheduledFault[] = [];
+  let at = 0;
+  for (;;) {
+    const factor = random() < BURST_SHARE ? BURST_FACTOR : 1;
+    at += -Math.log(1 - random()) * PAUSE_MILLISECONDS * factor;
+    if (at >= milliseconds) return faults;
+    const kind = pickKind(random);
+    const index = Math.floor(random() * counts[FAULT_KINDS[kind].target]);
+    const span = LONGEST_MILLISECONDS - SHORTEST_MILLISECONDS;
+    // Short faults are the usual ones.
+    const length = SHORTEST_MILLISECONDS + span * random() ** 2;
+    faults.push({ at: Math.round(at), kind, index, milliseconds: Math.round(length) });
+  }
+}
--- /dev/null
+++ b/soak/runSoak/index.ts
@@ -0,0 +1,229 @@
+/**
+ * One run: programs as separate processes, faults from outside, promises checked.
+ */
+import { mkdirSync } from 'node:fs';
+import { sleep } from '../../bench/sleep/index.js';
+import { createLifeCycle, type LifeCycle } from '../../src/process/createLifeCycle/index.js';
+import { createRandom } from '../../src/process/createRandom/index.js';
+import { serveSiteStore, type SiteStore } from '../../standins/serveSiteStore/index.js';
+import {
+  createConfiguration,
+  ENDPOINT_KIND,
+  LAYERS,
+  MODEL_SERVICE,
+  PLAIN_SERVICE,
+  SOAK_HOST,
+  SOAK_KEY,
+} from '../createConfiguration/index.js';
+import { createNodes, type SoakNode } from '../createNodes/index.js';
+import { createRecord } from '../createRecord/index.js';
+import { createSoakEndpoint, type SoakEndpoint } from '../createSoakEndpoint/index.js';
+import { drawSchedule, type FaultKind, type ScheduledFault } from '../drawSchedule/index.js';
+import { createFaultInjector } from '../injectFaults/index.js';
+import { findViolations } from '../listChecks/index.js';
+import { createCallers, type Callers } from '../runCallers/index.js';
+import type { SoakBounds, SoakRecord, Violation } from '../types/index.js';
+import { watchVersions } from '../watchVersions/index.js';
+
+/** Options of {@link runSoak}. */
+export interface RunSoakOptions {
+  readonly seed: number;
+  /** How long faults come, in milliseconds. */
+  readonly milliseconds: number;
+  readonly nodes: number;
+  /** Program of a node. */
+  readonly program: string;
+  /** Folder for settings and logs. */
+  readonly folder: string;
+}
+
+/** What came of a run. */
+export interface SoakResult {
+  readonly violations: readonly Violation[];
+  readonly record: SoakRecord;
+  readonly schedule: readonly ScheduledFault[];
+  /** How often each kind of fault began. */
+  readonly faults: ReadonlyMap<FaultKind, number>;
+}
+
+/** Times and counts of the promises. */
+export const SOAK_BOUNDS: SoakBounds = {
+  layers: LAYERS,
+  events: 12,
+  attemptMilliseconds: 12_000,
+  stopMilliseconds: 13_000,
+  forceMilliseconds: 17_000,
+  drainMilliseconds: 2_000,
+  retryRatio: 0.2,
+  retrySlack: 20,
+  retryWindowMilliseconds: 10_000,
+  moreDescriptors: 64,
+  moreMegabytes: 64,
+};
+
+const DEADLINE_MILLISECONDS = 6_000;
+const MODEL_ENDPOINTS = 8;
+const PLAIN_ENDPOINTS = 4;
+const CALLERS_A_NODE = 3;
+const ZONES = 3;
+const SIGHT_MILLISECONDS = 2_000;
+/** Time after the last fault in which nodes recover, and how long they are asked then. */
+const RECOVERY_MILLISECONDS = 10_000;
+const CALM_MILLISECONDS = 8_000;
+/** Time after the last request in which connections close. */
+const QUIET_MILLISECONDS = 3_000;
+
+interface Site {
+  readonly store: SiteStore;
+  readonly endpoints: readonly SoakEndpoint[];
+  readonly nodes: readonly SoakNode[];
+  readonly record: SoakRecord;
+  readonly now: () => number;
+  readonly createEndpoint: (id: string, isModel: boolean, zone: number) => Promise<SoakEndpoint>;
+  readonly changeConfiguration: () => void;
+}
+
+async function startSite(options: RunSoakOptions, lifeCycle: LifeCycle): Promise<Site> {
+  const record = createRecord();
+  const startedAt = performance.now();
+  const now = (): number => performance.now() - startedAt;
+  const store = await serveSiteStore(0);
+  lifeCycle.own({ name: 'store', close: store.close });
+  const endpoints: SoakEndpoint[] = [];
+  const createEndpoint: Site['createEndpoint'] = async (id, isModel, zone) => {
+    const endpoint = await createSoakEndpoint({
+      id,
+      service: isModel ? MODEL_SERVICE : PLAIN_SERVICE,
+      availabilityZone: `zone-${1 + (zone % ZONES)}`,
+      kind: isModel ? ENDPOINT_KIND : undefined,
+      events: SOAK_BOUNDS.events,
+      store,
+      record,
+      now,
+      isServing: (address) =>
+        endpoints.some(({ link, isServing }) => link.address === address && isServing()),
+    });
+    lifeCycle.own({ name: id, close: endpoint.close });
+    return endpoint;
+  };
+  for (let index = 0; index < MODEL_ENDPOINTS + PLAIN_ENDPOINTS; index += 1) {
+    const endpoint = await createEndpoint(`engine-${index}`, index < MODEL_ENDPOINTS, index);
+    endpoints.push(endpoint);
+    await endpoint.start();
+  }
+  const changeConfiguration = (): void => {
+    const version = record.writes.length + 1;
+    store.put('op/config', createConfiguration(version, DEADLINE_MILLISECONDS));
+    record.writes.push({ version, at: now() });
+  };
+  changeConfiguration();
+  const nodes = await createNodes({
+    count: options.nodes,
+    storeAddress: store.address,
+    program: options.program,
+    folder: options.folder,
+    record,
+    now,
+    stopMilliseconds: SOAK_BOUNDS.stopMilliseconds,
+  });
+  for (const node of nodes) lifeCycle.own({ name: node.name, close: node.close });
+  await Promise.all(nodes.map((node) => node.start()));
+  return { store, endpoints, nodes, record, now, createEndpoint, changeConfiguration };
+}
+
+function startCallers({ nodes, record, now }: Site, seed: number): Callers {
+  return createCallers({
+    targets: nodes.map(({ name, callers }) => ({ node: name, address: callers.address })),
+    record,
+    now,
+    random: createRandom(seed + 1),
+    host: SOAK_HOST,
+    key: SOAK_KEY,
+    count: CALLERS_A_NODE * nodes.length,
+    deadlineMilliseconds: DEADLINE_MILLISECONDS,
+    attemptMilliseconds: SOAK_BOUNDS.attemptMilliseconds,
+  });
+}
+
+/** Watches processes until it is stopped. */
+function watchProcesses(nodes: readonly SoakNode[]): () => void {
+  const timer = setInterval(() => {
+    for (const node of nodes) node.sight();
+  }, SIGHT_MILLISECONDS);
+  return () => {
+    clearInterval(timer);
+  };
+}
+
+async function playFaults(site: Site, schedule: readonly ScheduledFault[]) {
+  const { endpoints, nodes, store, record, now, changeConfiguration } = site;
+  let replaced = 0;
+  const injector = createFaultInjector({
+    nodes,
+    endpoints,
+    store,
+    record,
+    now,
+    changeConfiguration,
+    replaceEndpoint: async (endpoint) => {
+      replaced += 1;
+      const other = await site.createEndpoint(`other-${replaced}`, false, replaced);
+      return other.takeOver(endpoint.link);
+    },
+  });
+  const beganAt = now();
+  for (const fault of schedule) {
+    await sleep(Math.max(0, beganAt + fault.at - now()));
+    injector.begin(fault);
+  }
+  await injector.settle();
+  return injector.counts;
+}
+
+/**
+ * Plays a run.
+ *
+ * @param options - the seed, the length in milliseconds, and the program
+ * @returns what was observed and which promises were broken
+ * @example
+ * const { violations } = await runSoak({ seed: 7, milliseconds: 30_000, nodes: 6, program, folder });
+ */
+export async function runSoak(options: RunSoakOptions): Promise<SoakResult> {
+  const { seed, milliseconds, folder } = options;
+  mkdirSync(folder, { recursive: true });
+  const lifeCycle = createLifeCycle();
+  try {
+    const site = await startSite(options, lifeCycle);
+    const { record, nodes, now, endpoints } = site;
+    const schedule = drawSchedule({
+      seed,
+      milliseconds,
+      nodes: nodes.length,
+      endpoints: endpoints.length,
+    });
+    const callers = startCallers(site, seed);
+    callers.start();
+    const stopWatching = watchProcesses(nodes);
+    const stopVersions = watchVersions({
+      nodes: nodes.map(({ name, callers: link, getBirth }) => ({
+        node: name,
+        address: link.address,
+        getBirth,
+      })),
+      callers,
+      record,
+    });
+    const faults = await playFaults(site, schedule);
+    await sleep(RECOVERY_MILLISECONDS);
+    record.calmAt = now();
+    await sleep(CALM_MILLISECONDS);
+    await Promise.all([callers.stop(), stopVersions()]);
+    await sleep(QUIET_MILLISECONDS);
+    stopWatching();
+    for (const node of nodes) node.sight();
+    await Promise.all(nodes.map((node) => node.stop()));
+    return { violations: findViolations(record, SOAK_BOUNDS), record, schedule, faults };
+  } finally {
+    await lifeCycle.close();
+  }
+}
