--- a/soak/createSoakEndpoint/index.ts
+++ b/soak/createSoakEndpoint/index.ts
@@ -310,7 +310,8 @@
       slots: SLOTS,
       state: mode === 'leaving' ? 'draining' : 'ready',
       cold_left_ms: 0,
-      sequence: 0,
+      sequence: served?.orders.length ?? 0,
+      ...(served?.layers && { layers: served.layers }),
       born: FIRST_BIRTH + birth,
       ...(options.kind !== undefined && { route_type: options.kind }),
     });
@@ -340,6 +341,10 @@
       birth += 1;
       const server = await serveSiteEndpoint({
         id,
+        // The registry shows the layers, as nodes that start later know them by it alone.
+        onPlaced: () => {
+          register();
+        },
         behave: (request, response) => {
           const { url } = request;
           const attempt = readHeader(request, 'attempt-id');
--- a/standins/serveSiteEndpoint/index.ts
+++ b/standins/serveSiteEndpoint/index.ts
@@ -25,6 +25,8 @@
 export interface ServeSiteEndpointOptions {
   readonly id: string;
   readonly behave: Behaviour;
+  /** Called when it has carried out an order to hold other layers. */
+  readonly onPlaced?: () => void;
 }
 
 /** An endpoint that listens. */
@@ -104,8 +106,10 @@
   const takeOrder = (text: string, response: ServerResponse): void => {
     const order = JSON.parse(text) as Order;
     endpoint.orders.push(order);
-    if (order.op === 'place' && !endpoint.ignoresOrders)
+    if (order.op === 'place' && !endpoint.ignoresOrders) {
       endpoint.layers = { from: order.from, to: order.to };
+      options.onPlaced?.();
+    }
     const isRefused = order.op === 'repath' && endpoint.refusesMoves;
     reply(response, isRefused ? 404 : 202, {});
   };
