Judge the memory of a node in the soak from when it is warm

So what the check saw was the runtime's growth to its working size, which each process shows, and no leak. Change: memory is compared with the first sighting ten seconds after the first one, and may grow by 48 MB from there rather than by 64 from a cold start: 32 MB of answers that are being read, and some room. Open files as before. The record that breaks the promise now grows after it was warm.

--- a/soak/checkProcesses/index.ts
+++ b/soak/checkProcesses/index.ts
@@ -32,6 +32,16 @@
       })),
 };
 
+/** Time in which the memory of a process that has just started grows to what its work takes. */
+const WARM_UP_MILLISECONDS = 10_000;
+
+/** Memory that a process has taken since it warmed up, in megabytes. */
+function countMoreMegabytes(sightings: readonly ProcessSighting[]): number {
+  const warmAt = (sightings[0]?.at ?? 0) + WARM_UP_MILLISECONDS;
+  const warm = sightings.filter(({ at }) => at >= warmAt);
+  return (warm.at(-1)?.megabytes ?? 0) - (warm[0]?.megabytes ?? 0);
+}
+
 /** Open files and memory of a process are much the same at the end as at the beginning. */
 export const checkLeaks: Check = {
   promise: 'a node keeps its open files and memory',
@@ -42,7 +52,7 @@
       const last = sightings.at(-1);
       if (!first || !last) return [];
       const descriptors = last.descriptors - first.descriptors;
-      const megabytes = last.megabytes - first.megabytes;
+      const megabytes = countMoreMegabytes(sightings);
       if (descriptors <= moreDescriptors && megabytes <= moreMegabytes) return [];
       const detail = `${last.node}: ${descriptors} open files and ${Math.round(megabytes)} MB more`;
       return [{ request: undefined, detail }];
--- a/soak/listChecks/test.ts
+++ b/soak/listChecks/test.ts
@@ -241,7 +241,9 @@
   [
     'a node keeps its open files and memory',
     'memory',
-    record({ processes: [PROCESS, { ...PROCESS, megabytes: 190 }] }),
+    record({
+      processes: [PROCESS, { ...PROCESS, at: 12_000 }, { ...PROCESS, at: 14_000, megabytes: 190 }],
+    }),
   ],
   [
     'an accepted configuration is in force in time and never goes back',
--- a/soak/runSoak/index.ts
+++ b/soak/runSoak/index.ts
@@ -58,7 +58,7 @@
   retrySlack: 20,
   retryWindowMilliseconds: 10_000,
   moreDescriptors: 64,
-  moreMegabytes: 64,
+  moreMegabytes: 48,
 };
 
 const DEADLINE_MILLISECONDS = 6_000;
--- a/soak/types/index.ts
+++ b/soak/types/index.ts
@@ -149,7 +149,7 @@
   readonly retryRatio: number;
   readonly retrySlack: number;
   readonly retryWindowMilliseconds: number;
-  /** What a node's process may take more at the end than at the beginning. */
+  /** What a node's process may take more at the end than at the beginning, or than when it was warm. */
   readonly moreDescriptors: number;
   readonly moreMegabytes: number;
 }
