Read what reaches endpoints in a module of its own, and plant repeats that a busy machine shows, too

Cause: at a load of 22 on eight cores the planted fault "repeatsOften" was not found: the callers asked too seldom in 3.2 s to use up a slack of 20 repeats. Ruled out: the check; its records find it. Change: the planted runs have a slack of 2, as the sound relay repeats nothing, and 3.6 s where time matters.

--- a/soak/createSoakEndpoint/index.ts
+++ b/soak/createSoakEndpoint/index.ts
@@ -11,7 +11,8 @@
 import type { SiteStore } from '../../standins/serveSiteStore/index.js';
 import { createProxy, type LinkProxy } from '../createProxy/index.js';
 import { formatAnswer, formatEvent } from '../describeStream/index.js';
-import type { LayerSpan, RequestKind, SoakRecord } from '../types/index.js';
+import { findKind, readHeader, readName, readPath, type Hop } from '../readSend/index.js';
+import type { RequestKind, SoakRecord } from '../types/index.js';
 
 /** How an endpoint treats its requests. */
 export type EndpointMode =
@@ -88,44 +89,12 @@
 const MOST_ENDLESS_BYTES = 67_108_864;
 const REFUSING: ReadonlySet<EndpointMode> = new Set(['resting', 'full']);
 
-const KINDS_BY_PATH: readonly (readonly [string, RequestKind])[] = [
-  ['/ask/', 'stream'],
-  ['/book/', 'booking'],
-];
-
 function wait(milliseconds: number): Promise<void> {
   return new Promise((resolve) => {
     setTimeout(resolve, milliseconds);
   });
 }
 
-function readHeader({ headers }: ReceivedRequest, name: string): string {
-  const value = headers[name];
-  return typeof value === 'string' ? value : '';
-}
-
-interface Hop extends LayerSpan {
-  readonly address: string;
-}
-
-/** Reads a path as the wire spells it: `address=from-to`, in order. */
-function readPath(text: string): Hop[] {
-  if (text === '') return [];
-  return text.split(',').map((part) => {
-    const [address = '', range = ''] = part.split('=');
-    const [from, to] = range.split('-').map(Number);
-    return { address, from: from ?? 0, to: to ?? 0 };
-  });
-}
-
-function findKind(url: string): RequestKind {
-  return KINDS_BY_PATH.find(([prefix]) => url.startsWith(prefix))?.[1] ?? 'lookUp';
-}
-
-function readName(url: string): string {
-  return new URL(url, 'http://endpoint').searchParams.get('request') ?? '';
-}
-
 /** The path after the last order to move the request, if there was one. */
 function findPath({ request, server, attempt }: Answering): Hop[] {
   const orders = server.orders as { op: string; id?: string; path?: string }[];
--- a/soak/serveDefectiveNode/test.ts
+++ b/soak/serveDefectiveNode/test.ts
@@ -20,9 +20,15 @@
 const GIVE_UP_MILLISECONDS = 1_500;
 const ASKED_MILLISECONDS = 900;
 /** Time in which rest and leaving matter: longer than the drain that is allowed. */
-const LONG_MILLISECONDS = 3_200;
+const LONG_MILLISECONDS = 3_600;
 const CALLERS = 4;
-const BOUNDS = { ...SOAK_BOUNDS, events: 4, attemptMilliseconds: GIVE_UP_MILLISECONDS };
+const BOUNDS = {
+  ...SOAK_BOUNDS,
+  events: 4,
+  attemptMilliseconds: GIVE_UP_MILLISECONDS,
+  // A busy machine asks too seldom to use up more.
+  retrySlack: 2,
+};
 
 interface Planted {
   readonly defect: Defect;
