Keep one copy of grouping and of waiting in the soak

Cause: reading the diff: three checks grouped observations by code of their own, and two modules had a copy of sleep. Change: groupItems, used by the three; bench/sleep in both. No behaviour changes.

--- a/soak/checkProcesses/index.ts
+++ b/soak/checkProcesses/index.ts
@@ -2,14 +2,11 @@
  * Promise: processes end when they are asked to, soundly, and leak nothing meanwhile.
  */
 import { isDisturbed } from '../createRecord/index.js';
+import { groupItems } from '../groupItems/index.js';
 import type { Check, ProcessEnd, ProcessSighting, SoakRecord } from '../types/index.js';
 
 function groupByBirth(sightings: readonly ProcessSighting[]): ProcessSighting[][] {
-  const groups = new Map<string, ProcessSighting[]>();
-  for (const sighting of sightings) {
-    const key = `${sighting.node} ${sighting.birth}`;
-    groups.set(key, [...(groups.get(key) ?? []), sighting]);
-  }
+  const groups = groupItems(sightings, ({ node, birth }) => `${node} ${birth}`);
   return [...groups.values()];
 }
 
--- a/soak/checkRuns/index.ts
+++ b/soak/checkRuns/index.ts
@@ -1,14 +1,11 @@
 /**
  * Promise: what may run once runs at most once, and exactly once where the caller is told so.
  */
+import { groupItems } from '../groupItems/index.js';
 import type { CallerAttempt, Check, EndpointSend, SoakRecord } from '../types/index.js';
 
-function groupByRequest<Item extends { readonly request: string }>(
-  items: readonly Item[],
-): Map<string, Item[]> {
-  const groups = new Map<string, Item[]>();
-  for (const item of items) groups.set(item.request, [...(groups.get(item.request) ?? []), item]);
-  return groups;
+function getRequest({ request }: { readonly request: string }): string {
+  return request;
 }
 
 function listBookings({ attempts }: SoakRecord): CallerAttempt[] {
@@ -22,10 +19,13 @@
 /** Bookings, over all attempts of a request, run once at most. */
 export const checkRuns: Check = {
   promise: 'a booking runs once at most, and once where it is answered',
-  count: (record) => groupByRequest(listBookings(record)).size,
+  count: (record) => groupItems(listBookings(record), getRequest).size,
   find: (record) => {
-    const runs = groupByRequest(record.sends.filter(({ hasRun }) => hasRun));
-    const bookings = groupByRequest(listBookings(record));
+    const runs = groupItems(
+      record.sends.filter(({ hasRun }) => hasRun),
+      getRequest,
+    );
+    const bookings = groupItems(listBookings(record), getRequest);
     return [...bookings].flatMap(([request, attempts]) => {
       const own = runs.get(request) ?? [];
       const isAnswered = attempts.some(({ outcome }) => outcome === 'answered');
--- a/soak/checkVersions/index.ts
+++ b/soak/checkVersions/index.ts
@@ -2,14 +2,11 @@
  * Promise: an accepted configuration comes into force everywhere in time, and never goes back.
  */
 import { isDisturbed } from '../createRecord/index.js';
+import { groupItems } from '../groupItems/index.js';
 import type { Check, SoakRecord, VersionSighting } from '../types/index.js';
 
 function groupByBirth(sightings: readonly VersionSighting[]): VersionSighting[][] {
-  const groups = new Map<string, VersionSighting[]>();
-  for (const sighting of sightings) {
-    const key = `${sighting.node} ${sighting.birth}`;
-    groups.set(key, [...(groups.get(key) ?? []), sighting]);
-  }
+  const groups = groupItems(sightings, ({ node, birth }) => `${node} ${birth}`);
   return [...groups.values()];
 }
 
--- a/soak/createProxy/index.ts
+++ b/soak/createProxy/index.ts
@@ -2,6 +2,7 @@
  * A link on loopback that can be disturbed: a proxy of TCP connections.
  */
 import { createServer, connect, type Socket } from 'node:net';
+import { sleep } from '../../bench/sleep/index.js';
 
 /** Ways to disturb a link. */
 export type LinkFault =
@@ -45,12 +46,6 @@
   toClient: ['cutToClient', 'silence'],
 };
 
-function wait(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, milliseconds);
-  });
-}
-
 /** Splits bytes into what passes at a time. */
 function splitBytes(chunk: Buffer, size: number): Buffer[] {
   const parts: Buffer[] = [];
@@ -81,13 +76,13 @@
     CUTS[direction].some((fault) => active.has(fault));
 
   const passOn = async (chunk: Buffer, to: Socket, direction: Direction): Promise<void> => {
-    if (active.has('delay')) await wait(DELAY_MILLISECONDS);
-    while (isCut(direction) && !isClosed && !to.destroyed) await wait(CUT_CHECK_MILLISECONDS);
+    if (active.has('delay')) await sleep(DELAY_MILLISECONDS);
+    while (isCut(direction) && !isClosed && !to.destroyed) await sleep(CUT_CHECK_MILLISECONDS);
     const parts = active.has('trickle') ? splitBytes(chunk, TRICKLE_BYTES) : [chunk];
     for (const part of parts) {
       if (to.destroyed) return;
       to.write(part);
-      if (parts.length > 1) await wait(TRICKLE_MILLISECONDS);
+      if (parts.length > 1) await sleep(TRICKLE_MILLISECONDS);
     }
     if (direction !== 'toClient' || !active.has('repeat')) return;
     setTimeout(() => {
--- a/soak/createSoakEndpoint/index.ts
+++ b/soak/createSoakEndpoint/index.ts
@@ -2,6 +2,7 @@
  * An endpoint of a soak run: it can be put in trouble, and records what reaches it.
  */
 import type { ServerResponse } from 'node:http';
+import { sleep } from '../../bench/sleep/index.js';
 import {
   createSeal,
   serveSiteEndpoint,
@@ -89,12 +90,6 @@
 const MOST_ENDLESS_BYTES = 67_108_864;
 const REFUSING: ReadonlySet<EndpointMode> = new Set(['resting', 'full']);
 
-function wait(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, milliseconds);
-  });
-}
-
 /** The path after the last order to move the request, if there was one. */
 function findPath({ request, server, attempt }: Answering): Hop[] {
   const orders = server.orders as { op: string; id?: string; path?: string }[];
@@ -171,7 +166,7 @@
         .filter((address) => address !== link.address && !isServing(address));
     while (!response.destroyed && findMissing().length > 0) {
       server.stalled = findMissing();
-      await wait(HOP_CHECK_MILLISECONDS);
+      await sleep(HOP_CHECK_MILLISECONDS);
     }
     server.stalled = [];
   };
@@ -217,7 +212,7 @@
       await waitForPath(answering);
       if (response.destroyed) return;
       response.write(formatEvent(name, number));
-      await wait(startedIn === 'slow' ? SLOW_EVENT_MILLISECONDS : EVENT_MILLISECONDS);
+      await sleep(startedIn === 'slow' ? SLOW_EVENT_MILLISECONDS : EVENT_MILLISECONDS);
     }
     response.end();
   };
@@ -225,7 +220,7 @@
     const { response, name } = answering;
     const body = formatAnswer(name);
     const startedIn = mode;
-    await wait(startedIn === 'slow' ? SLOW_EVENT_MILLISECONDS : EVENT_MILLISECONDS);
+    await sleep(startedIn === 'slow' ? SLOW_EVENT_MILLISECONDS : EVENT_MILLISECONDS);
     if (startedIn === 'stalled' || response.destroyed) return;
     if (startedIn === 'twice') repeatAnswer(answering);
     if (startedIn === 'endless') {
