--- a/standins/serveEngine/index.ts
+++ b/standins/serveEngine/index.ts
@@ -306,7 +306,9 @@
       } else {
         readText(request, (text) => {
           if (url === '/orders') takeOrder(text, response, faults);
-          else startRun(JSON.parse(text) as RunRequest, response, faults);
+          else if (url === '/runs') startRun(JSON.parse(text) as RunRequest, response, faults);
+          // Such as a request to whoever had this port before.
+          else replyJson(response, faults, url, {}, 404);
         });
       }
     },
