Let tests, stand-ins and the soak share listening, registering, virtual time and sound behaviours

Nine servers of the tests listened on loopback by the same four lines; four wrote the same registry entry; two tests had a clock of their own beside virtual time; three had the same sound answers; the build's asking was the measures' askWhole; two checks grouped by process alike. Assertions, bounds and waits stay.

--- a/scripts/exerciseNodes/index.ts
+++ b/scripts/exerciseNodes/index.ts
@@ -2,7 +2,6 @@
  * A short run of two nodes in this process, so that all that a node usually does has run once.
  */
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { request } from 'node:http';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -14,6 +13,8 @@
   servePlatformSite,
   type NodeAddresses,
 } from '../../standins/servePlatformSite/index.js';
+import { listenOnLoopback } from '../../standins/listenOnLoopback/index.js';
+import { askWhole } from '../../bench/askWhole/index.js';
 
 /** What the bundle of a node exports. */
 export interface NodeProgram {
@@ -38,9 +39,8 @@
   const servers = Array.from({ length: count }, () => createServer());
   const ports: number[] = [];
   for (const server of servers) {
-    await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-    const bound = server.address();
-    ports.push(typeof bound === 'object' && bound ? bound.port : 0);
+    const address = await listenOnLoopback(server, { host: HOST });
+    ports.push(Number(address.split(':')[1]));
   }
   for (const server of servers) await new Promise((resolve) => server.close(resolve));
   return ports;
@@ -56,25 +56,16 @@
   });
 }
 
-/** Asks for a path and reads the whole answer, whatever it is. */
-function ask(port: number, path: string): Promise<void> {
-  const headers = {
-    Host: PLATFORM_SITE_HOST,
-    'Attempt-Id': 'attempt',
-    'Deadline-Ms': '5000',
-    'Token-Counts': '760,120',
-  };
-  return new Promise((resolve) => {
-    const outgoing = request({ host: HOST, port, path, headers, agent: false });
-    outgoing.on('error', () => {
-      resolve();
-    });
-    outgoing.on('response', (incoming) => {
-      incoming.resume();
-      incoming.on('close', resolve);
-    });
-    outgoing.end();
-  });
+const HEADERS = {
+  Host: PLATFORM_SITE_HOST,
+  'Attempt-Id': 'attempt',
+  'Deadline-Ms': '5000',
+  'Token-Counts': '760,120',
+};
+
+/** Asks for a path; what comes of it does not matter. */
+async function ask(port: number, path: string): Promise<void> {
+  await askWhole(`${HOST}:${port}`, path, HEADERS);
 }
 
 async function askAll(nodes: readonly NodeAddresses[]): Promise<void> {
--- a/soak/checkProcesses/index.ts
+++ b/soak/checkProcesses/index.ts
@@ -2,14 +2,9 @@
  * Promise: processes end when they are asked to, soundly, and leak nothing meanwhile.
  */
 import { isDisturbed } from '../createRecord/index.js';
-import { groupItems } from '../groupItems/index.js';
+import { groupByProcess } from '../groupItems/index.js';
 import type { Check, ProcessEnd, ProcessSighting, SoakRecord } from '../types/index.js';
 
-function groupByBirth(sightings: readonly ProcessSighting[]): ProcessSighting[][] {
-  const groups = groupItems(sightings, ({ node, birth }) => `${node} ${birth}`);
-  return [...groups.values()];
-}
-
 function isFrozen(record: SoakRecord, { node, askedAt, endedAt }: ProcessEnd): boolean {
   const options = { targets: [node], kinds: ['freeze'], from: askedAt, until: endedAt };
   return isDisturbed(record.disturbances, options);
@@ -44,7 +39,7 @@
   promise: 'a node keeps its open files and memory',
   count: ({ processes }) => processes.length,
   find: (record, { moreDescriptors, moreMegabytes }) =>
-    groupByBirth(record.processes).flatMap((sightings) => {
+    groupByProcess(record.processes).flatMap((sightings) => {
       const [first] = sightings;
       const last = sightings.at(-1);
       if (!first || !last) return [];
--- a/soak/checkVersions/index.ts
+++ b/soak/checkVersions/index.ts
@@ -2,14 +2,9 @@
  * Promise: an accepted configuration comes into force everywhere in time, and never goes back.
  */
 import { isDisturbed } from '../createRecord/index.js';
-import { groupItems } from '../groupItems/index.js';
+import { groupByProcess } from '../groupItems/index.js';
 import type { Check, SoakRecord, VersionSighting } from '../types/index.js';
 
-function groupByBirth(sightings: readonly VersionSighting[]): VersionSighting[][] {
-  const groups = groupItems(sightings, ({ node, birth }) => `${node} ${birth}`);
-  return [...groups.values()];
-}
-
 function findBackward(sightings: readonly VersionSighting[]): string[] {
   return sightings.flatMap(({ node, version }, index) => {
     const before = sightings[index - 1]?.version ?? version;
@@ -33,7 +28,7 @@
   promise: 'an accepted configuration is in force in time and never goes back',
   count: ({ versions }) => versions.length,
   find: (record, { forceMilliseconds }) =>
-    groupByBirth(record.versions)
+    groupByProcess(record.versions)
       .flatMap((sightings) => [
         ...findBackward(sightings),
         ...sightings.flatMap((sighting) => findLate(record, sighting, forceMilliseconds)),
--- a/soak/createProxy/index.ts
+++ b/soak/createProxy/index.ts
@@ -3,6 +3,7 @@
  */
 import { createServer, connect, type Socket } from 'node:net';
 import { sleep } from '../../bench/sleep/index.js';
+import { listenOnLoopback } from '../../standins/listenOnLoopback/index.js';
 
 /** Ways to disturb a link. */
 export type LinkFault =
@@ -133,13 +134,11 @@
     pump(server, client, 'toClient');
   };
   const listener = createServer({ allowHalfOpen: true }, open);
-  await new Promise<void>((resolve) => listener.listen(0, '127.0.0.1', resolve));
-  const bound = listener.address();
-  const port = typeof bound === 'object' && bound ? bound.port : 0;
+  const address = await listenOnLoopback(listener);
   return {
-    address: `127.0.0.1:${port}`,
-    retarget: (address) => {
-      goal = address;
+    address,
+    retarget: (next) => {
+      goal = next;
     },
     begin: (fault) => {
       active.add(fault);
--- a/soak/createSoakEndpoint/index.ts
+++ b/soak/createSoakEndpoint/index.ts
@@ -3,6 +3,7 @@
  */
 import type { ServerResponse } from 'node:http';
 import { sleep } from '../../bench/sleep/index.js';
+import { registerEndpoint } from '../../standins/registerEndpoint/index.js';
 import {
   createSeal,
   serveSiteEndpoint,
@@ -266,18 +267,14 @@
     void (answering.kind === 'stream' ? stream(answering) : answerWhole(answering));
   };
   const register = (): void => {
-    store.put(`servers/${id}`, {
-      service,
-      address: link.address,
+    registerEndpoint(store, { id, address: link.address }, service, {
       zone: options.availabilityZone,
-      version: 'v1',
       slots: SLOTS,
       state: mode === 'leaving' ? 'draining' : 'ready',
-      cold_left_ms: 0,
       sequence: served?.orders.length ?? 0,
-      ...(served?.layers && { layers: served.layers }),
       born: FIRST_BIRTH + birth,
-      ...(options.kind !== undefined && { route_type: options.kind }),
+      route_type: options.kind,
+      ...(served?.layers && { layers: served.layers }),
     });
   };
   const crash = async (): Promise<void> => {
--- a/soak/groupItems/index.ts
+++ b/soak/groupItems/index.ts
@@ -24,3 +24,17 @@
   }
   return groups;
 }
+
+/**
+ * Groups observations of nodes by the start of the process that they are of.
+ *
+ * @param sightings - the observations
+ * @returns those of each process, in order
+ * @example
+ * groupByProcess(record.processes).length;
+ */
+export function groupByProcess<Sighting extends { readonly node: string; readonly birth: number }>(
+  sightings: readonly Sighting[],
+): Sighting[][] {
+  return [...groupItems(sightings, ({ node, birth }) => `${node} ${birth}`).values()];
+}
--- a/soak/serveDefectiveNode/index.ts
+++ b/soak/serveDefectiveNode/index.ts
@@ -4,6 +4,7 @@
  */
 import { createServer, request, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { SoakEndpoint } from '../createSoakEndpoint/index.js';
+import { listenOnLoopback } from '../../standins/listenOnLoopback/index.js';
 
 /** What the relay does wrongly; `none` keeps all promises. */
 export type Defect =
@@ -147,11 +148,9 @@
     incoming.resume();
     void serve(incoming, response);
   });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const bound = server.address();
-  const port = typeof bound === 'object' && bound ? bound.port : 0;
+  const address = await listenOnLoopback(server);
   return {
-    address: `127.0.0.1:${port}`,
+    address,
     close: () =>
       new Promise((resolve) => {
         server.close(() => {
--- a/src/process/relay/createStartGate/test.ts
+++ b/src/process/relay/createStartGate/test.ts
@@ -1,29 +1,26 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { createVirtualTime } from '../../../../emulator/createVirtualTime/index.js';
 import { createStartGate } from './index.js';
 
-interface Timer {
-  readonly dueAt: number;
-  readonly action: () => void;
-}
-
-/** A clock whose time passes only when it is told. */
-function createManualClock() {
-  const timers = new Set<Timer>();
-  let time = 0;
+/** Virtual time that counts the timers which are neither due nor cancelled. */
+function createCountingClock() {
+  const time = createVirtualTime();
+  const timers = new Set<object>();
   return {
+    run: time.run,
+    countTimers: () => timers.size,
     schedule: (milliseconds: number, action: () => void): (() => void) => {
-      const timer = { dueAt: time + milliseconds, action };
+      const timer = {};
       timers.add(timer);
-      return () => timers.delete(timer);
-    },
-    countTimers: () => timers.size,
-    pass: (milliseconds: number): void => {
-      time += milliseconds;
-      for (const timer of [...timers]) {
-        if (timer.dueAt > time || !timers.delete(timer)) continue;
-        timer.action();
-      }
+      const cancel = time.schedule(milliseconds, () => {
+        timers.delete(timer);
+        action();
+      });
+      return () => {
+        timers.delete(timer);
+        cancel();
+      };
     },
   };
 }
@@ -33,10 +30,10 @@
 }
 
 test('a request waits until the gate opens', async () => {
-  const clock = createManualClock();
+  const clock = createCountingClock();
   const gate = createStartGate({ clock });
   const waiting = gate.wait(900);
-  clock.pass(500);
+  await clock.run(500);
   assert.equal(await isSettled(waiting), false);
   gate.open();
   await waiting;
@@ -45,20 +42,20 @@
 });
 
 test('a request waits no longer than it may, nor than its caller has time', async () => {
-  const clock = createManualClock();
+  const clock = createCountingClock();
   const gate = createStartGate({ clock, longestMilliseconds: 600 });
   const patient = gate.wait(5_000);
   const hasty = gate.wait(100);
-  clock.pass(100);
+  await clock.run(100);
   await hasty;
   assert.equal(await isSettled(patient), false);
-  clock.pass(500);
+  await clock.run(600);
   await patient;
   assert.equal(gate.countWaiting(), 0);
 });
 
 test('beyond a number of requests nobody waits', async () => {
-  const clock = createManualClock();
+  const clock = createCountingClock();
   const gate = createStartGate({ clock, mostWaiting: 1 });
   const first = gate.wait(900);
   await gate.wait(900);
@@ -66,7 +63,7 @@
 });
 
 test('nobody waits at an open gate', async () => {
-  const clock = createManualClock();
+  const clock = createCountingClock();
   const gate = createStartGate({ clock });
   gate.open();
   await gate.wait(900);
--- a/src/process/relay/openEndpointCall/test.ts
+++ b/src/process/relay/openEndpointCall/test.ts
@@ -2,6 +2,7 @@
 import { createServer, type Socket } from 'node:net';
 import { test } from 'node:test';
 import { openEndpointCall } from './index.js';
+import { listenOnLoopback } from '../../../../standins/listenOnLoopback/index.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nConnection: close\r\n';
 
@@ -13,13 +14,11 @@
       serve(socket);
     });
   });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const address = server.address();
-  const port = typeof address === 'object' && address ? address.port : 0;
+  const address = await listenOnLoopback(server);
   let text = '';
   const outcome = await new Promise<string>((resolve) => {
     openEndpointCall({
-      address: `127.0.0.1:${port}`,
+      address,
       method: 'GET',
       url: '/',
       headers: ['Host', 'desk.example'],
--- a/src/process/relay/watchCover/test.ts
+++ b/src/process/relay/watchCover/test.ts
@@ -4,6 +4,10 @@
   createEndpointTable,
   type EndpointTable,
 } from '../../../connection/createEndpointTable/index.js';
+import {
+  createVirtualTime,
+  type VirtualTime,
+} from '../../../../emulator/createVirtualTime/index.js';
 import type { SiteService } from '../../../types/site/index.js';
 import { createStartGate, type StartGate } from '../createStartGate/index.js';
 import { watchCover } from './index.js';
@@ -14,39 +18,17 @@
 interface Watched {
   readonly gate: StartGate;
   readonly endpoints: EndpointTable;
-  readonly pass: (milliseconds: number) => void;
+  readonly clock: VirtualTime;
 }
 
 function watch(): Watched {
-  let time = 0;
-  let timers: { readonly dueAt: number; readonly action: () => void }[] = [];
-  const clock = {
-    now: () => time,
-    schedule: (milliseconds: number, action: () => void): (() => void) => {
-      const timer = { dueAt: time + milliseconds, action };
-      timers.push(timer);
-      return () => {
-        timers = timers.filter((other) => other !== timer);
-      };
-    },
-  };
-  const pass = (milliseconds: number): void => {
-    const until = time + milliseconds;
-    for (;;) {
-      const next = timers.sort((left, right) => left.dueAt - right.dueAt)[0];
-      if (!next || next.dueAt > until) break;
-      timers.shift();
-      time = next.dueAt;
-      next.action();
-    }
-    time = until;
-  };
+  const clock = createVirtualTime();
   const gate = createStartGate({ clock, longestMilliseconds: 60_000 });
   const endpoints = createEndpointTable();
   const listServices = (): SiteService[] => [SERVICE as unknown as SiteService];
   void gate.wait(60_000);
   watchCover({ gate, clock, endpoints, listServices });
-  return { gate, endpoints, pass };
+  return { gate, endpoints, clock };
 }
 
 function add({ endpoints }: Watched, id: string, from: number, to: number): void {
@@ -62,21 +44,21 @@
   endpoints.update(id, record as unknown as Parameters<EndpointTable['update']>[1], 0);
 }
 
-test('the gate opens when the last layer is held', () => {
+test('the gate opens when the last layer is held', async () => {
   const watched = watch();
   add(watched, 'a', 0, 2);
-  watched.pass(400);
+  await watched.clock.run(400);
   assert.equal(watched.gate.countWaiting(), 1);
   add(watched, 'bb', 2, 4);
-  watched.pass(100);
+  await watched.clock.run(500);
   assert.equal(watched.gate.countWaiting(), 0);
 });
 
-test('the gate opens after a time, although a layer is missing', () => {
+test('the gate opens after a time, although a layer is missing', async () => {
   const watched = watch();
   add(watched, 'a', 0, 3);
-  watched.pass(2_400);
+  await watched.clock.run(2_400);
   assert.equal(watched.gate.countWaiting(), 1);
-  watched.pass(200);
+  await watched.clock.run(2_600);
   assert.equal(watched.gate.countWaiting(), 0);
 });
--- a/src/process/runtime/callJson/test.ts
+++ b/src/process/runtime/callJson/test.ts
@@ -2,6 +2,7 @@
 import { Agent, createServer } from 'node:http';
 import { test } from 'node:test';
 import { callJson } from './index.js';
+import { listenOnLoopback } from '../../../../standins/listenOnLoopback/index.js';
 
 test('a kept connection gathers no listeners over many calls', async () => {
   const warnings: Error[] = [];
@@ -12,9 +13,7 @@
   const server = createServer((_, response) => {
     response.end('{}');
   });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const bound = server.address();
-  const address = `127.0.0.1:${typeof bound === 'object' && bound ? bound.port : 0}`;
+  const address = await listenOnLoopback(server);
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
   for (let call = 0; call < 20; call += 1) {
     const options = { address, method: 'GET', path: '/', agent, timeoutMilliseconds: 5_000 };
@@ -32,9 +31,7 @@
 
 test('a connection that goes silent ends a call at its time, and tells that it may have been done', async () => {
   const server = createServer(() => undefined);
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const bound = server.address();
-  const address = `127.0.0.1:${typeof bound === 'object' && bound ? bound.port : 0}`;
+  const address = await listenOnLoopback(server);
   const result = await callJson({ address, method: 'GET', path: '/', timeoutMilliseconds: 100 });
   server.closeAllConnections();
   server.close();
--- a/src/process/runtime/sendPeers/test.ts
+++ b/src/process/runtime/sendPeers/test.ts
@@ -27,39 +27,36 @@
   for (let turn = 0; turn < count; turn += 1) await new Promise(setImmediate);
 }
 
+function openLinks() {
+  const lifeCycle = createLifeCycle();
+  let dropped = 0;
+  const links = createPeerLinks({
+    key: 'key',
+    lifeCycle,
+    onDropped: () => {
+      dropped += 1;
+    },
+  });
+  return { lifeCycle, links, countDropped: () => dropped };
+}
+
 for (const turns of TURNS) {
   test(`messages that wait when the links close after ${turns} turns are dropped`, async () => {
-    const lifeCycle = createLifeCycle();
-    let dropped = 0;
-    const links = createPeerLinks({
-      key: 'key',
-      lifeCycle,
-      onDropped: () => {
-        dropped += 1;
-      },
-    });
+    const { lifeCycle, links, countDropped } = openLinks();
     for (let index = 0; index < MESSAGES; index += 1) links.send(SILENT_ADDRESS, MESSAGE);
     await passTurns(turns);
     await lifeCycle.close();
     // What a goroutine does with a closed link shows in later turns, as an uncaught exception.
     await passTurns(MOST_TURNS);
-    assert.equal(dropped, MESSAGES);
+    assert.equal(countDropped(), MESSAGES);
   });
 }
 
 test('a message that is sent after the links closed is dropped and opens no link', async () => {
-  const lifeCycle = createLifeCycle();
-  let dropped = 0;
-  const links = createPeerLinks({
-    key: 'key',
-    lifeCycle,
-    onDropped: () => {
-      dropped += 1;
-    },
-  });
+  const { lifeCycle, links, countDropped } = openLinks();
   await lifeCycle.close();
   links.send(SILENT_ADDRESS, MESSAGE);
   await passTurns(MOST_TURNS);
   assert.equal(links.count(), 0);
-  assert.equal(dropped, 1);
+  assert.equal(countDropped(), 1);
 });
--- a/standins/listenStandin/index.ts
+++ b/standins/listenStandin/index.ts
@@ -3,6 +3,7 @@
  */
 import http from 'node:http';
 import { createFaults, faultSchema, type Faults } from '../createFaults/index.js';
+import { listenOnLoopback } from '../listenOnLoopback/index.js';
 
 /** A stand-in that listens. */
 export interface Standin {
@@ -121,14 +122,9 @@
     else options.handle(request, response, faults);
   });
   server.keepAliveTimeout = 60_000;
-  await new Promise<void>((done, failed) => {
-    server.once('error', failed);
-    server.listen(options.port, '127.0.0.1', done);
-  });
-  const bound = server.address();
-  const port = typeof bound === 'object' && bound ? bound.port : options.port;
+  const address = await listenOnLoopback(server, { port: options.port });
   return {
-    address: `127.0.0.1:${port.toString()}`,
+    address,
     faults,
     dropConnections: () => {
       server.closeAllConnections();
--- a/standins/servePlatformSite/index.ts
+++ b/standins/servePlatformSite/index.ts
@@ -2,6 +2,7 @@
  * A whole site as a node of the platform's bundle meets it: a store with a configuration, endpoints
  * that answer with events, and settings for nodes.
  */
+import { registerEndpoint } from '../registerEndpoint/index.js';
 import { serveSiteEndpoint, writeEvents, type SiteEndpoint } from '../serveSiteEndpoint/index.js';
 import { serveSiteStore } from '../serveSiteStore/index.js';
 
@@ -147,16 +148,9 @@
       },
     });
     served.push(endpoint);
-    store.put(`servers/${endpoint.id}`, {
-      service: 'assistant',
-      address: endpoint.address,
+    registerEndpoint(store, endpoint, 'assistant', {
       zone: pickZone(index),
-      version: 'v1',
       slots: 134,
-      state: 'ready',
-      cold_left_ms: 0,
-      sequence: 1,
-      born: 1_000,
       route_type: pickKind(index).name,
     });
   }
--- a/standins/serveSiteEndpoint/index.ts
+++ b/standins/serveSiteEndpoint/index.ts
@@ -3,6 +3,7 @@
  */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { readText } from '../listenStandin/index.js';
+import { listenOnLoopback } from '../listenOnLoopback/index.js';
 
 /** One request that reached the endpoint. */
 export interface ReceivedRequest {
@@ -150,12 +151,10 @@
       else takeRequest(incoming, response, body);
     });
   });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const bound = server.address();
-  const port = typeof bound === 'object' && bound ? bound.port : 0;
+  const address = await listenOnLoopback(server);
   const endpoint: SiteEndpoint = {
     id: options.id,
-    address: `127.0.0.1:${port}`,
+    address,
     received: [],
     orders: [],
     layers: undefined,
--- a/tests/endlessAnswers.test.ts
+++ b/tests/endlessAnswers.test.ts
@@ -21,6 +21,7 @@
   type CallerAnswer,
   type TestNode,
 } from './support/siteNodes/index.js';
+import { listenOnLoopback } from '../standins/listenOnLoopback/index.js';
 
 /** Bytes that a node may read of one answer before it drops the connection. */
 const MOST_READ_BYTES = 16 * 1_024 * 1_024;
@@ -165,11 +166,9 @@
       write();
     });
   });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const bound = server.address();
-  const port = typeof bound === 'object' && bound ? bound.port : 0;
+  const address = await listenOnLoopback(server);
   const endpoint: EndlessEndpoint = {
-    address: `127.0.0.1:${port}`,
+    address,
     answer: { start: '', piece: '', status: 0 },
     hasEndlessReports: false,
     written: 0,
@@ -212,19 +211,14 @@
 
 /** A new birth lets the node forget what it holds against an endpoint. */
 function renew(id: string, endpoint: EndlessEndpoint, service: string, bornAt: number): void {
-  store.put(`servers/${id}`, {
-    service,
-    address: endpoint.address,
-    zone: 'mission',
-    version: 'v1',
-    slots: 8,
-    state: 'ready',
-    cold_left_ms: 0,
-    sequence: 1,
-    born: bornAt,
-    route_type: 'large',
-    layers: LAYERS,
-  });
+  const { address } = endpoint;
+  registerEndpoint(store, { id, address }, service, { born: bornAt, layers: LAYERS });
+}
+
+function waitUntilBorn(bornAt: number): Promise<void> {
+  return waitFor('the endpoint is known', () =>
+    node.logs.some((line) => line.includes(`"bornAt":${bornAt}`)),
+  );
 }
 
 before(async () => {
@@ -255,9 +249,7 @@
     births += 1;
     plain.answer = answer;
     renew('plain-1', plain, PLAIN_SERVICE, births);
-    await waitFor('the endpoint is known', () =>
-      node.logs.some((line) => line.includes(`"bornAt":${births}`)),
-    );
+    await waitUntilBorn(births);
     const { status } = await book();
     assert.equal(status, answer.status);
     await waitFor('the connection is dropped', () => plain.isClosed);
@@ -270,9 +262,7 @@
     births += 1;
     engine.answer = answer;
     renew('engine-1', engine, MODEL_SERVICE, births);
-    await waitFor('the endpoint is known', () =>
-      node.logs.some((line) => line.includes(`"bornAt":${births}`)),
-    );
+    await waitUntilBorn(births);
     const { status } = await ask();
     assert.equal(status, answer.status);
     await waitFor('the connection is dropped', () => engine.isClosed);
@@ -303,9 +293,7 @@
   engine.answer = { start: `${STREAM}id: 1\ndata: `, piece: FILLER, status: 0 };
   engine.hasEndlessReports = true;
   renew('engine-1', engine, MODEL_SERVICE, births);
-  await waitFor('the endpoint is known', () =>
-    node.logs.some((line) => line.includes(`"bornAt":${births}`)),
-  );
+  await waitUntilBorn(births);
   const seen = node.logs.length;
   const answers = Promise.all(Array.from({ length: 4 }, ask));
   await waitFor('the endpoint is lost', () =>
--- a/tests/siteHazards.test.ts
+++ b/tests/siteHazards.test.ts
@@ -13,6 +13,9 @@
 } from '../standins/serveSiteEndpoint/index.js';
 import type { SiteStore } from '../standins/serveSiteStore/index.js';
 import {
+  streamWhole,
+  EVENTS,
+  WHOLE_STREAM,
   call,
   createWireConfiguration,
   MODEL_SERVICE,
@@ -25,19 +28,14 @@
   type CallerAnswer,
   type TestNode,
 } from './support/siteNodes/index.js';
+import { listenOnLoopback } from '../standins/listenOnLoopback/index.js';
 
-const EVENTS = 5;
 /** Pause between the events of a slow but sound stream, in milliseconds. */
 const SLOW_MILLISECONDS = 300;
 const DRIP_MILLISECONDS = 40;
 const LATE_MILLISECONDS = 60;
-const WHOLE_STREAM = [1, 2, 3, 4, 5].map((id) => `id: ${id}\ndata: t${id}\n\n`).join('');
 const ALL_LAYERS = { layers: { from: 0, to: 4 } };
 
-const streamWhole: Behaviour = (request, response) => {
-  writeEvents(request, response, EVENTS);
-  response.end();
-};
 const streamSlowly: Behaviour = (request, response) => {
   writeEvents(request, response, 1);
   let last = 1;
@@ -147,11 +145,9 @@
       setTimeout(() => socket.write(answer), LATE_MILLISECONDS);
     });
   });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const bound = server.address();
-  const port = typeof bound === 'object' && bound ? bound.port : 0;
+  const address = await listenOnLoopback(server);
   return {
-    address: `127.0.0.1:${port}`,
+    address,
     close: () =>
       new Promise((resolve) => {
         for (const socket of sockets) socket.destroy();
@@ -164,17 +160,7 @@
 
 test('a second copy of an answer never reaches the next caller', async () => {
   const twice = await serveTwice();
-  store.put('servers/plain-twice', {
-    service: PLAIN_SERVICE,
-    address: twice.address,
-    zone: 'mission',
-    version: 'v1',
-    slots: 8,
-    state: 'ready',
-    cold_left_ms: 0,
-    sequence: 1,
-    born: 1_000,
-  });
+  registerEndpoint(store, { id: 'plain-twice', address: twice.address }, PLAIN_SERVICE);
   await waitFor('it is known', () => node.logs.some((line) => line.includes('plain-twice')));
   for (let index = 0; index < 12; index += 1) {
     const attempt = `caller-${index}`;
--- a/tests/siteNode.test.ts
+++ b/tests/siteNode.test.ts
@@ -15,6 +15,9 @@
 import { LOG_EVENTS, type LogEventName } from '../src/process/site/logEvents/index.js';
 import type { SiteStore } from '../standins/serveSiteStore/index.js';
 import {
+  answerWhole,
+  streamWhole,
+  WHOLE_STREAM,
   call,
   createWireConfiguration,
   KEY,
@@ -29,17 +32,6 @@
   type TestNode,
 } from './support/siteNodes/index.js';
 
-const EVENTS = 5;
-const WHOLE_STREAM = [1, 2, 3, 4, 5].map((id) => `id: ${id}\ndata: t${id}\n\n`).join('');
-
-const answerWhole: Behaviour = (request, response, endpoint) => {
-  response.writeHead(200, createSeal(request));
-  response.end(`done by ${endpoint.id}`);
-};
-const streamWhole: Behaviour = (request, response) => {
-  writeEvents(request, response, EVENTS);
-  response.end();
-};
 const failWith =
   (status: number, extra: Record<string, string> = {}): Behaviour =>
   (request, response) => {
--- a/tests/siteSignals.test.ts
+++ b/tests/siteSignals.test.ts
@@ -12,6 +12,9 @@
 } from '../standins/serveSiteEndpoint/index.js';
 import type { SiteStore } from '../standins/serveSiteStore/index.js';
 import {
+  answerWhole,
+  streamWhole,
+  EVENTS,
   call,
   createWireConfiguration,
   MODEL_SERVICE,
@@ -25,18 +28,9 @@
   type TestNode,
 } from './support/siteNodes/index.js';
 
-const EVENTS = 5;
 /** Requests after which a choice by chance would have met an endpoint that is still used. */
 const MANY_CALLS = 12;
 
-const answerWhole: Behaviour = (request, response, endpoint) => {
-  response.writeHead(200, createSeal(request));
-  response.end(`done by ${endpoint.id}`);
-};
-const streamWhole: Behaviour = (request, response) => {
-  writeEvents(request, response, EVENTS);
-  response.end();
-};
 const answerWith =
   (status: number, extra: Record<string, string>): Behaviour =>
   (request, response, endpoint) => {
@@ -84,6 +78,14 @@
   return target.logs.some((line) => line.includes(`"message":"${event}"`));
 }
 
+/** Asks until an endpoint has had a request. */
+function lookUntilMet(endpoint: SiteEndpoint): Promise<void> {
+  return waitFor(`${endpoint.id} was met`, async () => {
+    await look();
+    return countReceived(endpoint) > 0;
+  });
+}
+
 beforeEach(async () => {
   store = await startStore();
   first = await serveSiteEndpoint({ id: 'plain-1', behave: answerWhole });
@@ -119,10 +121,7 @@
 })) {
   test(`an endpoint that says in ${name} that it leaves gets no more requests`, async () => {
     first.behave = behave;
-    await waitFor('the leaving endpoint was met', async () => {
-      await look();
-      return countReceived(first) > 0;
-    });
+    await lookUntilMet(first);
     const met = countReceived(first);
     const answers = await repeat(MANY_CALLS, look);
     assert.ok(answers.every(({ body }) => body === 'done by plain-2'));
@@ -159,10 +158,7 @@
 
 test('other nodes are told of an endpoint that says that it leaves', async () => {
   first.behave = leaveWith(200);
-  await waitFor('the leaving endpoint was met', async () => {
-    await look();
-    return countReceived(first) > 0;
-  });
+  await lookUntilMet(first);
   await waitFor('the other node was told', () => hasLogged(peer, 'endpoint-leaving'));
   const met = countReceived(first);
   await repeat(MANY_CALLS, () => look(peer));
@@ -189,10 +185,7 @@
 
 test('an endpoint that asks for rest gets nothing until the rest ends', async () => {
   first.behave = restFor('2');
-  await waitFor('the endpoint was met', async () => {
-    await look();
-    return countReceived(first) > 0;
-  });
+  await lookUntilMet(first);
   const met = countReceived(first);
   const answers = await repeat(MANY_CALLS, look);
   assert.ok(answers.every(({ body }) => body === 'done by plain-2'));
--- a/tests/support/siteNodes/index.ts
+++ b/tests/support/siteNodes/index.ts
@@ -15,7 +15,14 @@
   type StartSiteNodeOptions,
 } from '../../../src/process/site/startSiteNode/index.js';
 import { serveSiteStore, type SiteStore } from '../../../standins/serveSiteStore/index.js';
-import type { SiteEndpoint } from '../../../standins/serveSiteEndpoint/index.js';
+import { listenOnLoopback } from '../../../standins/listenOnLoopback/index.js';
+import {
+  createSeal,
+  writeEvents,
+  type Behaviour,
+} from '../../../standins/serveSiteEndpoint/index.js';
+
+export { registerEndpoint } from '../../../standins/registerEndpoint/index.js';
 
 /** A node with the addresses that tests talk to. */
 export interface TestNode {
@@ -117,28 +124,6 @@
   };
 }
 
-/** Registers an endpoint as it would itself. */
-export function registerEndpoint(
-  store: SiteStore,
-  endpoint: SiteEndpoint,
-  service: string,
-  changes: object = {},
-): void {
-  store.put(`servers/${endpoint.id}`, {
-    service,
-    address: endpoint.address,
-    zone: 'mission',
-    version: 'v1',
-    slots: 8,
-    state: 'ready',
-    cold_left_ms: 0,
-    sequence: 1,
-    born: 1_000,
-    route_type: 'large',
-    ...changes,
-  });
-}
-
 /**
  * Loopback address of this process: a port that was found free here stays free until it is used,
  * as no other process of the tests listens on the address. Only Linux serves all of 127/8 unasked.
@@ -148,13 +133,11 @@
     ? `127.${1 + ((process.pid >> 16) & 0x7f)}.${(process.pid >> 8) & 0xff}.${process.pid & 0xff}`
     : '127.0.0.1';
 
-async function findFreePort(): Promise<number> {
+async function findFreeAddress(): Promise<string> {
   const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
-  const bound = server.address();
-  const port = typeof bound === 'object' && bound ? bound.port : 0;
+  const address = await listenOnLoopback(server, { host: LOOPBACK });
   await new Promise((resolve) => server.close(resolve));
-  return port;
+  return address;
 }
 
 /** Starts a store for nodes. */
@@ -169,7 +152,7 @@
   changes: Partial<Pick<StartSiteNodeOptions, 'graceMilliseconds'>> = {},
 ): Promise<TestNode> {
   const [callers, readiness, directory, peers] = await Promise.all(
-    Array.from({ length: 4 }, async () => `${LOOPBACK}:${await findFreePort()}`),
+    Array.from({ length: 4 }, findFreeAddress),
   );
   if (!callers || !readiness || !directory || !peers) throw new Error('no free port');
   const logs: string[] = [];
@@ -260,3 +243,24 @@
     return status === 200;
   });
 }
+
+/** Answers as a sound endpoint without a model, which names itself. */
+export const answerWhole: Behaviour = (request, response, endpoint) => {
+  response.writeHead(200, createSeal(request));
+  response.end(`done by ${endpoint.id}`);
+};
+
+/** Events of the streams of {@link streamWhole}. */
+export const EVENTS = 5;
+
+/** What callers get of a stream of {@link streamWhole}. */
+export const WHOLE_STREAM = Array.from(
+  { length: EVENTS },
+  (_, index) => `id: ${index + 1}\ndata: t${index + 1}\n\n`,
+).join('');
+
+/** Streams as a sound endpoint with a model. */
+export const streamWhole: Behaviour = (request, response) => {
+  writeEvents(request, response, EVENTS);
+  response.end();
+};
