--- a/bench/spawnNode/index.ts
+++ b/bench/spawnNode/index.ts
@@ -1,7 +1,7 @@
 /**
  * One node of the platform's bundle as a process on a loopback address of its own.
  */
-import { spawn } from 'node:child_process';
+import { spawn, type ChildProcess } from 'node:child_process';
 import { openSync, closeSync, readFileSync, readdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { createNodeSettings } from '../../standins/servePlatformSite/index.js';
@@ -57,6 +57,12 @@
 const CLOCK_TICKS_PER_SECOND = 100;
 const KILOBYTES_PER_MEGABYTE = 1_024;
 
+/** Nodes that run; none outlives the process that spawned it, unless that is killed outright. */
+const running = new Set<ChildProcess>();
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
 /**
  * Finds the loopback address of a node of this process, so that ports can be the same for all.
  *
@@ -116,11 +122,13 @@
     env: { ...process.env, MARJORAMCLEAT_BOOT: settings },
   });
   if (log !== undefined) closeSync(log);
+  running.add(child);
   const processId = child.pid ?? 0;
   let hasEnded = false;
   const ended = new Promise<number | null>((resolve) => {
     child.once('exit', (code) => {
       hasEnded = true;
+      running.delete(child);
       resolve(code);
     });
   });
--- /dev/null
+++ b/bench/spawnNode/test.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+
+/** Spawns a node whose program runs for ever and writes its process id into a file. */
+const SPAWNER = `
+import { spawnNode } from './bench/spawnNode/index.js';
+const [folder, program] = process.argv.slice(-2);
+spawnNode({ index: 0, host: '127.0.0.1', storeAddress: '127.0.0.1:1', seeds: [], folder, program });
+process.on('SIGTERM', () => process.exit(1));
+setInterval(() => undefined, 1_000);
+`;
+const PROGRAM = `
+require('node:fs').writeFileSync(__filename + '.pid', String(process.pid));
+console.error('started');
+setInterval(() => undefined, 1_000);
+`;
+
+function isRunning(processId: number): boolean {
+  try {
+    return process.kill(processId, 0);
+  } catch {
+    return false;
+  }
+}
+
+test('a node ends with the process that spawned it', async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'marjoramcleat-spawn-'));
+  const program = join(folder, 'program.cjs');
+  writeFileSync(program, PROGRAM);
+  const command = ['--import', 'tsx', '--input-type=module', '-e', SPAWNER, folder, program];
+  const spawner = spawn(process.execPath, command, { stdio: ['ignore', 'ignore', 'pipe'] });
+  const ended = new Promise((resolve) => spawner.once('exit', resolve));
+  await new Promise<void>((resolve) => {
+    spawner.stderr.on('data', (text: Buffer) => {
+      if (text.toString().includes('started')) resolve();
+    });
+  });
+  const processId = Number(readFileSync(`${program}.pid`, 'utf8'));
+  assert.ok(isRunning(processId));
+  spawner.kill('SIGTERM');
+  await ended;
+  for (let look = 0; look < 200 && isRunning(processId); look += 1) {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  const isLeft = isRunning(processId);
+  if (isLeft) process.kill(processId, 'SIGKILL');
+  rmSync(folder, { recursive: true });
+  assert.ok(!isLeft);
+});
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -36,6 +36,10 @@
   return false;
 }
 
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+  // Nodes end with the process, but only if it exits by itself.
+  process.once(signal, () => process.exit(1));
+}
 const values = readOptions({
   seed: { type: 'string', default: '1' },
   runs: { type: 'string', default: '1' },
