Log crashes of endpoints with the requests that may have caused them

Ruled out: requests are decided as before; the probe that confirms a crash is the one that ran already, but never one from before the failure. Change: promptParts in the metadata of requests, createCrashRecorder, the events endpoint-crashed and parts, the counter endpoint_crashes, explain by the attempts of a crash line.

--- a/emulator/createVirtualCallers/index.ts
+++ b/emulator/createVirtualCallers/index.ts
@@ -188,6 +188,7 @@
     maximumAnswerTokens: request.requestClass.mostAnswerEvents * site.model.stride,
     expectedAnswerTokens: request.expectedAnswerTokens,
     lastEventId: request.receivedEvent,
+    promptParts: [],
   });
 
   const send = (request: ActiveRequest): void => {
--- /dev/null
+++ b/src/process/relay/createCrashRecorder/test.ts
@@ -0,0 +1,77 @@
+/**
+ * Guards against a crash of an endpoint that no log line names, and against connections that were
+ * reset alone and are taken for a crash.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createVirtualTime } from '../../../../emulator/createVirtualTime/index.js';
+import { createEndpointTable } from '../../../connection/createEndpointTable/index.js';
+import { createEndpointRecord, NOOP_LOGGER } from '../../../../tests/support/site/index.js';
+import { createCrashRecorder, type BrokenRun } from './index.js';
+
+const RUN: BrokenRun = {
+  endpoint: 'i-1',
+  startedAt: 100,
+  attempt: 'attempt-1',
+  parts: ['head', 'middle', 'own-1'],
+  events: 0,
+  reason: 'aborted',
+};
+
+function createFixture(isResponding: () => boolean) {
+  const endpoints = createEndpointTable();
+  endpoints.update('i-1', createEndpointRecord({ id: 'i-1', startedAt: 100 }), 0);
+  const clock = createVirtualTime();
+  const lines: Record<string, unknown>[] = [];
+  const recorder = createCrashRecorder({
+    endpoints,
+    prober: { probe: () => Promise.resolve(isResponding()) },
+    clock,
+    logger: {
+      ...NOOP_LOGGER,
+      log: (event, fields) => lines.push({ event, ...fields }),
+    },
+    metrics: { count: () => undefined },
+  });
+  return { endpoints, clock, lines, recorder };
+}
+
+test('one line names a crash with the runs that had no event and their parts', async () => {
+  const { clock, lines, recorder } = createFixture(() => false);
+  assert.equal(await recorder.recordBrokenRun(RUN), true);
+  await recorder.recordBrokenRun({ ...RUN, attempt: 'attempt-2', parts: ['head', 'own-2'] });
+  await recorder.recordBrokenRun({ ...RUN, attempt: 'attempt-3', parts: ['other'], events: 4 });
+  await clock.run(50);
+  assert.equal(lines.length, 1);
+  assert.deepEqual(lines[0], {
+    event: 'endpoint-crashed',
+    endpoint: 'i-1',
+    bornAt: 100,
+    reason: 'aborted',
+    begun: 1,
+    unbegun: 2,
+    attempts: 'attempt-1 attempt-2',
+    parts: 'head middle own-1 own-2',
+  });
+});
+
+test('a reset of one connection and the end of a leaving endpoint are no crash', async () => {
+  const alive = createFixture(() => true);
+  assert.equal(await alive.recorder.recordBrokenRun(RUN), false);
+  const leaving = createFixture(() => false);
+  const record = createEndpointRecord({ id: 'i-1', startedAt: 100, isDraining: true });
+  leaving.endpoints.update('i-1', record, 0);
+  assert.equal(await leaving.recorder.recordBrokenRun(RUN), false);
+  const gone = createFixture(() => false);
+  gone.endpoints.update('i-1', undefined, 0);
+  assert.equal(await gone.recorder.recordBrokenRun(RUN), false);
+});
+
+test('an endpoint that is back under its identifier with a later start has crashed', async () => {
+  const { endpoints, recorder } = createFixture(() => {
+    const endpoint = endpoints.find('i-1');
+    if (endpoint) endpoints.recordRestart(endpoint, 200);
+    return true;
+  });
+  assert.equal(await recorder.recordBrokenRun(RUN), true);
+});
--- a/src/process/relay/createEndpointProber/index.ts
+++ b/src/process/relay/createEndpointProber/index.ts
@@ -21,9 +21,10 @@
 export interface EndpointProber {
   /**
    * Fetches the report of an endpoint, unless a recent result can be reused; resolves to whether
-   * the endpoint responded.
+   * the endpoint responded. Results of probes that began before `notBefore`, in milliseconds, are not
+   * reused.
    */
-  readonly probe: (endpoint: string, reason: string) => Promise<boolean>;
+  readonly probe: (endpoint: string, reason: string, notBefore?: number) => Promise<boolean>;
   /** Probes the endpoints of an idle path: the first one at first, all of them in later rounds. */
   readonly probePath: (endpoints: readonly string[], round: number) => void;
   /** Fetches and applies the report of an endpoint; undefined when there is none. */
@@ -121,11 +122,12 @@
     if (!report && endpoints.find(id) === endpoint) reportLost(id, reason);
     return report !== undefined;
   };
-  const probe = (id: string, reason: string): Promise<boolean> => {
+  const probe: EndpointProber['probe'] = (id, reason, notBefore = Number.NEGATIVE_INFINITY) => {
     const endpoint = endpoints.find(id);
     if (!endpoint) return Promise.resolve(false);
     const last = recentProbes.get(id);
-    if (last && now() - last.startedAt < RESULT_REUSE_MILLISECONDS) return last.outcome;
+    const reusedFrom = Math.max(now() - RESULT_REUSE_MILLISECONDS, notBefore);
+    if (last && last.startedAt >= reusedFrom) return last.outcome;
     const outcome = runProbe(endpoint, reason);
     recentProbes.set(id, { startedAt: now(), outcome });
     return outcome;
--- a/src/process/relay/createRelay/index.ts
+++ b/src/process/relay/createRelay/index.ts
@@ -65,6 +65,8 @@
 const DEADLINE_MARGIN_MILLISECONDS = 30;
 /** Maximum share of a request's time that it waits at a node that has just started. */
 const START_WAIT_SHARE = 0.5;
+/** Number of prompt parts that the log names. */
+const MAXIMUM_LOGGED_PARTS = 8;
 const DEFAULT_PRIORITY = 5;
 const MAXIMUM_PRIORITY = 9;
 
@@ -133,6 +135,7 @@
         account: account?.name ?? '',
         service: service.name,
         version: compiled.configuration.version,
+        parts: caller.promptParts.slice(0, MAXIMUM_LOGGED_PARTS).join(' '),
         promptTokens: caller.promptTokens,
         answerTokens: caller.maximumAnswerTokens,
         leftMilliseconds: Math.round(deadlineAt - clock.now()),
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -40,7 +40,7 @@
 }
 
 function startStream(context: RelayContext, request: RelayedRequest, onDone: () => void): void {
-  const { clock, budget, endpoints } = context;
+  const { clock, budget, endpoints, crashes } = context;
   const { route, service, caller, deadlineAt, log } = request;
   const paths = createStreamPaths(context, request);
   let state: RunState = 'idle';
@@ -48,6 +48,9 @@
   let path: ChosenPath | undefined;
   let release: (() => void) | undefined;
   const counter = createRunCounter(route);
+  /** Number of events of the current run, and the start of its first endpoint as a Unix time. */
+  let runEvents = 0;
+  let firstStartedAt = 0;
 
   const response = createStreamResponse({
     context,
@@ -144,7 +147,16 @@
     watch.reset();
   }
 
+  /** Records that the run lost its first endpoint, or the connection to it. */
+  function recordBrokenRun({ endpoint }: PathHop, reason: string): void {
+    const { attempt, promptParts: parts } = caller;
+    const run = { endpoint, startedAt: firstStartedAt, attempt, parts, events: runEvents, reason };
+    void crashes.recordBrokenRun(run);
+  }
+
   function openRun(first: PathHop): void {
+    runEvents = 0;
+    firstStartedAt = endpoints.find(first.endpoint)?.record.startedAt ?? 0;
     const opened: EndpointCall = openRequestRun({
       context,
       request,
@@ -155,6 +167,7 @@
       onEvent: (event, headers) => {
         if (call !== opened) return false;
         watch.reset();
+        runEvents += 1;
         counter.recordMayHaveRun();
         if (response.forwardEvent(event, headers) !== 'broken') return true;
         recover('events out of order');
@@ -163,6 +176,7 @@
       onNonStreamResponse: handleNonStreamResponse,
       onComplete: endComplete,
       onFailed: (reason) => {
+        recordBrokenRun(first, reason);
         paths.recordFailedRun(first, reason);
         recover(reason);
       },
@@ -238,7 +252,9 @@
   /** Leaves a path with a lost endpoint: migrates the run, or restarts it if that is not possible. */
   function avoidLost(lost: string): void {
     const [firstHop] = listHops();
-    const mustRestart = firstHop?.endpoint === lost || !context.decisions.movesRuns;
+    const isFirstLost = firstHop?.endpoint === lost;
+    if (firstHop && isFirstLost) recordBrokenRun(firstHop, 'endpoint lost');
+    const mustRestart = isFirstLost || !context.decisions.movesRuns;
     const newPath = mustRestart ? undefined : paths.selectWithFirstHop(firstHop, computeSize());
     if (newPath) void moveTo(newPath);
     else recover('endpoint lost');
--- a/src/process/relay/types/index.ts
+++ b/src/process/relay/types/index.ts
@@ -14,6 +14,7 @@
 import type { SiteRoute, SiteService } from '../../../types/site/index.js';
 import type { SiteLogger } from '../../site/createSiteLogger/index.js';
 import type { BodyMemoryLimit } from '../createBodyMemoryLimit/index.js';
+import type { CrashRecorder } from '../createCrashRecorder/index.js';
 import type { EndpointProber } from '../createEndpointProber/index.js';
 import type { SiteDecisions } from '../../site/siteDecisions/index.js';
 import type { RelayMetrics } from '../createRelayMetrics/index.js';
@@ -31,6 +32,7 @@
   /** Returns a random number from 0 to 1. */
   readonly random: () => number;
   readonly prober: EndpointProber;
+  readonly crashes: CrashRecorder;
   readonly decisions: Pick<SiteDecisions, 'choosePath' | 'movesRuns' | 'prefersLocalZone'>;
   /** Registers a callback for endpoints that become unreachable; returns its removal. */
   readonly onLost: (callback: (endpoint: string) => void) => () => void;
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -11,6 +11,7 @@
 import { hashText } from '../../hashRendezvous/index.js';
 import { parseJson } from '../../parseJson/index.js';
 import { createBodyMemoryLimit } from '../../relay/createBodyMemoryLimit/index.js';
+import { createCrashRecorder } from '../../relay/createCrashRecorder/index.js';
 import { createEndpointProber } from '../../relay/createEndpointProber/index.js';
 import { createRelay, type Relay } from '../../relay/createRelay/index.js';
 import { createStartGate } from '../../relay/createStartGate/index.js';
@@ -256,6 +257,13 @@
     // An isolated node must not use the other nodes' shares of the budget.
     countNodes: exchange.peers.countKnown,
   });
+  const crashes = createCrashRecorder({
+    endpoints: state.endpoints,
+    prober,
+    clock,
+    logger,
+    metrics,
+  });
   const context: RelayContext = {
     availabilityZone: self.availabilityZone,
     endpoints: state.endpoints,
@@ -264,6 +272,7 @@
     logger,
     metrics,
     prober,
+    crashes,
     decisions,
     clock,
     random,
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -106,6 +106,19 @@
       reason,
     },
   ),
+  'endpoint-crashed': define(
+    'warn',
+    'An endpoint ended while requests of this node ran on it; those without an event may be the cause.',
+    {
+      endpoint,
+      bornAt: number('Unix time of its start in milliseconds'),
+      reason,
+      begun: number('runs of this node that had delivered events'),
+      unbegun: number('runs of this node that had not'),
+      attempts: text("the callers' attempt ids of runs without events, at most 16"),
+      parts: text('parts of the prompts of these, at most 32'),
+    },
+  ),
   'endpoint-found': define('info', 'A lost endpoint responds again.', { endpoint }),
   'endpoint-leaving': define(
     'info',
@@ -184,6 +197,7 @@
     account: text('the client account; empty on a public route'),
     service: text('the selected service'),
     version: number('version of the configuration'),
+    parts: text('identifiers of the first parts of the prompt, at most 8'),
     promptTokens: number('tokens of the prompt'),
     answerTokens: number('maximum number of answer tokens that the caller expects'),
     leftMilliseconds: number('milliseconds until its deadline'),
--- a/src/request/estimateTokens/test.ts
+++ b/src/request/estimateTokens/test.ts
@@ -3,7 +3,13 @@
 import { LAYERED_MODEL } from '../../../tests/support/site/index.js';
 import { estimateTokens } from './index.js';
 
-const CALLER = { attempt: 'a', promptTokens: 700, maximumAnswerTokens: 400, lastEventId: 0 };
+const CALLER = {
+  attempt: 'a',
+  promptTokens: 700,
+  maximumAnswerTokens: 400,
+  lastEventId: 0,
+  promptParts: [],
+};
 
 test('counts the answer so far as prompt tokens and not as answer tokens', () => {
   const begun = estimateTokens({ caller: CALLER, model: LAYERED_MODEL, lastEventId: 0 });
--- a/src/request/explainRequest/index.ts
+++ b/src/request/explainRequest/index.ts
@@ -68,6 +68,11 @@
   return new Set(endpoints.filter((endpoint) => endpoint !== ''));
 }
 
+/** Returns whether a line is about a request, alone or among others. */
+function namesRequest(line: LogLine, request: string): boolean {
+  return line.request === request || readText(line, 'attempts').split(' ').includes(request);
+}
+
 function formatLine(line: LogLine, isOwn: boolean): RequestEventLine {
   const details = Object.entries(line)
     .filter(([field]) => !FIELDS_LEFT_OUT.has(field))
@@ -94,7 +99,7 @@
  */
 export function explainRequest(texts: readonly string[], request: string): RequestEventLine[] {
   const lines = texts.flatMap((text) => readLine(text) ?? []);
-  const requestLines = lines.filter((line) => line.request === request);
+  const requestLines = lines.filter((line) => namesRequest(line, request));
   if (requestLines.length === 0) return [];
   const endpoints = listEndpoints(requestLines);
   const times = requestLines.map(({ timestamp }) => Date.parse(timestamp));
@@ -106,7 +111,7 @@
     const isInWindow = at >= from && at <= to;
     const isPlacement = hadNoPath && PLACEMENT_EVENTS.has(line.message);
     const isRelated = isPlacement || endpoints.has(readText(line, 'endpoint'));
-    return isInWindow && line.request === undefined && isRelated;
+    return isInWindow && line.request === undefined && isRelated && !namesRequest(line, request);
   });
   return [
     ...requestLines.map((line) => formatLine(line, true)),
--- a/src/types/relay/index.ts
+++ b/src/types/relay/index.ts
@@ -19,6 +19,11 @@
   readonly expectedAnswerTokens?: number | undefined;
   /** Number of the last event that the caller has received; 0 when it has received none. */
   readonly lastEventId: number;
+  /**
+   * Identifiers of the parts of the prompt in order. Requests share parts; the last part belongs to the
+   * request or to its session. Empty when the caller sent none.
+   */
+  readonly promptParts: readonly string[];
 }
 
 /** Details that the node adds to a request that it forwards. */
