Reproduce requests that crash one engine after the other

Cause: nodes pass on each request with a part that crashes engines, and the repeat after a crash hands it to the next engine.

--- /dev/null
+++ b/tests/crashingRequests.test.ts
@@ -0,0 +1,195 @@
+/**
+ * Requests that crash each endpoint that begins to answer them. Guards against nodes that pass such
+ * requests on to one endpoint after another, and against sound requests that are refused with them.
+ */
+import assert from 'node:assert/strict';
+import { after, before, beforeEach, test } from 'node:test';
+import {
+  serveSiteEndpoint,
+  type EndpointHandler,
+  type ReceivedRequest,
+  type SiteEndpoint,
+} from '../standins/serveSiteEndpoint/index.js';
+import type { SiteStore } from '../standins/serveSiteStore/index.js';
+import {
+  createPlatformConfiguration,
+  MODEL_SERVICE,
+  PLAIN_SERVICE,
+  registerEndpoint,
+  respondCompletely,
+  sendCallerRequest,
+  startNode,
+  startStore,
+  streamCompletely,
+  waitFor,
+  waitUntilReady,
+  type CallerResponse,
+  type TestNode,
+} from './support/siteNodes/index.js';
+
+const ENGINE_COUNT = 12;
+/** Most crashes that one part may cause before every node refuses it. */
+const MAXIMUM_CRASHES = 5;
+/** Time in which an engine reads a prompt before it begins to write, in milliseconds. */
+const READ_MILLISECONDS = 30;
+/** Pause between two requests, in milliseconds. */
+const REQUEST_INTERVAL_MILLISECONDS = 60;
+const HEAD = 'a1a1';
+const MIDDLE = 'b2b2';
+const ALL_LAYERS = { from: 0, to: 4 };
+
+let store: SiteStore;
+let nodes: TestNode[];
+let engines: SiteEndpoint[];
+let plainEndpoints: SiteEndpoint[];
+let deadlyParts: Set<string>;
+let requestCount = 0;
+
+function listParts({ headers }: ReceivedRequest): string[] {
+  const prefix = headers['prompt-prefix'];
+  return typeof prefix === 'string'
+    ? prefix.split(',').map((entry) => entry.split(':', 1)[0] ?? '')
+    : [];
+}
+
+const crashOnDeadlyParts: EndpointHandler = (request, response, endpoint) => {
+  setTimeout(() => {
+    if (request.wasAborted) return;
+    if (listParts(request).some((part) => deadlyParts.has(part))) void endpoint.crash();
+    else streamCompletely(request, response, endpoint);
+  }, READ_MILLISECONDS);
+};
+
+function countDeadly(): number {
+  const isDeadly = (request: ReceivedRequest): boolean =>
+    listParts(request).some((part) => deadlyParts.has(part));
+  return engines.reduce((sum, { received }) => sum + received.filter(isDeadly).length, 0);
+}
+
+function ask(node: TestNode, shared: readonly string[]): Promise<CallerResponse> {
+  requestCount += 1;
+  const parts = [...shared, `c${requestCount}`];
+  return sendCallerRequest({
+    address: node.callers,
+    path: '/ask/x',
+    method: 'POST',
+    body: 'question',
+    headers: {
+      'Attempt-Id': `attempt-${requestCount}`,
+      'Token-Counts': '30,10',
+      'Prompt-Prefix': parts.map((part) => `${part}:10`).join(','),
+    },
+  });
+}
+
+/** Sends a request with each list of shared parts to the nodes in turn. */
+async function askInTurn(lists: readonly (readonly string[])[]): Promise<CallerResponse[]> {
+  const responses: Promise<CallerResponse>[] = [];
+  for (const [index, shared] of lists.entries()) {
+    const node = nodes[index % nodes.length];
+    if (node) responses.push(ask(node, shared));
+    await new Promise((resolve) => setTimeout(resolve, REQUEST_INTERVAL_MILLISECONDS));
+  }
+  return Promise.all(responses);
+}
+
+function countServed(responses: readonly CallerResponse[]): number {
+  return responses.filter(({ status, isComplete }) => status === 200 && isComplete).length;
+}
+
+async function addEngines(prefix: string): Promise<void> {
+  engines = await Promise.all(
+    Array.from({ length: ENGINE_COUNT }, (_, index) =>
+      serveSiteEndpoint({ id: `${prefix}-${index}`, handle: crashOnDeadlyParts }),
+    ),
+  );
+  for (const engine of engines) {
+    engine.layers = ALL_LAYERS;
+    registerEndpoint(store, engine, MODEL_SERVICE, { layers: ALL_LAYERS });
+  }
+  await waitFor('all nodes know the engines', () =>
+    nodes.every(({ logs }) =>
+      engines.every(({ id }) => logs.some((line) => line.includes(`"${id}"`))),
+    ),
+  );
+}
+
+before(async () => {
+  store = await startStore();
+  nodes = [
+    await startNode('node-1', store),
+    await startNode('node-2', store),
+    await startNode('node-3', store),
+  ];
+  plainEndpoints = await Promise.all(
+    ['plain-1', 'plain-2', 'plain-3', 'plain-4', 'plain-5', 'plain-6', 'plain-7'].map((id) =>
+      serveSiteEndpoint({ id, handle: respondCompletely }),
+    ),
+  );
+  for (const endpoint of plainEndpoints) registerEndpoint(store, endpoint, PLAIN_SERVICE);
+  store.put('op/config', createPlatformConfiguration(1));
+  await Promise.all(nodes.map(waitUntilReady));
+});
+
+beforeEach(async (context) => {
+  deadlyParts = new Set();
+  await addEngines(`engine-${context.name.length}-${requestCount}`);
+});
+
+after(async () => {
+  await Promise.all(nodes.map(({ node }) => node.leave()));
+  await store.close();
+  await Promise.all([...engines, ...plainEndpoints].map((endpoint) => endpoint.crash()));
+});
+
+test(
+  'a part that crashes engines is not passed from engine to engine by any node',
+  { todo: 'issue 24' },
+  async () => {
+    deadlyParts = new Set(['dead1']);
+    await askInTurn(Array.from({ length: 6 }, () => [HEAD]));
+    await askInTurn(Array.from({ length: 18 }, () => [HEAD, 'dead1']));
+    const crashes = countDeadly();
+    assert.ok(crashes <= MAXIMUM_CRASHES, `${crashes} requests reached engines`);
+  },
+);
+
+test(
+  'sound requests that share parts with those that crash engines are served',
+  { todo: 'issue 24' },
+  async () => {
+    deadlyParts = new Set(['dead2']);
+    await askInTurn(Array.from({ length: 6 }, () => [HEAD, MIDDLE]));
+    const mixed = Array.from({ length: 40 }, (_, index) =>
+      index % 2 === 0 ? [HEAD, 'dead2', MIDDLE] : [HEAD, MIDDLE],
+    );
+    const responses = await askInTurn(mixed);
+    const sound = responses.filter((_, index) => index % 2 === 1);
+    assert.equal(countServed(sound), sound.length);
+    assert.ok(countDeadly() <= MAXIMUM_CRASHES, `${countDeadly()} requests reached engines`);
+  },
+);
+
+test(
+  'a repeated plain request that crashes its endpoint does not reach one after another',
+  { todo: 'issue 24' },
+  async () => {
+    for (const endpoint of plainEndpoints)
+      endpoint.handle = (request, response, self) => {
+        if (request.url === '/look/deadly') void self.crash();
+        else respondCompletely(request, response, self);
+      };
+    for (let index = 0; index < 9; index += 1) {
+      const address = nodes[index % nodes.length]?.callers ?? '';
+      await sendCallerRequest({ address, path: '/look/deadly' });
+    }
+    const received = plainEndpoints.flatMap((endpoint) => endpoint.received);
+    const deadly = received.filter(({ url }) => url === '/look/deadly');
+    assert.ok(deadly.length <= 3, `${deadly.length} endpoints received it`);
+    const sound = await sendCallerRequest({
+      address: nodes[0]?.callers ?? '',
+      path: '/look/sound',
+    });
+    assert.equal(sound.status, 200);
+  },
+);
