--- a/src/process/site/createPeerExchange/index.ts
+++ b/src/process/site/createPeerExchange/index.ts
@@ -107,6 +107,8 @@
  * milliseconds.
  */
 const LOST_MARK_MILLISECONDS = 1_500;
+/** Time without an update from any peer after which facts about parts may have been missed. */
+const MISSED_FACTS_MILLISECONDS = 1_000;
 /** Minimum interval between two requests for the same reason, in milliseconds. */
 const REQUEST_INTERVAL_MILLISECONDS = 600;
 /** Minimum interval between two requests for nodes that only peers know, in milliseconds. */
@@ -136,8 +138,9 @@
    */
   let reportedRevision = 0;
   let unreadable = 0;
-  /** Whether no peer has sent all that it knows about parts since the start. */
+  /** Whether this node may have missed facts about parts: since its start, or while it was cut off. */
   let needsParts = true;
+  let updateReceivedAt = now();
   const requestedAt = new Map<string, number>();
 
   const listRelayedLayers = (): LayerUpdate[] => {
@@ -306,6 +309,8 @@
   };
   const handleUpdate = (update: PeerUpdate, address: string): void => {
     if (!peers.applyUpdate(update)) return;
+    if (now() - updateReceivedAt > MISSED_FACTS_MILLISECONDS) needsParts = true;
+    updateReceivedAt = now();
     applyUpdate(update);
     requestMissing(update, address);
     if (update.wantsReply) sendReply(address);
