Soak with endpoints that crash on parts, and tell a crash from the end of a response without framing

What callers saw: a response with neither a length nor chunks whose endpoint was killed ended like a complete one, so that half a body or stream was passed on as whole. Cause: the end of a connection was taken for the end of the response, whatever ended it. Ruled out: the reset, which was told apart before; a killed process closes its connections in order. Change: such an end is checked at the endpoint before it counts: by its report or by a connection; a crash leaves a stream to be resumed and a body unknown. The soak has streams with shared and crashing parts (8 in 100), endpoints that crash on them, two checks, and the twin forwardsCrashing.

--- a/emulator/createEndpointPort/index.ts
+++ b/emulator/createEndpointPort/index.ts
@@ -99,7 +99,7 @@
         }
         const { status, ...metadata } = response;
         handlers.onHead(createHead(status, attempt, metadata));
-        handlers.onEnd();
+        handlers.onEnd('framing');
       });
     });
   };
@@ -123,7 +123,7 @@
     const refuse = (failedAddress: string | undefined): void => {
       afterDelay(() => {
         handlers.onHead(createHead(503, attempt, { isNotExecuted: true, failedAddress }));
-        handlers.onEnd();
+        handlers.onEnd('framing');
       });
     };
     const connect = (): void => {
@@ -150,8 +150,11 @@
         },
         onEnd: (end, failedEngine) => {
           if (end === 'notRun') refuse(failedEngine?.address);
-          else if (end === 'whole') afterDelay(handlers.onEnd);
-          else {
+          else if (end === 'whole') {
+            afterDelay(() => {
+              handlers.onEnd('framing');
+            });
+          } else {
             afterDelay(() => {
               handlers.onFailure('sent', 'reset');
             });
--- a/soak/createCallers/index.ts
+++ b/soak/createCallers/index.ts
@@ -3,6 +3,7 @@
  */
 import { Agent, request as openRequest, type IncomingMessage } from 'node:http';
 import { sleep } from '../../bench/sleep/index.js';
+import { CRASHING_PART_PREFIX } from '../readEndpointRequest/index.js';
 import { readEvents } from '../readEvents/index.js';
 import type { AttemptOutcome, CallerAttempt, RequestKind, SoakRecord } from '../types/index.js';
 
@@ -27,6 +28,8 @@
   readonly deadlineMilliseconds: number;
   /** Time after which a caller abandons an attempt, in milliseconds. */
   readonly attemptMilliseconds: number;
+  /** Returns the share of streams whose prompt has a part that crashes endpoints; none by default. */
+  readonly getCrashingShare?: () => number;
 }
 
 /** Options of one attempt. */
@@ -37,6 +40,7 @@
   readonly path: string;
   readonly target: CallerTarget;
   readonly lastEvent?: number;
+  readonly parts?: readonly string[];
 }
 
 /** Callers that send requests until they are stopped. */
@@ -66,6 +70,9 @@
   ['booking', 0.2],
 ];
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** First parts that streams share, and parts that crash endpoints. */
+const SHARED_PARTS = 4;
+const CRASHING_PARTS = 2;
 const MAXIMUM_ATTEMPTS = 3;
 const MAXIMUM_PAUSE_MILLISECONDS = 150;
 const MAXIMUM_RETRY_AFTER_SECONDS = 1;
@@ -112,7 +119,7 @@
   const send = (attempt: CallerAttempt, path: string, address: string, agent: Agent) =>
     new Promise<number>((resolve) => {
       const [hostname, port] = address.split(':');
-      const { kind, lastEvent, request } = attempt;
+      const { kind, lastEvent, request, parts } = attempt;
       let retryAfter = 0;
       const finish = (outcome: AttemptOutcome): void => {
         if (attempt.endedAt !== Infinity) return;
@@ -133,6 +140,9 @@
           'Deadline-Ms': String(options.deadlineMilliseconds),
           Credential: apiKey,
           'Token-Counts': '20,10',
+          ...(parts.length > 0 && {
+            'Prompt-Prefix': parts.map((part) => `${part}:10`).join(','),
+          }),
           ...(lastEvent > 0 && { 'Last-Event-Id': String(lastEvent) }),
         },
       });
@@ -168,6 +178,7 @@
     kind,
     target,
     lastEvent = 0,
+    parts = [],
   }: AttemptOptions): CallerAttempt => {
     attempts += 1;
     const attempt: CallerAttempt = {
@@ -184,6 +195,7 @@
       endpoint: undefined,
       saysLeaving: false,
       headAt: undefined,
+      parts,
     };
     record.attempts.push(attempt);
     return attempt;
@@ -201,15 +213,23 @@
     }
     return 'stream';
   };
+  /** Draws the parts of a stream's prompt: sound and crashing requests share their first parts. */
+  const pickParts = (request: string): string[] => {
+    const head = `head-${Math.floor(random() * SHARED_PARTS)}`;
+    const isCrashing = random() < (options.getCrashingShare?.() ?? 0);
+    const crashing = `${CRASHING_PART_PREFIX}${Math.floor(random() * CRASHING_PARTS)}`;
+    return [head, ...(isCrashing ? [crashing] : []), `own-${request}`];
+  };
   /** Sends one request and its retries, each to a newly picked target. */
   const sendWithRetries = async (firstTarget: CallerTarget, agent: Agent): Promise<void> => {
     requests += 1;
     const request = `r${requests}`;
     const kind = pickKind();
+    const parts = kind === 'stream' ? pickParts(request) : [];
     let target = firstTarget;
     let lastEvent = 0;
     for (let tryNumber = 0; tryNumber < MAXIMUM_ATTEMPTS && !isStopped; tryNumber += 1) {
-      const attempt = startAttempt({ request, kind, path: PATHS[kind], target, lastEvent });
+      const attempt = startAttempt({ request, kind, path: PATHS[kind], target, lastEvent, parts });
       const retryAfter = await send(attempt, PATHS[kind], target.address, agent);
       if (!RETRYABLE_OUTCOMES[kind].includes(attempt.outcome)) return;
       if (kind === 'stream' && attempt.status === 200) {
--- a/soak/createSoakEndpoint/index.ts
+++ b/soak/createSoakEndpoint/index.ts
@@ -16,6 +16,8 @@
 import {
   findRequestKind,
   readHeader,
+  isCrashingPart,
+  readParts,
   readRequestId,
   readPath,
   type Hop,
@@ -56,6 +58,8 @@
   readonly now: () => number;
   /** Returns whether a running endpoint listens on an address. */
   readonly isServing: (address: string) => boolean;
+  /** Crashes the endpoint for a time; returns false when another fault prevents that now. */
+  readonly crashForTime?: (id: string) => boolean;
 }
 
 /** An endpoint of a soak run. */
@@ -162,6 +166,7 @@
       at: now(),
       hasRun,
       path: path.length > 0 ? path : undefined,
+      parts: readParts(request),
     });
   };
   const refuse = (
@@ -221,12 +226,28 @@
       });
     },
   };
+  /** Crashes the endpoint as it begins to answer a request with a crashing part. */
+  const crashOnPart = async ({ response }: RequestContext, part: string): Promise<void> => {
+    await sleep(EVENT_MILLISECONDS);
+    while (!response.destroyed) {
+      if (options.crashForTime?.(id)) {
+        record.crashes.push({ part, endpoint: id, at: now() });
+        return;
+      }
+      await sleep(EVENT_MILLISECONDS);
+    }
+  };
   const respondStreamed = async (context: RequestContext): Promise<void> => {
     const { request, response, requestId } = context;
     const previousEvent = Number(readHeader(request, 'last-event-id') || 0);
     const initialMode = mode;
     if (initialMode === 'twice') sendDuplicate(context);
     await waitForPath(context);
+    const crashingPart = readParts(request).find(isCrashingPart);
+    if (crashingPart !== undefined) {
+      await crashOnPart(context, crashingPart);
+      return;
+    }
     startResponse(context, { 'Content-Type': 'text/event-stream' });
     for (let number = previousEvent + 1; number <= events; number += 1) {
       const fail =
--- a/soak/findViolations/index.ts
+++ b/soak/findViolations/index.ts
@@ -2,6 +2,7 @@
  * All promises that a soak run checks.
  */
 import { checkResponses } from '../checkResponses/index.js';
+import { checkCrashingParts, checkSoundParts } from '../checkCrashingParts/index.js';
 import { checkCompletion } from '../checkCompletion/index.js';
 import { checkLeaving } from '../checkLeaving/index.js';
 import { checkPaths } from '../checkPaths/index.js';
@@ -25,6 +26,8 @@
   checkBackoffs,
   checkLeaving,
   checkRetries,
+  checkCrashingParts,
+  checkSoundParts,
   checkPlannedStops,
   checkExits,
   checkLeaks,
--- a/soak/findViolations/test.ts
+++ b/soak/findViolations/test.ts
@@ -19,6 +19,9 @@
   retryRatio: 0.2,
   retrySlack: 2,
   retryWindowMilliseconds: 10_000,
+  crashesUntilKnown: 5,
+  contactMilliseconds: 3_000,
+  maximumKnownSends: 3,
   maximumDescriptorGrowth: 20,
   maximumMegabyteGrowth: 50,
 };
@@ -37,6 +40,7 @@
   endpoint: 'engine-0',
   saysLeaving: false,
   headAt: 1_090,
+  parts: [],
 };
 const VALID_SEND: EndpointSend = {
   request: 'r1',
@@ -47,6 +51,7 @@
   at: 1_010,
   hasRun: true,
   path: undefined,
+  parts: [],
 };
 const STREAM = { ...VALID_ATTEMPT, kind: 'stream' } as const;
 const EVENTS = [1, 2, 3].map((number) => formatEvent('r1', number));
@@ -106,6 +111,33 @@
   return record({ attempts: [LEAVING, ...attempts.slice(1)], sends, ...changes });
 }
 
+/** Creates a record of five crashes by one part, and of requests with it after a delay. */
+function createCrashRecord(
+  count: number,
+  after: number,
+  changes: Partial<SoakRecord> = {},
+): SoakRecord {
+  const parts = ['head-1', 'crash-1', 'own'];
+  const { attempts, sends } = createLaterRequests(count, after);
+  return record({
+    attempts: attempts.map((attempt) => ({ ...attempt, parts })),
+    sends: sends.map((send) => ({ ...send, parts })),
+    crashes: Array.from({ length: 5 }, (_, index) => ({
+      part: 'crash-1',
+      endpoint: `engine-${index}`,
+      at: 600 + 100 * index,
+    })),
+    ...changes,
+  });
+}
+const BLOCKED_ATTEMPT: CallerAttempt = {
+  ...STREAM,
+  outcome: 'refused',
+  status: 503,
+  body: '{"error":{"code":1512}}',
+  parts: ['head-1', 'own'],
+};
+
 /** Promise, description of the violation, and a record that contains it. */
 const VIOLATING_RECORDS: readonly (readonly [string, string, SoakRecord])[] = [
   [
@@ -203,6 +235,16 @@
     'missing last layers',
     record({ sends: [{ ...VALID_SEND, path: [{ from: 0, to: 3 }] }] }),
   ],
+  [
+    'a part that crashes endpoints does not reach one after another',
+    'four requests with a part that crashed five endpoints',
+    createCrashRecord(4, 3_100),
+  ],
+  [
+    'a request without a part that crashes endpoints is not blocked',
+    'blocked request with sound parts',
+    record({ attempts: [BLOCKED_ATTEMPT], sends: [] }),
+  ],
   [
     'an endpoint at rest gets nothing from a node that knows',
     'three requests during the backoff',
@@ -304,6 +346,15 @@
     'requests after the end of the backoff',
     record({ ...createLaterRequests(9, 2_100), rests: [BACKOFF] }),
   ],
+  ['three requests with a part that crashed five endpoints', createCrashRecord(3, 3_100)],
+  ['requests with such a part before the nodes have to know it', createCrashRecord(9, 1_000)],
+  [
+    'blocked request that was on two endpoints that ended',
+    record({
+      attempts: [BLOCKED_ATTEMPT],
+      sends: ['r1-0', 'r1-2'].map((attempt) => ({ ...VALID_SEND, attempt, kind: 'stream' })),
+    }),
+  ],
   ['request within the drain time of a leaving endpoint', createRequestAfterLeaving(500)],
   [
     'request through a node that was frozen after the shutdown notice',
--- a/soak/readEndpointRequest/index.ts
+++ b/soak/readEndpointRequest/index.ts
@@ -68,3 +68,31 @@
 export function readRequestId(url: string): string {
   return new URL(url, 'http://endpoint').searchParams.get('request') ?? '';
 }
+
+/** Prefix of the identifiers of parts on which endpoints crash. */
+export const CRASHING_PART_PREFIX = 'crash-';
+
+/**
+ * Reads the parts of a request's prompt.
+ *
+ * @param request - received request
+ * @returns the identifiers in order; none without a prompt
+ * @example
+ * readParts(request); // ['head-1', 'own-r7']
+ */
+export function readParts(request: ReceivedRequest): string[] {
+  const prefix = readHeader(request, 'prompt-prefix');
+  return prefix === '' ? [] : prefix.split(',').map((entry) => entry.split(':', 1)[0] ?? '');
+}
+
+/**
+ * Returns whether endpoints crash as they begin to answer a request with a part.
+ *
+ * @param part - identifier of the part
+ * @returns true for a crashing part
+ * @example
+ * isCrashingPart('crash-1'); // true
+ */
+export function isCrashingPart(part: string): boolean {
+  return part.startsWith(CRASHING_PART_PREFIX);
+}
--- a/soak/runSoak/index.ts
+++ b/soak/runSoak/index.ts
@@ -19,7 +19,7 @@
 import { createRecord } from '../createRecord/index.js';
 import { createSoakEndpoint, type SoakEndpoint } from '../createSoakEndpoint/index.js';
 import { drawSchedule, type FaultKind, type ScheduledFault } from '../drawSchedule/index.js';
-import { createFaultInjector } from '../createFaultInjector/index.js';
+import { createFaultInjector, type FaultInjector } from '../createFaultInjector/index.js';
 import { findViolations } from '../findViolations/index.js';
 import { createCallers, type Callers } from '../createCallers/index.js';
 import type { SoakBounds, SoakRecord, Violation } from '../types/index.js';
@@ -57,11 +57,17 @@
   retryRatio: 0.2,
   retrySlack: 20,
   retryWindowMilliseconds: 10_000,
+  crashesUntilKnown: 5,
+  contactMilliseconds: 3_000,
+  maximumKnownSends: 3,
   maximumDescriptorGrowth: 64,
   maximumMegabyteGrowth: 48,
 };
 
 const DEADLINE_MILLISECONDS = 6_000;
+/** Share of streams that crash endpoints while faults are injected, and how long an endpoint is down. */
+const CRASHING_SHARE = 0.08;
+const CRASHED_MILLISECONDS = 2_500;
 const MODEL_ENDPOINTS = 8;
 const PLAIN_ENDPOINTS = 4;
 const CALLERS_PER_NODE = 3;
@@ -81,6 +87,8 @@
   readonly now: () => number;
   readonly createEndpoint: (id: string, isModel: boolean, zone: number) => Promise<SoakEndpoint>;
   readonly changeConfiguration: () => void;
+  /** Injector of faults; present while the schedule runs. */
+  readonly schedule: { injector?: FaultInjector | undefined };
 }
 
 async function startSite(options: RunSoakOptions, lifeCycle: LifeCycle): Promise<Site> {
@@ -90,6 +98,7 @@
   const store = await serveSiteStore(0);
   lifeCycle.own({ name: 'store', close: store.close });
   const endpoints: SoakEndpoint[] = [];
+  const schedule: Site['schedule'] = {};
   const createEndpoint: Site['createEndpoint'] = async (id, isModel, zone) => {
     const endpoint = await createSoakEndpoint({
       id,
@@ -102,6 +111,12 @@
       now,
       isServing: (address) =>
         endpoints.some(({ link, isServing }) => link.address === address && isServing()),
+      crashForTime: (crashed) => {
+        const kind = 'crashEndpoint';
+        const index = endpoints.findIndex((candidate) => candidate.id === crashed);
+        const fault = { at: now(), kind, index, milliseconds: CRASHED_MILLISECONDS } as const;
+        return index >= 0 && schedule.injector?.inject(fault) === true;
+      },
     });
     lifeCycle.own({ name: id, close: endpoint.close });
     return endpoint;
@@ -128,10 +143,11 @@
   });
   for (const node of nodes) lifeCycle.own({ name: node.name, close: node.close });
   await Promise.all(nodes.map((node) => node.start()));
-  return { store, endpoints, nodes, record, now, createEndpoint, changeConfiguration };
+  return { store, endpoints, nodes, record, now, createEndpoint, changeConfiguration, schedule };
 }
 
-function startCallers({ nodes, record, now }: Site, seed: number): Callers {
+function startCallers(site: Site, seed: number): Callers {
+  const { nodes, record, now } = site;
   return createCallers({
     targets: nodes.map(({ name, callerLink }) => ({ node: name, address: callerLink.address })),
     record,
@@ -142,6 +158,7 @@
     count: CALLERS_PER_NODE * nodes.length,
     deadlineMilliseconds: DEADLINE_MILLISECONDS,
     attemptMilliseconds: SOAK_BOUNDS.attemptMilliseconds,
+    getCrashingShare: () => (site.schedule.injector ? CRASHING_SHARE : 0),
   });
 }
 
@@ -171,11 +188,13 @@
       return other.useLink(endpoint.link);
     },
   });
+  site.schedule.injector = injector;
   const startedAt = now();
   for (const fault of schedule) {
     await sleep(Math.max(0, startedAt + fault.at - now()));
     injector.inject(fault);
   }
+  site.schedule.injector = undefined;
   await injector.settle();
   return injector.counts;
 }
--- a/soak/serveDefectiveNode/index.ts
+++ b/soak/serveDefectiveNode/index.ts
@@ -20,7 +20,8 @@
   | 'omitsLayers'
   | 'ignoresBackoff'
   | 'ignoresLeaving'
-  | 'retriesTooOften';
+  | 'retriesTooOften'
+  | 'forwardsCrashing';
 
 /** Options of {@link serveDefectiveNode}. */
 export interface ServeDefectiveNodeOptions {
@@ -74,6 +75,7 @@
         headers: {
           'Attempt-Id': incoming.headers['attempt-id'],
           'Hop-Count': path.replace('ENDPOINT', endpoint.link.address),
+          'Prompt-Prefix': incoming.headers['prompt-prefix'] ?? '',
         },
       },
       (incomingResponse) => {
--- a/soak/serveDefectiveNode/test.ts
+++ b/soak/serveDefectiveNode/test.ts
@@ -32,13 +32,18 @@
   attemptMilliseconds: ATTEMPT_MILLISECONDS,
   // On a busy machine, callers send too few requests to exceed a larger slack.
   retrySlack: 2,
+  contactMilliseconds: 300,
 };
+/** Time for which an endpoint is down after a crash. */
+const CRASHED_MILLISECONDS = 60;
 
 interface PlantedDefect {
   readonly defect: Defect;
   /** How the endpoints handle requests. */
   readonly mode?: EndpointMode;
   readonly milliseconds?: number;
+  /** Share of streams that crash the endpoint. */
+  readonly crashingShare?: number;
 }
 
 /** Runs callers against a defective node and returns the promises that the checks report as broken. */
@@ -46,6 +51,7 @@
   defect,
   mode = 'healthy',
   milliseconds,
+  crashingShare = 0,
 }: PlantedDefect): Promise<string[]> {
   const record = createRecord();
   const now = (): number => performance.now();
@@ -61,6 +67,14 @@
       record,
       now,
       isServing: () => true,
+      crashForTime: () => {
+        if (!endpoint.isServing()) return false;
+        void endpoint
+          .crash()
+          .then(() => sleep(CRASHED_MILLISECONDS))
+          .then(endpoint.start);
+        return true;
+      },
     });
     endpoint.setMode(mode);
     await endpoint.start();
@@ -79,10 +93,12 @@
     count: CALLERS,
     deadlineMilliseconds: ATTEMPT_MILLISECONDS,
     attemptMilliseconds: ATTEMPT_MILLISECONDS,
+    getCrashingShare: () => crashingShare,
   });
   callers.start();
   await sleep(milliseconds ?? RUN_MILLISECONDS);
   await callers.stop();
+  await sleep(2 * CRASHED_MILLISECONDS);
   await node.close();
   await Promise.all([plain.close(), model.close(), store.close()]);
   return [...new Set(findViolations(record, BOUNDS).map(({ promise }) => promise))];
@@ -111,6 +127,10 @@
     { defect: 'retriesTooOften', milliseconds: LONG_RUN_MILLISECONDS },
     'requests are repeated within the budget',
   ],
+  [
+    { defect: 'forwardsCrashing', milliseconds: LONG_RUN_MILLISECONDS, crashingShare: 0.5 },
+    'a part that crashes endpoints does not reach one after another',
+  ],
 ];
 
 for (const [planted, promise] of PLANTED_DEFECTS) {
--- a/soak/types/index.ts
+++ b/soak/types/index.ts
@@ -40,6 +40,8 @@
   saysLeaving: boolean;
   /** When the response headers arrived; undefined when none did. */
   headAt: number | undefined;
+  /** Parts of the prompt; none for a request without one. */
+  readonly parts: readonly string[];
 }
 
 /** One request that an endpoint received. */
@@ -54,6 +56,15 @@
   readonly hasRun: boolean;
   /** Layers of the path in order; undefined for a request without a path. */
   readonly path: readonly LayerSpan[] | undefined;
+  /** Parts of the prompt; none for a request without one. */
+  readonly parts: readonly string[];
+}
+
+/** Crash of an endpoint by a part of a request. */
+export interface PartCrash {
+  readonly part: string;
+  readonly endpoint: string;
+  readonly at: number;
 }
 
 /** Range of layers: from inclusive, to exclusive. */
@@ -123,6 +134,7 @@
   readonly attempts: CallerAttempt[];
   readonly sends: EndpointSend[];
   readonly rests: RecordedBackoff[];
+  readonly crashes: PartCrash[];
   readonly disturbances: InjectedFault[];
   readonly writes: ConfigurationWrite[];
   readonly versions: VersionObservation[];
@@ -149,6 +161,11 @@
   readonly retryRatio: number;
   readonly retrySlack: number;
   readonly retryWindowMilliseconds: number;
+  /** Crashes by one part after which nodes have to know it, and the time they have for it. */
+  readonly crashesUntilKnown: number;
+  readonly contactMilliseconds: number;
+  /** Requests with a known part that may still reach endpoints. */
+  readonly maximumKnownSends: number;
   /** Maximum growth of a process: open files since its first observation, and memory since its warm-up. */
   readonly maximumDescriptorGrowth: number;
   readonly maximumMegabyteGrowth: number;
--- a/src/process/relay/createCrashRecorder/index.ts
+++ b/src/process/relay/createCrashRecorder/index.ts
@@ -46,13 +46,18 @@
 
 /** Recorder of one node. */
 export interface CrashRecorder {
-  /**
-   * Records a run that lost its connection; resolves to a report when its endpoint has crashed and the
-   * run may have caused that.
-   */
-  readonly recordBrokenRun: (run: BrokenRun) => Promise<CrashReport | undefined>;
+  /** Records a run that lost its connection; resolves to what was found out about its endpoint. */
+  readonly recordBrokenRun: (run: BrokenRun) => Promise<CrashFinding>;
 }
 
+/** Whether an endpoint has crashed, with a report when the run may have caused that. */
+export interface CrashFinding {
+  readonly hasCrashed: boolean;
+  readonly report?: CrashReport;
+}
+
+const NO_CRASH: CrashFinding = { hasCrashed: false };
+
 /** Runs of one crash that were not logged yet. */
 interface PendingCrash {
   readonly endpoint: string;
@@ -84,7 +89,7 @@
  * @param options - the endpoints, their prober, the clock, the logger and the counters
  * @returns the recorder
  * @example
- * (await createCrashRecorder(options).recordBrokenRun(run))?.at;
+ * (await createCrashRecorder(options).recordBrokenRun(run)).hasCrashed;
  */
 export function createCrashRecorder(options: CreateCrashRecorderOptions): CrashRecorder {
   const { endpoints, prober, endpointPort, clock, logger, metrics } = options;
@@ -140,16 +145,16 @@
   return {
     recordBrokenRun: async (run) => {
       const address = findPresent(run.endpoint)?.record.address;
-      if (address === undefined) return undefined;
+      if (address === undefined) return NO_CRASH;
       if (run.check !== 'known' && (await isResponding(run, address))) {
         const restarted = findPresent(run.endpoint);
-        if (!restarted || restarted.record.startedAt === run.startedAt) return undefined;
+        if (!restarted || restarted.record.startedAt === run.startedAt) return NO_CRASH;
       }
-      if (!findPresent(run.endpoint)) return undefined;
+      if (!findPresent(run.endpoint)) return NO_CRASH;
       findPending(run)?.runs.push(run);
       const { endpoint, startedAt, attempt, parts, sentAt } = run;
       const report = { endpoint, startedAt, address, attempt, parts, sentAt, at: clock.now() };
-      return isSuspect(run) ? report : undefined;
+      return { hasCrashed: true, ...(isSuspect(run) && { report }) };
     },
   };
 }
--- a/src/process/relay/createCrashRecorder/test.ts
+++ b/src/process/relay/createCrashRecorder/test.ts
@@ -44,10 +44,11 @@
   const { sentAt, attempt, parts } = RUN;
   const report = await recorder.recordBrokenRun(RUN);
   const crash = { endpoint: 'i-1', startedAt: 100, address: '127.0.0.1:1' };
-  assert.deepEqual(report, { ...crash, attempt, parts, sentAt, at: 0 });
+  const expected = { ...crash, attempt, parts, sentAt, at: 0 };
+  assert.deepEqual(report, { hasCrashed: true, report: expected });
   await recorder.recordBrokenRun({ ...RUN, attempt: 'attempt-2', parts: ['head', 'own-2'] });
   const established = { ...RUN, attempt: 'attempt-3', parts: ['other'], events: 4 };
-  assert.equal(await recorder.recordBrokenRun(established), undefined);
+  assert.deepEqual(await recorder.recordBrokenRun(established), { hasCrashed: true });
   await clock.run(50);
   assert.equal(lines.length, 1);
   assert.deepEqual(lines[0], {
@@ -64,14 +65,14 @@
 
 test('a reset of one connection and the end of a leaving endpoint are no crash', async () => {
   const alive = createFixture(() => true);
-  assert.equal(await alive.recorder.recordBrokenRun(RUN), undefined);
+  assert.deepEqual(await alive.recorder.recordBrokenRun(RUN), { hasCrashed: false });
   const leaving = createFixture(() => false);
   const record = createEndpointRecord({ id: 'i-1', startedAt: 100, isDraining: true });
   leaving.endpoints.update('i-1', record, 0);
-  assert.equal(await leaving.recorder.recordBrokenRun(RUN), undefined);
+  assert.deepEqual(await leaving.recorder.recordBrokenRun(RUN), { hasCrashed: false });
   const gone = createFixture(() => false);
   gone.endpoints.update('i-1', undefined, 0);
-  assert.equal(await gone.recorder.recordBrokenRun(RUN), undefined);
+  assert.deepEqual(await gone.recorder.recordBrokenRun(RUN), { hasCrashed: false });
 });
 
 test('an endpoint that is back under its identifier with a later start has crashed', async () => {
@@ -80,11 +81,12 @@
     if (endpoint) endpoints.recordRestart(endpoint, 200);
     return true;
   });
-  assert.equal((await recorder.recordBrokenRun(RUN))?.startedAt, 100);
+  assert.equal((await recorder.recordBrokenRun(RUN)).report?.startedAt, 100);
 });
 
 test('an endpoint without reports has crashed when it accepts no connection', async () => {
   const run: BrokenRun = { ...RUN, check: 'connection' };
-  assert.ok(await createFixture(() => false).recorder.recordBrokenRun(run));
-  assert.equal(await createFixture(() => true).recorder.recordBrokenRun(run), undefined);
+  const ended = await createFixture(() => false).recorder.recordBrokenRun(run);
+  const alive = await createFixture(() => true).recorder.recordBrokenRun(run);
+  assert.deepEqual([ended.hasCrashed, alive.hasCrashed], [true, false]);
 });
--- a/src/process/relay/createRunRecord/index.ts
+++ b/src/process/relay/createRunRecord/index.ts
@@ -15,8 +15,8 @@
   readonly recordComplete: () => void;
   /** Returns whether the run has answered for long enough to be no cause of a crash. */
   readonly isEstablished: () => boolean;
-  /** Records that the run lost its first endpoint; resolves when it is known whether that crashed. */
-  readonly recordBroken: (reason: string, check: CrashCheck) => Promise<void>;
+  /** Records that the run lost its first endpoint; resolves to whether that has crashed. */
+  readonly recordBroken: (reason: string, check: CrashCheck) => Promise<boolean>;
 }
 
 /**
@@ -56,7 +56,7 @@
     recordBroken: async (reason, check) => {
       const { attempt } = caller;
       const parts = gate.listParts();
-      const report = await crashes.recordBrokenRun({
+      const { report, hasCrashed } = await crashes.recordBrokenRun({
         endpoint,
         startedAt,
         attempt,
@@ -67,6 +67,7 @@
         check,
       });
       if (report) gate.recordCrash(report);
+      return hasCrashed;
     },
   };
 }
--- a/src/process/relay/openEndpointCall/index.ts
+++ b/src/process/relay/openEndpointCall/index.ts
@@ -85,7 +85,7 @@
   };
   const endAfterProbe = async (): Promise<void> => {
     if (await resetProbe) fail('connection reset');
-    else if (finish()) onEnd();
+    else if (finish()) onEnd('connection');
   };
   let bytesWithoutBody = 0;
   /**
@@ -136,7 +136,7 @@
     incoming.on('end', () => {
       if (!incoming.complete) fail('response incomplete');
       else if (isEndedByConnection(incoming)) void endAfterProbe();
-      else if (finish()) onEnd();
+      else if (finish()) onEnd('framing');
     });
     incoming.on('close', () => {
       if (!incoming.complete) fail('connection closed');
--- a/src/process/relay/openStreamRun/index.ts
+++ b/src/process/relay/openStreamRun/index.ts
@@ -13,6 +13,7 @@
   ForwardedRequest,
   ForwardingDetails,
   RawHeaders,
+  ResponseEnd,
 } from '../../../types/relay/index.js';
 import { isResponseTo } from '../recordResponse/index.js';
 
@@ -36,7 +37,7 @@
   /** Called with a response that is not a stream. */
   readonly onNonStreamResponse: (response: NonStreamResponse) => void;
   /** Called when the stream ended as its framing requires, after a complete event. */
-  readonly onComplete: () => void;
+  readonly onComplete: (end: ResponseEnd) => void;
   /** Called when the run failed and may have begun at the endpoint. */
   readonly onFailed: (reason: string) => void;
   /** Called when nothing was sent to the endpoint. */
@@ -91,11 +92,11 @@
       for (const event of splitter.add(chunk)) if (!onEvent(event, head.headers)) return;
       if (splitter.countPending() > MAXIMUM_EVENT_BYTES) onFailed('event too large');
     },
-    onEnd: () => {
+    onEnd: (end) => {
       if (!head || isRefused) return;
       if (!isStream(head)) onNonStreamResponse({ head, body: Buffer.concat(bodyChunks) });
       else if (splitter.countPending() > 0) onFailed('response ended inside an event');
-      else onComplete();
+      else onComplete(end);
     },
     onFailure: (state, reason) => {
       if (isRefused) return;
--- a/src/process/relay/relayBuffered/index.ts
+++ b/src/process/relay/relayBuffered/index.ts
@@ -9,7 +9,11 @@
 import { sendFailure, sendBufferedResponse, type BufferedResponse } from '../sendFailure/index.js';
 import { recordFailure } from '../recordFailure/index.js';
 import type { RunGate } from '../createRunGate/index.js';
-import { runBufferedAttempt, type AttemptOutcome } from '../runBufferedAttempt/index.js';
+import {
+  runBufferedAttempt,
+  type AttemptOutcome,
+  type RunBufferedAttemptOptions,
+} from '../runBufferedAttempt/index.js';
 import { logAnsweredRequest } from '../logAnsweredRequest/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
@@ -156,12 +160,43 @@
   }
 }
 
+/**
+ * Sends the request once. Where its connection ended, finds out whether the endpoint crashed: then a
+ * response that only its connection ended may be incomplete.
+ */
+async function sendOnce(
+  context: RelayContext,
+  request: RelayedRequest,
+  gate: RunGate,
+  options: RunBufferedAttemptOptions,
+): Promise<AttemptOutcome> {
+  const { id: endpoint, startedAt } = options.endpoint.record;
+  const sentAt = context.clock.now();
+  const outcome = await runBufferedAttempt(context, request, options);
+  const isLost = outcome.kind === 'unknown' && outcome.isConnectionLost === true;
+  const isEndedByConnection = outcome.kind === 'answered' && outcome.end === 'connection';
+  if (!isLost && !isEndedByConnection) return outcome;
+  const reason = outcome.kind === 'unknown' ? outcome.reason : 'connection ended';
+  const { report, hasCrashed } = await context.crashes.recordBrokenRun({
+    endpoint,
+    startedAt,
+    attempt: request.caller.attempt,
+    parts: gate.listParts(),
+    sentAt,
+    events: 0,
+    reason,
+    check: 'connection',
+  });
+  if (report) gate.recordCrash(report);
+  return hasCrashed && isEndedByConnection ? { kind: 'unknown', reason } : outcome;
+}
+
 async function sendUntilAnswered(
   context: RelayContext,
   request: RelayedRequest,
   gate: RunGate,
 ): Promise<void> {
-  const { endpoints, clock, budget, crashes } = context;
+  const { endpoints, clock, budget } = context;
   const { route, service, deadlineAt, log } = request;
   const mayRepeat = route.kind === 'safe';
   const progress: Progress = {
@@ -195,9 +230,7 @@
     const timeoutMilliseconds = isLast
       ? remainingMilliseconds
       : remainingMilliseconds * ATTEMPT_TIME_SHARE;
-    const sentAt = clock.now();
-    const { startedAt } = endpoint.record;
-    const outcome = await runBufferedAttempt(context, request, { endpoint, timeoutMilliseconds });
+    const outcome = await sendOnce(context, request, gate, { endpoint, timeoutMilliseconds });
     if (outcome.kind === 'disconnected') {
       log.add('request-cancelled', {
         milliseconds: Math.round(clock.now() - request.arrivedAt),
@@ -208,21 +241,6 @@
     }
     if (outcome.kind !== 'answered') {
       recordFailedSend(context, request, endpoint, outcome, progress);
-      if (outcome.kind === 'unknown' && outcome.isConnectionLost) {
-        const { id } = endpoint.record;
-        const { attempt } = request.caller;
-        const sent = {
-          endpoint: id,
-          startedAt,
-          attempt,
-          parts: gate.listParts(),
-          sentAt,
-          events: 0,
-        };
-        const { reason } = outcome;
-        const report = await crashes.recordBrokenRun({ ...sent, reason, check: 'connection' });
-        if (report) gate.recordCrash(report);
-      }
       if (progress.mayHaveRun && !mayRepeat) break;
       continue;
     }
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -190,7 +190,10 @@
         return false;
       },
       onNonStreamResponse: handleNonStreamResponse,
-      onComplete: endComplete,
+      onComplete: (end) => {
+        if (end === 'framing') endComplete();
+        else void endWithConnection();
+      },
       onFailed: (reason) => {
         paths.recordFailedRun(first, reason);
         void recoverBroken(reason, 'report');
@@ -203,6 +206,17 @@
     call = opened;
   }
 
+  /** Ends a response that only its connection ended, unless the crash of the endpoint did that. */
+  async function endWithConnection(): Promise<void> {
+    state = 'checking';
+    endRun();
+    counter.recordMayHaveRun();
+    const hasCrashed = await run.recordBroken('connection ended', 'report');
+    if (!isChecking()) return;
+    if (hasCrashed) recover('connection ended');
+    else endComplete();
+  }
+
   function endComplete(): void {
     if (!response.hasBegun()) {
       recover('response without events');
--- a/src/process/relay/runBufferedAttempt/index.ts
+++ b/src/process/relay/runBufferedAttempt/index.ts
@@ -2,14 +2,18 @@
  * Single send of a request whose response is a complete body.
  */
 import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
-import type { ResponseHead, EndpointCall } from '../../../types/relay/index.js';
+import type { ResponseHead, EndpointCall, ResponseEnd } from '../../../types/relay/index.js';
 import type { BufferedResponse } from '../sendFailure/index.js';
 import { isResponseTo, recordResponse } from '../recordResponse/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
 /** Outcome of a send. */
 export type AttemptOutcome =
-  | { readonly kind: 'answered'; readonly response: BufferedResponse }
+  | {
+      readonly kind: 'answered';
+      readonly response: BufferedResponse;
+      readonly end: ResponseEnd;
+    }
   | { readonly kind: 'notSent'; readonly reason: string }
   | { readonly kind: 'notRun'; readonly reason: string }
   | {
@@ -30,7 +34,12 @@
 /** Maximum size of a buffered response in bytes. */
 const MAXIMUM_RESPONSE_BYTES = 4_194_304;
 
-function classifyResponse(head: ResponseHead, attempt: string, body: Buffer): AttemptOutcome {
+function classifyResponse(
+  head: ResponseHead,
+  attempt: string,
+  body: Buffer,
+  end: ResponseEnd,
+): AttemptOutcome {
   const { status, metadata, headers } = head;
   if (!isResponseTo(metadata, attempt)) {
     return { kind: 'unknown', reason: 'response to another request' };
@@ -39,7 +48,7 @@
   if (!metadata.isFromEndpoint || (status < 300 && metadata.isEncoded)) {
     return { kind: 'unknown', reason: 'response not from the endpoint' };
   }
-  return { kind: 'answered', response: { status, headers, body } };
+  return { kind: 'answered', response: { status, headers, body }, end };
 }
 
 /**
@@ -99,8 +108,9 @@
           finish({ kind: 'unknown', reason: 'no memory for the response' });
         else chunks.push(chunk);
       },
-      onEnd: () => {
-        if (head) finish(classifyResponse(head, request.caller.attempt, Buffer.concat(chunks)));
+      onEnd: (end) => {
+        const body = Buffer.concat(chunks);
+        if (head) finish(classifyResponse(head, request.caller.attempt, body, end));
         else finish({ kind: 'unknown', reason: 'no response' });
       },
       onFailure: (state, reason) => {
--- a/src/types/relay/index.ts
+++ b/src/types/relay/index.ts
@@ -123,12 +123,18 @@
 /** Whether a failed request may have reached the endpoint. */
 export type SendState = 'notSent' | 'sent';
 
+/**
+ * What marked the end of a response: its length or its chunks, or only the end of its connection, which
+ * the crash of an endpoint may have caused as well.
+ */
+export type ResponseEnd = 'framing' | 'connection';
+
 /** Callbacks of a call to an endpoint; none is called after `onEnd` or `onFailure`. */
 export interface EndpointCallHandlers {
   readonly onHead: (head: ResponseHead) => void;
   readonly onData: (chunk: Buffer) => void;
-  /** Called when the response is complete. */
-  readonly onEnd: () => void;
+  /** Called when the response is complete, as far as its framing tells. */
+  readonly onEnd: (end: ResponseEnd) => void;
   readonly onFailure: (state: SendState, reason: string) => void;
 }
 
--- /dev/null
+++ b/tests/unframedResponses.test.ts
@@ -0,0 +1,167 @@
+/**
+ * Responses with neither a length nor chunks, which end with their connection. Guards against truncated
+ * responses that callers take for complete, and against complete ones that are repeated.
+ */
+import assert from 'node:assert/strict';
+import { after, before, beforeEach, test } from 'node:test';
+import type { Socket } from 'node:net';
+import {
+  createEndpointHeaders,
+  serveSiteEndpoint,
+  type EndpointHandler,
+  type ReceivedRequest,
+  type SiteEndpoint,
+} from '../standins/serveSiteEndpoint/index.js';
+import type { SiteStore } from '../standins/serveSiteStore/index.js';
+import {
+  COMPLETE_STREAM,
+  createPlatformConfiguration,
+  MODEL_SERVICE,
+  PLAIN_SERVICE,
+  registerEndpoint,
+  respondCompletely,
+  sendCallerRequest,
+  startNode,
+  startStore,
+  streamCompletely,
+  STREAM_EVENT_COUNT,
+  waitFor,
+  waitUntilReady,
+  type CallerResponse,
+  type TestNode,
+} from './support/siteNodes/index.js';
+
+const ALL_LAYERS = { from: 0, to: 4 };
+
+let store: SiteStore;
+let node: TestNode;
+let endpoints: SiteEndpoint[] = [];
+let responses = 0;
+
+function formatHead(request: ReceivedRequest, type: string): string {
+  const headers = { ...createEndpointHeaders(request), 'Content-Type': type, Connection: 'close' };
+  const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+  return `HTTP/1.1 200 OK\r\n${lines.join('')}\r\n`;
+}
+
+function formatEvents(request: ReceivedRequest, last: number): string {
+  const received = Number(request.headers['last-event-id'] ?? 0);
+  const ids = Array.from({ length: last }, (_, index) => index + 1).filter((id) => id > received);
+  return ids.map((id) => `id: ${id}\ndata: t${id}\n\n`).join('');
+}
+
+/** Sends text without framing in the first response, and responds as a healthy endpoint after that. */
+function respondUnframed(
+  format: (request: ReceivedRequest) => string,
+  end: (socket: Socket, endpoint: SiteEndpoint) => void,
+  healthy: EndpointHandler,
+): EndpointHandler {
+  return (request, response, endpoint) => {
+    responses += 1;
+    const { socket } = response;
+    if (responses > 1 || !socket) healthy(request, response, endpoint);
+    else
+      socket.write(format(request), () => {
+        end(socket, endpoint);
+      });
+  };
+}
+
+const close = (socket: Socket): void => {
+  socket.end();
+};
+/** Ends as the operating system ends the connections of a process that is killed. */
+const crash = (socket: Socket, endpoint: SiteEndpoint): void => {
+  socket.end();
+  void endpoint.crash();
+};
+
+async function replaceEndpoints(handle: EndpointHandler): Promise<void> {
+  for (const { id } of endpoints) store.remove(`servers/${id}`);
+  await Promise.all(endpoints.map((endpoint) => endpoint.crash()));
+  responses = 0;
+  const prefix = performance.now().toFixed(0);
+  endpoints = await Promise.all(
+    ['model-1', 'model-2', 'plain-1', 'plain-2'].map((name) =>
+      serveSiteEndpoint({ id: `${name}-${prefix}`, handle }),
+    ),
+  );
+  for (const endpoint of endpoints) {
+    const isModel = endpoint.id.startsWith('model');
+    if (isModel) endpoint.layers = ALL_LAYERS;
+    const service = isModel ? MODEL_SERVICE : PLAIN_SERVICE;
+    registerEndpoint(store, endpoint, service, isModel ? { layers: ALL_LAYERS } : {});
+  }
+  await waitFor('the node knows the endpoints', () =>
+    endpoints.every(({ id }) => node.logs.some((line) => line.includes(`"${id}"`))),
+  );
+}
+
+function requestStream(): Promise<CallerResponse> {
+  const headers = { 'Token-Counts': '20,10', 'Prompt-Prefix': 'own:20' };
+  return sendCallerRequest({ address: node.callers, path: '/ask/x', headers });
+}
+
+function requestPlain(path: string, method = 'GET'): Promise<CallerResponse> {
+  return sendCallerRequest({ address: node.callers, path, method });
+}
+
+before(async () => {
+  store = await startStore();
+  node = await startNode('node-1', store);
+  store.put('op/config', createPlatformConfiguration(1));
+  await waitUntilReady(node);
+});
+
+beforeEach(() => {
+  responses = 0;
+});
+
+after(async () => {
+  await node.node.leave();
+  await store.close();
+  await Promise.all(endpoints.map((endpoint) => endpoint.crash()));
+});
+
+const formatStream =
+  (last: number, rest = '') =>
+  (request: ReceivedRequest) =>
+    `${formatHead(request, 'text/event-stream')}${formatEvents(request, last)}${rest}`;
+const formatBody = (request: ReceivedRequest): string =>
+  `${formatHead(request, 'text/plain')}done by hand`;
+
+test('a stream without framing that ends with its connection is complete', async () => {
+  await replaceEndpoints(
+    respondUnframed(formatStream(STREAM_EVENT_COUNT), close, streamCompletely),
+  );
+  const { status, body, isComplete } = await requestStream();
+  assert.deepEqual([status, body, isComplete, responses], [200, COMPLETE_STREAM, true, 1]);
+});
+
+test('a stream without framing that ends inside an event goes on at another endpoint', async () => {
+  const format = formatStream(2, 'id: 3\nda');
+  await replaceEndpoints(respondUnframed(format, close, streamCompletely));
+  const { body, isComplete } = await requestStream();
+  assert.deepEqual([body, isComplete, responses], [COMPLETE_STREAM, true, 2]);
+});
+
+test("a stream without framing that its endpoint's crash ends goes on at another endpoint", async () => {
+  await replaceEndpoints(respondUnframed(formatStream(2), crash, streamCompletely));
+  const { body, isComplete } = await requestStream();
+  assert.deepEqual([body, isComplete, responses], [COMPLETE_STREAM, true, 2]);
+});
+
+test('a body without framing that ends with its connection is complete', async () => {
+  await replaceEndpoints(respondUnframed(formatBody, close, respondCompletely));
+  const { status, body, isComplete } = await requestPlain('/look/x');
+  assert.deepEqual([status, body, isComplete, responses], [200, 'done by hand', true, 1]);
+});
+
+test("a body without framing that its endpoint's crash ends is not taken for complete", async () => {
+  await replaceEndpoints(respondUnframed(formatBody, crash, respondCompletely));
+  const lookUp = await requestPlain('/look/x');
+  assert.match(lookUp.body, /^done by plain/);
+  await replaceEndpoints(respondUnframed(formatBody, crash, respondCompletely));
+  const booking = await requestPlain('/book/x', 'POST');
+  assert.deepEqual([booking.status, responses], [502, 1]);
+});
