--- a/src/commands/status/index.ts
+++ b/src/commands/status/index.ts
@@ -39,6 +39,8 @@
     status.room,
   );
   printSection('Endpoints', status.endpoints);
+  const { blockedParts = [] } = status;
+  if (blockedParts.length > 0) printSection('Blocked parts of requests', blockedParts);
 }
 
 function roundLimits(row: Row): Row {
--- a/src/process/relay/types/index.ts
+++ b/src/process/relay/types/index.ts
@@ -34,7 +34,7 @@
   readonly random: () => number;
   readonly prober: EndpointProber;
   readonly crashes: CrashRecorder;
-  readonly partGuard: Pick<PartGuard, 'createGate'>;
+  readonly partGuard: PartGuard;
   readonly decisions: Pick<SiteDecisions, 'choosePath' | 'movesRuns' | 'prefersLocalZone'>;
   /** Registers a callback for endpoints that become unreachable; returns its removal. */
   readonly onLost: (callback: (endpoint: string) => void) => () => void;
--- a/src/process/site/describeSite/index.ts
+++ b/src/process/site/describeSite/index.ts
@@ -53,6 +53,15 @@
   tokens: z.number(),
 });
 
+const blockedPartStatusSchema = z.object({
+  part: z.string(),
+  crashes: z.number(),
+  /** Endpoints that crashed, separated by spaces. */
+  endpoints: z.string(),
+  /** Milliseconds until a request with the part may be tried; 0 or less when it may be now. */
+  retryMilliseconds: z.number(),
+});
+
 /** Schema of {@link SiteStatus}. */
 export const siteStatusSchema = z.object({
   node: z.string(),
@@ -67,6 +76,8 @@
   endpoints: z.array(endpointStatusSchema),
   services: z.array(serviceStatusSchema),
   room: z.array(freeMemoryStatusSchema),
+  /** Absent from nodes of earlier versions. */
+  blockedParts: z.array(blockedPartStatusSchema).optional(),
 });
 
 /** Status of a site as one node knows it. */
@@ -151,5 +162,13 @@
       retriesLeft: context.budget.countLeft(name, now),
     })),
     room: services.flatMap((service) => listFreeMemory(context, service)),
+    blockedParts: context.partGuard.breakers
+      .listBlocked()
+      .map(({ part, state: { crashes, retryAt }, reports }) => ({
+        part,
+        crashes,
+        endpoints: reports.map(({ endpoint }) => endpoint).join(' '),
+        retryMilliseconds: Math.round(retryAt - now),
+      })),
   };
 }
--- a/src/process/site/formatGauges/index.ts
+++ b/src/process/site/formatGauges/index.ts
@@ -42,6 +42,7 @@
     gauge('load_age_ms', {}, status.loadAge),
     gauge('oldest_report_age_ms', {}, oldestReport),
     gauge('open_requests', {}, extras.open),
+    gauge('parts_blocked_now', {}, status.blockedParts?.length ?? 0),
     gauge('log_lines_left_out', {}, extras.leftOut),
     gauge('nodes', { state: 'alive' }, nodes.filter(({ state }) => state === 'alive').length),
     gauge('nodes', { state: 'leaving' }, nodes.filter(({ state }) => state === 'leaving').length),
