Split the codec of messages, requests to peers and the wiring of crash protection

Change: peerMessageFormat and decodeUpdate, createPeerRequests, createCrashProtection, sendOnce and createSuccessTable are modules of their own. No statement but moves, names and doc comments. Ruled out: relayStream, whose functions share the state of one run.

--- a/src/process/relay/relayBuffered/index.ts
+++ b/src/process/relay/relayBuffered/index.ts
@@ -9,11 +9,8 @@
 import { sendFailure, sendBufferedResponse, type BufferedResponse } from '../sendFailure/index.js';
 import { recordFailure } from '../recordFailure/index.js';
 import type { RunGate } from '../createRunGate/index.js';
-import {
-  runBufferedAttempt,
-  type AttemptOutcome,
-  type RunBufferedAttemptOptions,
-} from '../runBufferedAttempt/index.js';
+import type { AttemptOutcome } from '../runBufferedAttempt/index.js';
+import { sendOnce } from '../sendOnce/index.js';
 import { logAnsweredRequest } from '../logAnsweredRequest/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
@@ -160,37 +157,6 @@
   }
 }
 
-/**
- * Sends the request once. Where its connection ended, finds out whether the endpoint crashed: then a
- * response that only its connection ended may be incomplete.
- */
-async function sendOnce(
-  context: RelayContext,
-  request: RelayedRequest,
-  gate: RunGate,
-  options: RunBufferedAttemptOptions,
-): Promise<AttemptOutcome> {
-  const { id: endpoint, startedAt } = options.endpoint.record;
-  const sentAt = context.clock.now();
-  const outcome = await runBufferedAttempt(context, request, options);
-  const isLost = outcome.kind === 'unknown' && outcome.isConnectionLost === true;
-  const isEndedByConnection = outcome.kind === 'answered' && outcome.end === 'connection';
-  if (!isLost && !isEndedByConnection) return outcome;
-  const reason = outcome.kind === 'unknown' ? outcome.reason : 'connection ended';
-  const { report, hasCrashed } = await context.crashes.recordBrokenRun({
-    endpoint,
-    startedAt,
-    attempt: request.caller.attempt,
-    parts: gate.listParts(),
-    sentAt,
-    events: 0,
-    reason,
-    check: 'connection',
-  });
-  if (report) gate.recordCrash(report);
-  return hasCrashed && isEndedByConnection ? { kind: 'unknown', reason } : outcome;
-}
-
 async function sendUntilAnswered(
   context: RelayContext,
   request: RelayedRequest,
--- a/src/process/site/createPeerExchange/index.ts
+++ b/src/process/site/createPeerExchange/index.ts
@@ -6,6 +6,7 @@
 import { shuffleItems } from '../../shuffleItems/index.js';
 import type { EndpointProber } from '../../relay/createEndpointProber/index.js';
 import { recordLeaving } from '../../relay/recordResponse/index.js';
+import { createPeerRequests } from '../createPeerRequests/index.js';
 import { createPeers, type Peers } from '../createPeers/index.js';
 import { decodeMessage, encodeStoreChanges, encodeUpdate } from '../peerMessageCodec/index.js';
 import { decodePartFacts, encodePartFacts } from '../partFactsCodec/index.js';
@@ -109,11 +110,6 @@
 const LOST_MARK_MILLISECONDS = 1_500;
 /** Time without an update from any peer after which facts about parts may have been missed. */
 const MISSED_FACTS_MILLISECONDS = 1_000;
-/** Minimum interval between two requests for the same reason, in milliseconds. */
-const REQUEST_INTERVAL_MILLISECONDS = 600;
-/** Minimum interval between two requests for nodes that only peers know, in milliseconds. */
-const NODES_REQUEST_INTERVAL_MILLISECONDS = 2_000;
-
 /**
  * Creates the exchange of updates between a node and its peers.
  *
@@ -141,7 +137,6 @@
   /** Whether this node may have missed facts about parts: since its start, or while it was cut off. */
   let needsParts = true;
   let updateReceivedAt = now();
-  const requestedAt = new Map<string, number>();
 
   const listRelayedLayers = (): LayerUpdate[] => {
     for (const [id, { at }] of relayedLayers) {
@@ -269,29 +264,24 @@
     needsParts = false;
     getParts().receive(decodePartFacts(reply.parts, now()));
   };
-  /** Sends a request to a node, unless one was sent for the same reason within the interval. */
-  const requestFrom = (
-    reason: string,
-    address: string,
-    pause = REQUEST_INTERVAL_MILLISECONDS,
-  ): void => {
-    if (now() - (requestedAt.get(reason) ?? Number.NEGATIVE_INFINITY) < pause) return;
-    requestedAt.set(reason, now());
-    const request = {
-      node: peers.getSelf(),
-      version: state.getVersion(),
-      revision: getRevision(),
-      isReachable: getFollower().isReachable(),
-    };
-    void peerPort.sendRequest(address, request).then(applyReply);
-  };
+  const requests = createPeerRequests({
+    now,
+    send: (address) => {
+      const request = {
+        node: peers.getSelf(),
+        version: state.getVersion(),
+        revision: getRevision(),
+        isReachable: getFollower().isReachable(),
+      };
+      void peerPort.sendRequest(address, request).then(applyReply);
+    },
+  });
   const requestMissing = (update: PeerUpdate, address: string): void => {
-    if (needsParts) requestFrom('parts', address, NODES_REQUEST_INTERVAL_MILLISECONDS);
-    if (update.version > state.getVersion()) requestFrom('configuration', address);
+    if (needsParts) requests.requestRarely('parts', address);
+    if (update.version > state.getVersion()) requests.request('configuration', address);
     const needsEntries = !getFollower().isReachable() && update.isReachable;
-    if (needsEntries && update.revision > getRevision()) requestFrom('entries', address);
-    if (update.nodesKnown > peers.countAlive())
-      requestFrom('nodes', address, NODES_REQUEST_INTERVAL_MILLISECONDS);
+    if (needsEntries && update.revision > getRevision()) requests.request('entries', address);
+    if (update.nodesKnown > peers.countAlive()) requests.requestRarely('nodes', address);
   };
   /** Messages of this round, which are the same for all receivers. */
   let encoded: EncodedRound | undefined;
@@ -324,7 +314,7 @@
     if (message.kind === 'update') handleUpdate(message.update, address);
     else if (message.kind === 'changes') onChanges(message.changes);
     else if (message.kind === 'parts') getParts().receive(decodePartFacts(message.facts, now()));
-    else if (message.kind === 'unknownSender') requestFrom(`sender ${address}`, address);
+    else if (message.kind === 'unknownSender') requests.request(`sender ${address}`, address);
     else unreadable += 1;
   };
 
@@ -358,14 +348,12 @@
     step: () => {
       peers.sweep();
       updateRemoteLoads();
-      for (const [reason, at] of requestedAt) {
-        if (now() - at > NODES_REQUEST_INTERVAL_MILLISECONDS) requestedAt.delete(reason);
-      }
+      requests.dropOld();
       const targets = peers.pickTargets();
       const { updates } = encodeRound();
       for (const address of targets) peerPort.send(address, updates);
       if (targets.length === 0)
-        for (const address of options.seeds) requestFrom(`seed ${address}`, address);
+        for (const address of options.seeds) requests.request(`seed ${address}`, address);
       return Promise.resolve(ROUND_MILLISECONDS);
     },
     receive,
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -11,9 +11,7 @@
 import { hashText } from '../../hashRendezvous/index.js';
 import { parseJson } from '../../parseJson/index.js';
 import { createBodyMemoryLimit } from '../../relay/createBodyMemoryLimit/index.js';
-import { createCrashRecorder } from '../../relay/createCrashRecorder/index.js';
 import { createEndpointProber } from '../../relay/createEndpointProber/index.js';
-import { createPartGuard } from '../../relay/createPartGuard/index.js';
 import { createRelay, type Relay } from '../../relay/createRelay/index.js';
 import { createStartGate } from '../../relay/createStartGate/index.js';
 import { createRelayMetrics, type RelayMetrics } from '../../relay/createRelayMetrics/index.js';
@@ -39,9 +37,7 @@
   isIntroducer,
   type NodeRegistration,
 } from '../createNodeRegistration/index.js';
-import { createPartExchange } from '../createPartExchange/index.js';
-import { encodePartFacts } from '../partFactsCodec/index.js';
-import { encodePartFactsMessage } from '../peerMessageCodec/index.js';
+import { createCrashProtection } from '../createCrashProtection/index.js';
 import { createPlanner, type Planner } from '../createPlanner/index.js';
 import { splitChanges } from '../splitChanges/index.js';
 import { SITE_DECISIONS, type SiteDecisions } from '../siteDecisions/index.js';
@@ -268,33 +264,17 @@
     // An isolated node must not use the other nodes' shares of the budget.
     countNodes: exchange.peers.countKnown,
   });
-  const partGuard = createPartGuard({
-    node: self.name,
+  const { crashes, partGuard, partExchange } = createCrashProtection({
+    self,
     clock,
+    random,
     logger,
     metrics,
-    announce: (facts) => {
-      partExchange.announce(facts);
-    },
-  });
-  const partExchange = createPartExchange({
-    breakers: partGuard.breakers,
-    clock,
-    random,
-    self: self.name,
-    availabilityZone: self.availabilityZone,
-    listAlive: exchange.peers.listAlive,
-    send: (address, facts) => {
-      options.peerPort.send(address, encodePartFactsMessage(encodePartFacts(facts, now())));
-    },
-  });
-  const crashes = createCrashRecorder({
     endpoints: state.endpoints,
     prober,
     endpointPort,
-    clock,
-    logger,
-    metrics,
+    peerPort: options.peerPort,
+    listAlive: exchange.peers.listAlive,
   });
   const context: RelayContext = {
     availabilityZone: self.availabilityZone,
--- a/src/process/site/peerMessageCodec/index.ts
+++ b/src/process/site/peerMessageCodec/index.ts
@@ -3,95 +3,27 @@
  * availability zones are identified by hashes of their names (tags).
  */
 import { decode, encode } from '@msgpack/msgpack';
-import { z } from 'zod';
+import type { z } from 'zod';
 import { hashText } from '../../hashRendezvous/index.js';
-import { partFactsSchema, type EncodedPartFacts } from '../partFactsCodec/index.js';
+import { decodeUpdate } from '../decodeUpdate/index.js';
+import type { EncodedPartFacts } from '../partFactsCodec/index.js';
+import {
+  FORMAT_VERSION,
+  MAXIMUM_BYTES,
+  PART_FACTS_KIND,
+  partFactsMessageSchema,
+  REACHES_STORE_FLAG,
+  SLOWDOWN_SCALE,
+  STORE_CHANGES_KIND,
+  storeChangesSchema,
+  TOKEN_LAYERS_UNIT,
+  UPDATE_KIND,
+  updateSchema,
+  WANTS_REPLY_FLAG,
+  type DecodedMessage,
+  type DecodeMessageOptions,
+} from '../peerMessageFormat/index.js';
 import type { PeerUpdate, StoreChanges } from '../peerMessages/index.js';
-import { nodeSchema } from '../peerMessages/index.js';
-
-/** Result of decoding a message. */
-export type DecodedMessage =
-  | { readonly kind: 'update'; readonly update: PeerUpdate }
-  | { readonly kind: 'changes'; readonly changes: StoreChanges }
-  | { readonly kind: 'parts'; readonly facts: EncodedPartFacts }
-  /** The sender is unknown, so that the age of the message cannot be determined. */
-  | { readonly kind: 'unknownSender' }
-  | { readonly kind: 'unreadable' };
-
-/** Options of {@link decodeMessage}. */
-export interface DecodeMessageOptions {
-  /** Name and incarnation of the node with a tag, if it is known. */
-  readonly findNode: (
-    tag: number,
-  ) => { readonly name: string; readonly incarnation: number } | undefined;
-  /** Identifier of the endpoint with a tag, if it is known. */
-  readonly findEndpoint: (tag: number) => string | undefined;
-  /** Name of the availability zone with a tag, if it is known. */
-  readonly findZone: (tag: number) => string | undefined;
-}
-
-/** Version of the message format; messages of other versions are dropped. */
-const FORMAT_VERSION = 1;
-const UPDATE_KIND = 1;
-const STORE_CHANGES_KIND = 2;
-const PART_FACTS_KIND = 3;
-/** Factor of slowdowns on the wire, where they are integers. */
-const SLOWDOWN_SCALE = 100;
-/** Unit of memory on the wire, in token-layers. */
-const TOKEN_LAYERS_UNIT = 256;
-/** Maximum length of a message that is decoded, in bytes. */
-const MAXIMUM_BYTES = 65_536;
-
-function isCount(value: unknown): boolean {
-  return Number.isSafeInteger(value) && (value as number) >= 0;
-}
-
-const count = z.custom<number>(isCount);
-// One check for the list: such lists are most of a message, and each node decodes many messages.
-const counts = z.custom<number[]>((value) => Array.isArray(value) && value.every(isCount));
-const updateSchema = z.tuple([
-  z.literal(FORMAT_VERSION),
-  z.literal(UPDATE_KIND),
-  // Flags: bit 0 requests a reply, bit 1 reports access to the store.
-  count,
-  count,
-  count,
-  count,
-  // Heartbeat counters, then nodes that stopped responding: tag, counter, tag, counter and so on.
-  counts,
-  counts,
-  z.array(nodeSchema),
-  // Loads: tag, requests, memory and so on; null when they are omitted.
-  counts.nullable(),
-  counts,
-  counts,
-  // Leaving: tag, start time and so on.
-  counts,
-  // Layers: tag, start time, accepted orders, from, to and so on.
-  counts,
-  // Slowdowns: tag, factor and so on.
-  counts,
-  // Availability zones: tag, age and so on.
-  counts,
-]);
-const storeChangesSchema = z.tuple([
-  z.literal(FORMAT_VERSION),
-  z.literal(STORE_CHANGES_KIND),
-  count,
-  count,
-  count,
-  z.boolean(),
-  z.array(z.tuple([z.string(), count, z.string().nullable()])),
-]);
-
-const partFactsMessageSchema = z.tuple([
-  z.literal(FORMAT_VERSION),
-  z.literal(PART_FACTS_KIND),
-  partFactsSchema,
-]);
-
-const WANTS_REPLY_FLAG = 1;
-const REACHES_STORE_FLAG = 2;
 
 /**
  * Computes the tag of a node on the wire.
@@ -195,88 +127,6 @@
   return encode([FORMAT_VERSION, PART_FACTS_KIND, facts]);
 }
 
-/** Splits a flat list into groups of equal length; an incomplete last group is dropped. */
-function splitIntoGroups(values: readonly number[], size: number): number[][] {
-  const groups: number[][] = [];
-  for (let index = 0; index + size <= values.length; index += size) {
-    groups.push(values.slice(index, index + size));
-  }
-  return groups;
-}
-
-function decodeUpdate(
-  value: z.infer<typeof updateSchema>,
-  { findNode, findEndpoint, findZone }: DecodeMessageOptions,
-): DecodedMessage {
-  const [, , flags, nodesKnown, version, revision, heartbeats, lostNodes, nodes] = value;
-  const [loads, lost, deregistered, leaving, layers, slowdowns, zones] = value.slice(9) as [
-    number[] | null,
-    number[],
-    number[],
-    number[],
-    number[],
-    number[],
-    number[],
-  ];
-  const readHeartbeats = (flat: readonly number[]): [string, number, number][] =>
-    splitIntoGroups(flat, 2).flatMap(([node = 0, heartbeat = 0]) => {
-      const known = findNode(node);
-      return known ? [[known.name, known.incarnation, heartbeat]] : [];
-    });
-  const readIds = (tags: readonly number[]): string[] =>
-    tags.flatMap((tag) => findEndpoint(tag) ?? []);
-  /**
-   * Returns the groups that start with the tag of a known endpoint, which becomes its identifier.
-   */
-  const readEndpoints = (flat: readonly number[], size: number): [string, ...number[]][] =>
-    splitIntoGroups(flat, size).flatMap(([tag = 0, ...numbers]) => {
-      const id = findEndpoint(tag);
-      return id === undefined ? [] : [[id, ...numbers] as [string, ...number[]]];
-    });
-  const sender = findNode(heartbeats[0] ?? -1);
-  if (!sender) return { kind: 'unknownSender' };
-  return {
-    kind: 'update',
-    update: {
-      from: sender.name,
-      wantsReply: (flags & WANTS_REPLY_FLAG) !== 0,
-      isReachable: (flags & REACHES_STORE_FLAG) !== 0,
-      nodesKnown,
-      version,
-      revision,
-      heartbeats: readHeartbeats(heartbeats),
-      lostNodes: readHeartbeats(lostNodes),
-      zones: splitIntoGroups(zones, 2).flatMap(([zone = 0, age = 0]) => {
-        const name = findZone(zone);
-        return name === undefined ? [] : [[name, age] as const];
-      }),
-      nodes,
-      loads:
-        loads === null
-          ? undefined
-          : readEndpoints(loads, 3).map(([id, requests = 0, memory = 0]) => [
-              id,
-              requests,
-              memory * TOKEN_LAYERS_UNIT,
-            ]),
-      lost: readIds(lost),
-      deregistered: readIds(deregistered),
-      leaving: readEndpoints(leaving, 2).map(([id, startedAt = 0]) => [id, startedAt]),
-      layers: readEndpoints(layers, 5).map(([id, startedAt = 0, orders = 0, from = 0, to = 0]) => [
-        id,
-        startedAt,
-        orders,
-        from,
-        to,
-      ]),
-      slowdowns: readEndpoints(slowdowns, 2).map(([id, slowdown = 0]) => [
-        id,
-        slowdown / SLOWDOWN_SCALE,
-      ]),
-    },
-  };
-}
-
 function decodeStoreChanges(
   value: z.infer<typeof storeChangesSchema>,
   { findNode }: DecodeMessageOptions,
--- a/src/process/site/peerMessageCodec/test.ts
+++ b/src/process/site/peerMessageCodec/test.ts
@@ -4,14 +4,8 @@
 import { hashText } from '../../hashRendezvous/index.js';
 import { createRandom } from '../../createRandom/index.js';
 import type { PeerUpdate, StoreChanges } from '../peerMessages/index.js';
-import {
-  decodeMessage,
-  encodeStoreChanges,
-  encodeUpdate,
-  tagEndpoint,
-  tagNode,
-  type DecodeMessageOptions,
-} from './index.js';
+import { decodeMessage, encodeStoreChanges, encodeUpdate, tagEndpoint, tagNode } from './index.js';
+import type { DecodeMessageOptions } from '../peerMessageFormat/index.js';
 
 const NODES = Array.from({ length: 40 }, (_, index) => ({
   name: `edge-mission-${index}`,
--- a/src/request/createPartBreakers/index.ts
+++ b/src/request/createPartBreakers/index.ts
@@ -9,6 +9,7 @@
 import type { BreakerState, CrashReport, PartFacts, PartTime } from '../../types/breaker/index.js';
 import { computeBreakerStates } from '../computeBreakerStates/index.js';
 import { countCrashes, type CrashCount } from '../countCrashes/index.js';
+import { createSuccessTable } from '../createSuccessTable/index.js';
 
 /** Decision about a request: pass it on, try it for a blocked part, or block it. */
 export type PartDecision =
@@ -75,8 +76,6 @@
 /** Reports that are kept of all parts together, and of one part. */
 const MAXIMUM_REPORTS = 512;
 const MAXIMUM_REPORTS_OF_PART = 12;
-/** Parts whose last success is kept. */
-const MAXIMUM_SUCCESSES = 4_096;
 /** Time after which a further success of a part is told to other nodes again, in milliseconds. */
 const SUCCESS_REFRESH_MILLISECONDS = 120_000;
 const MAXIMUM_LATEST_SUCCESSES = 1_000;
@@ -131,8 +130,7 @@
   const records = new Map<string, PartRecord>();
   /** Counts of the parts with enough crashes to be blocked, if no other part explains them. */
   const suspects = new Map<string, CrashCount>();
-  /** Last success by part, least recent first. */
-  const successes = new Map<string, number>();
+  const successes = createSuccessTable();
 
   const updateCount = (part: string, record: PartRecord): void => {
     const findSuccess = (other: string): number | undefined => successes.get(other);
@@ -157,16 +155,6 @@
     }
     changes.forEach(onChange);
   };
-  const setSuccess = (part: string, at: number): boolean => {
-    if (at <= (successes.get(part) ?? Number.NEGATIVE_INFINITY)) return false;
-    successes.delete(part);
-    successes.set(part, at);
-    if (successes.size > MAXIMUM_SUCCESSES) {
-      const [oldest] = successes.keys();
-      if (oldest !== undefined) successes.delete(oldest);
-    }
-    return true;
-  };
   const removeReport = (report: CrashReport): void => {
     reports.delete(identifyReport(report));
     for (const part of report.parts) {
@@ -216,7 +204,7 @@
   /** Adds a success; returns whether it may change how reports of the part are weighed. */
   const addSuccess = ({ part, at }: PartTime): boolean => {
     const before = successes.get(part);
-    if (part.length > MAXIMUM_PART_LENGTH || !setSuccess(part, at)) return false;
+    if (part.length > MAXIMUM_PART_LENGTH || !successes.set(part, at)) return false;
     const record = records.get(part);
     const isNews = before === undefined || at - before > SUCCESS_REFRESH_MILLISECONDS;
     if (!record) return isNews;
@@ -284,8 +272,7 @@
         ),
       };
     },
-    listLatestSuccesses: () =>
-      [...successes].slice(-MAXIMUM_LATEST_SUCCESSES).map(([part, at]) => ({ part, at })),
+    listLatestSuccesses: () => successes.listLatest(MAXIMUM_LATEST_SUCCESSES),
     listBlocked: () =>
       [...records].flatMap(([part, record]) => {
         const { state, reports: own } = record;
