Keep the parts of long prompts within bounds instead of ignoring their crashes

Cause: a report with more than 16 parts, or with a part of more than 64 characters, was dropped as unreadable, so that such a prompt could crash engines without end. Change: 64 parts, the last one kept; longer identifiers as a digest. Ruled out: refusing such prompts.

--- a/src/process/site/createPartExchange/index.ts
+++ b/src/process/site/createPartExchange/index.ts
@@ -123,16 +123,12 @@
   const listOthers = (): readonly NodeRecord[] => listAlive().filter(({ name }) => name !== self);
   const pickAddresses = (): readonly string[] => {
     const others = listOthers();
+    if (others.length <= SMALL_SITE_NODES) return others.map(({ peerAddress }) => peerAddress);
     const isLocal = (node: NodeRecord): boolean => node.availabilityZone === availabilityZone;
-    const shuffled = others.length <= SMALL_SITE_NODES ? others : shuffleItems(others, random);
-    const picked =
-      others.length <= SMALL_SITE_NODES
-        ? shuffled
-        : [
-            ...shuffled.filter(isLocal).slice(0, ZONE_FANOUT),
-            ...shuffled.filter((node) => !isLocal(node)).slice(0, REMOTE_FANOUT),
-          ];
-    return picked.map(({ peerAddress }) => peerAddress);
+    const shuffled = shuffleItems(others, random);
+    const local = shuffled.filter(isLocal).slice(0, ZONE_FANOUT);
+    const remote = shuffled.filter((node) => !isLocal(node)).slice(0, REMOTE_FANOUT);
+    return [...local, ...remote].map(({ peerAddress }) => peerAddress);
   };
   const reportLimit = createFactLimit(clock);
   const successLimit = createFactLimit(clock);
--- a/src/process/site/partFactsCodec/index.ts
+++ b/src/process/site/partFactsCodec/index.ts
@@ -2,16 +2,17 @@
  * Encoding of facts about parts for messages between nodes, which have clocks of their own.
  */
 import { z } from 'zod';
+import { MAXIMUM_PART_LENGTH, MAXIMUM_PARTS } from '../../../request/listRequestParts/index.js';
 import type { CrashReport, PartFacts, PartTime } from '../../../types/breaker/index.js';
 
 const milliseconds = z.number().min(0);
-const text = z.string().max(64);
+const text = z.string().max(MAXIMUM_PART_LENGTH);
 const reportSchema = z.tuple([
   text,
   z.number(),
   text,
   text,
-  z.array(text).min(1).max(16),
+  z.array(text).min(1).max(MAXIMUM_PARTS),
   // Age of the run and of the crash.
   milliseconds,
   milliseconds,
--- a/src/request/createPartBreakers/index.ts
+++ b/src/request/createPartBreakers/index.ts
@@ -9,6 +9,7 @@
 import type { BreakerState, CrashReport, PartFacts, PartTime } from '../../types/breaker/index.js';
 import { computeBreakerStates } from '../computeBreakerStates/index.js';
 import { countCrashes, type CrashCount } from '../countCrashes/index.js';
+import { MAXIMUM_PART_LENGTH, MAXIMUM_PARTS } from '../listRequestParts/index.js';
 import { createSuccessTable } from '../createSuccessTable/index.js';
 
 /** Decision about a request: pass it on, try it for a blocked part, or block it. */
@@ -79,9 +80,6 @@
 /** Time after which a further success of a part is told to other nodes again, in milliseconds. */
 const SUCCESS_REFRESH_MILLISECONDS = 120_000;
 const MAXIMUM_LATEST_SUCCESSES = 1_000;
-/** Parts of one report, and the length of a part's identifier in characters. */
-const MAXIMUM_PARTS = 16;
-const MAXIMUM_PART_LENGTH = 64;
 /** Time for which a report is kept, in milliseconds; longer than the longest pause. */
 const REPORT_EXPIRY_MILLISECONDS = 1_200_000;
 /** Maximum time for which the trial of a part keeps others from trying it, in milliseconds. */
--- a/src/request/listRequestParts/index.ts
+++ b/src/request/listRequestParts/index.ts
@@ -12,9 +12,26 @@
   readonly promptParts: readonly string[];
 }
 
+/** Parts of one request, and the length of a part's identifier in characters. */
+export const MAXIMUM_PARTS = 64;
+export const MAXIMUM_PART_LENGTH = 64;
 /** Length of the digest of a plain request in hexadecimal digits. */
 const DIGEST_DIGITS = 24;
 
+function shortenPart(part: string): string {
+  if (part.length <= MAXIMUM_PART_LENGTH) return part;
+  return `long-${createHash('sha256').update(part).digest('hex').slice(0, DIGEST_DIGITS)}`;
+}
+
+/** Shortens a long list, but keeps its last part, which identifies the request. */
+function limitParts(parts: readonly string[]): readonly string[] {
+  const kept =
+    parts.length <= MAXIMUM_PARTS
+      ? parts
+      : [...parts.slice(0, MAXIMUM_PARTS - 1), ...parts.slice(-1)];
+  return kept.map(shortenPart);
+}
+
 /**
  * Lists the parts of a request: those of its prompt, or a digest of the request where it has no prompt.
  *
@@ -25,7 +42,7 @@
  */
 export function listRequestParts(options: ListRequestPartsOptions): readonly string[] {
   const { service, forwarded, promptParts } = options;
-  if (promptParts.length > 0) return promptParts;
+  if (promptParts.length > 0) return limitParts(promptParts);
   const { method, url, body } = forwarded;
   const hash = createHash('sha256').update(`${service}\n${method}\n${url}\n`);
   if (body) hash.update(body);
