Log and count requests whose connection the node closes without a complete response

Cause: the logs of requests that ended without an answer do not tell which were open at the exit of the process, whether their response had begun, or whether bytes of it were still to be sent; there was no counter of any.

No decision changed.

--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -2,7 +2,7 @@
  * HTTP handler that reads callers' requests and passes them to the relay.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { HeaderTranslator } from '../../../types/relay/index.js';
+import type { HeaderTranslator, RequestMetadata } from '../../../types/relay/index.js';
 import { describeError } from '../../describeError/index.js';
 import type { ResultCodeName } from '../../resultCodes/index.js';
 import type { SiteLogger } from '../../site/createSiteLogger/index.js';
@@ -29,8 +29,20 @@
   readonly handle: (incoming: IncomingMessage, response: ServerResponse) => void;
   /** Returns the number of requests without a final response. */
   readonly countOpen: () => number;
+  /** Logs and counts each request without a final response, before the process exits. */
+  readonly recordUnanswered: () => void;
 }
 
+/** Request whose response is not complete. */
+interface OpenRequest {
+  readonly attempt: string;
+  readonly arrivedAt: number;
+  readonly response: ServerResponse;
+}
+
+/** Why the connection of a request ends without a complete response. */
+type UnansweredCause = 'crashed' | 'stopped';
+
 /** Maximum memory of all request bodies together. */
 const MAXIMUM_BODY_BYTES = 67_108_864;
 /** `Retry-After` when there is no memory for the body, in seconds. */
@@ -61,13 +73,30 @@
  * createServer(createCallerHandler(options).handle);
  */
 export function createCallerHandler(options: CreateCallerHandlerOptions): CallerHandler {
-  const { relay, headerTranslator, logger, now, isLeaving } = options;
+  const { relay, headerTranslator, logger, metrics, now, isLeaving } = options;
   const bodyMemory = createBodyMemoryLimit(MAXIMUM_BODY_BYTES);
-  let openRequests = 0;
+  const openRequests = new Set<OpenRequest>();
 
-  const serve = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
+  const recordUnanswered = (
+    { attempt, arrivedAt, response }: OpenRequest,
+    cause: UnansweredCause,
+  ): void => {
+    metrics.count('unanswered_requests', cause);
+    logger.log('request-unanswered', {
+      request: attempt,
+      cause,
+      begun: response.headersSent,
+      waitingBytes: response.writableLength,
+      milliseconds: Math.round(now() - arrivedAt),
+    });
+  };
+
+  const serve = async (
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    caller: RequestMetadata,
+  ): Promise<void> => {
     const arrivedAt = now();
-    const caller = headerTranslator.parseRequestHeaders(incoming.headers);
     const callerResponse = createCallerResponse(response);
     const isDisconnected = (): boolean => response.destroyed;
     const refuse = (code: ResultCodeName, retryAfterSeconds?: number): void => {
@@ -97,7 +126,7 @@
       if (outcome.kind === 'disconnected' || isDisconnected()) return;
       if (outcome.kind !== 'complete') {
         const { code, retryAfterSeconds } = BODY_REFUSALS[outcome.kind];
-        options.metrics.count('refusals', code);
+        metrics.count('refusals', code);
         logger.log('request-refused', { request: caller.attempt, code });
         refuse(code, retryAfterSeconds);
         return;
@@ -117,17 +146,23 @@
 
   return {
     handle: (incoming, response) => {
-      openRequests += 1;
+      const caller = headerTranslator.parseRequestHeaders(incoming.headers);
+      const openRequest = { attempt: caller.attempt, arrivedAt: now(), response };
+      openRequests.add(openRequest);
       if (isLeaving()) response.setHeader('Connection', 'close');
-      serve(incoming, response)
+      serve(incoming, response, caller)
         .catch((error: unknown) => {
           logger.log('request-crashed', { reason: describeError(error) });
+          recordUnanswered(openRequest, 'crashed');
           response.destroy();
         })
         .finally(() => {
-          openRequests -= 1;
+          openRequests.delete(openRequest);
         });
     },
-    countOpen: () => openRequests,
+    countOpen: () => openRequests.size,
+    recordUnanswered: () => {
+      for (const openRequest of openRequests) recordUnanswered(openRequest, 'stopped');
+    },
   };
 }
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -56,6 +56,17 @@
     reason,
   }),
   'request-crashed': define('error', 'A request failed with an internal error.', { reason }),
+  'request-unanswered': define(
+    'warn',
+    'The node closed the connection of a request without a complete response.',
+    {
+      request,
+      cause: text('`crashed`: internal error; `stopped`: the process exits'),
+      begun: z.boolean().describe('whether the response had begun'),
+      waitingBytes: number('bytes of the response that the connection has not taken yet'),
+      milliseconds,
+    },
+  ),
 
   'store-reached': define('info', "The platform's store is reachable.", { revision }),
   'store-lost': define('warn', "The platform's store does not respond.", { reason, revision }),
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -193,6 +193,7 @@
       while (now() < endsAt && (now() < serveEnd || handler.countOpen() > 0)) {
         await new Promise((resolve) => setTimeout(resolve, LEAVING_CHECK_MILLISECONDS));
       }
+      handler.recordUnanswered();
       logger.log('stopped', { open: handler.countOpen() });
       await lifeCycle.close();
     },
