Answer the open requests of a node that has to stop

What callers saw: a closed connection without a response, for requests that were open half a second before the end of the grace period.

Cause: the node then closed all connections, whatever state the requests were in. A request without an event or a body has had no answer, although the node knows one: not run, or outcome unknown.

Change: a stop signal ends open requests with their final response; the node waits up to 250 ms within its margin until they are sent. A stream that has begun is still cut, so that its caller resumes it elsewhere.

--- a/src/process/relay/relayBuffered/index.ts
+++ b/src/process/relay/relayBuffered/index.ts
@@ -162,7 +162,7 @@
   request: RelayedRequest,
   gate: RunGate,
 ): Promise<void> {
-  const { endpoints, clock, budget } = context;
+  const { endpoints, clock, budget, stopSignal } = context;
   const { route, service, deadlineAt, log } = request;
   const mayRepeat = route.kind === 'safe';
   const progress: Progress = {
@@ -181,7 +181,7 @@
     progress.failedConnections < MAXIMUM_FAILED_CONNECTIONS
   ) {
     const remainingMilliseconds = deadlineAt - clock.now();
-    if (remainingMilliseconds <= 0) break;
+    if (remainingMilliseconds <= 0 || stopSignal.isRaised()) break;
     const blocked = gate.check();
     if (blocked) {
       progress.reason = `part ${blocked.part} is blocked`;
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -85,6 +85,9 @@
     onTimeUp: () => {
       fail('deadline reached', { isTimeUp: true });
     },
+    onStop: () => {
+      fail('node stops', { isTimeUp: true });
+    },
     onDisconnect: () => {
       if (state === 'done') return;
       response.endDisconnected();
--- a/src/process/relay/runBufferedAttempt/index.ts
+++ b/src/process/relay/runBufferedAttempt/index.ts
@@ -80,6 +80,7 @@
       if (isDone) return;
       isDone = true;
       cancelTimer();
+      removeStopCallback();
       call.abort();
       reservation.release();
       endpoint.localRequests = Math.max(0, endpoint.localRequests - 1);
@@ -123,6 +124,9 @@
       const reason = chunks.length > 0 ? 'response too slow' : 'no response in time';
       finish({ kind: 'unknown', reason, isTimeout: true });
     });
+    const removeStopCallback = context.stopSignal.onRaised(() => {
+      finish({ kind: 'unknown', reason: 'node stops', isTimeout: true });
+    });
     request.response.onDisconnect(() => {
       finish({ kind: 'disconnected' });
     });
--- a/src/process/relay/types/index.ts
+++ b/src/process/relay/types/index.ts
@@ -17,6 +17,7 @@
 import type { CrashRecorder } from '../createCrashRecorder/index.js';
 import type { EndpointProber } from '../createEndpointProber/index.js';
 import type { SiteDecisions } from '../../site/siteDecisions/index.js';
+import type { StopSignal } from '../createStopSignal/index.js';
 import type { PartGuard } from '../createPartGuard/index.js';
 import type { RelayMetrics } from '../createRelayMetrics/index.js';
 import type { RequestLog } from '../createRequestLog/index.js';
@@ -38,6 +39,7 @@
   readonly decisions: Pick<SiteDecisions, 'choosePath' | 'movesRuns' | 'prefersLocalZone'>;
   /** Registers a callback for endpoints that become unreachable; returns its removal. */
   readonly onLost: (callback: (endpoint: string) => void) => () => void;
+  readonly stopSignal: Pick<StopSignal, 'isRaised' | 'onRaised'>;
   readonly zoneLinks: ZoneLinkMonitor;
   /** Limit on the memory of all responses that are buffered at the same time. */
   readonly responseMemory: BodyMemoryLimit;
--- a/src/process/relay/watchStream/index.ts
+++ b/src/process/relay/watchStream/index.ts
@@ -20,6 +20,8 @@
   readonly onLost: (endpoint: string) => void;
   /** Called at the deadline of the final response. */
   readonly onTimeUp: () => void;
+  /** Called when the node stops. */
+  readonly onStop: () => void;
   /** Called when the caller has disconnected. */
   readonly onDisconnect: () => void;
 }
@@ -40,8 +42,8 @@
  * watch.reset();
  */
 export function watchStream(options: WatchStreamOptions): StreamWatch {
-  const { context, request, getPath, hasBegun, onReplace, onLost, onTimeUp, onDisconnect } =
-    options;
+  const { context, request, getPath, hasBegun, onReplace, onLost } = options;
+  const { onTimeUp, onStop, onDisconnect } = options;
   const { clock, prober } = context;
   const listEndpoints = (): string[] => (getPath()?.hops ?? []).map(({ endpoint }) => endpoint);
   const idleWatch = watchIdleStream({
@@ -57,6 +59,7 @@
     if (listEndpoints().includes(lost)) onLost(lost);
   });
   const cancelDeadline = clock.schedule(Math.max(0, request.deadlineAt - clock.now()), onTimeUp);
+  const removeStopCallback = context.stopSignal.onRaised(onStop);
   request.response.onDisconnect(onDisconnect);
   return {
     reset: idleWatch.reset,
@@ -65,6 +68,7 @@
       idleWatch.stop();
       cancelDeadline();
       stopLostListener();
+      removeStopCallback();
     },
   };
 }
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -14,6 +14,7 @@
 import { createEndpointProber } from '../../relay/createEndpointProber/index.js';
 import { createRelay, type Relay } from '../../relay/createRelay/index.js';
 import { createStartGate } from '../../relay/createStartGate/index.js';
+import { createStopSignal } from '../../relay/createStopSignal/index.js';
 import { createRelayMetrics, type RelayMetrics } from '../../relay/createRelayMetrics/index.js';
 import type { RelayContext } from '../../relay/types/index.js';
 import { watchLayerCoverage } from '../../relay/watchLayerCoverage/index.js';
@@ -90,6 +91,8 @@
   readonly follower: StoreFollower;
   readonly planner: Planner;
   readonly registration: NodeRegistration;
+  /** Ends the open requests with a final response, before the process exits. */
+  readonly endRequests: () => void;
   /** Returns the current state as the node knows it, for operators. */
   readonly describe: () => SiteStatus;
   /** Steps to repeat as long as the node runs, by name. */
@@ -132,6 +135,7 @@
   const metrics = createRelayMetrics();
   const { onConfiguration } = options;
   const lostListeners = createLostListeners();
+  const stopSignal = createStopSignal();
   const configurationGate = createStartGate({ clock });
   const coverageGate = createStartGate({ clock });
   const startServing = (): void => {
@@ -290,6 +294,7 @@
     clock,
     random,
     onLost: lostListeners.add,
+    stopSignal,
     zoneLinks: createZoneLinkMonitor({ countSendingNodes: () => listZonePeers().length }),
     responseMemory: createBodyMemoryLimit(MAXIMUM_RESPONSE_BYTES),
     countNodes: exchange.peers.countAlive,
@@ -307,6 +312,7 @@
     follower,
     planner,
     registration,
+    endRequests: stopSignal.raise,
     describe: () => describeSite({ self, context, state, exchange, follower, planner }),
     loops: {
       store: follower.step,
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -79,6 +79,15 @@
  */
 const LEAVING_MARGIN_MILLISECONDS = 500;
 const LEAVING_CHECK_MILLISECONDS = 50;
+/** Time in which the last responses of a leaving node are sent, within that margin. */
+const LAST_RESPONSES_MILLISECONDS = 250;
+
+/** Resolves when a condition holds, which is checked every {@link LEAVING_CHECK_MILLISECONDS}. */
+async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await new Promise((resolve) => setTimeout(resolve, LEAVING_CHECK_MILLISECONDS));
+  }
+}
 
 /** Creates the server for readiness checks and for the pages of operators, by path. */
 function createReadinessServer(
@@ -190,9 +199,11 @@
       exchange.peers.setLeaving();
       logger.log('leaving', { open: handler.countOpen() });
       void registration.end();
-      while (now() < endsAt && (now() < serveEnd || handler.countOpen() > 0)) {
-        await new Promise((resolve) => setTimeout(resolve, LEAVING_CHECK_MILLISECONDS));
-      }
+      const hasEnded = (): boolean => handler.countOpen() === 0;
+      await waitUntil(() => now() >= endsAt || (now() >= serveEnd && hasEnded()));
+      core.endRequests();
+      const sentBefore = now() + LAST_RESPONSES_MILLISECONDS;
+      await waitUntil(() => now() >= sentBefore || hasEnded());
       handler.recordUnanswered();
       logger.log('stopped', { open: handler.countOpen() });
       await lifeCycle.close();
--- /dev/null
+++ b/tests/plannedStops.test.ts
@@ -0,0 +1,108 @@
+/**
+ * Planned stops of a node. Guards against requests that end without an answer because the node stops.
+ */
+import assert from 'node:assert/strict';
+import { after, afterEach, beforeEach, test } from 'node:test';
+import {
+  serveSiteEndpoint,
+  type EndpointHandler,
+  type SiteEndpoint,
+} from '../standins/serveSiteEndpoint/index.js';
+import type { SiteStore } from '../standins/serveSiteStore/index.js';
+import {
+  createPlatformConfiguration,
+  MODEL_SERVICE,
+  PLAIN_SERVICE,
+  registerEndpoint,
+  respondCompletely,
+  sendCallerRequest,
+  startNode,
+  startStore,
+  streamCompletely,
+  waitFor,
+  waitUntilReady,
+  type CallerResponse,
+  type TestNode,
+} from './support/siteNodes/index.js';
+
+/** Grace period of the stopped nodes; they end the last requests half a second before it ends. */
+const GRACE_MILLISECONDS = 1_500;
+const OUTCOME_UNKNOWN_STATUS = 504;
+
+const neverRespond: EndpointHandler = () => undefined;
+let store: SiteStore;
+let plain: SiteEndpoint;
+let engine: SiteEndpoint;
+let nodes: TestNode[];
+
+async function start(graceMilliseconds = GRACE_MILLISECONDS): Promise<TestNode> {
+  const node = await startNode(`node-${nodes.length + 1}`, store, { graceMilliseconds });
+  nodes.push(node);
+  await waitUntilReady(node);
+  await waitFor('the engine hosts layers', () => engine.layers !== undefined);
+  await waitFor('a booking is served', async () => (await book(node)).status === 200);
+  await waitFor('a stream is served', async () => (await ask(node)).status === 200);
+  return node;
+}
+
+function book(node: TestNode): Promise<CallerResponse> {
+  return sendCallerRequest({ address: node.callers, path: '/book/one', method: 'POST', body: 'b' });
+}
+
+function ask(node: TestNode): Promise<CallerResponse> {
+  const headers = { 'Token-Counts': '20,10' };
+  return sendCallerRequest({ address: node.callers, path: '/ask/one', headers });
+}
+
+/** Returns a configuration whose requests may last longer than the grace period. */
+function createSlowConfiguration(): object {
+  const configuration = createPlatformConfiguration(1) as { routes: object[] };
+  const routes = configuration.routes.map((route) => ({ ...route, timeout_ms: 5_000 }));
+  return { ...configuration, routes };
+}
+
+beforeEach(async () => {
+  nodes = [];
+  store = await startStore();
+  plain = await serveSiteEndpoint({ id: 'plain-1', handle: respondCompletely });
+  engine = await serveSiteEndpoint({ id: 'engine-1', handle: streamCompletely });
+  registerEndpoint(store, plain, PLAIN_SERVICE);
+  registerEndpoint(store, engine, MODEL_SERVICE);
+  store.put('op/config', createSlowConfiguration());
+});
+
+afterEach(async () => {
+  await Promise.all(nodes.map(({ node }) => node.leave()));
+  await Promise.all([plain, engine].map((endpoint) => endpoint.crash()));
+  await store.close();
+});
+
+after(() => {
+  // The runtime keeps sockets of closed connections for a while, which delays the exit.
+  setTimeout(() => process.exit(), 500).unref();
+});
+
+test('a booking that is open when the node has to stop gets a final response', async () => {
+  const node = await start();
+  plain.handle = neverRespond;
+  const received = plain.received.length;
+  const booked = book(node);
+  await waitFor('the endpoint has the booking', () => plain.received.length > received);
+  const left = node.node.leave();
+  const response = await booked;
+  assert.equal(response.status, OUTCOME_UNKNOWN_STATUS);
+  assert.ok(response.isComplete);
+  await left;
+});
+
+test('a stream without events that is open when the node has to stop gets a final response', async () => {
+  const node = await start();
+  engine.handle = neverRespond;
+  const asked = ask(node);
+  await waitFor('the engine has the request', () =>
+    engine.received.some(({ wasAborted }) => !wasAborted),
+  );
+  const left = node.node.leave();
+  assert.equal((await asked).status, OUTCOME_UNKNOWN_STATUS);
+  await left;
+});
