Refuse plain requests that may outlast a leaving node

Cause: a leaving node refused streams after 2.5 s, but admitted bookings and look-ups until it closed, also a moment before.

Evidence: a booking sent 2.7 s after SIGTERM whose limit is past the end of the grace period was passed on to an endpoint; the test fails before with 504 instead of 503.

Change: after 2.5 s such a request is refused as not run, with the time to return to another node. The emulator's nodes leave with the same rule.

--- a/emulator/createVirtualNodes/index.ts
+++ b/emulator/createVirtualNodes/index.ts
@@ -7,6 +7,7 @@
   type CreateSiteNodeOptions,
   type SiteCore,
 } from '../../src/process/site/createSiteNode/index.js';
+import type { LeavingPeriod } from '../../src/process/relay/admitRequest/index.js';
 import type { PeerPort } from '../../src/process/site/createPeerExchange/index.js';
 import type { SiteDecisions } from '../../src/process/site/siteDecisions/index.js';
 import type { LogEventName } from '../../src/process/site/logEvents/index.js';
@@ -20,6 +21,9 @@
 import type { VirtualTime } from '../createVirtualTime/index.js';
 import type { VirtualSite } from '../readScenario/index.js';
 
+/** Time after which a leaving node has stopped, in milliseconds. */
+export const NODE_LEAVE_MILLISECONDS = 3_300;
+
 /** A line of a node's log. */
 export interface VirtualLogLine {
   readonly at: number;
@@ -112,7 +116,7 @@
   });
   const createVirtualNode = (name: string, availabilityZone: string): VirtualNode => {
     let core: SiteCore | undefined;
-    let leavingSince: number | undefined;
+    let leaving: LeavingPeriod | undefined;
     const endActions = new Set<() => void>();
     const runLoop = (owner: SiteCore, step: () => Promise<number>): void => {
       if (core !== owner) return;
@@ -131,7 +135,7 @@
         incarnation: Math.floor(time.now()) + 1,
         isLeaving: false,
       };
-      leavingSince = undefined;
+      leaving = undefined;
       const { port, counts, closeAll } = createEndpointPort({
         ...options,
         availabilityZone,
@@ -171,7 +175,7 @@
         retries: options.retries,
         decisions: options.decisions,
         onConfiguration: () => undefined,
-        getLeavingSince: () => leavingSince,
+        getLeaving: () => leaving,
       });
       core = created;
       for (const step of Object.values(created.loops)) runLoop(created, step);
@@ -180,7 +184,7 @@
       name,
       availabilityZone,
       getCore: () => core,
-      isLeaving: () => leavingSince !== undefined,
+      isLeaving: () => leaving !== undefined,
       start,
       kill: () => {
         core = undefined;
@@ -188,7 +192,8 @@
         endActions.clear();
       },
       leave: () => {
-        leavingSince = time.now();
+        const startedAt = time.now();
+        leaving = { startedAt, endsAt: startedAt + NODE_LEAVE_MILLISECONDS };
         core?.exchange.peers.setLeaving();
       },
       onEnd: (action) => {
--- a/emulator/injectFaults/index.ts
+++ b/emulator/injectFaults/index.ts
@@ -6,7 +6,7 @@
 import type { VirtualEngine } from '../createEngineFleet/types.js';
 import type { PlainFleet } from '../createPlainFleet/index.js';
 import type { VirtualCallers } from '../createVirtualCallers/index.js';
-import type { VirtualNode } from '../createVirtualNodes/index.js';
+import { NODE_LEAVE_MILLISECONDS, type VirtualNode } from '../createVirtualNodes/index.js';
 import type { VirtualStore } from '../createVirtualStore/index.js';
 import type { VirtualTime } from '../createVirtualTime/index.js';
 import type { InjectedFault, VirtualDay, VirtualSite } from '../readScenario/index.js';
@@ -23,8 +23,6 @@
   readonly random: Random;
 }
 
-/** Time from the announcement of a node's shutdown until its process ends. */
-const NODE_LEAVE_MILLISECONDS = 3_300;
 /** Time from the end of a node's process until it starts again. */
 const NODE_START_MILLISECONDS = 400;
 
--- a/src/process/relay/createRelay/index.ts
+++ b/src/process/relay/createRelay/index.ts
@@ -12,8 +12,10 @@
   admitRequest,
   type Admission,
   type Admitted,
+  type LeavingPeriod,
   type RequestHead,
 } from '../admitRequest/index.js';
+import { computeTimeLimit } from '../computeTimeLimit/index.js';
 import { sendFailure } from '../sendFailure/index.js';
 import { createRequestLog } from '../createRequestLog/index.js';
 import { relayStream } from '../relayStream/index.js';
@@ -25,8 +27,8 @@
 export interface CreateRelayOptions {
   readonly context: RelayContext;
   readonly getCompiled: () => CompiledSiteConfiguration | undefined;
-  /** Returns the time at which the node began to leave; undefined when it is not leaving. */
-  readonly getLeavingSince: () => number | undefined;
+  /** Returns when the node began to leave and when it stops; undefined when it is not leaving. */
+  readonly getLeaving: () => LeavingPeriod | undefined;
   /** Gate that opens with the first configuration. */
   readonly configurationGate: Pick<StartGate, 'wait'>;
   /** Gate that opens when the node knows endpoints for every layer, or after a time limit. */
@@ -61,8 +63,6 @@
 
 /** `Retry-After` for a route whose service the configuration does not define, in seconds. */
 const NO_SERVICE_RETRY_SECONDS = 0.3;
-/** Time between the final response and the caller's deadline, in milliseconds. */
-const DEADLINE_MARGIN_MILLISECONDS = 30;
 /** Maximum share of a request's time that it waits at a node that has just started. */
 const START_WAIT_SHARE = 0.5;
 /** Number of prompt parts that the log names. */
@@ -85,11 +85,6 @@
   return Math.min(MAXIMUM_PRIORITY, Number.isFinite(priority) ? 1 + priority : DEFAULT_PRIORITY);
 }
 
-function computeTimeLimit(route: SiteRoute, caller: RequestMetadata): number {
-  const requested = caller.deadlineMilliseconds ?? route.timeoutMilliseconds;
-  return Math.min(route.timeoutMilliseconds, requested - DEADLINE_MARGIN_MILLISECONDS);
-}
-
 /**
  * Creates the relay.
  *
@@ -99,19 +94,17 @@
  * createRelay(options).admit(head);
  */
 export function createRelay(options: CreateRelayOptions): Relay {
-  const { context, getCompiled, getLeavingSince, configurationGate, coverageGate } = options;
+  const { context, getCompiled, getLeaving, configurationGate, coverageGate } = options;
   const { clock, metrics, logger, budget, random } = context;
   return {
     waitForStart: ({ deadlineMilliseconds }) => {
-      if (getLeavingSince() !== undefined) return Promise.resolve();
+      if (getLeaving()) return Promise.resolve();
       const timeLimit = deadlineMilliseconds ?? Number.POSITIVE_INFINITY;
       return configurationGate.wait(timeLimit * START_WAIT_SHARE);
     },
     admit: (head) => {
-      const leavingSince = getLeavingSince();
-      const leavingMilliseconds =
-        leavingSince === undefined ? undefined : clock.now() - leavingSince;
-      const admission = admitRequest({ head, compiled: getCompiled(), leavingMilliseconds });
+      const now = clock.now();
+      const admission = admitRequest({ head, compiled: getCompiled(), leaving: getLeaving(), now });
       if (admission.kind === 'refused') {
         const { code } = admission;
         metrics.count('refusals', code);
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -10,6 +10,7 @@
 import { createRandom } from '../../createRandom/index.js';
 import { hashText } from '../../hashRendezvous/index.js';
 import { parseJson } from '../../parseJson/index.js';
+import type { LeavingPeriod } from '../../relay/admitRequest/index.js';
 import { createBodyMemoryLimit } from '../../relay/createBodyMemoryLimit/index.js';
 import { createEndpointProber } from '../../relay/createEndpointProber/index.js';
 import { createRelay, type Relay } from '../../relay/createRelay/index.js';
@@ -74,8 +75,8 @@
   /** {@link SITE_DECISIONS} by default. */
   readonly decisions?: SiteDecisions;
   readonly onConfiguration: CreateSiteStateOptions['onConfiguration'];
-  /** Returns when the node started its shutdown; undefined while it has not. */
-  readonly getLeavingSince: () => number | undefined;
+  /** Returns when the node began to leave and when it stops; undefined when it is not leaving. */
+  readonly getLeaving: () => LeavingPeriod | undefined;
 }
 
 /** One step of a loop; resolves to the pause before the next step, in milliseconds. */
@@ -302,12 +303,12 @@
     countNodesWithoutLoad: exchange.countNodesWithoutLoad,
   };
   const { getCompiled } = state;
-  const { getLeavingSince } = options;
+  const { getLeaving } = options;
   return {
     random,
     metrics,
     state,
-    relay: createRelay({ context, getCompiled, getLeavingSince, configurationGate, coverageGate }),
+    relay: createRelay({ context, getCompiled, getLeaving, configurationGate, coverageGate }),
     exchange,
     follower,
     planner,
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -7,6 +7,7 @@
 import type { Store } from '../../../types/store/index.js';
 import { describeError } from '../../describeError/index.js';
 import { createLifeCycle } from '../../createLifeCycle/index.js';
+import type { LeavingPeriod } from '../../relay/admitRequest/index.js';
 import { createCallerHandler } from '../../relay/createCallerHandler/index.js';
 import { createEndpointPort } from '../../relay/createEndpointPort/index.js';
 import { createSystemClock } from '../../runtime/createSystemClock/index.js';
@@ -120,7 +121,7 @@
   const { name: node, availabilityZone } = self;
   const logger = createSiteLogger({ node, availabilityZone, now, stream: options.logStream });
   const lifeCycle = createLifeCycle();
-  let leavingSince: number | undefined;
+  let leaving: LeavingPeriod | undefined;
   const callerServer = createCallerServer((incoming, response) => {
     handler.handle(incoming, response);
   });
@@ -148,10 +149,10 @@
     onConfiguration: ({ configuration }) => {
       applyCallerLimits(callerServer, configuration.limits);
     },
-    getLeavingSince: () => leavingSince,
+    getLeaving: () => leaving,
   });
   const { relay, state, exchange, metrics, registration } = core;
-  const isLeaving = (): boolean => leavingSince !== undefined;
+  const isLeaving = (): boolean => leaving !== undefined;
   const handler = createCallerHandler({
     relay,
     headerTranslator: protocol,
@@ -193,8 +194,8 @@
     },
     leave: async () => {
       const startedAt = now();
-      leavingSince = startedAt;
       const endsAt = startedAt + options.graceMilliseconds - LEAVING_MARGIN_MILLISECONDS;
+      leaving = { startedAt, endsAt };
       const serveEnd = Math.min(endsAt, startedAt + LEAVING_SERVE_MILLISECONDS);
       exchange.peers.setLeaving();
       logger.log('leaving', { open: handler.countOpen() });
--- a/tests/plannedStops.test.ts
+++ b/tests/plannedStops.test.ts
@@ -54,6 +54,10 @@
   return sendCallerRequest({ address: node.callers, path: '/ask/one', headers });
 }
 
+function wait(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
 /** Returns a configuration whose requests may last longer than the grace period. */
 function createSlowConfiguration(): object {
   const configuration = createPlatformConfiguration(1) as { routes: object[] };
@@ -106,3 +110,21 @@
   assert.equal((await asked).status, OUTCOME_UNKNOWN_STATUS);
   await left;
 });
+
+test('a leaving node refuses a booking that may outlast it', async () => {
+  const node = await start(4_500);
+  plain.handle = neverRespond;
+  const held = book(node);
+  await waitFor('the endpoint has the booking', () =>
+    plain.received.some(({ wasAborted, method }) => !wasAborted && method === 'POST'),
+  );
+  const left = node.node.leave();
+  await wait(2_700);
+  const receivedBefore = plain.received.length;
+  const response = await book(node);
+  assert.equal(response.status, 503);
+  assert.match(response.body, /leaving/);
+  assert.equal(plain.received.length, receivedBefore);
+  assert.equal((await held).status, OUTCOME_UNKNOWN_STATUS);
+  await left;
+});
