Count a request as open until its response has been sent

What callers saw: a response that ends in its middle, where a slow caller had not read it before the node stopped.

Cause: a request counted as open until its handler ended, that is until the last byte was given to the connection's buffer; the stop closed connections with bytes still in them.

Evidence: a caller that reads nothing for 3.8 s of a body of 4 MB got an incomplete one; the test fails before.

Change: open until the response is closed, which follows the moment at which the operating system has taken all of it.

--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -27,7 +27,7 @@
 /** HTTP handler of callers' requests. */
 export interface CallerHandler {
   readonly handle: (incoming: IncomingMessage, response: ServerResponse) => void;
-  /** Returns the number of requests without a final response. */
+  /** Returns the number of requests whose response has not been sent completely. */
   readonly countOpen: () => number;
   /** Logs and counts each request without a final response, before the process exits. */
   readonly recordUnanswered: () => void;
@@ -149,16 +149,15 @@
       const caller = headerTranslator.parseRequestHeaders(incoming.headers);
       const openRequest = { attempt: caller.attempt, arrivedAt: now(), response };
       openRequests.add(openRequest);
+      response.once('close', () => {
+        openRequests.delete(openRequest);
+      });
       if (isLeaving()) response.setHeader('Connection', 'close');
-      serve(incoming, response, caller)
-        .catch((error: unknown) => {
-          logger.log('request-crashed', { reason: describeError(error) });
-          recordUnanswered(openRequest, 'crashed');
-          response.destroy();
-        })
-        .finally(() => {
-          openRequests.delete(openRequest);
-        });
+      serve(incoming, response, caller).catch((error: unknown) => {
+        logger.log('request-crashed', { reason: describeError(error) });
+        recordUnanswered(openRequest, 'crashed');
+        response.destroy();
+      });
     },
     countOpen: () => openRequests.size,
     recordUnanswered: () => {
--- a/tests/plannedStops.test.ts
+++ b/tests/plannedStops.test.ts
@@ -4,6 +4,7 @@
 import assert from 'node:assert/strict';
 import { after, afterEach, beforeEach, test } from 'node:test';
 import {
+  createEndpointHeaders,
   serveSiteEndpoint,
   type EndpointHandler,
   type SiteEndpoint,
@@ -29,7 +30,15 @@
 const GRACE_MILLISECONDS = 1_500;
 const OUTCOME_UNKNOWN_STATUS = 504;
 
+const LARGE_BODY = 'x'.repeat(4_000_000);
+/** Time for which a slow caller does not read, beyond the time that a stopped node serves. */
+const SLOW_CALLER_MILLISECONDS = 3_800;
+
 const neverRespond: EndpointHandler = () => undefined;
+const respondWithLargeBody: EndpointHandler = (request, response) => {
+  response.writeHead(200, createEndpointHeaders(request));
+  response.end(LARGE_BODY);
+};
 let store: SiteStore;
 let plain: SiteEndpoint;
 let engine: SiteEndpoint;
@@ -128,3 +137,20 @@
   assert.equal((await held).status, OUTCOME_UNKNOWN_STATUS);
   await left;
 });
+
+test('a leaving node sends the complete response to a slow caller before it stops', async () => {
+  const node = await start(8_000);
+  plain.handle = respondWithLargeBody;
+  const looked = sendCallerRequest({
+    address: node.callers,
+    path: '/look/one',
+    onStart: (incoming) => {
+      incoming.pause();
+      setTimeout(() => incoming.resume(), SLOW_CALLER_MILLISECONDS);
+      void node.node.leave();
+    },
+  });
+  const { isComplete, body } = await looked;
+  assert.ok(isComplete);
+  assert.equal(body.length, LARGE_BODY.length);
+});
