Ignore a second request to stop a node

What callers saw: streams that were admitted again late in the stop and then cut.

Cause: each SIGTERM began the stop anew, with a new start of the period in which streams are admitted, and a second end past the grace period.

Evidence: after a second request 2.6 s after the first one a stream was admitted (200 instead of 503); the test fails before.

Change: the stop runs once; further requests return the same one.

--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -60,7 +60,10 @@
 
 /** Running node. */
 export interface SiteNode {
-  /** Shuts the node down: accepts no new callers, completes open requests, and resolves. */
+  /**
+   * Shuts the node down: accepts no new callers, completes open requests, and resolves. Further calls
+   * have no effect.
+   */
   readonly leave: () => Promise<void>;
   /**
    * Logs a request to reload, with the version of the active configuration. The settings file is not
@@ -188,26 +191,29 @@
   }
   logger.log('started', { incarnation: self.incarnation, address: self.callerAddress });
 
+  const stop = async (): Promise<void> => {
+    const startedAt = now();
+    const endsAt = startedAt + options.graceMilliseconds - LEAVING_MARGIN_MILLISECONDS;
+    leaving = { startedAt, endsAt };
+    const serveEnd = Math.min(endsAt, startedAt + LEAVING_SERVE_MILLISECONDS);
+    exchange.peers.setLeaving();
+    logger.log('leaving', { open: handler.countOpen() });
+    void registration.end();
+    const hasEnded = (): boolean => handler.countOpen() === 0;
+    await waitUntil(() => now() >= endsAt || (now() >= serveEnd && hasEnded()));
+    core.endRequests();
+    const sentBefore = now() + LAST_RESPONSES_MILLISECONDS;
+    await waitUntil(() => now() >= sentBefore || hasEnded());
+    handler.recordUnanswered();
+    logger.log('stopped', { open: handler.countOpen() });
+    await lifeCycle.close();
+  };
+  let stopped: Promise<void> | undefined;
+
   return {
     logReload: () => {
       logger.log('reloaded', { version: state.getVersion() });
     },
-    leave: async () => {
-      const startedAt = now();
-      const endsAt = startedAt + options.graceMilliseconds - LEAVING_MARGIN_MILLISECONDS;
-      leaving = { startedAt, endsAt };
-      const serveEnd = Math.min(endsAt, startedAt + LEAVING_SERVE_MILLISECONDS);
-      exchange.peers.setLeaving();
-      logger.log('leaving', { open: handler.countOpen() });
-      void registration.end();
-      const hasEnded = (): boolean => handler.countOpen() === 0;
-      await waitUntil(() => now() >= endsAt || (now() >= serveEnd && hasEnded()));
-      core.endRequests();
-      const sentBefore = now() + LAST_RESPONSES_MILLISECONDS;
-      await waitUntil(() => now() >= sentBefore || hasEnded());
-      handler.recordUnanswered();
-      logger.log('stopped', { open: handler.countOpen() });
-      await lifeCycle.close();
-    },
+    leave: () => (stopped ??= stop()),
   };
 }
--- a/tests/plannedStops.test.ts
+++ b/tests/plannedStops.test.ts
@@ -154,3 +154,14 @@
   assert.ok(isComplete);
   assert.equal(body.length, LARGE_BODY.length);
 });
+
+test('a second request to stop does not admit streams again', async () => {
+  const node = await start(6_000);
+  plain.handle = neverRespond;
+  const left = node.node.leave();
+  await wait(2_600);
+  assert.equal((await ask(node)).status, 503);
+  void node.node.leave();
+  assert.equal((await ask(node)).status, 503);
+  await left;
+});
