Answer a request that fails with an internal error

What callers saw: a closed connection without a response.

Cause: whatever threw while a request was handled, its connection was destroyed, also where no byte of the response had been sent.

Evidence: a relay that throws before the response begins; the test fails before with 'fetch failed'.

Change: 502 with an unknown outcome, since an endpoint may have executed it. A response that has begun is cut as before, so that it does not look complete (a second test guards that; it passes before).

Before: 1 of 2 tests pass; after: 2 of 2.

--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -155,8 +155,14 @@
       if (isLeaving()) response.setHeader('Connection', 'close');
       serve(incoming, response, caller).catch((error: unknown) => {
         logger.log('request-crashed', { reason: describeError(error) });
-        recordUnanswered(openRequest, 'crashed');
-        response.destroy();
+        if (response.headersSent) {
+          recordUnanswered(openRequest, 'crashed');
+          response.destroy();
+          return;
+        }
+        // An endpoint may have executed the request, so that it must not be refused as not run.
+        const closes = !incoming.complete;
+        sendFailure(createCallerResponse(response), { code: 'endpointFailed', closes });
       });
     },
     countOpen: () => openRequests.size,
--- /dev/null
+++ b/src/process/relay/createCallerHandler/test.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict';
+import { createServer, type IncomingHttpHeaders } from 'node:http';
+import { once } from 'node:events';
+import type { AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import { createSiteProtocol } from '../../../../platform/createSiteProtocol/index.js';
+import type { CallerResponse } from '../../../types/relay/index.js';
+import type { Relay } from '../createRelay/index.js';
+import { createCallerHandler } from './index.js';
+
+/** Serves requests whose relay fails with an internal error. */
+async function serveFailingRelay(fail: (response: CallerResponse) => never) {
+  const counted: string[] = [];
+  const relay = {
+    waitForStart: () => Promise.resolve(),
+    admit: () => ({
+      kind: 'admitted',
+      compiled: {
+        configuration: { limits: { bodyBytes: 1_000, headerTimeoutMilliseconds: 1_000 } },
+      },
+    }),
+    run: ({ response }: { readonly response: CallerResponse }) => new Promise(() => fail(response)),
+  };
+  const handler = createCallerHandler({
+    relay: relay as unknown as Relay,
+    headerTranslator: {
+      parseRequestHeaders: (headers: IncomingHttpHeaders) =>
+        createSiteProtocol().parseRequestHeaders(headers),
+    },
+    logger: {
+      log: (event) => counted.push(event),
+      logRequestEvents: () => undefined,
+      countDroppedLines: () => 0,
+    },
+    metrics: { count: (name, label) => counted.push(`${name} ${label ?? ''}`) },
+    now: () => performance.now(),
+    isLeaving: () => false,
+  });
+  const server = createServer(handler.handle);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  return {
+    handler,
+    counted,
+    url: `http://127.0.0.1:${port}/`,
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
+
+test('a request that fails with an internal error gets a final response', async () => {
+  const served = await serveFailingRelay(() => {
+    throw new Error('internal');
+  });
+  const response = await fetch(served.url);
+  assert.equal(response.status, 502);
+  assert.match(await response.text(), /"outcome":"unknown"/);
+  assert.ok(served.counted.includes('request-crashed'));
+  served.close();
+});
+
+test('a response that an internal error interrupts does not look complete', async () => {
+  const served = await serveFailingRelay((response) => {
+    response.begin(200, []);
+    response.write(Buffer.from('half'));
+    throw new Error('internal');
+  });
+  await assert.rejects(async () => (await fetch(served.url)).text());
+  assert.ok(served.counted.includes('unanswered_requests crashed'));
+  assert.ok(served.counted.includes('request-unanswered'));
+  assert.equal(served.handler.countOpen(), 0);
+  served.close();
+});
