Do not answer an open request with a refusal for bytes that follow it

What callers saw: 400, 408 or 431 (not run) for a request that an endpoint runs, where bytes that are no request followed it on its connection.

Cause: the responses to errors of the parser stood twice. The product's own listener closes the connection while a complete request is open; the site's listener had no such check, and a caller takes the response for that of the open request.

Evidence: a request followed by bytes that are no request; the test fails before (a 400 was received).

Change: one responder for both listeners.

--- a/src/process/runtime/listenHttp/index.ts
+++ b/src/process/runtime/listenHttp/index.ts
@@ -4,12 +4,10 @@
 import { readFileSync } from 'node:fs';
 import http from 'node:http';
 import https from 'node:https';
-import type { Duplex } from 'node:stream';
 import { MAXIMUM_HEADER_BYTES } from '../../../constants/index.js';
-import { formatError } from '../../../request/createErrorResponse/index.js';
-import { RESULT_CODES, type ResultCodeName } from '../../resultCodes/index.js';
 import type { ListenerSettings, TlsSettings } from '../../settings/settingsSchema/index.js';
 import type { LifeCycle } from '../../createLifeCycle/index.js';
+import { createParserErrorResponder } from '../createParserErrorResponder/index.js';
 import { watchFiles } from '../watchFiles/index.js';
 
 /** Options of {@link listenHttp}. */
@@ -41,10 +39,6 @@
   }
 }
 
-const PARSER_ERROR_CODES: Record<string, ResultCodeName> = {
-  HPE_HEADER_OVERFLOW: 'headersTooLarge',
-  ERR_HTTP_REQUEST_TIMEOUT: 'bodyTimeout',
-};
 const TIMEOUT_CHECK_INTERVAL_MILLISECONDS = 500;
 
 function readTls(tls: TlsSettings): https.ServerOptions {
@@ -55,52 +49,6 @@
   };
 }
 
-/** Requests of each connection whose response has not ended. */
-type OpenRequests = WeakMap<Duplex, Set<http.IncomingMessage>>;
-
-/** Tracks a request as open until its response has ended. */
-function trackRequest(
-  openRequests: OpenRequests,
-  request: http.IncomingMessage,
-  response: http.ServerResponse,
-): void {
-  const requests = openRequests.get(request.socket) ?? new Set();
-  openRequests.set(request.socket, requests);
-  requests.add(request);
-  response.once('close', () => {
-    requests.delete(request);
-  });
-}
-
-/** Returns whether an open request of the connection is complete, so that it may have been executed. */
-function hasCompleteRequest(openRequests: OpenRequests, socket: Duplex): boolean {
-  return [...(openRequests.get(socket) ?? [])].some(({ complete }) => complete);
-}
-
-/**
- * Responds to bytes that are not a request, or to a request that does not arrive in time. While a
- * completely received request of the connection is open, the caller would take this response for that
- * of the open request, so the connection is closed instead.
- */
-function respondToParserError(
-  openRequests: OpenRequests,
-  error: NodeJS.ErrnoException,
-  socket: Duplex,
-): void {
-  if (!socket.writable || hasCompleteRequest(openRequests, socket)) {
-    socket.destroy();
-    return;
-  }
-  const code = PARSER_ERROR_CODES[error.code ?? ''] ?? 'malformedRequest';
-  const body = formatError(code);
-  const { httpStatus } = RESULT_CODES[code];
-  socket.end(
-    `HTTP/1.1 ${httpStatus.toString()} ${http.STATUS_CODES[httpStatus] ?? ''}\r\n` +
-      `content-type: application/json\r\ncontent-length: ${Buffer.byteLength(body).toString()}\r\n` +
-      `connection: close\r\n\r\n${body}`,
-  );
-}
-
 function createServer(options: ListenHttpOptions): http.Server {
   const { listener, requestTimeoutMilliseconds, onRequest } = options;
   const limits = {
@@ -130,17 +78,15 @@
  */
 export async function listenHttp(options: ListenHttpOptions): Promise<number> {
   const { name, listener, lifeCycle } = options;
-  const openRequests: OpenRequests = new WeakMap();
+  const parserErrors = createParserErrorResponder();
   const server = createServer({
     ...options,
     onRequest: (request, response) => {
-      trackRequest(openRequests, request, response);
+      parserErrors.track(request, response);
       options.onRequest(request, response);
     },
   });
-  server.on('clientError', (error, socket) => {
-    respondToParserError(openRequests, error, socket);
-  });
+  server.on('clientError', parserErrors.respond);
   await new Promise<void>((resolve, reject) => {
     server.once('error', (error) => {
       reject(new ListenError(name, `${listener.host}:${listener.port.toString()}`, error));
--- a/src/process/site/createSiteServers/index.ts
+++ b/src/process/site/createSiteServers/index.ts
@@ -1,13 +1,11 @@
 /**
  * HTTP listeners of a node.
  */
-import { createServer, STATUS_CODES, type RequestListener, type Server } from 'node:http';
-import type { Duplex } from 'node:stream';
-import { formatError } from '../../../request/createErrorResponse/index.js';
+import { createServer, type RequestListener, type Server } from 'node:http';
 import type { CallerLimits } from '../../../types/site/index.js';
 import type { LifeCycle } from '../../createLifeCycle/index.js';
 import { parseJson } from '../../parseJson/index.js';
-import { RESULT_CODES, type ResultCodeName } from '../../resultCodes/index.js';
+import { createParserErrorResponder } from '../../runtime/createParserErrorResponder/index.js';
 
 /** One listener. */
 export interface SiteListener {
@@ -26,30 +24,6 @@
 /** How much longer than the configured idle time a connection is kept open, in milliseconds. */
 const IDLE_SLACK_MILLISECONDS = 2_000;
 
-/** Result codes of requests that cannot be parsed, by the error code of the runtime. */
-const PARSE_ERROR_CODES: Readonly<Record<string, ResultCodeName>> = {
-  HPE_HEADER_OVERFLOW: 'headersTooLarge',
-  ERR_HTTP_REQUEST_TIMEOUT: 'bodyTimeout',
-};
-
-/** Responds to bytes that are not a valid request, and closes the connection. */
-function respondToMalformedRequest(error: NodeJS.ErrnoException, socket: Duplex): void {
-  if (!socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const name = PARSE_ERROR_CODES[error.code ?? ''] ?? 'malformedRequest';
-  const { httpStatus } = RESULT_CODES[name];
-  const body = formatError(name);
-  const head = [
-    `HTTP/1.1 ${httpStatus} ${STATUS_CODES[httpStatus] ?? ''}`,
-    'Content-Type: application/json',
-    `Content-Length: ${Buffer.byteLength(body)}`,
-    'Connection: close',
-  ];
-  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
-}
-
 /**
  * Creates the server that receives the requests of callers.
  *
@@ -59,9 +33,14 @@
  * createCallerServer(callerHandler.handle);
  */
 export function createCallerServer(handle: RequestListener): Server {
-  const server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true }, handle);
+  const parserErrors = createParserErrorResponder();
+  const limits = { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true };
+  const server = createServer(limits, (incoming, response) => {
+    parserErrors.track(incoming, response);
+    handle(incoming, response);
+  });
   server.maxConnections = MAXIMUM_CALLER_CONNECTIONS;
-  server.on('clientError', respondToMalformedRequest);
+  server.on('clientError', parserErrors.respond);
   return server;
 }
 
--- a/tests/callerListener.test.ts
+++ b/tests/callerListener.test.ts
@@ -3,10 +3,12 @@
  * not executed, because the caller takes the error response to the trailing bytes for its own.
  */
 import assert from 'node:assert/strict';
-import { connect } from 'node:net';
+import { once } from 'node:events';
+import { connect, type AddressInfo } from 'node:net';
 import test from 'node:test';
 import { createLifeCycle } from '../src/process/createLifeCycle/index.js';
 import { listenHttp } from '../src/process/runtime/listenHttp/index.js';
+import { createCallerServer } from '../src/process/site/createSiteServers/index.js';
 
 function exchangeBytes(port: number, text: string): Promise<string> {
   return new Promise((done) => {
@@ -51,3 +53,17 @@
   assert.match(await exchangeBytes(port, 'nonsense\r\n\r\n'), /"code":1400.*"outcome":"not-run"/);
   await lifeCycle.close();
 });
+
+test('invalid bytes after an open request of a site do not end it with a refusal', async () => {
+  let accepted = 0;
+  const server = createCallerServer(() => {
+    accepted += 1;
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  const received = await exchangeBytes(port, 'DELETE /a HTTP/1.1\r\nhost: a\r\n\r\n{"bay":3}');
+  assert.equal(accepted, 1);
+  assert.equal(received, '');
+  server.close();
+});
