Answer streams that wait for layers when the node stops

What callers saw: a closed connection without a response.

Cause: a stream that reaches a node shortly after its start waits at a gate until endpoints host all layers. The stop did not open the gate, and closed the connection.

Evidence: a stream that waits as a node stops; the test fails before with 'socket hang up'.

Change: the stop opens both gates of the start, and a stream that passes one then is refused as not run.

Before: the new test fails; after: it passes.

--- a/src/process/relay/admitRequest/index.ts
+++ b/src/process/relay/admitRequest/index.ts
@@ -56,7 +56,7 @@
 /** `Retry-After` of a node that has no configuration yet, in seconds. */
 const NOT_CONFIGURED_RETRY_SECONDS = 0.3;
 /** `Retry-After` of a leaving node, in seconds; the retry goes to another node. */
-const LEAVING_RETRY_SECONDS = 0.05;
+export const LEAVING_RETRY_SECONDS = 0.05;
 /** Time for which a leaving node admits all requests, since callers hold older replies that name it. */
 const LEAVING_ADMISSION_MILLISECONDS = 2_500;
 
--- a/src/process/relay/createRelay/index.ts
+++ b/src/process/relay/createRelay/index.ts
@@ -12,6 +12,7 @@
   admitRequest,
   type Admission,
   type Admitted,
+  LEAVING_RETRY_SECONDS,
   type LeavingPeriod,
   type RequestHead,
 } from '../admitRequest/index.js';
@@ -95,7 +96,7 @@
  */
 export function createRelay(options: CreateRelayOptions): Relay {
   const { context, getCompiled, getLeaving, configurationGate, coverageGate } = options;
-  const { clock, metrics, logger, budget, random } = context;
+  const { clock, metrics, logger, budget, random, stopSignal } = context;
   return {
     waitForStart: ({ deadlineMilliseconds }) => {
       if (getLeaving()) return Promise.resolve();
@@ -139,6 +140,12 @@
         await coverageGate.wait((deadlineAt - clock.now()) * START_WAIT_SHARE);
       }
       if (!response.isOpen()) return;
+      if (stopSignal.isRaised()) {
+        metrics.count('refusals', 'leaving');
+        log.end(true);
+        sendFailure(response, { code: 'leaving', retryAfterSeconds: LEAVING_RETRY_SECONDS });
+        return;
+      }
       await HANDLERS[route.kind](context, {
         caller,
         forwarded,
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -313,7 +313,11 @@
     follower,
     planner,
     registration,
-    endRequests: stopSignal.raise,
+    endRequests: () => {
+      stopSignal.raise();
+      configurationGate.open();
+      coverageGate.open();
+    },
     describe: () => describeSite({ self, context, state, exchange, follower, planner }),
     loops: {
       store: follower.step,
--- a/tests/plannedStops.test.ts
+++ b/tests/plannedStops.test.ts
@@ -125,6 +125,20 @@
   await left;
 });
 
+test('a stream that waits for layers when the node has to stop is refused as not run', async () => {
+  store.remove(`servers/${engine.id}`);
+  const node = await startNode('node-1', store, { graceMilliseconds: 600 });
+  nodes.push(node);
+  await waitUntilReady(node);
+  const asked = ask(node);
+  await wait(50);
+  const left = node.node.leave();
+  const response = await asked;
+  assert.equal(response.status, 503);
+  assert.match(response.body, /leaving/);
+  await left;
+});
+
 test('a leaving node refuses a booking that may outlast it', async () => {
   const node = await start(4_500);
   plain.handle = neverRespond;
