Never take a request for not run after a broken refusal of another attempt

What callers saw: 503, or a second run, for a request that an endpoint had run or was running. Cause: when a connection ended before the end of a response, `runBufferedAttempt` reported "not run" if the head said so, without the check that the head belongs to the attempt. A refusal of the attempt itself ends the send at its head, so that the branch could act on those of other attempts only. The connection's end now leaves the outcome unknown.

Evidence: "a refusal of another attempt whose body is cut" and "whose connection is reset" failed before (200 by the second endpoint, two sends) and pass now. The other cases of the test passed before and guard.

--- a/src/process/relay/runBufferedAttempt/index.ts
+++ b/src/process/relay/runBufferedAttempt/index.ts
@@ -115,7 +115,6 @@
       },
       onFailure: (state, reason) => {
         if (state === 'notSent') finish({ kind: 'notSent', reason });
-        else if (head?.metadata.isNotExecuted) finish({ kind: 'notRun', reason });
         else finish({ kind: 'unknown', reason, isConnectionLost: true });
       },
     });
--- /dev/null
+++ b/tests/repeatedRefusals.test.ts
@@ -0,0 +1,173 @@
+/**
+ * Endpoints that send a refusal which does not belong to the request. Guards against requests that may
+ * have run and are reported as not run, or that run at a second endpoint.
+ */
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+import type { Socket } from 'node:net';
+import type { SiteStore } from '../standins/serveSiteStore/index.js';
+import {
+  serveRawEndpoint,
+  type RawEndpoint,
+  type RawRequest,
+  type RawResponder,
+} from './support/rawEndpoint/index.js';
+import {
+  createPlatformConfiguration,
+  PLAIN_SERVICE,
+  registerEndpoint,
+  sendCallerRequest,
+  startNode,
+  startStore,
+  waitFor,
+  waitUntilReady,
+  type CallerResponse,
+  type TestNode,
+} from './support/siteNodes/index.js';
+
+const OTHER_ATTEMPT = 'Attempt-Id: attempt-of-another-caller\r\n';
+const MAXIMUM_ATTEMPTS = 3;
+
+let store: SiteStore;
+let node: TestNode;
+let endpoints: RawEndpoint[] = [];
+
+function formatOwnAttempt({ attempt }: RawRequest): string {
+  return `Attempt-Id: ${attempt}\r\n`;
+}
+
+function formatRefusal(attemptHeaders: string, status = '503 Service Unavailable'): string {
+  return `HTTP/1.1 ${status}\r\nServer-Seal: s\r\nNot-Executed: 1\r\n${attemptHeaders}Content-Length: 8\r\n\r\nnot run.`;
+}
+
+function formatBookingResponse(request: RawRequest): string {
+  return `HTTP/1.1 200 OK\r\nServer-Seal: s\r\n${formatOwnAttempt(request)}Content-Length: 6\r\n\r\nbooked`;
+}
+
+/** Way in which an endpoint responds with a refusal that does not belong to the request. */
+type FaultyResponder = (socket: Socket, request: RawRequest, own: string) => void;
+
+const write =
+  (format: (request: RawRequest) => string): FaultyResponder =>
+  (socket, request) =>
+    socket.write(format(request));
+
+const FAULTY_RESPONDERS: Readonly<Record<string, FaultyResponder>> = {
+  'a refusal of another attempt': write(() => formatRefusal(OTHER_ATTEMPT)),
+  'a refusal of another attempt with status 429': write(() =>
+    formatRefusal(OTHER_ATTEMPT, '429 Too Many Requests'),
+  ),
+  'a refusal of another attempt with status 421': write(() =>
+    formatRefusal(OTHER_ATTEMPT, '421 Misdirected Request'),
+  ),
+  'a refusal of another attempt without the header of refusals': write(() =>
+    formatRefusal(OTHER_ATTEMPT, '421 Misdirected Request').replace('Not-Executed: 1\r\n', ''),
+  ),
+  'a refusal of another attempt before the response to the request': (socket, _, own) =>
+    socket.write(`${formatRefusal(OTHER_ATTEMPT)}${own}`),
+  'a refusal of another attempt whose body is cut': (socket) => {
+    socket.end(formatRefusal(OTHER_ATTEMPT).slice(0, -4));
+  },
+  'a refusal of another attempt whose connection is reset': (socket) => {
+    socket.write(formatRefusal(OTHER_ATTEMPT).slice(0, -4), () => {
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    });
+  },
+  'a refusal with an empty attempt': write(() => formatRefusal('Attempt-Id: \r\n')),
+  'a refusal of two attempts': write((request) =>
+    formatRefusal(`${formatOwnAttempt(request)}${OTHER_ATTEMPT}`),
+  ),
+  'a refusal that names its attempt twice': write((request) =>
+    formatRefusal(formatOwnAttempt(request).repeat(2)),
+  ),
+  'an interim response with the headers of a refusal, and no response': (socket, request) => {
+    socket.end(`HTTP/1.1 103 Early Hints\r\nNot-Executed: 1\r\n${formatOwnAttempt(request)}\r\n`);
+  },
+};
+
+async function replaceEndpoints(service: string, respond: RawResponder): Promise<void> {
+  for (const { id } of endpoints) store.remove(`servers/${id}`);
+  await Promise.all(endpoints.map((endpoint) => endpoint.close()));
+  const suffix = performance.now().toFixed(0);
+  endpoints = await Promise.all(
+    ['first', 'second'].map((name) => serveRawEndpoint(`${name}-${suffix}`, respond)),
+  );
+  for (const endpoint of endpoints)
+    registerEndpoint(store, endpoint, service, { layers: endpoint.layers });
+  await waitFor('the node has the endpoints in its table', () =>
+    endpoints.every(({ id }) => node.logs.some((line) => line.includes(`"${id}"`))),
+  );
+}
+
+function countReceived(): number {
+  return endpoints.reduce((sum, { received }) => sum + received.length, 0);
+}
+
+/** Responds as given to the first request, and as a healthy endpoint after that. */
+function respondFirst(
+  faulty: FaultyResponder,
+  formatOwn: (request: RawRequest) => string,
+): RawResponder {
+  return (socket, request) => {
+    if (countReceived() > 1) socket.write(formatOwn(request));
+    else faulty(socket, request, formatOwn(request));
+  };
+}
+
+function sendBooking(): Promise<CallerResponse> {
+  return sendCallerRequest({
+    address: node.callers,
+    path: '/book/one',
+    method: 'POST',
+    body: 'book',
+  });
+}
+
+interface Configuration {
+  readonly routes: readonly object[];
+}
+
+/** Returns a configuration in which bookings may run once, but may be sent three times. */
+function createStrictConfiguration(): object {
+  const { routes, ...rest } = createPlatformConfiguration(1) as Configuration;
+  return { ...rest, routes: routes.map((route) => ({ ...route, max_attempts: MAXIMUM_ATTEMPTS })) };
+}
+
+before(async () => {
+  store = await startStore();
+  store.put('op/config', createStrictConfiguration());
+  node = await startNode('node-1', store);
+  await waitUntilReady(node);
+});
+
+after(async () => {
+  await node.node.leave();
+  await Promise.all(endpoints.map((endpoint) => endpoint.close()));
+  await store.close();
+});
+
+for (const [name, faulty] of Object.entries(FAULTY_RESPONDERS)) {
+  test(`a booking is not taken for refused after ${name}`, async () => {
+    await replaceEndpoints(PLAIN_SERVICE, respondFirst(faulty, formatBookingResponse));
+    const { status } = await sendBooking();
+    assert.deepEqual([status, countReceived()], [502, 1], node.logs.slice(-6).join(''));
+  });
+}
+
+test('a refusal of its own attempt sends a request to another endpoint', async () => {
+  const refuse = write((request) => formatRefusal(formatOwnAttempt(request)));
+  await replaceEndpoints(PLAIN_SERVICE, respondFirst(refuse, formatBookingResponse));
+  const booking = await sendBooking();
+  assert.deepEqual([booking.status, booking.body, countReceived()], [200, 'booked', 2]);
+});
+
+test('a response to the request is taken after an interim response with the headers of a refusal', async () => {
+  const interim = `HTTP/1.1 103 Early Hints\r\nNot-Executed: 1\r\n${OTHER_ATTEMPT}\r\n`;
+  const respond = respondFirst(
+    (socket, _, own) => socket.write(`${interim}${own}`),
+    formatBookingResponse,
+  );
+  await replaceEndpoints(PLAIN_SERVICE, respond);
+  const { status, body } = await sendBooking();
+  assert.deepEqual([status, body, countReceived()], [200, 'booked', 1]);
+});
