Check that a response which is no stream belongs to the run

What callers saw: on a route with streams, 503 or a second run for a stream that may have run, or the failure of another attempt with its seal. Cause: `openStreamRun` compared the attempt of a refusal at its head and of a stream, but passed any other complete response on, so that the complete refusal of another attempt counted as a refusal of the run. Such a response now fails the run, as a stream of another attempt does.

--- a/src/process/relay/openStreamRun/index.ts
+++ b/src/process/relay/openStreamRun/index.ts
@@ -68,6 +68,11 @@
   const isExpected = (metadata: ResponseMetadata): boolean =>
     isResponseTo(metadata, attempt) && metadata.isFromEndpoint && !metadata.isEncoded;
   const isStream = ({ status }: ResponseHead): boolean => status === 200;
+  const endNonStream = (received: ResponseHead): void => {
+    if (isResponseTo(received.metadata, attempt))
+      onNonStreamResponse({ head: received, body: Buffer.concat(bodyChunks) });
+    else onFailed('response to another request');
+  };
   return endpointPort.send(forwarded, forwarding, {
     onHead: (received) => {
       head = received;
@@ -94,7 +99,7 @@
     },
     onEnd: (end) => {
       if (!head || isRefused) return;
-      if (!isStream(head)) onNonStreamResponse({ head, body: Buffer.concat(bodyChunks) });
+      if (!isStream(head)) endNonStream(head);
       else if (splitter.countPending() > 0) onFailed('response ended inside an event');
       else onComplete(end);
     },
--- a/tests/repeatedRefusals.test.ts
+++ b/tests/repeatedRefusals.test.ts
@@ -14,6 +14,7 @@
 } from './support/rawEndpoint/index.js';
 import {
   createPlatformConfiguration,
+  MODEL_SERVICE,
   PLAIN_SERVICE,
   registerEndpoint,
   sendCallerRequest,
@@ -44,6 +45,11 @@
   return `HTTP/1.1 200 OK\r\nServer-Seal: s\r\n${formatOwnAttempt(request)}Content-Length: 6\r\n\r\nbooked`;
 }
 
+function formatStream(request: RawRequest): string {
+  const head = `HTTP/1.1 200 OK\r\nServer-Seal: s\r\n${formatOwnAttempt(request)}`;
+  return `${head}Content-Type: text/event-stream\r\nContent-Length: 16\r\n\r\nid: 1\ndata: t1\n\n`;
+}
+
 /** Way in which an endpoint responds with a refusal that does not belong to the request. */
 type FaultyResponder = (socket: Socket, request: RawRequest, own: string) => void;
 
@@ -123,14 +129,29 @@
   });
 }
 
+function requestStream(path = '/ask/one'): Promise<CallerResponse> {
+  const headers = { 'Token-Counts': '20,10' };
+  return sendCallerRequest({ address: node.callers, path, headers });
+}
+
 interface Configuration {
-  readonly routes: readonly object[];
+  readonly routes: readonly { readonly prefix: string }[];
 }
 
-/** Returns a configuration in which bookings may run once, but may be sent three times. */
+/**
+ * Returns a configuration in which bookings and streams may run once, but may be sent three times, or
+ * once below `/tell/`.
+ */
 function createStrictConfiguration(): object {
   const { routes, ...rest } = createPlatformConfiguration(1) as Configuration;
-  return { ...rest, routes: routes.map((route) => ({ ...route, max_attempts: MAXIMUM_ATTEMPTS })) };
+  const strict = routes.map((route) => ({
+    ...route,
+    max_attempts: MAXIMUM_ATTEMPTS,
+    resumable: false,
+  }));
+  const stream = strict.find(({ prefix }) => prefix === '/ask/');
+  const single = { ...stream, name: 'tell', prefix: '/tell/', max_attempts: 1 };
+  return { ...rest, routes: [...strict, single] };
 }
 
 before(async () => {
@@ -152,13 +173,30 @@
     const { status } = await sendBooking();
     assert.deepEqual([status, countReceived()], [502, 1], node.logs.slice(-6).join(''));
   });
+
+  test(`a stream is not taken for refused after ${name}`, async () => {
+    await replaceEndpoints(MODEL_SERVICE, respondFirst(faulty, formatStream));
+    const { status } = await requestStream();
+    assert.deepEqual([status, countReceived()], [502, 1], node.logs.slice(-6).join(''));
+  });
 }
 
+test('a failure of another attempt never reaches the caller of a stream', async () => {
+  const failure = `HTTP/1.1 500 Failed\r\nServer-Seal: s\r\n${OTHER_ATTEMPT}Content-Length: 6\r\n\r\nfailed`;
+  const respond = respondFirst((socket) => socket.write(failure), formatStream);
+  await replaceEndpoints(MODEL_SERVICE, respond);
+  const { status, headers } = await requestStream('/tell/one');
+  assert.deepEqual([status, headers['server-seal']], [502, undefined]);
+});
+
 test('a refusal of its own attempt sends a request to another endpoint', async () => {
   const refuse = write((request) => formatRefusal(formatOwnAttempt(request)));
   await replaceEndpoints(PLAIN_SERVICE, respondFirst(refuse, formatBookingResponse));
   const booking = await sendBooking();
   assert.deepEqual([booking.status, booking.body, countReceived()], [200, 'booked', 2]);
+  await replaceEndpoints(MODEL_SERVICE, respondFirst(refuse, formatStream));
+  const stream = await requestStream();
+  assert.deepEqual([stream.status, countReceived()], [200, 2]);
 });
 
 test('a response to the request is taken after an interim response with the headers of a refusal', async () => {
