Require that a refusal names the attempt that it refuses

What callers saw: 503, or a second run, for a request that may have run, after a refusal without `Attempt-Id`. Cause: a response that named no attempt counted as one of the request, refusals too. Endpoints echo the identifier, so a refusal without it proves nothing of this request; it now leaves the outcome unknown. A request that came without an identifier takes a refusal without one.

One older test changes: the stand-in of "refuses a request that the endpoints did not execute, with a Retry-After header" sent its refusals without the echo, which no endpoint of the protocol does, and which is the fault here. It echoes the attempt now; what the test asserts is the same.

--- a/src/process/relay/openStreamRun/index.ts
+++ b/src/process/relay/openStreamRun/index.ts
@@ -1,6 +1,7 @@
 /**
  * Run of a stream: a request to the first endpoint of a path, and its response.
  */
+import { checkRefusal } from '../../../request/checkRefusal/index.js';
 import {
   createEventSplitter,
   type StreamEvent,
@@ -69,9 +70,11 @@
     isResponseTo(metadata, attempt) && metadata.isFromEndpoint && !metadata.isEncoded;
   const isStream = ({ status }: ResponseHead): boolean => status === 200;
   const endNonStream = (received: ResponseHead): void => {
-    if (isResponseTo(received.metadata, attempt))
-      onNonStreamResponse({ head: received, body: Buffer.concat(bodyChunks) });
-    else onFailed('response to another request');
+    const { metadata } = received;
+    if (!isResponseTo(metadata, attempt)) onFailed('response to another request');
+    else if (checkRefusal({ metadata, attempt }) === 'unproven')
+      onFailed('refusal without its attempt');
+    else onNonStreamResponse({ head: received, body: Buffer.concat(bodyChunks) });
   };
   return endpointPort.send(forwarded, forwarding, {
     onHead: (received) => {
@@ -81,7 +84,7 @@
         if (!isExpected(received.metadata)) onFailed('response not from the endpoint');
         return;
       }
-      if (!received.metadata.isNotExecuted || !isResponseTo(received.metadata, attempt)) return;
+      if (checkRefusal({ metadata: received.metadata, attempt }) !== 'refused') return;
       // The head is sufficient; the body may be slow.
       isRefused = true;
       onNonStreamResponse({ head: received, body: Buffer.alloc(0) });
--- a/src/process/relay/runBufferedAttempt/index.ts
+++ b/src/process/relay/runBufferedAttempt/index.ts
@@ -2,6 +2,7 @@
  * Single send of a request whose response is a complete body.
  */
 import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
+import { checkRefusal } from '../../../request/checkRefusal/index.js';
 import type { ResponseHead, EndpointCall, ResponseEnd } from '../../../types/relay/index.js';
 import type { BufferedResponse } from '../sendFailure/index.js';
 import { isResponseTo, recordResponse } from '../recordResponse/index.js';
@@ -44,7 +45,9 @@
   if (!isResponseTo(metadata, attempt)) {
     return { kind: 'unknown', reason: 'response to another request' };
   }
-  if (metadata.isNotExecuted) return { kind: 'notRun', reason: `status ${status}` };
+  if (checkRefusal({ metadata, attempt }) === 'unproven') {
+    return { kind: 'unknown', reason: 'refusal without its attempt' };
+  }
   if (!metadata.isFromEndpoint || (status < 300 && metadata.isEncoded)) {
     return { kind: 'unknown', reason: 'response not from the endpoint' };
   }
@@ -96,7 +99,8 @@
         head = received;
         recordResponse(context, endpoint, received.metadata);
         const { status, metadata } = received;
-        if (!metadata.isNotExecuted || !isResponseTo(metadata, request.caller.attempt)) return;
+        const { attempt } = request.caller;
+        if (checkRefusal({ metadata, attempt }) !== 'refused') return;
         // The head is sufficient; the body may be slow.
         finish({ kind: 'notRun', reason: `status ${status}` });
       },
--- a/tests/repeatedRefusals.test.ts
+++ b/tests/repeatedRefusals.test.ts
@@ -79,6 +79,7 @@
       setTimeout(() => socket.resetAndDestroy(), 20);
     });
   },
+  'a refusal without an attempt': write(() => formatRefusal('')),
   'a refusal with an empty attempt': write(() => formatRefusal('Attempt-Id: \r\n')),
   'a refusal of two attempts': write((request) =>
     formatRefusal(`${formatOwnAttempt(request)}${OTHER_ATTEMPT}`),
--- a/tests/siteNode.test.ts
+++ b/tests/siteNode.test.ts
@@ -286,8 +286,8 @@
 test('refuses a request that the endpoints did not execute, with a Retry-After header', async () => {
   resetEndpoints();
   for (const endpoint of [first, second]) {
-    endpoint.handle = (_, response) => {
-      response.writeHead(503, { 'Not-Executed': '1' });
+    endpoint.handle = (request, response) => {
+      response.writeHead(503, { ...createEndpointHeaders(request), 'Not-Executed': '1' });
       response.end();
     };
   }
