Do not forward a status that promises "not run" without a refusal

What callers saw: 408, 429 or 503 with an endpoint's seal for a booking, or for a stream at its last run, that may have run; callers send such a request again. Cause: a response of the endpoint was forwarded by its seal alone, although it lacked the header with which endpoints state that a request did not run. Such a response now leaves the outcome unknown, and the caller gets 502.

Evidence: the three cases "a failure with status ... that states no refusal is not forwarded" failed before and pass now.

--- a/src/process/relay/openStreamRun/index.ts
+++ b/src/process/relay/openStreamRun/index.ts
@@ -70,10 +70,9 @@
     isResponseTo(metadata, attempt) && metadata.isFromEndpoint && !metadata.isEncoded;
   const isStream = ({ status }: ResponseHead): boolean => status === 200;
   const endNonStream = (received: ResponseHead): void => {
-    const { metadata } = received;
-    if (!isResponseTo(metadata, attempt)) onFailed('response to another request');
-    else if (checkRefusal({ metadata, attempt }) === 'unproven')
-      onFailed('refusal without its attempt');
+    if (!isResponseTo(received.metadata, attempt)) onFailed('response to another request');
+    else if (checkRefusal({ ...received, attempt }) === 'unproven')
+      onFailed('refusal without proof');
     else onNonStreamResponse({ head: received, body: Buffer.concat(bodyChunks) });
   };
   return endpointPort.send(forwarded, forwarding, {
@@ -84,7 +83,7 @@
         if (!isExpected(received.metadata)) onFailed('response not from the endpoint');
         return;
       }
-      if (checkRefusal({ metadata: received.metadata, attempt }) !== 'refused') return;
+      if (checkRefusal({ ...received, attempt }) !== 'refused') return;
       // The head is sufficient; the body may be slow.
       isRefused = true;
       onNonStreamResponse({ head: received, body: Buffer.alloc(0) });
--- a/src/process/relay/runBufferedAttempt/index.ts
+++ b/src/process/relay/runBufferedAttempt/index.ts
@@ -45,8 +45,8 @@
   if (!isResponseTo(metadata, attempt)) {
     return { kind: 'unknown', reason: 'response to another request' };
   }
-  if (checkRefusal({ metadata, attempt }) === 'unproven') {
-    return { kind: 'unknown', reason: 'refusal without its attempt' };
+  if (checkRefusal({ status, metadata, attempt }) === 'unproven') {
+    return { kind: 'unknown', reason: 'refusal without proof' };
   }
   if (!metadata.isFromEndpoint || (status < 300 && metadata.isEncoded)) {
     return { kind: 'unknown', reason: 'response not from the endpoint' };
@@ -100,7 +100,7 @@
         recordResponse(context, endpoint, received.metadata);
         const { status, metadata } = received;
         const { attempt } = request.caller;
-        if (checkRefusal({ metadata, attempt }) !== 'refused') return;
+        if (checkRefusal({ status, metadata, attempt }) !== 'refused') return;
         // The head is sufficient; the body may be slow.
         finish({ kind: 'notRun', reason: `status ${status}` });
       },
--- a/tests/repeatedRefusals.test.ts
+++ b/tests/repeatedRefusals.test.ts
@@ -190,6 +190,20 @@
   assert.deepEqual([status, headers['server-seal']], [502, undefined]);
 });
 
+for (const status of ['408 Request Timeout', '429 Too Many Requests', '503 Service Unavailable']) {
+  test(`a failure with status ${status} that states no refusal is not forwarded`, async () => {
+    const fail = write((request) =>
+      formatRefusal(formatOwnAttempt(request), status).replace('Not-Executed: 1\r\n', ''),
+    );
+    await replaceEndpoints(PLAIN_SERVICE, respondFirst(fail, formatBookingResponse));
+    const booking = await sendBooking();
+    assert.deepEqual([booking.status, countReceived()], [502, 1]);
+    await replaceEndpoints(MODEL_SERVICE, respondFirst(fail, formatStream));
+    const stream = await requestStream('/tell/one');
+    assert.deepEqual([stream.status, countReceived()], [502, 1]);
+  });
+}
+
 test('a refusal of its own attempt sends a request to another endpoint', async () => {
   const refuse = write((request) => formatRefusal(formatOwnAttempt(request)));
   await replaceEndpoints(PLAIN_SERVICE, respondFirst(refuse, formatBookingResponse));
