Fail a call whose endpoint answers with status 101

What callers saw: no response before the deadline; in the interface of the product a run, and a call of a service, that never ended, since even its timeout had no effect. Cause: Node.js closes the connection of a response that switches protocols and reports neither an error nor a response where nobody listens for upgrades. `openEndpointCall`, `callHttp` and `createEngineRuns` now fail on the close of a request without a response, whatever closed it.

--- a/src/process/relay/openEndpointCall/index.ts
+++ b/src/process/relay/openEndpointCall/index.ts
@@ -122,6 +122,10 @@
     // Bytes after a complete response belong to no request and do not invalidate the response.
     if (!response?.complete) fail(error.message);
   });
+  outgoing.on('close', () => {
+    // Node.js reports no error when it closes the connection of a response with status 101.
+    if (!response) fail('connection closed without a response');
+  });
   outgoing.on('response', (incoming) => {
     response = incoming;
     if (isDone) return;
--- a/src/process/relay/openEndpointCall/test.ts
+++ b/src/process/relay/openEndpointCall/test.ts
@@ -65,6 +65,13 @@
   assert.match(outcome, /^sent /);
 });
 
+test('fails on a response that switches protocols', { timeout: 5_000 }, async () => {
+  const outcome = await callRaw((socket) => {
+    socket.write('HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n');
+  });
+  assert.match(outcome, /^sent /);
+});
+
 test('fails on bytes that are not an HTTP response', async () => {
   const outcome = await callRaw((socket) => {
     socket.end('\u0000\u0001garbage\r\n\r\n');
--- a/src/process/runtime/callHttp/index.ts
+++ b/src/process/runtime/callHttp/index.ts
@@ -74,8 +74,14 @@
       isConnected = true;
     });
   });
+  let hasResponse = false;
   request.on('error', fail);
+  request.on('close', () => {
+    // Node.js reports no error when it closes the connection of a response with status 101.
+    if (!hasResponse) fail();
+  });
   request.on('response', (response) => {
+    hasResponse = true;
     const chunks: Buffer[] = [];
     let size = 0;
     response.on('data', (chunk: Buffer) => {
--- /dev/null
+++ b/src/process/runtime/callHttp/test.ts
@@ -0,0 +1,35 @@
+import assert from 'node:assert/strict';
+import { createServer, type Socket } from 'node:net';
+import { test } from 'node:test';
+import { listenOnLoopback } from '../../../../standins/listenOnLoopback/index.js';
+import { callHttp, type HttpResult } from './index.js';
+
+/** Runs one call against a raw listener. */
+async function callRaw(serve: (socket: Socket) => void): Promise<HttpResult> {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      serve(socket);
+    });
+  });
+  const address = await listenOnLoopback(server);
+  const result = await new Promise<HttpResult>((resolve) => {
+    callHttp({ address, method: 'GET', path: '/', timeoutMilliseconds: 2_000 }, resolve);
+  });
+  server.close();
+  return result;
+}
+
+test('returns a complete response', async () => {
+  const result = await callRaw((socket) => {
+    socket.end('HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\ndone');
+  });
+  assert.deepEqual(result, { kind: 'reply', status: 200, contentType: 'text/plain', body: 'done' });
+});
+
+test('fails on a response that switches protocols', { timeout: 5_000 }, async () => {
+  const result = await callRaw((socket) => {
+    socket.write('HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n');
+  });
+  assert.deepEqual(result, { kind: 'failed', sent: true });
+});
--- a/src/process/runtime/createEngineRuns/index.ts
+++ b/src/process/runtime/createEngineRuns/index.ts
@@ -142,7 +142,13 @@
       request.on('error', () => {
         fail(attempt, isConnected, firstEngine);
       });
+      let hasResponse = false;
+      request.on('close', () => {
+        // Node.js reports no error when it closes the connection of a response with status 101.
+        if (!hasResponse) fail(attempt, isConnected, firstEngine);
+      });
       request.on('response', (response) => {
+        hasResponse = true;
         readResponse(attempt, response, firstEngine);
       });
       request.end(JSON.stringify(run));
