Give each run in the product's own interface its own connection

What callers saw: "not run" (noEndpoint), or a run at another engine, for a request that an engine ran. Cause: `createEngineRuns` kept its connections, and responses name no run: an additional refusal that an engine wrote late on a connection was read as the response to the next run on it. As on the users' platform, each run now has a connection of its own, on which no earlier response can arrive. The price is one new connection a run.

Evidence: both tests "an additional refusal that follows a response ... never ends the next run" failed before (the late one with `runFailed`, `sent: false`) and pass now. The cost was not measured.

--- a/src/process/runtime/createEngineRuns/index.ts
+++ b/src/process/runtime/createEngineRuns/index.ts
@@ -33,8 +33,8 @@
 /**
  * Creates the client with which a node runs attempts on engines.
  *
- * Each run has a goroutine that reads its chunks from a bounded channel; lines that arrive together
- * are emitted as one event. A full channel pauses the socket.
+ * Each run has its own connection, and a goroutine that reads its chunks from a bounded channel; lines that
+ * arrive together are emitted as one event. A full channel pauses the socket.
  *
  * @param onEvent - called with each event
  * @returns the client
@@ -42,7 +42,8 @@
  * createEngineRuns((event) => feed(event)).start(address, run);
  */
 export function createEngineRuns(onEvent: (event: RunEvent) => void): EngineRuns {
-  const agent = new http.Agent({ keepAlive: true, maxSockets: Infinity, maxFreeSockets: 256 });
+  // A late or additional response on a connection that is used again would end the next run.
+  const agent = new http.Agent({ keepAlive: false, maxSockets: Infinity });
   const requests = new Map<string, http.ClientRequest>();
 
   const finish = (attempt: string, event: RunEvent): void => {
--- a/src/process/runtime/createEngineRuns/test.ts
+++ b/src/process/runtime/createEngineRuns/test.ts
@@ -65,3 +65,32 @@
   const failure = { kind: 'runFailed', attempt: 'a', sent: true, engine: 'engine-1' };
   assert.deepEqual(await run('a'), [{ ...failure, leaving: false }]);
 });
+
+const TOKEN = `${JSON.stringify({ index: 0, trace: '', text: 'x', last: true })}\n`;
+const RESPONSE = `HTTP/1.1 200 OK\r\nContent-Length: ${TOKEN.length}\r\n\r\n${TOKEN}`;
+const REFUSAL =
+  'HTTP/1.1 503 Service Unavailable\r\nX-Refused: layers\r\nContent-Length: 2\r\n\r\n{}';
+
+for (const [when, delayMilliseconds] of Object.entries({ 'at once': 0, late: 30 })) {
+  test(`an additional refusal that follows a response ${when} never ends the next run`, async () => {
+    const connections: number[] = [];
+    respond = (socket, request, connection) => {
+      connections.push(connection);
+      if (request > 1) {
+        // The additional refusal comes first on a connection that is used again.
+        setTimeout(() => socket.write(RESPONSE), 2 * delayMilliseconds + 30);
+        return;
+      }
+      socket.write(RESPONSE);
+      setTimeout(() => socket.write(REFUSAL), delayMilliseconds);
+    };
+    await run('first');
+    const events = await run('second');
+    assert.deepEqual(
+      events.map(({ kind }) => kind),
+      ['tokens', 'runEnded'],
+      JSON.stringify(events),
+    );
+    assert.equal(new Set(connections).size, 2);
+  });
+}
