--- a/src/process/relay/openStreamRun/index.ts
+++ b/src/process/relay/openStreamRun/index.ts
@@ -1,6 +1,7 @@
 /**
  * Run of a stream: a request to the first endpoint of a path, and its response.
  */
+import { checkRefusal } from '../../../request/checkRefusal/index.js';
 import {
   createEventSplitter,
   type StreamEvent,
@@ -68,6 +69,12 @@
   const isExpected = (metadata: ResponseMetadata): boolean =>
     isResponseTo(metadata, attempt) && metadata.isFromEndpoint && !metadata.isEncoded;
   const isStream = ({ status }: ResponseHead): boolean => status === 200;
+  const endNonStream = (received: ResponseHead): void => {
+    if (!isResponseTo(received.metadata, attempt)) onFailed('response to another request');
+    else if (checkRefusal({ ...received, attempt }) === 'unproven')
+      onFailed('refusal without proof');
+    else onNonStreamResponse({ head: received, body: Buffer.concat(bodyChunks) });
+  };
   return endpointPort.send(forwarded, forwarding, {
     onHead: (received) => {
       head = received;
@@ -76,7 +83,7 @@
         if (!isExpected(received.metadata)) onFailed('response not from the endpoint');
         return;
       }
-      if (!received.metadata.isNotExecuted || !isResponseTo(received.metadata, attempt)) return;
+      if (checkRefusal({ ...received, attempt }) !== 'refused') return;
       // The head is sufficient; the body may be slow.
       isRefused = true;
       onNonStreamResponse({ head: received, body: Buffer.alloc(0) });
@@ -94,7 +101,7 @@
     },
     onEnd: (end) => {
       if (!head || isRefused) return;
-      if (!isStream(head)) onNonStreamResponse({ head, body: Buffer.concat(bodyChunks) });
+      if (!isStream(head)) endNonStream(head);
       else if (splitter.countPending() > 0) onFailed('response ended inside an event');
       else onComplete(end);
     },
--- /dev/null
+++ b/src/process/runtime/createEngineRuns/test.ts
@@ -0,0 +1,96 @@
+import assert from 'node:assert/strict';
+import { createServer, type Server, type Socket } from 'node:net';
+import { afterEach, beforeEach, test } from 'node:test';
+import { listenOnLoopback } from '../../../../standins/listenOnLoopback/index.js';
+import { createEngineRuns, type EngineRuns, type RunEvent } from './index.js';
+
+/** Writes the response to the given request on its connection; both are counted from 1. */
+type Responder = (socket: Socket, request: number, connection: number) => void;
+
+let respond: Responder;
+let server: Server;
+let address: string;
+let runs: EngineRuns;
+let onEvent: (event: RunEvent) => void;
+
+/** Starts a run; resolves to its events when it has ended. */
+function run(attempt: string): Promise<RunEvent[]> {
+  const events: RunEvent[] = [];
+  return new Promise((resolve) => {
+    onEvent = (event) => {
+      events.push(event);
+      if (event.kind !== 'tokens') resolve(events);
+    };
+    runs.start(address, {
+      attempt,
+      route: [{ engine: 'engine-1', address, from: 0, to: 4 }],
+      model: 'm',
+      version: '1',
+      adapter: '',
+      prompt: 'p',
+      startIndex: 0,
+      maximumTokens: 1,
+      priority: 0,
+    });
+  });
+}
+
+beforeEach(async () => {
+  let connections = 0;
+  let requests = 0;
+  server = createServer((socket) => {
+    connections += 1;
+    const connection = connections;
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      requests += 1;
+      respond(socket, requests, connection);
+    });
+  });
+  address = await listenOnLoopback(server);
+  runs = createEngineRuns((event) => {
+    onEvent(event);
+  });
+});
+
+afterEach(() => {
+  runs.close();
+  server.close();
+});
+
+test('a run fails on a response that switches protocols', { timeout: 5_000 }, async () => {
+  respond = (socket) => {
+    socket.write('HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n');
+  };
+  const failure = { kind: 'runFailed', attempt: 'a', sent: true, engine: 'engine-1' };
+  assert.deepEqual(await run('a'), [{ ...failure, leaving: false }]);
+});
+
+const TOKEN = `${JSON.stringify({ index: 0, trace: '', text: 'x', last: true })}\n`;
+const RESPONSE = `HTTP/1.1 200 OK\r\nContent-Length: ${TOKEN.length}\r\n\r\n${TOKEN}`;
+const REFUSAL =
+  'HTTP/1.1 503 Service Unavailable\r\nX-Refused: layers\r\nContent-Length: 2\r\n\r\n{}';
+
+for (const [when, delayMilliseconds] of Object.entries({ 'at once': 0, late: 30 })) {
+  test(`an additional refusal that follows a response ${when} never ends the next run`, async () => {
+    const connections: number[] = [];
+    respond = (socket, request, connection) => {
+      connections.push(connection);
+      if (request > 1) {
+        // The additional refusal comes first on a connection that is used again.
+        setTimeout(() => socket.write(RESPONSE), 2 * delayMilliseconds + 30);
+        return;
+      }
+      socket.write(RESPONSE);
+      setTimeout(() => socket.write(REFUSAL), delayMilliseconds);
+    };
+    await run('first');
+    const events = await run('second');
+    assert.deepEqual(
+      events.map(({ kind }) => kind),
+      ['tokens', 'runEnded'],
+      JSON.stringify(events),
+    );
+    assert.equal(new Set(connections).size, 2);
+  });
+}
