Tell the eras of a store that is restored from an older copy apart

Callers saw: after the platform's store came back from a copy some seconds old, a node could go on from a revision that the store had given out twice, so that changes written since were never read. Cause: revisions and leases were compared without the era in which the store gave them out. The follower reads all again, the registration takes a new lease.

--- a/src/process/site/createNodeRegistration/index.ts
+++ b/src/process/site/createNodeRegistration/index.ts
@@ -65,7 +65,7 @@
   const renew = async (current: number): Promise<number> => {
     const renewed = await store.renewLease(current);
     if (renewed.kind === 'done') return ROUND_MILLISECONDS;
-    if (renewed.kind === 'rejected') lease = undefined;
+    if (renewed.kind === 'rejected' || renewed.kind === 'restored') lease = undefined;
     return RETRY_MILLISECONDS;
   };
   const register = async (): Promise<number> => {
--- a/src/process/site/createStoreFollower/index.ts
+++ b/src/process/site/createStoreFollower/index.ts
@@ -1,7 +1,7 @@
 /**
  * Follows the store's items: by watches of this node, or by changes that other nodes forward.
  */
-import type { Store, StoreItem } from '../../../types/store/index.js';
+import type { Store, StoreItem, StoreResult } from '../../../types/store/index.js';
 import type { SiteLogger } from '../createSiteLogger/index.js';
 
 /**
@@ -95,6 +95,10 @@
  */
 const RECOVERY_GRACE_MILLISECONDS = 2_200;
 
+function describeFailure(result: Exclude<StoreResult<unknown>, { kind: 'done' }>): string {
+  return 'reason' in result ? result.reason : result.kind;
+}
+
 /**
  * Creates a follower of all items of a store.
  *
@@ -172,8 +176,7 @@
   };
   const readAll = async (): Promise<number> => {
     const result = await store.range('');
-    if (result.kind !== 'done')
-      return recordFailure(result.kind === 'rejected' ? 'rejected' : result.reason);
+    if (result.kind !== 'done') return recordFailure(describeFailure(result));
     recordResponse();
     const present = new Set(result.value.items.map(({ key }) => key));
     for (const item of result.value.items) apply(item);
@@ -186,12 +189,12 @@
     const nextRemoval = Math.min(...removals.values(), now() + maximum);
     const waitMilliseconds = Math.max(1, Math.ceil(nextRemoval - now()));
     const result = await store.watch({ prefix: '', after, waitMilliseconds });
-    if (result.kind === 'rejected') {
+    if (result.kind === 'rejected' || result.kind === 'restored') {
       logger.log('store-history-gone', { revision: after });
       revision = undefined;
       return 0;
     }
-    if (result.kind !== 'done') return recordFailure(result.reason);
+    if (result.kind !== 'done') return recordFailure(describeFailure(result));
     recordResponse();
     pendingRead = undefined;
     const { items } = result.value;
--- a/src/types/store/index.ts
+++ b/src/types/store/index.ts
@@ -1,5 +1,8 @@
 /**
  * Port to a key-value store with revisions, watches and leases.
+ *
+ * Revisions rise also when the store is restored from an older copy of itself: each one that it gives
+ * out afterwards is higher than all before. The same holds for leases.
  */
 
 /** Stored item, or the removal of one. */
@@ -21,6 +24,11 @@
   | { readonly kind: 'done'; readonly value: Value }
   /** The condition did not hold, the lease has expired, or the history was compacted. */
   | { readonly kind: 'rejected' }
+  /**
+   * The store was restored from an older copy since it gave out the revision or the lease of the call,
+   * so that changes after that copy are gone. The call may have taken effect.
+   */
+  | { readonly kind: 'restored' }
   /** The call had no effect. */
   | { readonly kind: 'refused'; readonly reason: string }
   /** The call may have taken effect, or may take effect later. */
