Read all items again, with a time to write them again, once the store was restored

Callers saw: after the store came back from an older copy, endpoints that were alive could be dropped at once with the entries that the copy lacks, and nodes that follow through others could stay for seconds on what the store no longer holds, so that a new route was not served in time. Cause: a restoration counted as a compacted history. Missing items were removed without the grace of an outage, the node counted as stable and told others of the removals, a watch could wait on the restored store without an event, and a forwarding node that read all again told its group only with the next event. Change: 'restored' starts the grace anew, isStable is false in it, watches after an outage or a gap end within 50 ms, the forwarding node sends an empty batch, which is a gap to the others. Items are kept by their newest revision (createStoreItems), so that a watch that was answered before a newer forwarded change no longer undoes it. One log line: store-restored. Why it works: every path to the new era ends in a read of all items that is known to be one of a restored store.

--- a/src/process/site/createStoreFollower/index.ts
+++ b/src/process/site/createStoreFollower/index.ts
@@ -3,6 +3,7 @@
  */
 import type { Store, StoreItem, StoreResult } from '../../../types/store/index.js';
 import type { SiteLogger } from '../createSiteLogger/index.js';
+import { createStoreItems, type ItemCallback } from '../createStoreItems/index.js';
 
 /**
  * How a node follows the store: by itself, also on behalf of other nodes, or through nodes that do so.
@@ -28,6 +29,8 @@
   readonly isStable: () => boolean;
   /** Returns the revision up to which changes have been applied. */
   readonly getRevision: () => number;
+  /** Returns how often the store has been restored from an older copy, as of the last read of all items. */
+  readonly getEra: () => number;
   /** Removes an item immediately that is missing from the store but retained after an outage. */
   readonly confirmRemoval: (key: string) => void;
   /** Applies changes that another node read and forwarded. */
@@ -41,7 +44,7 @@
   readonly store: Store;
   readonly logger: SiteLogger;
   readonly now: () => number;
-  readonly onItem: (key: string, value: Buffer | undefined) => void;
+  readonly onItem: ItemCallback;
   /** Returns the number of nodes that follow the store. */
   readonly countNodes: () => number;
   /** `alone` by default. */
@@ -78,6 +81,11 @@
 const CONFIRMATION_TIMEOUT_MILLISECONDS = 1_800;
 /** Maximum pause between two checks whether the others still forward changes. */
 const MAXIMUM_CHECK_PAUSE_MILLISECONDS = 400;
+/**
+ * Watch duration when changes were missed or the store did not respond: a watch that waits longer for
+ * a change shows only then that the store was restored from an older copy.
+ */
+const CHECK_WATCH_MILLISECONDS = 50;
 /** How long to wait for omitted items of a shortened batch before reading them from the store. */
 const PENDING_READ_TIMEOUT_MILLISECONDS = 1_500;
 /** Initial pause between attempts while the store does not respond; it doubles up to the limit. */
@@ -90,8 +98,8 @@
 const RETRY_LIMIT_MILLISECONDS_PER_NODE = 6;
 const MAXIMUM_RETRY_LIMIT_MILLISECONDS = 2_000;
 /**
- * Time after the store's recovery in which entries that expired during the outage may be written
- * again.
+ * Time after the store's recovery, or after its restoration from an older copy, in which entries that
+ * expired or were lost may be written again.
  */
 const RECOVERY_GRACE_MILLISECONDS = 2_200;
 
@@ -103,9 +111,9 @@
  * Creates a follower of all items of a store.
  *
  * It reads all items once, then watches for changes from that revision on. When the history of the
- * store has been compacted beyond that revision, it reads all items again. Items that are missing
- * after an outage are retained for {@link RECOVERY_GRACE_MILLISECONDS}, because their writers may not
- * have written them again yet.
+ * store has been compacted beyond that revision, or the store was restored from an older copy, it reads
+ * all items again. Items that are missing after an outage or a restoration are retained for
+ * {@link RECOVERY_GRACE_MILLISECONDS}, because their writers may not have written them again yet.
  *
  * @param options - the store, the clock and the callback for each change
  * @returns the follower
@@ -115,57 +123,49 @@
 export function createStoreFollower(options: CreateStoreFollowerOptions): StoreFollower {
   const { store, logger, now, onItem, countNodes } = options;
   const { getRole = () => 'alone', onChanges = () => undefined } = options;
-  const known = new Set<string>();
-  const removals = new Map<string, number>();
-  let revision: number | undefined;
+  let revision = 0;
+  let mustReadAll = true;
+  let era: number | undefined;
+  /** Whether a call showed that the store was restored after the last read of all items. */
+  let wasRestored = false;
   let isReachable = false;
   let hadOutage = false;
   let recoveredAt = Number.NEGATIVE_INFINITY;
   let retryPause = FIRST_RETRY_MILLISECONDS;
   /** When this node was last up to date with the store. */
   let confirmedAt = Number.NEGATIVE_INFINITY;
+  /** Whether the next watch has to end soon. */
+  let isCheckDue = false;
   /**
    * Revision before the oldest item that a shortened batch omitted, and the time of the omission.
    */
   let pendingRead: { readonly after: number; readonly at: number } | undefined;
+  const items = createStoreItems({
+    now,
+    onItem,
+    getRemovalTime: () => (hadOutage ? recoveredAt + RECOVERY_GRACE_MILLISECONDS : now()),
+  });
 
-  const remove = (key: string): void => {
-    known.delete(key);
-    removals.delete(key);
-    onItem(key, undefined);
-  };
-  const removeDue = (): void => {
-    for (const [key, dueAt] of removals) if (dueAt <= now()) remove(key);
-  };
-  const scheduleRemoval = (key: string): void => {
-    if (!known.has(key)) return;
-    const dueAt = hadOutage ? recoveredAt + RECOVERY_GRACE_MILLISECONDS : now();
-    if (dueAt <= now()) remove(key);
-    else if (!removals.has(key)) removals.set(key, dueAt);
-  };
-  const apply = ({ key, value }: StoreItem): void => {
-    if (value === undefined) {
-      scheduleRemoval(key);
-      return;
-    }
-    known.add(key);
-    removals.delete(key);
-    onItem(key, value);
-  };
   const recordResponse = (): void => {
     retryPause = FIRST_RETRY_MILLISECONDS;
     confirmedAt = now();
     if (isReachable) return;
     isReachable = true;
     recoveredAt = now();
-    logger.log('store-reached', { revision: revision ?? 0 });
+    logger.log('store-reached', { revision });
+  };
+  /** Starts the time anew in which missing items are retained. */
+  const recordRestoration = (): void => {
+    hadOutage = true;
+    recoveredAt = now();
   };
   /** Records a failed call; returns the pause before the next one, in milliseconds. */
   const recordFailure = (reason: string): number => {
+    isCheckDue = true;
     if (isReachable) {
       isReachable = false;
       hadOutage = true;
-      logger.log('store-lost', { reason, revision: revision ?? 0 });
+      logger.log('store-lost', { reason, revision });
     }
     const pause = retryPause;
     const addition =
@@ -178,29 +178,54 @@
     const result = await store.range('');
     if (result.kind !== 'done') return recordFailure(describeFailure(result));
     recordResponse();
-    const present = new Set(result.value.items.map(({ key }) => key));
-    for (const item of result.value.items) apply(item);
-    for (const key of [...known]) if (!present.has(key)) scheduleRemoval(key);
-    revision = result.value.revision;
+    const { value } = result;
+    const { era: newEra = 0 } = value;
+    const isRestored = wasRestored || newEra > (era ?? newEra);
+    if (isRestored) {
+      recordRestoration();
+      logger.log('store-restored', { revision, newRevision: value.revision });
+    }
+    items.applySnapshot(value, isRestored ? 'restored' : 'change');
+    revision = value.revision;
+    era = newEra;
+    mustReadAll = false;
+    wasRestored = false;
+    pendingRead = undefined;
+    // Nodes that follow through this one detect the gap and read all items as well.
+    if (isRestored && getRole() === 'forOthers')
+      onChanges({ after: revision, revision, items: [], isShortened: false });
     return 0;
   };
   /** Watches once; resolves to the changes, or to the pause after a failure in milliseconds. */
   const watch = async (after: number, maximum: number): Promise<ChangeBatch | number> => {
-    const nextRemoval = Math.min(...removals.values(), now() + maximum);
+    const duration = isCheckDue ? Math.min(CHECK_WATCH_MILLISECONDS, maximum) : maximum;
+    const nextRemoval = Math.min(items.getNextRemoval(), now() + duration);
     const waitMilliseconds = Math.max(1, Math.ceil(nextRemoval - now()));
     const result = await store.watch({ prefix: '', after, waitMilliseconds });
-    if (result.kind === 'rejected' || result.kind === 'restored') {
+    if (result.kind === 'rejected') {
       logger.log('store-history-gone', { revision: after });
-      revision = undefined;
+      mustReadAll = true;
+      return 0;
+    }
+    if (result.kind === 'restored') {
+      recordRestoration();
+      mustReadAll = true;
+      wasRestored = true;
       return 0;
     }
     if (result.kind !== 'done') return recordFailure(describeFailure(result));
     recordResponse();
+    isCheckDue = false;
     pendingRead = undefined;
-    const { items } = result.value;
-    for (const item of items) apply(item);
-    revision = Math.max(revision ?? after, result.value.revision);
-    return { after, revision: Math.max(after, result.value.revision), items, isShortened: false };
+    const { items: changes } = result.value;
+    for (const item of changes) items.apply(item);
+    revision = Math.max(revision, result.value.revision);
+    return {
+      after,
+      revision: Math.max(after, result.value.revision),
+      items: changes,
+      isShortened: false,
+    };
   };
   const followAlone = async (after: number): Promise<number> => {
     const maximum = Math.min(
@@ -234,26 +259,26 @@
 
   return {
     step: async () => {
-      const pause = revision === undefined ? await readAll() : await follow[getRole()](revision);
-      removeDue();
+      const pause = mustReadAll ? await readAll() : await follow[getRole()](revision);
+      items.removeDue();
       return pause;
     },
     isReachable: () => isReachable,
     isStable: () => isReachable && now() - recoveredAt > RECOVERY_GRACE_MILLISECONDS,
-    getRevision: () => revision ?? 0,
-    confirmRemoval: (key) => {
-      if (removals.has(key)) remove(key);
-    },
-    applyChanges: ({ after, revision: lastRevision, items, isShortened }) => {
-      if (revision === undefined || lastRevision < revision) return;
+    getRevision: () => revision,
+    getEra: () => era ?? 0,
+    confirmRemoval: items.confirmRemoval,
+    applyChanges: ({ after, revision: lastRevision, items: changes, isShortened }) => {
+      if (mustReadAll || lastRevision < revision) return;
       if (after > revision) {
         // Changes in between are missing; the next step reads them by a watch immediately.
         confirmedAt = Number.NEGATIVE_INFINITY;
+        isCheckDue = true;
         return;
       }
       recordResponse();
       const before = revision;
-      for (const item of items) if (item.revision > before) apply(item);
+      for (const item of changes) if (item.revision > before) items.apply(item);
       revision = lastRevision;
       if (isShortened) pendingRead ??= { after: before, at: now() };
     },
--- a/src/process/site/createStoreFollower/test.ts
+++ b/src/process/site/createStoreFollower/test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { NOOP_LOGGER } from '../../../../tests/support/site/index.js';
 import type { Store, StoreResult, StoreSnapshot } from '../../../types/store/index.js';
+import type { SiteLogger } from '../createSiteLogger/index.js';
 import { createStoreFollower, type ChangeBatch, type FollowerRole } from './index.js';
 
 const LOST: StoreResult<never> = { kind: 'unknown', reason: 'timeout' };
@@ -19,6 +19,13 @@
   const role: { now: FollowerRole } = { now: 'alone' };
   const forwarded: ChangeBatch[] = [];
   const values = new Map<string, string>();
+  const restored: string[] = [];
+  const logged: [string, object][] = [];
+  const logger: SiteLogger = {
+    log: (event, fields) => logged.push([event, fields]),
+    logRequestEvents: () => undefined,
+    countDroppedLines: () => 0,
+  };
   const fail = (): Promise<StoreResult<never>> => Promise.resolve(LOST);
   const store: Store = {
     range: () => Promise.resolve(responses.range.shift() ?? LOST),
@@ -35,17 +42,30 @@
   };
   const follower = createStoreFollower({
     store,
-    logger: NOOP_LOGGER,
+    logger,
     now: () => clock.time,
     countNodes: () => nodes.count,
     getRole: () => role.now,
     onChanges: (batch) => forwarded.push(batch),
-    onItem: (key, value) => {
+    onItem: (key, value, origin) => {
+      if (origin === 'restored') restored.push(key);
       if (value) values.set(key, value.toString());
       else values.delete(key);
     },
   });
-  return { clock, responses, watched, waits, values, follower, nodes, role, forwarded };
+  return {
+    clock,
+    responses,
+    watched,
+    waits,
+    values,
+    follower,
+    nodes,
+    role,
+    forwarded,
+    restored,
+    logged,
+  };
 }
 
 function snapshot(revision: number, items: Readonly<Record<string, string | undefined>>) {
@@ -284,3 +304,147 @@
   await follower.step();
   assert.ok(!values.has('a'));
 });
+
+/** Revisions of a restored store begin above all earlier ones. */
+const NEXT_ERA = 1_000;
+const RESTORED = { kind: 'restored' as const };
+
+function restoredSnapshot(revision: number, items: Readonly<Record<string, string>>) {
+  const { value } = snapshot(NEXT_ERA + revision, items);
+  return { kind: 'done' as const, value: { ...value, era: 1 } };
+}
+
+/** Creates a follower that has read two items, long enough ago that missing items are removed. */
+async function createStableFollower() {
+  const stable = createCase();
+  stable.responses.range.push(snapshot(50, { a: '2', b: '1' }));
+  await stable.follower.step();
+  stable.clock.time += 60_000;
+  assert.ok(stable.follower.isStable());
+  return stable;
+}
+
+/** Guards against a node that goes on from a revision that the store has given out again. */
+test('reads all items at once when a watch shows that the store was restored', async () => {
+  const { responses, watched, values, follower, logged, restored } = await createStableFollower();
+  responses.watch.push(RESTORED, snapshot(NEXT_ERA + 41, { a: '3' }));
+  responses.range.push(restoredSnapshot(40, { a: '1', b: '1', c: '1' }));
+  assert.equal(await follower.step(), 0);
+  assert.equal(await follower.step(), 0);
+  assert.deepEqual(Object.fromEntries(values), { a: '1', b: '1', c: '1' });
+  assert.deepEqual(restored, ['a', 'b', 'c']);
+  assert.equal(follower.getEra(), 1);
+  await follower.step();
+  assert.deepEqual(watched, [50, NEXT_ERA + 40]);
+  assert.equal(values.get('a'), '3');
+  assert.deepEqual(restored, ['a', 'b', 'c']);
+  assert.deepEqual(
+    logged.filter(([event]) => event !== 'store-reached'),
+    [['store-restored', { revision: 50, newRevision: NEXT_ERA + 40 }]],
+  );
+});
+
+test('retains items that a restored store lost until they may have been written again', async () => {
+  const { clock, responses, values, follower } = await createStableFollower();
+  responses.watch.push(RESTORED);
+  responses.range.push(restoredSnapshot(40, {}));
+  await follower.step();
+  assert.equal(follower.isStable(), false);
+  await follower.step();
+  assert.equal(follower.isStable(), false);
+  assert.deepEqual([...values.keys()], ['a', 'b']);
+  clock.time += 2_000;
+  responses.watch.push(snapshot(NEXT_ERA + 41, { a: '2' }));
+  await follower.step();
+  assert.deepEqual([...values.keys()], ['a', 'b']);
+  clock.time += 300;
+  responses.watch.push(snapshot(NEXT_ERA + 41, {}));
+  await follower.step();
+  assert.deepEqual([...values.keys()], ['a']);
+  assert.equal(follower.isStable(), true);
+});
+
+test('retains lost items also when the store is found restored only by the read of all items', async () => {
+  const { clock, responses, values, follower, logged } = await createStableFollower();
+  responses.watch.push({ kind: 'rejected' });
+  responses.range.push(restoredSnapshot(40, {}));
+  await follower.step();
+  await follower.step();
+  assert.deepEqual([...values.keys()], ['a', 'b']);
+  assert.ok(logged.some(([event]) => event === 'store-restored'));
+  clock.time += 2_300;
+  responses.watch.push(snapshot(NEXT_ERA + 41, {}));
+  await follower.step();
+  assert.equal(values.size, 0);
+});
+
+test('a restoration starts the time anew in which a deferred removal may be undone', async () => {
+  const { clock, responses, values, follower } = await createStableFollower();
+  await follower.step();
+  clock.time += 1_000;
+  responses.watch.push(snapshot(51, { a: undefined }));
+  await follower.step();
+  clock.time += 2_000;
+  responses.watch.push(RESTORED);
+  responses.range.push(restoredSnapshot(40, { b: '1' }));
+  await follower.step();
+  await follower.step();
+  clock.time += 1_000;
+  responses.watch.push(snapshot(NEXT_ERA + 41, {}));
+  await follower.step();
+  assert.deepEqual([...values.keys()], ['a', 'b']);
+});
+
+/** Guards against a watch that waits for seconds on a restored store without an event. */
+test('the first watch after an outage, or after missed changes, ends soon', async () => {
+  const { clock, responses, follower, waits, role } = await createStableFollower();
+  await follower.step();
+  clock.time += 200;
+  responses.watch.push(snapshot(50, {}), snapshot(50, {}), snapshot(50, {}), snapshot(50, {}));
+  await follower.step();
+  await follower.step();
+  const [, afterOutage = 0, next = 0] = waits;
+  assert.ok(afterOutage <= 50 && next > 1_000, waits.join());
+  role.now = 'throughOthers';
+  follower.applyChanges(batch(NEXT_ERA + 40, NEXT_ERA + 41, { a: '3' }));
+  await follower.step();
+  assert.ok((waits[3] ?? 0) <= 50, waits.join());
+});
+
+test('a node that follows through others reads all items when they forward changes of a later era', async () => {
+  const { responses, values, follower, watched } = await createListener();
+  follower.applyChanges(batch(NEXT_ERA + 3, NEXT_ERA + 4, { a: '0' }));
+  assert.equal(values.get('a'), '1');
+  responses.watch.push(RESTORED);
+  responses.range.push(restoredSnapshot(4, { a: '0', b: '1' }));
+  await follower.step();
+  await follower.step();
+  assert.deepEqual(watched, [5]);
+  assert.equal(values.get('a'), '0');
+  assert.equal(follower.getRevision(), NEXT_ERA + 4);
+  follower.applyChanges(batch(5, 30, { a: 'old' }));
+  assert.equal(values.get('a'), '0');
+});
+
+test('a node that follows for others tells them of a restoration at once', async () => {
+  const { responses, follower, role, forwarded } = await createStableFollower();
+  role.now = 'forOthers';
+  responses.watch.push(RESTORED);
+  responses.range.push(restoredSnapshot(40, { a: '1' }));
+  await follower.step();
+  await follower.step();
+  const revision = NEXT_ERA + 40;
+  assert.deepEqual(forwarded, [{ after: revision, revision, items: [], isShortened: false }]);
+});
+
+test('a watch that was answered before a newer forwarded change does not undo it', async () => {
+  const { responses, values, follower } = createCase();
+  responses.range.push(snapshot(5, { a: '5' }));
+  responses.watch.push(snapshot(7, { a: '7', b: '7' }));
+  await follower.step();
+  const watching = follower.step();
+  follower.applyChanges(batch(5, 9, { a: '9' }));
+  await watching;
+  assert.deepEqual(Object.fromEntries(values), { a: '9', b: '7' });
+  assert.equal(follower.getRevision(), 9);
+});
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -59,6 +59,11 @@
 
   'store-reached': define('info', "The platform's store is reachable.", { revision }),
   'store-lost': define('warn', "The platform's store does not respond.", { reason, revision }),
+  'store-restored': define(
+    'warn',
+    'The store was restored from an older copy; all items are read again.',
+    { revision, newRevision: number('revision at which all items were read again') },
+  ),
   'store-history-gone': define(
     'warn',
     'The history of the store was compacted; all items are read again.',
--- a/src/types/store/index.ts
+++ b/src/types/store/index.ts
@@ -17,6 +17,8 @@
 export interface StoreSnapshot {
   readonly items: readonly StoreItem[];
   readonly revision: number;
+  /** Number of restorations of the store from older copies before the read; 0 by default. */
+  readonly era?: number | undefined;
 }
 
 /** Result of a call to the store. */
