Keep what the registry had confirmed when the store is restored from an older copy

Callers saw: requests could go to an endpoint that had drained or left, because the older copy of the registry says that it is ready, or to the address of an earlier start. Cause: a record with the same start replaced a draining one, an earlier start at another address replaced a later one, and a removed endpoint came back with the copy. Change: endpoints drain until they restart and restart later than before (createEndpointTable.isOutdated). An endpoint that was removed and comes back with an older copy is held back until it is written again, has restarted, or 6 s have passed, in which the entries of endpoints that have ended lapse (createSiteState). Log lines: endpoint-entry-outdated, endpoint-entry-held. Why it works: what the copy says is compared with what was confirmed for the same start, which does not depend on revisions.

--- a/src/connection/createEndpointTable/index.ts
+++ b/src/connection/createEndpointTable/index.ts
@@ -7,6 +7,8 @@
 /** Endpoint with the state that this node observed. */
 export interface Endpoint {
   record: EndpointRecord;
+  /** Start time of the endpoint when its entry last said that it drains; undefined before. */
+  drainingStart: number | undefined;
   /** Layers that the endpoint hosts, by the newer of its registration and its reports. */
   layers: LayerRange | undefined;
   /** Time at which the layers were last read from a report, in milliseconds. */
@@ -51,6 +53,8 @@
 
 /** Table of endpoints by identifier. */
 export interface EndpointTable {
+  /** Whether a record is older than what is known of its endpoint, so that it is not applied. */
+  readonly isOutdated: (id: string, record: EndpointRecord) => boolean;
   /** Applies a record of the registry, undefined for a removal; true when the endpoint changed. */
   readonly update: (id: string, record: EndpointRecord | undefined, now: number) => boolean;
   readonly find: (id: string) => Endpoint | undefined;
@@ -87,6 +91,7 @@
 function createEndpoint(record: EndpointRecord): Endpoint {
   return {
     record,
+    drainingStart: record.isDraining ? record.startedAt : undefined,
     layers: record.layers,
     layersReportedAt: Number.NEGATIVE_INFINITY,
     acceptedOrders: undefined,
@@ -125,7 +130,8 @@
  * Creates an empty table.
  *
  * An endpoint that restarted, changed its address or changed its service is a new endpoint; earlier
- * observations are discarded.
+ * observations are discarded. Endpoints drain until they restart, and restart later than before: a
+ * record that says otherwise is older than what is known, as from an older copy of the registry.
  *
  * @returns the table
  * @example
@@ -138,11 +144,14 @@
     left.startedAt === right.startedAt &&
     left.address === right.address &&
     left.service === right.service;
-  const isOlder = (known: EndpointRecord, record: EndpointRecord): boolean =>
-    record.address === known.address &&
-    record.startedAt !== 0 &&
-    record.startedAt < known.startedAt;
+  const isOutdated = (id: string, record: EndpointRecord): boolean => {
+    const known = endpoints.get(id);
+    if (!known || record.startedAt === 0) return false;
+    if (record.startedAt < known.record.startedAt) return true;
+    return record.startedAt === known.drainingStart && !record.isDraining;
+  };
   return {
+    isOutdated,
     update: (id, record, now) => {
       if (!record) {
         idsByTag.delete(hashText(id));
@@ -150,7 +159,7 @@
       }
       const known = endpoints.get(id);
       // A report may have announced a restart before the registry shows it.
-      if (known && isOlder(known.record, record)) return false;
+      if (isOutdated(id, record)) return false;
       if (!known || !isSame(known.record, record)) {
         endpoints.set(id, createEndpoint(record));
         idsByTag.set(hashText(id), id);
@@ -158,6 +167,7 @@
       }
       if (now - known.layersReportedAt > REGISTRY_LAG_MILLISECONDS) known.layers = record.layers;
       known.record = record;
+      if (record.isDraining) known.drainingStart = record.startedAt;
       return false;
     },
     find: (id) => endpoints.get(id),
--- a/src/connection/createEndpointTable/test.ts
+++ b/src/connection/createEndpointTable/test.ts
@@ -71,3 +71,35 @@
   table.update('i-1', createEndpointRecord({ layers: { from: 0, to: 8 } }), 60_000);
   assert.equal(table.find('i-1')?.layers, undefined);
 });
+
+/** Guards against an older copy of the registry that undoes an acknowledged drain. */
+test('an endpoint that was draining does not become ready again before it restarts', () => {
+  const table = createEndpointTable();
+  table.update('i-1', createEndpointRecord({ startedAt: 5 }), 0);
+  table.update('i-1', createEndpointRecord({ startedAt: 5, isDraining: true }), 10);
+  assert.equal(table.isOutdated('i-1', createEndpointRecord({ startedAt: 5 })), true);
+  table.update('i-1', createEndpointRecord({ startedAt: 5 }), 20);
+  assert.deepEqual(table.listUsable('booking', 30), []);
+  table.update('i-1', createEndpointRecord({ startedAt: 6 }), 40);
+  assert.equal(table.listUsable('booking', 50).length, 1);
+});
+
+test('an endpoint that drained is ready after a restart that its report announced first', () => {
+  const table = createEndpointTable();
+  table.update('i-1', createEndpointRecord({ startedAt: 5, isDraining: true }), 0);
+  const endpoint = table.find('i-1');
+  assert.ok(endpoint);
+  table.recordRestart(endpoint, 6);
+  table.update('i-1', createEndpointRecord({ startedAt: 6 }), 10);
+  assert.equal(table.listUsable('booking', 20).length, 1);
+});
+
+/** Guards against an older copy of the registry with an earlier start under the same identifier. */
+test('an earlier start at another address does not replace a later one', () => {
+  const table = createEndpointTable();
+  const earlier = createEndpointRecord({ startedAt: 5, address: '10.0.0.1:80' });
+  table.update('i-1', earlier, 0);
+  table.update('i-1', createEndpointRecord({ startedAt: 9, address: '10.0.0.2:80' }), 10);
+  assert.equal(table.update('i-1', earlier, 20), false);
+  assert.equal(table.find('i-1')?.record.address, '10.0.0.2:80');
+});
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -32,6 +32,7 @@
 } from '../createPeerExchange/index.js';
 import { chooseFollowerRole } from '../chooseFollowerRole/index.js';
 import { createStoreFollower, type StoreFollower } from '../createStoreFollower/index.js';
+import type { ItemOrigin } from '../createStoreItems/index.js';
 import {
   createNodeRegistration,
   isIntroducer,
@@ -196,15 +197,16 @@
       follower.applyChanges({ after, revision, items: decoded, isShortened });
     },
   });
-  const applyItem = (key: string, text: string | undefined): void => {
+  const applyItem = (key: string, text: string | undefined, origin: ItemOrigin): void => {
+    const source = origin === 'restored' ? 'restored' : 'store';
     if (key.startsWith(keys.endpointPrefix)) {
       const id = key.slice(keys.endpointPrefix.length);
       if (text === undefined && follower.isStable()) exchange.recordDeregistration(id);
-      state.applyEndpoint(id, text, 'store');
+      state.applyEndpoint(id, text, source);
     } else if (text === undefined) {
       return;
     } else if (key === keys.configuration) {
-      state.applyConfiguration(text, 'store');
+      state.applyConfiguration(text, source);
     } else if (key.startsWith(NODE_KEY_PREFIX)) {
       exchange.peers.addStoredNode(parseJson(text));
     }
@@ -229,8 +231,8 @@
         exchange.forwardChanges({ ...part, from: self.name, items });
       }
     },
-    onItem: (key, value) => {
-      applyItem(key, value?.toString('utf8'));
+    onItem: (key, value, origin) => {
+      applyItem(key, value?.toString('utf8'), origin);
     },
   });
   const listAlive = (): string[] =>
@@ -312,6 +314,7 @@
       store: follower.step,
       registration: registration.step,
       news: () => {
+        state.applyHeldEntries();
         partExchange.step();
         return exchange.step();
       },
--- a/src/process/site/createSiteState/index.ts
+++ b/src/process/site/createSiteState/index.ts
@@ -18,6 +18,12 @@
   readonly decodeEndpoint: (id: string, value: unknown) => EndpointRecord | undefined;
 }
 
+/**
+ * Where a value comes from: a change of the store, the older copy from which the store was restored, or
+ * a peer.
+ */
+export type ValueSource = 'store' | 'restored' | 'peer';
+
 /** State of the site as one node knows it. */
 export interface SiteState {
   readonly endpoints: EndpointTable;
@@ -28,10 +34,12 @@
   /**
    * Applies a configuration if its version is higher than the active one; returns whether it did.
    */
-  readonly applyConfiguration: (text: string, source: 'store' | 'peer') => boolean;
+  readonly applyConfiguration: (text: string, source: ValueSource) => boolean;
   /** Applies the registry's entry for an endpoint; undefined removes the endpoint. */
-  readonly applyEndpoint: (id: string, text: string | undefined, source: 'store' | 'peer') => void;
-  /** Lists the registry entries as they were received. */
+  readonly applyEndpoint: (id: string, text: string | undefined, source: ValueSource) => void;
+  /** Applies the entries of endpoints that an older copy brought back, once they have been held back. */
+  readonly applyHeldEntries: () => void;
+  /** Lists the registry entries as they were received, without those that are outdated or held back. */
   readonly listRegistryEntries: () => [string, string][];
 }
 
@@ -44,10 +52,41 @@
   readonly onConfiguration: (compiled: CompiledSiteConfiguration) => void;
 }
 
+/**
+ * How long the entry of a removed endpoint is held back when an older copy of the store brings it back:
+ * three heartbeats and more, after which the entries of endpoints that have ended lapse.
+ */
+const HOLD_MILLISECONDS = 6_000;
+/** How long removed endpoints are remembered; older copies of the store are younger than that. */
+const REMOVED_MEMORY_MILLISECONDS = 600_000;
+
+/** Endpoint that was removed from the registry. */
+interface RemovedEndpoint {
+  readonly startedAt: number;
+  /** Time of the removal in milliseconds. */
+  readonly at: number;
+}
+
+/** Entry with its record, undefined when it cannot be decoded. */
+interface AppliedEntry {
+  readonly text: string;
+  readonly record: EndpointRecord | undefined;
+  readonly source: ValueSource;
+}
+
+/** Entry that is held back until a time in milliseconds. */
+interface HeldEntry {
+  readonly text: string;
+  readonly dueAt: number;
+}
+
 /**
  * Creates an empty state.
  *
- * Values that cannot be decoded are logged, and the last valid value stays active.
+ * Values that cannot be decoded are logged, and the last valid value stays active. A store that is
+ * restored from an older copy does not undo what was confirmed: lower versions, earlier starts and the
+ * end of a drain are ignored, and an endpoint that was removed is used again only when it is written
+ * again or its entry does not lapse.
  *
  * @param options - decoders, logger and the callback for a new configuration
  * @returns the state
@@ -58,9 +97,51 @@
   const { decoders, logger, now, parse, onConfiguration } = options;
   const endpoints = createEndpointTable();
   const entries = new Map<string, string>();
+  const removed = new Map<string, RemovedEndpoint>();
+  const held = new Map<string, HeldEntry>();
   let compiled: CompiledSiteConfiguration | undefined;
   let configurationText: string | undefined;
   const getVersion = (): number => compiled?.configuration.version ?? 0;
+  const removeEndpoint = (id: string, source: ValueSource): void => {
+    held.delete(id);
+    entries.delete(id);
+    const known = endpoints.find(id);
+    if (!known) return;
+    removed.set(id, { startedAt: known.record.startedAt, at: now() });
+    endpoints.update(id, undefined, now());
+    logger.log('endpoint-gone', { endpoint: id, source });
+  };
+  const applyRecord = (id: string, { text, record, source }: AppliedEntry): void => {
+    entries.set(id, text);
+    removed.delete(id);
+    if (!record) logger.log('endpoint-unreadable', { endpoint: id, source });
+    const before = endpoints.find(id)?.record;
+    const isNew = endpoints.update(id, record, now());
+    if (!record || (!isNew && before?.isDraining === record.isDraining)) return;
+    logger.log(record.isDraining ? 'endpoint-draining' : 'endpoint-ready', {
+      endpoint: id,
+      source,
+      address: record.address,
+      bornAt: record.startedAt,
+    });
+  };
+  const applyEntry = (id: string, text: string, source: ValueSource): void => {
+    held.delete(id);
+    if (entries.get(id) === text) return;
+    const record = decoders.decodeEndpoint(id, parse(text));
+    const details = { endpoint: id, source, bornAt: record?.startedAt ?? 0 };
+    if (record && endpoints.isOutdated(id, record)) {
+      logger.log('endpoint-entry-outdated', details);
+      return;
+    }
+    const { startedAt: removedStart = Number.NEGATIVE_INFINITY } = removed.get(id) ?? {};
+    if (source === 'restored' && record && record.startedAt <= removedStart) {
+      held.set(id, { text, dueAt: now() + HOLD_MILLISECONDS });
+      logger.log('endpoint-entry-held', details);
+      return;
+    }
+    applyRecord(id, { text, record, source });
+  };
   return {
     endpoints,
     getCompiled: () => compiled,
@@ -85,25 +166,17 @@
       return true;
     },
     applyEndpoint: (id, text, source) => {
-      if (text === undefined) {
-        entries.delete(id);
-        if (endpoints.update(id, undefined, now()))
-          logger.log('endpoint-gone', { endpoint: id, source });
-        return;
+      if (text === undefined) removeEndpoint(id, source);
+      else applyEntry(id, text, source);
+    },
+    applyHeldEntries: () => {
+      for (const [id, { text, dueAt }] of held) {
+        if (dueAt > now()) continue;
+        removed.delete(id);
+        applyEntry(id, text, 'restored');
       }
-      if (entries.get(id) === text) return;
-      entries.set(id, text);
-      const record = decoders.decodeEndpoint(id, parse(text));
-      if (!record) logger.log('endpoint-unreadable', { endpoint: id, source });
-      const before = endpoints.find(id)?.record;
-      const isNew = endpoints.update(id, record, now());
-      if (!record || (!isNew && before?.isDraining === record.isDraining)) return;
-      logger.log(record.isDraining ? 'endpoint-draining' : 'endpoint-ready', {
-        endpoint: id,
-        source,
-        address: record.address,
-        bornAt: record.startedAt,
-      });
+      for (const [id, { at }] of removed)
+        if (now() - at > REMOVED_MEMORY_MILLISECONDS) removed.delete(id);
     },
     listRegistryEntries: () => [...entries],
   };
--- /dev/null
+++ b/src/process/site/createSiteState/test.ts
@@ -0,0 +1,119 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  createEndpointRecord,
+  createSiteConfiguration,
+} from '../../../../tests/support/site/index.js';
+import type { EndpointRecord } from '../../../types/site/index.js';
+import { parseJson } from '../../parseJson/index.js';
+import { createSiteState } from './index.js';
+
+const SERVICE = 'booking';
+/** Longest time for which the entry of a removed endpoint may be held back, in milliseconds. */
+const HOLD_LIMIT_MILLISECONDS = 8_000;
+
+function createCase() {
+  const clock = { time: 0 };
+  const events: string[] = [];
+  const state = createSiteState({
+    decoders: {
+      decodeConfiguration: (value) => createSiteConfiguration({ version: Number(value) }),
+      decodeEndpoint: (id, value) =>
+        createEndpointRecord({ id, ...(value as Partial<EndpointRecord>) }),
+    },
+    logger: {
+      log: (event) => events.push(event),
+      logRequestEvents: () => undefined,
+      countDroppedLines: () => 0,
+    },
+    now: () => clock.time,
+    parse: parseJson,
+    onConfiguration: () => undefined,
+  });
+  const listUsable = (): string[] =>
+    state.endpoints.listUsable(SERVICE, clock.time).map(({ record }) => record.id);
+  /** Lets time pass as a node's loop does. */
+  const wait = (milliseconds: number): void => {
+    const until = clock.time + milliseconds;
+    while (clock.time < until) {
+      clock.time += 300;
+      state.applyHeldEntries();
+    }
+  };
+  return { clock, events, state, listUsable, wait };
+}
+
+function entry(startedAt: number, changes: Partial<EndpointRecord> = {}): string {
+  return JSON.stringify({ startedAt, ...changes });
+}
+
+test('a lower version does not replace a configuration, whatever its source', () => {
+  const { state } = createCase();
+  state.applyConfiguration('7', 'store');
+  for (const source of ['restored', 'store', 'peer'] as const)
+    assert.equal(state.applyConfiguration('5', source), false);
+  assert.equal(state.getVersion(), 7);
+  assert.equal(state.getConfigurationText(), '7');
+});
+
+/** Guards against requests to an endpoint that left before the store was restored. */
+test('an endpoint that was removed before a restoration is not used when the older copy has it', () => {
+  const { state, events, listUsable, wait } = createCase();
+  state.applyEndpoint('i-1', entry(5), 'store');
+  state.applyEndpoint('i-1', undefined, 'store');
+  state.applyEndpoint('i-1', entry(5), 'restored');
+  wait(3_600);
+  assert.deepEqual(listUsable(), []);
+  assert.deepEqual(state.listRegistryEntries(), []);
+  assert.ok(events.includes('endpoint-entry-held'));
+  // Its entry lapses.
+  state.applyEndpoint('i-1', undefined, 'store');
+  wait(HOLD_LIMIT_MILLISECONDS);
+  assert.deepEqual(listUsable(), []);
+});
+
+test('an endpoint that an older copy brought back is used once it is written again', () => {
+  const { state, listUsable } = createCase();
+  state.applyEndpoint('i-1', entry(5), 'store');
+  state.applyEndpoint('i-1', undefined, 'store');
+  state.applyEndpoint('i-1', entry(5), 'restored');
+  state.applyEndpoint('i-1', entry(5), 'store');
+  assert.deepEqual(listUsable(), ['i-1']);
+});
+
+test('an endpoint that an older copy brought back is used when its entry does not lapse', () => {
+  const { state, listUsable, wait } = createCase();
+  state.applyEndpoint('i-1', entry(5), 'store');
+  state.applyEndpoint('i-1', undefined, 'store');
+  state.applyEndpoint('i-1', entry(5), 'restored');
+  wait(HOLD_LIMIT_MILLISECONDS);
+  assert.deepEqual(listUsable(), ['i-1']);
+});
+
+test('an endpoint that restarted after its removal is used at once', () => {
+  const { state, listUsable } = createCase();
+  state.applyEndpoint('i-1', entry(5), 'store');
+  state.applyEndpoint('i-1', undefined, 'store');
+  state.applyEndpoint('i-1', entry(6), 'restored');
+  assert.deepEqual(listUsable(), ['i-1']);
+});
+
+test('an older copy does not end a drain, and peers get the entry that says so', () => {
+  const { state, events, listUsable } = createCase();
+  const draining = entry(5, { isDraining: true });
+  state.applyEndpoint('i-1', entry(5), 'store');
+  state.applyEndpoint('i-1', draining, 'store');
+  state.applyEndpoint('i-1', entry(5), 'restored');
+  assert.deepEqual(listUsable(), []);
+  assert.deepEqual(state.listRegistryEntries(), [['i-1', draining]]);
+  assert.equal(events.at(-1), 'endpoint-entry-outdated');
+});
+
+test('an older copy does not replace a later start by an earlier one', () => {
+  const { state } = createCase();
+  const later = entry(9, { address: '10.0.0.2:80' });
+  state.applyEndpoint('i-1', later, 'store');
+  state.applyEndpoint('i-1', entry(5), 'restored');
+  assert.equal(state.endpoints.find('i-1')?.record.address, '10.0.0.2:80');
+  assert.deepEqual(state.listRegistryEntries(), [['i-1', later]]);
+});
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -22,7 +22,9 @@
 
 const request = text("the caller's attempt id");
 const endpoint = text('identifier of the endpoint');
-const source = z.enum(['store', 'peer']).describe('where the information came from');
+const source = z
+  .enum(['store', 'restored', 'peer'])
+  .describe('where the information came from; restored: an older copy of the store');
 const reason = text('cause');
 const milliseconds = number('milliseconds since the request arrived');
 const path = text('endpoints of the path, each with its layers');
@@ -31,6 +33,7 @@
 const incarnation = number("Unix time of the node's start in milliseconds");
 const peer = text('name of the other node');
 const revision = number('revision of the store up to which the node has applied changes');
+const bornAt = number('Unix time of its start in milliseconds');
 const open = number('requests without a final response yet');
 const route = text('name of the route');
 const code = text('name of the result code');
@@ -90,18 +93,28 @@
     endpoint,
     source,
     address: text('its address'),
-    bornAt: number('Unix time of its start in milliseconds'),
+    bornAt,
   }),
   'endpoint-draining': define('info', 'An endpoint was marked as draining in the registry.', {
     endpoint,
     source,
     address: text('its address'),
-    bornAt: number('Unix time of its start in milliseconds'),
+    bornAt,
   }),
   'endpoint-gone': define('info', 'An endpoint was removed from the registry.', {
     endpoint,
     source,
   }),
+  'endpoint-entry-outdated': define(
+    'info',
+    'A registry entry is older than what is known of its endpoint, and is ignored.',
+    { endpoint, source, bornAt },
+  ),
+  'endpoint-entry-held': define(
+    'info',
+    'An older copy of the store brought back a removed endpoint; it is not used yet.',
+    { endpoint, source, bornAt },
+  ),
   'endpoint-unreadable': define('warn', 'The registry entry of an endpoint cannot be decoded.', {
     endpoint,
     source,
@@ -119,7 +132,7 @@
     'An endpoint ended while requests of this node ran on it; those without an event may be the cause.',
     {
       endpoint,
-      bornAt: number('Unix time of its start in milliseconds'),
+      bornAt,
       reason,
       begun: number('runs of this node that had delivered events'),
       unbegun: number('runs of this node that had not'),
