Let the store stand-in come back from an older copy

restore(milliseconds) reverts the changes since then: items, revisions, leases and their numbers, which are given out again. Waiting watches are cut, watches from a revision that the store does not have get the status 410, and all responses carry the header Store-Era, which rises by one. Restored leases run anew.

--- a/standins/listenStandin/index.ts
+++ b/standins/listenStandin/index.ts
@@ -24,6 +24,8 @@
     response: http.ServerResponse,
     faults: Faults,
   ) => void;
+  /** Sets headers that all responses carry, those of faults too. */
+  readonly setHeaders?: (response: http.ServerResponse) => void;
   /** Response to a request that a `refuse` fault applies to. */
   readonly refusal?: { readonly status: number; readonly body: string };
 }
@@ -101,6 +103,7 @@
   const { refusal = { status: 503, body: '{"refused":"overload"}' } } = options;
   const server = http.createServer({ noDelay: true }, (request, response) => {
     const target = request.url ?? '';
+    options.setHeaders?.(response);
     if (target === '/faults') {
       replaceFaults(request, response, faults);
       return;
--- a/standins/serveSiteStore/index.ts
+++ b/standins/serveSiteStore/index.ts
@@ -33,6 +33,11 @@
   /** Writes an item as an operator or an endpoint does. */
   readonly put: (key: string, value: unknown) => void;
   readonly remove: (key: string) => void;
+  /**
+   * Returns to the state of some milliseconds ago, cuts all waiting watches, and begins the next era. Leases of that
+   * time run anew.
+   */
+  readonly restore: (ageMilliseconds: number) => void;
   /** Compacts the history of changes, so that watches must read all items again. */
   readonly compactHistory: () => void;
   readonly read: (key: string) => string | undefined;
@@ -49,8 +54,20 @@
 interface PendingWatch {
   readonly prefix: string;
   readonly finish: () => void;
+  readonly cut: () => void;
 }
 
+/** Change of the state that can be reverted. */
+interface RevertibleChange {
+  readonly at: number;
+  readonly revert: () => void;
+}
+
+/** Age of the oldest state that can be restored. */
+const RESTORABLE_MILLISECONDS = 60_000;
+const ERA_HEADER = 'Store-Era';
+const COMPACTED_STATUS = 410;
+
 function parseBody(text: string): unknown {
   return text === '' ? {} : JSON.parse(text);
 }
@@ -72,7 +89,31 @@
   /** Watches after an earlier revision get the status 410. */
   let compactedRevision = 0;
   let nextLease = 1;
+  let era = 1;
+  let changes: RevertibleChange[] = [];
 
+  const recordChange = (revert: () => void): void => {
+    const at = performance.now();
+    changes.push({ at, revert });
+    if ((changes[0]?.at ?? at) < at - 2 * RESTORABLE_MILLISECONDS)
+      changes = changes.filter((change) => change.at >= at - RESTORABLE_MILLISECONDS);
+  };
+  const advanceRevision = (): void => {
+    revision += 1;
+    recordChange(() => (revision -= 1));
+  };
+  /** Sets or removes an item, so that the change can be reverted. */
+  const storeItem = (key: string, item: Item | undefined): void => {
+    const previous = items.get(key);
+    const assign = (value: Item | undefined): void => {
+      if (value) items.set(key, value);
+      else items.delete(key);
+    };
+    assign(item);
+    recordChange(() => {
+      assign(previous);
+    });
+  };
   const appendChange = (change: Change): void => {
     history.push(change);
     for (const watch of [...pendingWatches])
@@ -81,18 +122,21 @@
   const writeItem = (key: string, value: string, lease: number): void => {
     const created = items.get(key)?.created ?? revision;
     const item = { key, value, revision, created, lease };
-    items.set(key, item);
+    storeItem(key, item);
     appendChange(item);
   };
   const removeItem = (key: string): void => {
-    if (items.delete(key)) appendChange({ key, revision, deleted: true });
+    if (!items.has(key)) return;
+    storeItem(key, undefined);
+    appendChange({ key, revision, deleted: true });
   };
   const revokeLease = (lease: number): boolean => {
     const known = leases.get(lease);
     if (!known) return false;
     clearTimeout(known.timer);
     leases.delete(lease);
-    revision += 1;
+    recordChange(() => leases.set(lease, known));
+    advanceRevision();
     for (const item of [...items.values()]) if (item.lease === lease) removeItem(item.key);
     return true;
   };
@@ -107,7 +151,7 @@
     if (!isMet) return { status: 412, value: { items: expected.map(({ key }) => items.get(key)) } };
     if (puts.some(({ lease }) => lease !== 0 && !leases.has(lease)))
       return { status: 404, value: {} };
-    revision += 1;
+    advanceRevision();
     for (const { key, value, lease } of puts) writeItem(key, value, lease);
     for (const key of remove) removeItem(key);
     return { status: 200, value: { revision } };
@@ -117,6 +161,11 @@
     const lease = nextLease;
     nextLease += 1;
     leases.set(lease, { milliseconds, timer: startLeaseTimer(lease, milliseconds) });
+    recordChange(() => {
+      clearTimeout(leases.get(lease)?.timer);
+      leases.delete(lease);
+      nextLease = lease;
+    });
     return { status: 200, value: { lease, ttl_ms: milliseconds } };
   };
   const renewLease = (lease: number): Reply => {
@@ -141,6 +190,18 @@
     }),
     'GET /kv-watch': () => 'waits',
   };
+  const setEraHeader = (response: http.ServerResponse): void => {
+    response.setHeader(ERA_HEADER, String(era));
+  };
+  const reply = (
+    response: http.ServerResponse,
+    faults: Faults,
+    target: string,
+    { status, value }: Reply,
+  ): void => {
+    if (!response.headersSent) setEraHeader(response);
+    replyJson(response, faults, target, value, status);
+  };
   const startWatch = (
     parameters: URLSearchParams,
     response: http.ServerResponse,
@@ -148,8 +209,8 @@
   ): void => {
     const prefix = parameters.get('prefix') ?? '';
     const after = Number(parameters.get('after'));
-    if (after < compactedRevision) {
-      replyJson(response, faults, '/kv-watch', {}, 410);
+    if (after < compactedRevision || after > revision) {
+      reply(response, faults, '/kv-watch', { status: COMPACTED_STATUS, value: {} });
       return;
     }
     const listChanges = (): Change[] =>
@@ -161,9 +222,11 @@
         pendingWatches.delete(watch);
         // Deferred by one turn of the event loop, so that the response has all changes of a transaction.
         setImmediate(() => {
-          replyJson(response, faults, '/kv-watch', { events: listChanges(), at: revision });
+          const value = { events: listChanges(), at: revision };
+          reply(response, faults, '/kv-watch', { status: 200, value });
         });
       },
+      cut: () => response.destroy(),
     };
     const timer = setTimeout(watch.finish, Number(parameters.get('wait_ms')));
     pendingWatches.add(watch);
@@ -177,14 +240,15 @@
   const standin = await listenStandin({
     port,
     seed: 1,
+    setHeaders: setEraHeader,
     handle: (request, response, faults) => {
       const url = new URL(request.url ?? '/', 'http://store');
       const [, name = ''] = url.pathname.split('/');
       const handler = handlers[`${request.method ?? 'GET'} /${name}`];
       readText(request, (text) => {
-        const reply = handler?.(url.searchParams, parseBody(text), url.pathname);
-        if (reply === 'waits') startWatch(url.searchParams, response, faults);
-        else replyJson(response, faults, url.pathname, reply?.value ?? {}, reply?.status ?? 404);
+        const result = handler?.(url.searchParams, parseBody(text), url.pathname);
+        if (result === 'waits') startWatch(url.searchParams, response, faults);
+        else reply(response, faults, url.pathname, result ?? { status: 404, value: {} });
       });
     },
   });
@@ -192,16 +256,28 @@
     ...standin,
     put: (key, value) => {
       const text = typeof value === 'string' ? value : JSON.stringify(value);
-      revision += 1;
+      advanceRevision();
       writeItem(key, Buffer.from(text).toString('base64'), 0);
     },
     remove: (key) => {
-      revision += 1;
+      advanceRevision();
       removeItem(key);
     },
+    restore: (ageMilliseconds) => {
+      const restoredAt = performance.now() - ageMilliseconds;
+      while ((changes.at(-1)?.at ?? restoredAt) > restoredAt) changes.pop()?.revert();
+      era += 1;
+      history = history.filter((change) => change.revision <= revision);
+      compactedRevision = Math.min(compactedRevision, revision);
+      for (const [lease, known] of leases) {
+        clearTimeout(known.timer);
+        known.timer = startLeaseTimer(lease, known.milliseconds);
+      }
+      for (const watch of [...pendingWatches]) watch.cut();
+    },
     compactHistory: () => {
       history = [];
-      revision += 1;
+      advanceRevision();
       compactedRevision = revision;
       for (const watch of [...pendingWatches]) watch.finish();
     },
