Restore the store from older copies in a soak, and check what callers see then

Checks: a configuration stays in force and is in force in time, which a restoration no longer excuses; an endpoint whose departure the store had accepted gets nothing new; a node is registered; endpoints are in use again. The excuse of a late version is narrower than it was: a fault of the node or the store excuses only within the last 17 s. Nodes are probed for 40 versions instead of 8, so that a node that stays far behind is seen.

Evidence: soak/findViolations/test.ts violates each new promise in a record; three followers that misunderstand a restoration are found (soak/serveDefectiveNode/test.ts), and one without a defect breaks no promise.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -1,6 +1,6 @@
 /**
  * Runs the platform's nodes under injected faults and checks their guarantees:
- * `npm run soak -- --seed N [--runs R] [--seconds S] [--nodes K]`.
+ * `npm run soak -- --seed N [--runs R] [--seconds S] [--nodes K] [--restore]`.
  */
 import { spawnSync } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
@@ -23,9 +23,19 @@
  * Runs one seed and returns whether all checks passed. Keeps the logs and observations of a
  * failure.
  */
-async function runSeed(seed: number, seconds: number, nodes: number, program: string) {
+async function runSeed(seed: number, program: string) {
+  const seconds = Number(values.seconds);
+  const nodes = Number(values.nodes);
+  const restoresStore = values.restore;
   const folder = mkdtempSync(join(tmpdir(), `marjoramcleat-soak-${seed}-`));
-  const result = await runSoak({ seed, milliseconds: seconds * 1_000, nodes, program, folder });
+  const result = await runSoak({
+    seed,
+    milliseconds: seconds * 1_000,
+    nodes,
+    restoresStore,
+    program,
+    folder,
+  });
   console.log(`seed ${seed}, ${seconds} s of faults, ${nodes} nodes`);
   console.log(describeRun(result, folder).join('\n'));
   const isPassed = result.violations.length === 0;
@@ -36,7 +46,10 @@
   writeFileSync(join(folder, 'record.json'), JSON.stringify(result.record));
   writeFileSync(join(folder, 'schedule.json'), JSON.stringify(result.schedule));
   console.log(`logs and observations are kept in ${folder}`);
-  console.log(`rerun: npm run soak -- --seed ${seed} --seconds ${seconds} --nodes ${nodes}`);
+  const restore = restoresStore ? ' --restore' : '';
+  console.log(
+    `rerun: npm run soak -- --seed ${seed} --seconds ${seconds} --nodes ${nodes}${restore}`,
+  );
   return false;
 }
 
@@ -49,6 +62,7 @@
   runs: { type: 'string', default: '1' },
   seconds: { type: 'string', default: '60' },
   nodes: { type: 'string', default: '6' },
+  restore: { type: 'boolean', default: false },
   program: { type: 'string' },
 });
 if (values.program === undefined) buildProgram();
@@ -56,7 +70,7 @@
 const first = Number(values.seed);
 const failed: number[] = [];
 for (let seed = first; seed < first + Number(values.runs); seed += 1) {
-  const isPassed = await runSeed(seed, Number(values.seconds), Number(values.nodes), program);
+  const isPassed = await runSeed(seed, program);
   if (!isPassed) failed.push(seed);
 }
 console.log(
--- a/soak/createFaultInjector/index.ts
+++ b/soak/createFaultInjector/index.ts
@@ -9,6 +9,8 @@
 import { recordFaultDuring } from '../createRecord/index.js';
 import type { EndpointMode, SoakEndpoint } from '../createSoakEndpoint/index.js';
 import type { FaultKind, ScheduledFault } from '../drawSchedule/index.js';
+import type { Operator } from '../createOperator/index.js';
+import { restoreStore } from '../restoreStore/index.js';
 import type { SoakRecord } from '../types/index.js';
 
 /** Components of the run that faults act on. */
@@ -21,8 +23,11 @@
   readonly store: SiteStore;
   readonly record: SoakRecord;
   readonly now: () => number;
-  /** Writes the next configuration. */
-  readonly changeConfiguration: () => void;
+  /** Writes the configurations. */
+  readonly operator: Operator;
+  /** Returns all endpoints that write to the store, also replacing ones. */
+  readonly listWriters: () => readonly SoakEndpoint[];
+  readonly random: () => number;
 }
 
 type Handler = (context: FaultContext, fault: ScheduledFault) => Promise<void>;
@@ -145,6 +150,24 @@
   });
 };
 
+/** Announces an endpoint's shutdown only in the registry, and ends the endpoint after the duration of the fault. */
+function departEndpoint(depart: (endpoint: SoakEndpoint) => void): Handler {
+  return (context, scheduled) => {
+    const endpoint = findEndpoint(context, scheduled);
+    const recordedFault = { kind: 'leaving', target: endpoint.id };
+    return recordFaultDuring(context.record, context.now, recordedFault, async () => {
+      depart(endpoint);
+      if (!context.operator.isStoreAway()) endpoint.recordDeparture();
+      await sleep(scheduled.milliseconds);
+      await endpoint.crash();
+      endpoint.unregister();
+      await sleep(DEREGISTRATION_DELAY_MILLISECONDS);
+      endpoint.setMode('healthy');
+      await endpoint.start();
+    });
+  };
+}
+
 /** Lets an endpoint of another service respond on the address of an endpoint. */
 const replaceEndpoint: Handler = (context, scheduled) => {
   const endpoint = findEndpoint(context, scheduled);
@@ -152,12 +175,15 @@
   return recordFaultDuring(context.record, context.now, recordedFault, async () => {
     await endpoint.crash();
     const other = await context.replaceEndpoint(endpoint);
-    await other.start();
-    await sleep(scheduled.milliseconds);
-    endpoint.unregister();
-    await sleep(scheduled.milliseconds);
-    await other.crash();
-    other.unregister();
+    const replacing = { kind: 'replacing', target: other.id };
+    await recordFaultDuring(context.record, context.now, replacing, async () => {
+      await other.start();
+      await sleep(scheduled.milliseconds);
+      endpoint.unregister();
+      await sleep(scheduled.milliseconds);
+      await other.crash();
+      other.unregister();
+    });
     await endpoint.start();
   });
 };
@@ -185,9 +211,9 @@
   );
 };
 
-const stormConfiguration: Handler = async ({ changeConfiguration }) => {
+const stormConfiguration: Handler = async ({ operator }) => {
   for (let change = 0; change < BURST_CHANGES; change += 1) {
-    changeConfiguration();
+    operator.changeConfiguration();
     await sleep(BURST_PAUSE_MILLISECONDS);
   }
 };
@@ -234,11 +260,29 @@
     store.compactHistory();
     return Promise.resolve();
   },
-  changeConfiguration: ({ changeConfiguration }) => {
-    changeConfiguration();
+  changeConfiguration: ({ operator }) => {
+    operator.changeConfiguration();
     return Promise.resolve();
   },
   stormConfiguration,
+  restoreStore: ({ store, record, now, operator, listWriters, random }, fault) =>
+    restoreStore({
+      store,
+      record,
+      now,
+      operator,
+      writers: listWriters(),
+      random,
+      awayMilliseconds: fault.milliseconds,
+      ageMilliseconds: fault.ageMilliseconds ?? 0,
+    }),
+  drainEndpoint: departEndpoint((endpoint) => {
+    endpoint.setMode('draining');
+    endpoint.register();
+  }),
+  withdrawEndpoint: departEndpoint((endpoint) => {
+    endpoint.unregister();
+  }),
 };
 
 /** Resources that a kind of fault locks, so that no other fault changes the same process or state meanwhile. */
@@ -261,6 +305,9 @@
   slowStore: 'store',
   downStore: 'store',
   losingStore: 'store',
+  restoreStore: 'store',
+  drainEndpoint: 'endpoint',
+  withdrawEndpoint: 'endpoint',
 };
 
 /** Injector of the faults of a run. */
--- a/soak/createSoakEndpoint/index.ts
+++ b/soak/createSoakEndpoint/index.ts
@@ -41,6 +41,8 @@
   | 'full'
   /** Responds, and announces its shutdown in the response. */
   | 'leaving'
+  /** Serves as usual; only its registration announces its shutdown. */
+  | 'draining'
   /** Sends each response a second time. */
   | 'twice';
 
@@ -75,6 +77,10 @@
   readonly start: () => Promise<void>;
   readonly register: () => void;
   readonly unregister: () => void;
+  /** Records that the store has accepted a registration that announces the shutdown, or the removal. */
+  readonly recordDeparture: () => void;
+  /** Writes its registration again after the store was restored; a registration that it ended lapses. */
+  readonly repeatRegistration: (delayMilliseconds: number) => Promise<void>;
   readonly close: () => Promise<void>;
 }
 
@@ -88,6 +94,8 @@
 }
 
 const SLOTS = 64;
+/** Time after which the store removes an entry that its endpoint no longer writes. */
+const LAPSE_MILLISECONDS = 1_500;
 const START_NUMBER_OFFSET = 1_000;
 const EVENT_MILLISECONDS = 40;
 const SLOW_EVENT_MILLISECONDS = 220;
@@ -100,6 +108,7 @@
 /** Maximum size of an endless response, so that a reader without a limit does not exhaust memory. */
 const MAXIMUM_ENDLESS_BYTES = 67_108_864;
 const REFUSING_MODES: ReadonlySet<EndpointMode> = new Set(['resting', 'full']);
+const DRAINING_MODES: ReadonlySet<EndpointMode> = new Set(['leaving', 'draining']);
 
 /** Returns the path of a request, taken from the last order that moved it if there was one. */
 function findCurrentPath({ request, server, attempt }: RequestContext): Hop[] {
@@ -150,6 +159,8 @@
   let link = ownLink;
   let mode: EndpointMode = 'healthy';
   let birth = 0;
+  /** Whether the endpoint's last own write was a registration. */
+  let isRegistered = false;
   let currentServer: SiteEndpoint | undefined;
 
   const recordSend = (
@@ -313,10 +324,11 @@
     void (context.kind === 'stream' ? respondStreamed(context) : respondBuffered(context));
   };
   const register = (): void => {
+    isRegistered = true;
     registerEndpoint(store, { id, address: link.address }, service, {
       zone: options.availabilityZone,
       slots: SLOTS,
-      state: mode === 'leaving' ? 'draining' : 'ready',
+      state: DRAINING_MODES.has(mode) ? 'draining' : 'ready',
       sequence: currentServer?.orders.length ?? 0,
       born: START_NUMBER_OFFSET + birth,
       route_type: options.acceleratorKind,
@@ -350,7 +362,7 @@
         id,
         // Registers the layers, because nodes that start later learn them only from the registry.
         onLayersChanged: () => {
-          register();
+          if (isRegistered) register();
         },
         handle: (request, response) => {
           const { url } = request;
@@ -373,8 +385,23 @@
     },
     register,
     unregister: () => {
+      isRegistered = false;
       store.remove(`servers/${id}`);
     },
+    recordDeparture: () => {
+      record.departures.push({ endpoint: id, birth, at: now() });
+    },
+    repeatRegistration: async (delayMilliseconds) => {
+      const writeAgain = async (): Promise<void> => {
+        await sleep(delayMilliseconds);
+        if (isRegistered && currentServer) register();
+      };
+      const lapse = async (): Promise<void> => {
+        await sleep(LAPSE_MILLISECONDS);
+        if (!isRegistered || !currentServer) store.remove(`servers/${id}`);
+      };
+      await Promise.all([writeAgain(), lapse()]);
+    },
     close: async () => {
       await crash();
       await ownLink.close();
--- a/soak/drawSchedule/index.ts
+++ b/soak/drawSchedule/index.ts
@@ -48,6 +48,10 @@
   forgetfulStore: { target: 'store', weight: 1 },
   changeConfiguration: { target: 'configuration', weight: 3 },
   stormConfiguration: { target: 'configuration', weight: 1 },
+  // Drawn by drawRestorations only.
+  restoreStore: { target: 'store', weight: 0 },
+  drainEndpoint: { target: 'endpoint', weight: 0 },
+  withdrawEndpoint: { target: 'endpoint', weight: 0 },
 } as const satisfies Record<string, { readonly target: FaultTarget; readonly weight: number }>;
 
 /** Kind of a fault. */
@@ -62,6 +66,8 @@
   readonly index: number;
   /** Duration of the fault, in milliseconds. */
   readonly milliseconds: number;
+  /** Age of the copy that the store is restored from, in milliseconds. */
+  readonly ageMilliseconds?: number;
 }
 
 /** Options of {@link drawSchedule}. */
--- a/soak/findViolations/index.ts
+++ b/soak/findViolations/index.ts
@@ -13,6 +13,9 @@
 import { checkBookings } from '../checkBookings/index.js';
 import { checkRecovery } from '../checkRecovery/index.js';
 import { checkPlannedStops } from '../checkPlannedStops/index.js';
+import { checkDepartures } from '../checkDepartures/index.js';
+import { checkRegistrations } from '../checkRegistrations/index.js';
+import { checkReturn } from '../checkReturn/index.js';
 import { checkVersions } from '../checkVersions/index.js';
 import type { Check, SoakBounds, SoakRecord, Violation } from '../types/index.js';
 
@@ -25,6 +28,7 @@
   checkPaths,
   checkBackoffs,
   checkLeaving,
+  checkDepartures,
   checkRetries,
   checkCrashingParts,
   checkHarmlessParts,
@@ -32,7 +36,9 @@
   checkExits,
   checkLeaks,
   checkVersions,
+  checkRegistrations,
   checkRecovery,
+  checkReturn,
 ];
 
 /**
--- a/soak/findViolations/test.ts
+++ b/soak/findViolations/test.ts
@@ -15,6 +15,8 @@
   attemptMilliseconds: 10_000,
   stopMilliseconds: 9_000,
   applyMilliseconds: 17_000,
+  noticeMilliseconds: 1_000,
+  registerMilliseconds: 10_000,
   drainMilliseconds: 2_000,
   retryRatio: 0.2,
   retrySlack: 2,
@@ -105,6 +107,17 @@
   { version: 1, at: 0 },
   { version: 2, at: 1_000 },
 ];
+const RESTORED = { kind: 'restored', target: 'store', from: 3_000, until: 6_000 };
+const RESTORATION = { copiedAt: 500, awayAt: 3_000, returnedAt: 4_500, rewrittenAt: 6_000 };
+/** A restoration that loses the second version before nodes have to know it. */
+const EARLY_RESTORATION = { ...RESTORATION, awayAt: 1_500 };
+const DEPARTURE = { endpoint: 'engine-0', birth: 1, at: 1_000 };
+const REGISTRATION = { node: 'node-0', birth: 1, at: 0, isRegistered: true };
+const MISSING = { ...REGISTRATION, at: 19_000, isRegistered: false };
+
+function createRequestAfterDeparture(after: number, changes: Partial<SoakRecord> = {}) {
+  return record({ ...createLaterRequests(1, after), departures: [DEPARTURE], ...changes });
+}
 
 function createRequestAfterLeaving(after: number, changes: Partial<SoakRecord> = {}): SoakRecord {
   const { attempts, sends } = createLaterRequests(1, after);
@@ -310,6 +323,62 @@
       ],
     }),
   ],
+  [
+    'an accepted configuration is in force in time and never goes back',
+    'version that the restored store had lost, and that is applied too late',
+    record({
+      versions: [VERSION],
+      writes: WRITES,
+      disturbances: [RESTORED],
+      restorations: [RESTORATION],
+    }),
+  ],
+  [
+    'an accepted configuration is in force in time and never goes back',
+    'lost version that is applied too late after the operator has written it again',
+    record({
+      versions: [{ ...VERSION, at: 23_500 }],
+      writes: WRITES,
+      disturbances: [{ ...RESTORED, from: 1_500 }],
+      restorations: [EARLY_RESTORATION],
+    }),
+  ],
+  [
+    'an accepted configuration is in force in time and never goes back',
+    'late version on a node whose last fault is longer ago than it may take',
+    record({
+      versions: [{ ...VERSION, at: 40_000 }],
+      writes: WRITES,
+      disturbances: [{ kind: 'storeLink', target: 'node-0', from: 900, until: 22_000 }],
+    }),
+  ],
+  [
+    'an endpoint that has left the registry gets nothing from a node that knows',
+    'request after the drain time',
+    createRequestAfterDeparture(2_200),
+  ],
+  [
+    'an endpoint that has left the registry gets nothing from a node that knows',
+    'request after the store was restored',
+    createRequestAfterDeparture(4_000, {
+      disturbances: [RESTORED],
+      restorations: [RESTORATION],
+    }),
+  ],
+  [
+    'a running node is registered in the store',
+    'registration that is not back after the store was restored',
+    record({
+      registrations: [REGISTRATION, MISSING],
+      disturbances: [RESTORED],
+      restorations: [RESTORATION],
+    }),
+  ],
+  [
+    'an endpoint that lives receives requests again after the store was restored',
+    'no requests after all faults',
+    record({ calmAt: 9_000, restorations: [RESTORATION] }),
+  ],
   [
     'after all faults every node serves every kind of request',
     'no answered streams',
@@ -368,6 +437,37 @@
       disturbances: [FROZEN],
     }),
   ],
+  [
+    'version that the store lost before nodes had to know it, within the time after it was written again',
+    record({
+      versions: [VERSION],
+      writes: WRITES,
+      disturbances: [{ ...RESTORED, from: 1_500 }],
+      restorations: [EARLY_RESTORATION],
+    }),
+  ],
+  ['request within the drain time of a departed endpoint', createRequestAfterDeparture(1_900)],
+  [
+    'request to a departed endpoint through a node that started after its departure',
+    createRequestAfterDeparture(2_200, {
+      disturbances: [{ kind: 'kill', target: 'node-0', from: 1_500, until: 2_500 }],
+    }),
+  ],
+  [
+    'request to an endpoint whose departure the store lost before nodes had to know it',
+    createRequestAfterDeparture(3_500, {
+      disturbances: [{ ...RESTORED, from: 1_500 }],
+      restorations: [EARLY_RESTORATION],
+    }),
+  ],
+  [
+    'missing registration shortly after the store was restored',
+    record({
+      registrations: [REGISTRATION, { ...MISSING, at: 15_000 }],
+      disturbances: [RESTORED],
+      restorations: [RESTORATION],
+    }),
+  ],
   [
     'late version on a node without a connection to the store',
     record({
--- a/soak/runSoak/index.ts
+++ b/soak/runSoak/index.ts
@@ -7,7 +7,6 @@
 import { createRandom } from '../../src/process/createRandom/index.js';
 import { serveSiteStore, type SiteStore } from '../../standins/serveSiteStore/index.js';
 import {
-  createConfiguration,
   ACCELERATOR_KIND,
   LAYERS,
   MODEL_SERVICE,
@@ -15,7 +14,9 @@
   SOAK_HOST,
   SOAK_API_KEY,
 } from '../createConfiguration/index.js';
+import { createOperator, type Operator } from '../createOperator/index.js';
 import { createNodes, type SoakNode } from '../createNodes/index.js';
+import { drawRestorations } from '../drawRestorations/index.js';
 import { createRecord } from '../createRecord/index.js';
 import { createSoakEndpoint, type SoakEndpoint } from '../createSoakEndpoint/index.js';
 import { drawSchedule, type FaultKind, type ScheduledFault } from '../drawSchedule/index.js';
@@ -23,6 +24,7 @@
 import { findViolations } from '../findViolations/index.js';
 import { createCallers, type Callers } from '../createCallers/index.js';
 import type { SoakBounds, SoakRecord, Violation } from '../types/index.js';
+import { watchRegistrations } from '../watchRegistrations/index.js';
 import { watchVersions } from '../watchVersions/index.js';
 
 /** Options of {@link runSoak}. */
@@ -31,6 +33,8 @@
   /** Time in which faults are injected, in milliseconds. */
   readonly milliseconds: number;
   readonly nodes: number;
+  /** Whether the store is restored from older copies while faults are injected; false by default. */
+  readonly restoresStore?: boolean;
   /** Path of the program that nodes run. */
   readonly program: string;
   /** Folder of the settings and logs. */
@@ -53,6 +57,8 @@
   attemptMilliseconds: 12_000,
   stopMilliseconds: 13_000,
   applyMilliseconds: 17_000,
+  noticeMilliseconds: 1_000,
+  registerMilliseconds: 10_000,
   drainMilliseconds: 2_000,
   retryRatio: 0.2,
   retrySlack: 20,
@@ -86,7 +92,9 @@
   readonly record: SoakRecord;
   readonly now: () => number;
   readonly createEndpoint: (id: string, isModel: boolean, zone: number) => Promise<SoakEndpoint>;
-  readonly changeConfiguration: () => void;
+  /** Endpoints that write to the store, also those that have replaced others. */
+  readonly writers: readonly SoakEndpoint[];
+  readonly operator: Operator;
   /** Injector of faults; present while the schedule runs. */
   readonly schedule: { injector?: FaultInjector | undefined };
 }
@@ -98,6 +106,7 @@
   const store = await serveSiteStore(0);
   lifeCycle.own({ name: 'store', close: store.close });
   const endpoints: SoakEndpoint[] = [];
+  const writers: SoakEndpoint[] = [];
   const schedule: Site['schedule'] = {};
   const createEndpoint: Site['createEndpoint'] = async (id, isModel, zone) => {
     const endpoint = await createSoakEndpoint({
@@ -119,6 +128,7 @@
       },
     });
     lifeCycle.own({ name: id, close: endpoint.close });
+    writers.push(endpoint);
     return endpoint;
   };
   for (let index = 0; index < MODEL_ENDPOINTS + PLAIN_ENDPOINTS; index += 1) {
@@ -126,12 +136,13 @@
     endpoints.push(endpoint);
     await endpoint.start();
   }
-  const changeConfiguration = (): void => {
-    const version = record.writes.length + 1;
-    store.put('op/config', createConfiguration(version, DEADLINE_MILLISECONDS));
-    record.writes.push({ version, at: now() });
-  };
-  changeConfiguration();
+  const operator = createOperator({
+    store,
+    record,
+    now,
+    timeoutMilliseconds: DEADLINE_MILLISECONDS,
+  });
+  operator.changeConfiguration();
   const nodes = await createNodes({
     count: options.nodes,
     storeAddress: store.address,
@@ -143,7 +154,7 @@
   });
   for (const node of nodes) lifeCycle.own({ name: node.name, close: node.close });
   await Promise.all(nodes.map((node) => node.start()));
-  return { store, endpoints, nodes, record, now, createEndpoint, changeConfiguration, schedule };
+  return { store, endpoints, writers, nodes, record, now, createEndpoint, operator, schedule };
 }
 
 function startCallers(site: Site, seed: number): Callers {
@@ -162,6 +173,15 @@
   });
 }
 
+/** Draws the faults of a run in the order of their starts. */
+function drawFaults(options: RunSoakOptions, nodes: number, endpoints: number): ScheduledFault[] {
+  const { seed, milliseconds, restoresStore = false } = options;
+  const faults = drawSchedule({ seed, milliseconds, nodes, endpoints });
+  if (!restoresStore) return faults;
+  const restorations = drawRestorations({ seed, milliseconds, endpoints });
+  return [...faults, ...restorations].sort((left, right) => left.at - right.at);
+}
+
 /** Records the nodes' processes at an interval; returns a function that stops it. */
 function watchProcesses(nodes: readonly SoakNode[]): () => void {
   const timer = setInterval(() => {
@@ -172,8 +192,8 @@
   };
 }
 
-async function runSchedule(site: Site, schedule: readonly ScheduledFault[]) {
-  const { endpoints, nodes, store, record, now, changeConfiguration } = site;
+async function runSchedule(site: Site, schedule: readonly ScheduledFault[], seed: number) {
+  const { endpoints, nodes, store, record, now, operator } = site;
   let replacements = 0;
   const injector = createFaultInjector({
     nodes,
@@ -181,7 +201,9 @@
     store,
     record,
     now,
-    changeConfiguration,
+    operator,
+    listWriters: () => site.writers,
+    random: createRandom(seed + 2),
     replaceEndpoint: async (endpoint) => {
       replacements += 1;
       const other = await site.createEndpoint(`other-${replacements}`, false, replacements);
@@ -208,18 +230,13 @@
  * const { violations } = await runSoak({ seed: 7, milliseconds: 30_000, nodes: 6, program, folder });
  */
 export async function runSoak(options: RunSoakOptions): Promise<SoakResult> {
-  const { seed, milliseconds, folder } = options;
+  const { seed, folder } = options;
   mkdirSync(folder, { recursive: true });
   const lifeCycle = createLifeCycle();
   try {
     const site = await startSite(options, lifeCycle);
-    const { record, nodes, now, endpoints } = site;
-    const schedule = drawSchedule({
-      seed,
-      milliseconds,
-      nodes: nodes.length,
-      endpoints: endpoints.length,
-    });
+    const { record, nodes, now, endpoints, store } = site;
+    const schedule = drawFaults(options, nodes.length, endpoints.length);
     const callers = startCallers(site, seed);
     callers.start();
     const stopProcessWatch = watchProcesses(nodes);
@@ -232,13 +249,15 @@
       callers,
       record,
     });
-    const faults = await runSchedule(site, schedule);
+    const stopRegistrationWatch = watchRegistrations({ nodes, store, record, now });
+    const faults = await runSchedule(site, schedule, seed);
     await sleep(RECOVERY_MILLISECONDS);
     record.calmAt = now();
     await sleep(FAULT_FREE_MILLISECONDS);
     await Promise.all([callers.stop(), stopVersionWatch()]);
     await sleep(CONNECTION_CLOSE_MILLISECONDS);
     stopProcessWatch();
+    stopRegistrationWatch();
     for (const node of nodes) node.recordProcess();
     await Promise.all(nodes.map((node) => node.stop()));
     return { violations: findViolations(record, SOAK_BOUNDS), record, schedule, faults };
--- a/soak/serveDefectiveNode/index.ts
+++ b/soak/serveDefectiveNode/index.ts
@@ -3,6 +3,12 @@
  * detect the violation.
  */
 import { createServer, request, type IncomingMessage, type ServerResponse } from 'node:http';
+import {
+  createDefectiveFollower,
+  type DefectiveFollower,
+  type FollowerDefect,
+} from '../createDefectiveFollower/index.js';
+import { findVersionPath } from '../createConfiguration/index.js';
 import type { SoakEndpoint } from '../createSoakEndpoint/index.js';
 import { listenOnLoopback } from '../../standins/listenOnLoopback/index.js';
 
@@ -30,6 +36,8 @@
   readonly plain: SoakEndpoint;
   readonly model: SoakEndpoint;
   readonly now: () => number;
+  /** Store to follow, and defect of that; by default, the node uses its endpoints without asking a store. */
+  readonly followed?: { readonly address: string; readonly defect: FollowerDefect };
 }
 
 /** Running defective node. */
@@ -46,6 +54,7 @@
 
 const SENDS_PER_REQUEST = 4;
 const FAILED_STATUS = 502;
+const VERSION_PATH_PREFIX = '/version-';
 const EVENT_SEPARATOR = '\n\n';
 
 /** Changes that defects make to response bodies. */
@@ -58,6 +67,12 @@
     body.split(EVENT_SEPARATOR).slice(0, 2).join(EVENT_SEPARATOR) + EVENT_SEPARATOR,
 };
 
+/** Returns whether a request uses a route that the followed configuration does not have. */
+function hasNoRoute(path: string | undefined, follower: DefectiveFollower | undefined): boolean {
+  if (!follower || path?.startsWith(VERSION_PATH_PREFIX) !== true) return false;
+  return !path.startsWith(findVersionPath(follower.getVersion()));
+}
+
 function send(
   endpoint: SoakEndpoint,
   incoming: IncomingMessage,
@@ -110,12 +125,14 @@
 export async function serveDefectiveNode(
   options: ServeDefectiveNodeOptions,
 ): Promise<DefectiveNode> {
-  const { defect, plain, model, now } = options;
+  const { defect, plain, model, now, followed } = options;
+  const follower = followed && createDefectiveFollower(followed.address, followed.defect);
   const backoffUntil = new Map<SoakEndpoint, number>();
   const leaving = new Set<SoakEndpoint>();
   const path = defect === 'omitsLayers' ? 'ENDPOINT=0-3' : 'ENDPOINT=0-4';
 
   const isAvoided = (endpoint: SoakEndpoint): boolean =>
+    follower?.isAvailable(endpoint.id) === false ||
     (defect !== 'ignoresBackoff' && (backoffUntil.get(endpoint) ?? 0) > now()) ||
     (defect !== 'ignoresLeaving' && leaving.has(endpoint));
   const recordResponse = (endpoint: SoakEndpoint, { status, headers }: EndpointResponse): void => {
@@ -128,6 +145,10 @@
     return defect === 'runsTwice' && method === 'POST' ? 2 : 1;
   };
   const serve = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
+    if (hasNoRoute(incoming.url, follower)) {
+      response.writeHead(404).end();
+      return;
+    }
     const isStream = incoming.url?.startsWith('/ask/') === true;
     const endpoint = isStream ? model : plain;
     if (isAvoided(endpoint)) {
@@ -160,12 +181,14 @@
   const address = await listenOnLoopback(server);
   return {
     address,
-    close: () =>
-      new Promise((resolve) => {
+    close: async () => {
+      await new Promise<void>((resolve) => {
         server.close(() => {
           resolve();
         });
         server.closeAllConnections();
-      }),
+      });
+      await follower?.close();
+    },
   };
 }
--- a/soak/serveDefectiveNode/test.ts
+++ b/soak/serveDefectiveNode/test.ts
@@ -19,6 +19,10 @@
 import { findViolations } from '../findViolations/index.js';
 import { createCallers } from '../createCallers/index.js';
 import { SOAK_BOUNDS } from '../runSoak/index.js';
+import type { FollowerDefect } from '../createDefectiveFollower/index.js';
+import { createOperator } from '../createOperator/index.js';
+import { restoreStore } from '../restoreStore/index.js';
+import { watchVersions } from '../watchVersions/index.js';
 import { serveDefectiveNode, type Defect } from './index.js';
 
 const ATTEMPT_MILLISECONDS = 1_500;
@@ -34,6 +38,16 @@
   retrySlack: 2,
   contactMilliseconds: 300,
 };
+const RESTORATION_BOUNDS = {
+  ...BOUNDS,
+  noticeMilliseconds: 300,
+  drainMilliseconds: 300,
+  applyMilliseconds: 700,
+};
+const COPY_AGE_MILLISECONDS = 200;
+/** Changes that the restoration loses; more than the writers write again. */
+const LOST_CHANGES = 8;
+const PROBE_MILLISECONDS = 500;
 /** Time for which an endpoint is down after a crash. */
 const CRASHED_MILLISECONDS = 60;
 
@@ -46,6 +60,76 @@
   readonly crashingShare?: number;
 }
 
+/**
+ * Runs callers against a node that follows a store, which is restored from a copy: from before its last configurations
+ * and before an endpoint announced its shutdown. Returns the promises that the checks report as broken.
+ */
+async function findBrokenAfterRestoration(followerDefect: FollowerDefect): Promise<string[]> {
+  const record = createRecord();
+  const now = (): number => performance.now();
+  const store = await serveSiteStore(0);
+  const common = { availabilityZone: 'zone-1', events: BOUNDS.events, store, record, now };
+  const plain = await createSoakEndpoint({
+    ...common,
+    id: 'plain-0',
+    service: PLAIN_SERVICE,
+    acceleratorKind: undefined,
+    isServing: () => true,
+  });
+  const model = await createSoakEndpoint({
+    ...common,
+    id: 'engine-0',
+    service: MODEL_SERVICE,
+    acceleratorKind: ACCELERATOR_KIND,
+    isServing: () => true,
+  });
+  const writers = [plain, model];
+  for (const writer of writers) await writer.start();
+  const timeoutMilliseconds = ATTEMPT_MILLISECONDS;
+  const operator = createOperator({ store, record, now, timeoutMilliseconds });
+  operator.changeConfiguration();
+  const followed = { address: store.address, defect: followerDefect };
+  const node = await serveDefectiveNode({ defect: 'none', plain, model, now, followed });
+  const target = { node: 'node-0', address: node.address };
+  const callers = createCallers({
+    targets: [target],
+    record,
+    now,
+    random: createRandom(5),
+    host: SOAK_HOST,
+    apiKey: SOAK_API_KEY,
+    count: CALLERS,
+    deadlineMilliseconds: ATTEMPT_MILLISECONDS,
+    attemptMilliseconds: ATTEMPT_MILLISECONDS,
+  });
+  callers.start();
+  const nodes = [{ ...target, getStartNumber: () => 1 }];
+  const stopVersionWatch = watchVersions({ nodes, callers, record });
+  await sleep(COPY_AGE_MILLISECONDS);
+  const copiedAt = now();
+  for (let change = 0; change < LOST_CHANGES; change += 1) operator.changeConfiguration();
+  model.setMode('draining');
+  model.register();
+  model.recordDeparture();
+  await sleep(RESTORATION_BOUNDS.noticeMilliseconds + COPY_AGE_MILLISECONDS);
+  await restoreStore({
+    store,
+    record,
+    now,
+    operator,
+    writers,
+    random: () => 0.9,
+    awayMilliseconds: 200,
+    ageMilliseconds: now() - copiedAt + COPY_AGE_MILLISECONDS / 2,
+  });
+  operator.changeConfiguration();
+  await sleep(RESTORATION_BOUNDS.applyMilliseconds + 3 * PROBE_MILLISECONDS);
+  await Promise.all([callers.stop(), stopVersionWatch()]);
+  await node.close();
+  await Promise.all([plain.close(), model.close(), store.close()]);
+  return [...new Set(findViolations(record, RESTORATION_BOUNDS).map(({ promise }) => promise))];
+}
+
 /** Runs callers against a defective node and returns the promises that the checks report as broken. */
 async function findBrokenPromises({
   defect,
@@ -140,6 +224,26 @@
   });
 }
 
+const CONFIGURATION_PROMISE = 'an accepted configuration is in force in time and never goes back';
+const FOLLOWER_DEFECTS: readonly (readonly [FollowerDefect, string])[] = [
+  ['trustsRevisions', CONFIGURATION_PROMISE],
+  ['revertsConfiguration', CONFIGURATION_PROMISE],
+  [
+    'forgetsDepartures',
+    'an endpoint that has left the registry gets nothing from a node that knows',
+  ],
+];
+
+for (const [defect, promise] of FOLLOWER_DEFECTS) {
+  test(`detects a node that ${defect} when the store was restored from an older copy`, async () => {
+    assert.deepEqual(await findBrokenAfterRestoration(defect), [promise]);
+  });
+}
+
+test('reports no violation for a node that follows a restored store without a defect', async () => {
+  assert.deepEqual(await findBrokenAfterRestoration('none'), []);
+});
+
 for (const mode of ['healthy', 'resting', 'leaving', 'full', 'breaksOff'] as const) {
   test(`reports no violation for a node without a defect when endpoints are in mode ${mode}`, async () => {
     const broken = await findBrokenPromises({
--- a/soak/types/index.ts
+++ b/soak/types/index.ts
@@ -108,6 +108,32 @@
   readonly at: number;
 }
 
+/** Restoration of the store from a copy. */
+export interface StoreRestoration {
+  /** Writes after this time are lost. */
+  readonly copiedAt: number;
+  readonly awayAt: number;
+  /** When the store responded again. */
+  readonly returnedAt: number;
+  /** When the store had the last accepted configuration again, or a later one. */
+  readonly rewrittenAt: number;
+}
+
+/** Entry of an endpoint that stopped being available, as the store accepted it. */
+export interface EndpointDeparture {
+  readonly endpoint: string;
+  readonly birth: number;
+  readonly at: number;
+}
+
+/** Whether the store had the registration of a running node. */
+export interface RegistrationObservation {
+  readonly node: string;
+  readonly birth: number;
+  readonly at: number;
+  readonly isRegistered: boolean;
+}
+
 /** Open files and memory of a node's process at one time. */
 export interface ProcessObservation {
   readonly node: string;
@@ -138,6 +164,9 @@
   readonly disturbances: InjectedFault[];
   readonly writes: ConfigurationWrite[];
   readonly versions: VersionObservation[];
+  readonly restorations: StoreRestoration[];
+  readonly departures: EndpointDeparture[];
+  readonly registrations: RegistrationObservation[];
   readonly processes: ProcessObservation[];
   readonly ends: ProcessExit[];
   /** End of the recovery time after the last fault; undefined in a run without recovery time. */
@@ -155,6 +184,10 @@
   readonly stopMilliseconds: number;
   /** Time in which nodes have to apply an accepted configuration, in milliseconds. */
   readonly applyMilliseconds: number;
+  /** Time after which a node without faults knows what the store accepted, in milliseconds. */
+  readonly noticeMilliseconds: number;
+  /** Time in which a node without faults has to be registered, in milliseconds. */
+  readonly registerMilliseconds: number;
   /** Time after a shutdown notice in which requests may still reach the endpoint, in milliseconds. */
   readonly drainMilliseconds: number;
   /** Maximum repeated sends in a window: a ratio of the callers' attempts, plus a fixed slack. */
--- a/soak/watchVersions/index.ts
+++ b/soak/watchVersions/index.ts
@@ -20,7 +20,7 @@
 
 const PROBE_MILLISECONDS = 500;
 /** Number of versions up to the newest one that a probe tries. */
-const MAXIMUM_PROBED_VERSIONS = 8;
+const MAXIMUM_PROBED_VERSIONS = 40;
 const NO_ROUTE_STATUS = 404;
 
 /**
