Give soaks that run at the same time different loopback addresses

Seen: two soaks at once reported "it was answered but did not run" for over a hundred bookings, and their nodes' logs "bind EADDRINUSE", because nodes of one run took addresses of the other's. Cause: the range of addresses was the process number modulo the number of ranges, which two processes can share. Evidence: bench/spawnNode/test.ts starts two processes whose numbers name the same range; both got 127.69.20.1 before, and different addresses now. Why it works: a process claims its range by listening on one of its addresses until it exits, and takes the next range when that address is in use.

--- a/bench/spawnNode/index.ts
+++ b/bench/spawnNode/index.ts
@@ -5,6 +5,7 @@
 import { openSync, closeSync, readFileSync, readdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { createNodeSettings } from '../../standins/servePlatformSite/index.js';
+import { claimLoopbackRange } from '../claimLoopbackRange/index.js';
 import { fetchStatus } from '../fetchStatus/index.js';
 import { sleep } from '../sleep/index.js';
 
@@ -53,11 +54,6 @@
 const PEER_PORT = 7_340;
 const NODES_PER_NETWORK = 200;
 const FIRST_NETWORK = 20;
-/**
- * Second octet of the loopback addresses; it differs between processes, so that runs can overlap.
- */
-const FIRST_RANGE = 64;
-const RANGES = 128;
 const READY_CHECK_MILLISECONDS = 50;
 const READY_TIMEOUT_MILLISECONDS = 60_000;
 const CLOCK_TICKS_PER_SECOND = 100;
@@ -74,15 +70,15 @@
 
 /**
  * Computes the loopback address of a node of this process. Each node has its own, so that all can
- * use the same ports.
+ * use the same ports. Processes have different ranges, so that runs can overlap.
  *
  * @param index - index of the node, from 0
  * @returns the address
  * @example
- * computeLoopbackAddress(0); // '127.77.20.1' in a process whose range is 77
+ * await computeLoopbackAddress(0); // '127.77.20.1' in a process whose range is 77
  */
-export function computeLoopbackAddress(index: number): string {
-  const range = FIRST_RANGE + (process.pid % RANGES);
+export async function computeLoopbackAddress(index: number): Promise<string> {
+  const range = await claimLoopbackRange();
   const network = FIRST_NETWORK + Math.floor(index / NODES_PER_NETWORK);
   return `127.${range}.${network}.${1 + (index % NODES_PER_NETWORK)}`;
 }
--- a/bench/spawnNode/test.ts
+++ b/bench/spawnNode/test.ts
@@ -19,6 +19,14 @@
 setInterval(() => undefined, 1_000);
 `;
 
+/** Computes an address in a process that has the given process number modulo the number of ranges. */
+const COMPUTER = `
+Object.defineProperty(process, 'pid', { value: 128 * Number(process.argv.at(-1)) + 5 });
+const { computeLoopbackAddress } = await import('./bench/spawnNode/index.js');
+console.log(await computeLoopbackAddress(0));
+setInterval(() => undefined, 1_000);
+`;
+
 function isRunning(processId: number): boolean {
   try {
     return process.kill(processId, 0);
@@ -51,3 +59,21 @@
   rmSync(folder, { recursive: true });
   assert.ok(!isLeft);
 });
+
+test('gives two processes whose numbers name the same range different loopback addresses', async () => {
+  const command = ['--import', 'tsx', '--input-type=module', '-e', COMPUTER];
+  const computers = [1, 2].map((index) =>
+    spawn(process.execPath, [...command, String(index)], { stdio: ['ignore', 'pipe', 'inherit'] }),
+  );
+  const readLine = (computer: (typeof computers)[number]): Promise<string> =>
+    new Promise((resolve) => {
+      computer.stdout.once('data', (text: Buffer) => {
+        resolve(text.toString().trim());
+      });
+    });
+  const [first, second] = await Promise.all(computers.map(readLine));
+  for (const computer of computers) computer.kill('SIGKILL');
+  assert.match(first ?? '', /^127\.\d+\.20\.1$/);
+  assert.match(second ?? '', /^127\.\d+\.20\.1$/);
+  assert.notEqual(first, second);
+});
--- a/bench/spawnPlatform/index.ts
+++ b/bench/spawnPlatform/index.ts
@@ -45,10 +45,13 @@
   const { program = 'target/marjoramcleat-platform.cjs' } = options;
   const folder = mkdtempSync(join(tmpdir(), 'marjoramcleat-nodes-'));
   const { storeAddress, close } = await servePlatformSite({ endpoints, events });
-  const seeds = Array.from({ length: SEEDS }, (_, seed) => computeLoopbackAddress(seed));
-  const spawned = Array.from({ length: nodes }, (_, index) =>
-    spawnNode({ index, host: computeLoopbackAddress(index), storeAddress, seeds, folder, program }),
+  const hosts = await Promise.all(
+    Array.from({ length: Math.max(nodes, SEEDS) }, (_, index) => computeLoopbackAddress(index)),
   );
+  const seeds = hosts.slice(0, SEEDS);
+  const spawned = hosts
+    .slice(0, nodes)
+    .map((host, index) => spawnNode({ index, host, storeAddress, seeds, folder, program }));
   await Promise.all(spawned.map((node) => node.waitUntilReady()));
   let requestCount = 0;
   return {
--- a/soak/createNodes/index.ts
+++ b/soak/createNodes/index.ts
@@ -58,7 +58,9 @@
   const name = `node-${index}`;
   const callerLink = await createProxy(undefined);
   const storeLink = await createProxy(storeAddress);
-  const seeds = Array.from({ length: SEEDS }, (_, seed) => computeLoopbackAddress(seed));
+  const seeds = await Promise.all(
+    Array.from({ length: SEEDS }, (_, seed) => computeLoopbackAddress(seed)),
+  );
   let hostIndex = index;
   let birth = 0;
   let node: SpawnedNode | undefined;
@@ -95,7 +97,7 @@
       if (getRunningNode()) return;
       birth += 1;
       const logFile = join(folder, `${name}.log`);
-      const host = computeLoopbackAddress(hostIndex);
+      const host = await computeLoopbackAddress(hostIndex);
       const common = { index, host, seeds, folder, program, logFile, settings: SETTINGS };
       node = spawnNode({ ...common, storeAddress: storeLink.address });
       callerLink.retarget(node.callerAddress);
