Do not pass on requests whose callers have left before they were read

Cause: a node that is behind reads a request late. The end of its connection is read one turn of the event loop after the request, when the request has been sent to an endpoint already.

Evidence: a connection that was closed before the node read from it; both tests fail before (1 request relayed instead of 0).

Change: the handler lets the event loop take two turns before it passes a request on, and drops those whose connection has ended (counter abandoned_requests).

--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -56,6 +56,18 @@
   noMemory: { code: 'overloaded', retryAfterSeconds: NO_MEMORY_RETRY_SECONDS },
 };
 
+/**
+ * Resolves when what has arrived on all connections is read: the event loop reads the end of a connection
+ * one turn after the bytes before it.
+ */
+function waitForPendingReads(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(() => {
+      setImmediate(resolve);
+    });
+  });
+}
+
 /** Bytes of one header line in addition to its name and value: colon, space, CR and LF. */
 const HEADER_SEPARATOR_BYTES = 4;
 
@@ -98,7 +110,7 @@
   ): Promise<void> => {
     const arrivedAt = now();
     const callerResponse = createCallerResponse(response);
-    const isDisconnected = (): boolean => response.destroyed;
+    const isDisconnected = (): boolean => response.destroyed || incoming.socket.readableEnded;
     const refuse = (code: ResultCodeName, retryAfterSeconds?: number): void => {
       // On a kept connection the unread bytes of the body would be parsed as the next request.
       const closes = !incoming.complete;
@@ -131,6 +143,12 @@
         refuse(code, retryAfterSeconds);
         return;
       }
+      // A busy node reads late; the end of a connection that its caller gave up is then read next.
+      await waitForPendingReads();
+      if (isDisconnected()) {
+        metrics.count('abandoned_requests');
+        return;
+      }
       const forwarded = { method, url, rawHeaders, body: outcome.body };
       await relay.run({
         admitted: admission,
--- a/src/process/relay/createCallerHandler/test.ts
+++ b/src/process/relay/createCallerHandler/test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { createServer, type IncomingHttpHeaders } from 'node:http';
 import { once } from 'node:events';
-import type { AddressInfo } from 'node:net';
+import { connect, type AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import { createSiteProtocol } from '../../../../platform/createSiteProtocol/index.js';
 import type { CallerResponse } from '../../../types/relay/index.js';
@@ -74,3 +74,30 @@
   assert.equal(served.handler.countOpen(), 0);
   served.close();
 });
+
+/** Keeps the process from reading, so that all bytes of its connections arrive before it does. */
+function blockReads(milliseconds: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
+for (const method of ['GET', 'POST']) {
+  test(`a ${method} request whose caller has left before it was read does not reach an endpoint`, async () => {
+    let relayed = 0;
+    const served = await serveFailingRelay(() => {
+      relayed += 1;
+      throw new Error('internal');
+    });
+    const { port, hostname } = new URL(served.url);
+    const socket = connect(Number(port), hostname);
+    await once(socket, 'connect');
+    socket.end(`${method} / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n`);
+    await Promise.resolve();
+    blockReads(50);
+    socket.destroy();
+    blockReads(50);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    assert.equal(relayed, 0);
+    assert.ok(served.counted.some((name) => name.startsWith('abandoned_requests')));
+    served.close();
+  });
+}
