Count a pipelined request as closed with its connection

What operators saw: a stop that takes the whole grace period, and lines request-unanswered for requests that had ended.

Cause: a pipelined response that never got its connection is not closed by the runtime, and stayed among the open requests since these end when their response is closed.

Evidence: two pipelined requests whose caller leaves; the test fails before (still open after 2 s).

Change: a request also ends with its connection.

--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -167,9 +167,13 @@
       const caller = headerTranslator.parseRequestHeaders(incoming.headers);
       const openRequest = { attempt: caller.attempt, arrivedAt: now(), response };
       openRequests.add(openRequest);
-      response.once('close', () => {
+      const endRequest = (): void => {
         openRequests.delete(openRequest);
-      });
+        incoming.socket.off('close', endRequest);
+      };
+      response.once('close', endRequest);
+      // A pipelined response that never got the connection is not closed with it.
+      incoming.socket.once('close', endRequest);
       if (isLeaving()) response.setHeader('Connection', 'close');
       serve(incoming, response, caller).catch((error: unknown) => {
         logger.log('request-crashed', { reason: describeError(error) });
--- a/src/process/relay/createCallerHandler/test.ts
+++ b/src/process/relay/createCallerHandler/test.ts
@@ -8,8 +8,8 @@
 import type { Relay } from '../createRelay/index.js';
 import { createCallerHandler } from './index.js';
 
-/** Serves requests whose relay fails with an internal error. */
-async function serveFailingRelay(fail: (response: CallerResponse) => never) {
+/** Serves requests with a relay that never ends one by itself. */
+async function serveRelay(relayRequest: (response: CallerResponse) => void) {
   const counted: string[] = [];
   const relay = {
     waitForStart: () => Promise.resolve(),
@@ -19,7 +19,10 @@
         configuration: { limits: { bodyBytes: 1_000, headerTimeoutMilliseconds: 1_000 } },
       },
     }),
-    run: ({ response }: { readonly response: CallerResponse }) => new Promise(() => fail(response)),
+    run: ({ response }: { readonly response: CallerResponse }) =>
+      new Promise(() => {
+        relayRequest(response);
+      }),
   };
   const handler = createCallerHandler({
     relay: relay as unknown as Relay,
@@ -52,7 +55,7 @@
 }
 
 test('a request that fails with an internal error gets a final response', async () => {
-  const served = await serveFailingRelay(() => {
+  const served = await serveRelay(() => {
     throw new Error('internal');
   });
   const response = await fetch(served.url);
@@ -63,7 +66,7 @@
 });
 
 test('a response that an internal error interrupts does not look complete', async () => {
-  const served = await serveFailingRelay((response) => {
+  const served = await serveRelay((response) => {
     response.begin(200, []);
     response.write(Buffer.from('half'));
     throw new Error('internal');
@@ -75,6 +78,15 @@
   served.close();
 });
 
+/** Waits until a condition holds; throws after two seconds. */
+async function waitUntil(condition: () => boolean): Promise<void> {
+  const until = performance.now() + 2_000;
+  while (!condition()) {
+    assert.ok(performance.now() < until, 'condition not met within 2 s');
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+}
+
 /** Keeps the process from reading, so that all bytes of its connections arrive before it does. */
 function blockReads(milliseconds: number): void {
   Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
@@ -83,7 +95,7 @@
 for (const method of ['GET', 'POST']) {
   test(`a ${method} request whose caller has left before it was read does not reach an endpoint`, async () => {
     let relayed = 0;
-    const served = await serveFailingRelay(() => {
+    const served = await serveRelay(() => {
       relayed += 1;
       throw new Error('internal');
     });
@@ -101,3 +113,17 @@
     served.close();
   });
 }
+
+test('a pipelined request whose caller has left does not count as open', async () => {
+  const served = await serveRelay((response) => {
+    response.begin(200, []);
+  });
+  const { port, hostname } = new URL(served.url);
+  const socket = connect(Number(port), hostname);
+  const request = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
+  socket.write(request + request);
+  await waitUntil(() => served.handler.countOpen() === 2);
+  socket.destroy();
+  await waitUntil(() => served.handler.countOpen() === 0);
+  served.close();
+});
