Execute no request on a connection that has been answered as late

What callers saw: 408, which promises that a request was not executed, for one that a node passed on to an endpoint, whose response was dropped.

Cause: after the response to a parser error or a header timeout only the writing side of the connection was closed; a request that arrived then (after a freeze, or a slow start) was handled as usual.

Evidence: a request written after such a 408; the test fails before (1 request handled instead of 0).

Change: such a connection admits no request, on both listeners.

--- a/src/process/runtime/createParserErrorResponder/index.ts
+++ b/src/process/runtime/createParserErrorResponder/index.ts
@@ -8,8 +8,11 @@
 
 /** Responder to invalid bytes, for the connections of one server. */
 export interface ParserErrorResponder {
-  /** Tracks a request as open until its response has ended. */
-  readonly track: (request: IncomingMessage, response: ServerResponse) => void;
+  /**
+   * Tracks a request as open until its response has ended; returns false, and closes the connection,
+   * when its response has already been sent as that to an error.
+   */
+  readonly admit: (request: IncomingMessage, response: ServerResponse) => boolean;
   /** Responds to an error of the HTTP parser, and closes the connection. */
   readonly respond: (error: NodeJS.ErrnoException, socket: Duplex) => void;
 }
@@ -33,16 +36,23 @@
  */
 export function createParserErrorResponder(): ParserErrorResponder {
   const openRequests = new WeakMap<Duplex, Set<IncomingMessage>>();
+  /** Connections whose caller has a response that may promise that its request was not executed. */
+  const endedConnections = new WeakSet<Duplex>();
   const hasCompleteRequest = (socket: Duplex): boolean =>
     [...(openRequests.get(socket) ?? [])].some(({ complete }) => complete);
   return {
-    track: (request, response) => {
+    admit: (request, response) => {
+      if (endedConnections.has(request.socket)) {
+        request.socket.destroy();
+        return false;
+      }
       const requests = openRequests.get(request.socket) ?? new Set();
       openRequests.set(request.socket, requests);
       requests.add(request);
       response.once('close', () => {
         requests.delete(request);
       });
+      return true;
     },
     respond: (error, socket) => {
       if (!socket.writable || hasCompleteRequest(socket)) {
@@ -58,6 +68,7 @@
         `Content-Length: ${Buffer.byteLength(body)}`,
         'Connection: close',
       ];
+      endedConnections.add(socket);
       socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
     },
   };
--- a/src/process/runtime/listenHttp/index.ts
+++ b/src/process/runtime/listenHttp/index.ts
@@ -82,8 +82,7 @@
   const server = createServer({
     ...options,
     onRequest: (request, response) => {
-      parserErrors.track(request, response);
-      options.onRequest(request, response);
+      if (parserErrors.admit(request, response)) options.onRequest(request, response);
     },
   });
   server.on('clientError', parserErrors.respond);
--- a/src/process/site/createSiteServers/index.ts
+++ b/src/process/site/createSiteServers/index.ts
@@ -36,8 +36,7 @@
   const parserErrors = createParserErrorResponder();
   const limits = { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true };
   const server = createServer(limits, (incoming, response) => {
-    parserErrors.track(incoming, response);
-    handle(incoming, response);
+    if (parserErrors.admit(incoming, response)) handle(incoming, response);
   });
   server.maxConnections = MAXIMUM_CALLER_CONNECTIONS;
   server.on('clientError', parserErrors.respond);
--- a/tests/callerListener.test.ts
+++ b/tests/callerListener.test.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { connect, type AddressInfo } from 'node:net';
+import { connect, type AddressInfo, type Socket } from 'node:net';
 import test from 'node:test';
 import { createLifeCycle } from '../src/process/createLifeCycle/index.js';
 import { listenHttp } from '../src/process/runtime/listenHttp/index.js';
@@ -67,3 +67,26 @@
   assert.equal(received, '');
   server.close();
 });
+
+test('a request that arrives after its connection was refused as late is not executed', async () => {
+  let accepted = 0;
+  const server = createCallerServer((_, response) => {
+    accepted += 1;
+    response.end();
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  server.once('connection', (connection: Socket) => {
+    server.emit('clientError', { code: 'ERR_HTTP_REQUEST_TIMEOUT' }, connection);
+  });
+  const { port } = server.address() as AddressInfo;
+  const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true });
+  socket.on('error', () => undefined);
+  const [received] = (await once(socket, 'data')) as [Buffer];
+  assert.match(received.toString(), /^HTTP\/1.1 408 /);
+  socket.write('POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n');
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  assert.equal(accepted, 0);
+  server.close();
+  server.closeAllConnections();
+});
