Do not cut a complete response for an internal error after its end

What callers saw: a response that ends in its middle.

Cause: whatever threw in the handler of a request, its connection was destroyed, also with bytes of a complete response still in it.

Evidence: a relay that throws after it has ended a response of 8 MB; the test fails before ('terminated').

--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -177,6 +177,8 @@
       if (isLeaving()) response.setHeader('Connection', 'close');
       serve(incoming, response, caller).catch((error: unknown) => {
         logger.log('request-crashed', { reason: describeError(error) });
+        // A complete response that is still being sent reaches its caller.
+        if (response.writableEnded) return;
         if (response.headersSent) {
           recordUnanswered(openRequest, 'crashed');
           response.destroy();
--- a/src/process/relay/createCallerHandler/test.ts
+++ b/src/process/relay/createCallerHandler/test.ts
@@ -8,6 +8,9 @@
 import type { Relay } from '../createRelay/index.js';
 import { createCallerHandler } from './index.js';
 
+/** More than the operating system takes at once. */
+const LARGE_BODY_BYTES = 8_000_000;
+
 /** Serves requests with a relay that never ends one by itself. */
 async function serveRelay(relayRequest: (response: CallerResponse) => void) {
   const counted: string[] = [];
@@ -127,3 +130,14 @@
   await waitUntil(() => served.handler.countOpen() === 0);
   served.close();
 });
+
+test('an internal error after the end of a response does not cut it', async () => {
+  const served = await serveRelay((response) => {
+    response.begin(200, []);
+    response.end(Buffer.alloc(LARGE_BODY_BYTES));
+    throw new Error('internal');
+  });
+  const body = await (await fetch(served.url)).arrayBuffer();
+  assert.equal(body.byteLength, LARGE_BODY_BYTES);
+  served.close();
+});
