--- a/src/process/relay/createStopSignal/index.ts
+++ b/src/process/relay/createStopSignal/index.ts
@@ -15,11 +15,12 @@
 /**
  * Creates a signal that is not raised.
  *
+ * @param onFailure - called with what a callback throws; the other callbacks are called all the same
  * @returns the signal
  * @example
- * createStopSignal().isRaised(); // false
+ * createStopSignal(console.error).isRaised(); // false
  */
-export function createStopSignal(): StopSignal {
+export function createStopSignal(onFailure: (error: unknown) => void): StopSignal {
   const callbacks = new Set<() => void>();
   let isRaised = false;
   return {
@@ -33,7 +34,13 @@
     raise: () => {
       if (isRaised) return;
       isRaised = true;
-      for (const callback of [...callbacks]) callback();
+      for (const callback of [...callbacks]) {
+        try {
+          callback();
+        } catch (error) {
+          onFailure(error);
+        }
+      }
     },
   };
 }
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -7,6 +7,7 @@
 import type { EndpointPort } from '../../../types/relay/index.js';
 import type { NodeRecord } from '../../../types/site/index.js';
 import type { Store } from '../../../types/store/index.js';
+import { describeError } from '../../describeError/index.js';
 import { createRandom } from '../../createRandom/index.js';
 import { hashText } from '../../hashRendezvous/index.js';
 import { parseJson } from '../../parseJson/index.js';
@@ -137,7 +138,9 @@
   const metrics = createRelayMetrics();
   const { onConfiguration } = options;
   const lostListeners = createLostListeners();
-  const stopSignal = createStopSignal();
+  const stopSignal = createStopSignal((error) => {
+    logger.log('request-crashed', { reason: describeError(error) });
+  });
   const configurationGate = createStartGate({ clock });
   const coverageGate = createStartGate({ clock });
   const startServing = (): void => {
