--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -197,6 +197,7 @@
       follower.applyChanges({ after, revision, items: decoded, isShortened });
     },
   });
+  const nodeKey = `${NODE_KEY_PREFIX}${self.name}`;
   const applyItem = (key: string, text: string | undefined, origin: ItemOrigin): void => {
     const source = origin === 'restored' ? 'restored' : 'store';
     if (key.startsWith(keys.endpointPrefix)) {
@@ -204,7 +205,7 @@
       if (text === undefined && follower.isStable()) exchange.recordDeregistration(id);
       state.applyEndpoint(id, text, source);
     } else if (text === undefined) {
-      return;
+      if (key === nodeKey) registration.recordRemoval();
     } else if (key === keys.configuration) {
       state.applyConfiguration(text, source);
     } else if (key.startsWith(NODE_KEY_PREFIX)) {
@@ -255,9 +256,10 @@
       .listAlive()
       .filter(({ availabilityZone }) => availabilityZone === self.availabilityZone)
       .map(({ name }) => name);
-  const registration = createNodeRegistration({
+  const registration: NodeRegistration = createNodeRegistration({
     store,
-    key: `${NODE_KEY_PREFIX}${self.name}`,
+    logger,
+    key: nodeKey,
     getValue: () => JSON.stringify(self),
     shouldRegister: () => isIntroducer(self.name, listZonePeers()),
   });
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -67,6 +67,11 @@
     'The store was restored from an older copy; all items are read again.',
     { revision, newRevision: number('revision at which all items were read again') },
   ),
+  registered: define('info', 'The node wrote its item in the store, by which new nodes find it.', {
+    cause: z
+      .enum(['new', 'expired', 'restored', 'missing'])
+      .describe('no item before; its lease expired; the store was restored; the item disappeared'),
+  }),
   'store-history-gone': define(
     'warn',
     'The history of the store was compacted; all items are read again.',
