--- a/src/commands/status/index.ts
+++ b/src/commands/status/index.ts
@@ -27,9 +27,10 @@
 /** Prints the status of a site node, which is a node that the platform starts. */
 function printSiteStatus(status: SiteStatus): void {
   const { node, version, isStoreReachable, storeRevision, isPlanner, loadAge } = status;
+  const { storeEra = 0 } = status;
   const store = isStoreReachable ? 'reachable' : 'unreachable';
   process.stdout.write(
-    `${node}: configuration ${version}, store ${store} at revision ${storeRevision}, ` +
+    `${node}: configuration ${version}, store ${store} at revision ${storeRevision} of era ${storeEra}, ` +
       `planner ${isPlanner ? 'on this node' : 'on another node'}, last load report of another node ${loadAge} ms ago\n\n`,
   );
   printSection('Nodes', status.nodes);
--- a/src/process/site/describeSite/index.ts
+++ b/src/process/site/describeSite/index.ts
@@ -69,6 +69,8 @@
   version: z.number(),
   isStoreReachable: z.boolean(),
   storeRevision: z.number(),
+  /** How often the store was restored from an older copy; absent from nodes of earlier versions. */
+  storeEra: z.number().optional(),
   isPlanner: z.boolean(),
   /** Milliseconds since the last load report of another node. */
   loadAge: z.number(),
@@ -144,6 +146,7 @@
     version: state.getVersion(),
     isStoreReachable: follower.isReachable(),
     storeRevision: follower.getRevision(),
+    storeEra: follower.getEra(),
     isPlanner: planner.isPlanner(),
     loadAge: Math.round(exchange.readLoadAge()),
     nodes: exchange.peers
--- a/src/process/site/formatGauges/index.ts
+++ b/src/process/site/formatGauges/index.ts
@@ -38,6 +38,7 @@
     gauge('configuration_version', {}, status.version),
     gauge('store_reachable', {}, status.isStoreReachable ? 1 : 0),
     gauge('store_revision', {}, status.storeRevision),
+    gauge('store_era', {}, status.storeEra ?? 0),
     gauge('planner', {}, status.isPlanner ? 1 : 0),
     gauge('load_age_ms', {}, status.loadAge),
     gauge('oldest_report_age_ms', {}, oldestReport),
