--- a/soak/findViolations/test.ts
+++ b/soak/findViolations/test.ts
@@ -460,6 +460,15 @@
       restorations: [EARLY_RESTORATION],
     }),
   ],
+  [
+    'endpoint without requests after all faults that broke off answers before',
+    record({
+      calmAt: 9_000,
+      restorations: [RESTORATION],
+      disturbances: [{ kind: 'breaksOff', target: 'engine-0', from: 1_000, until: 2_000 }],
+      attempts: [],
+    }),
+  ],
   [
     'missing registration shortly after the store was restored',
     record({
