Let a soak go on when a node ends while its memory is read

Cause: the memory of a process was read after it was killed and before its exit was collected. Evidence: bench/spawnNode/test.ts kills a node and blocks the event loop; reading its memory threw ESRCH before. Why it works: a process that has ended has no memory to observe; its end is recorded by itself.

--- a/bench/spawnNode/index.ts
+++ b/bench/spawnNode/index.ts
@@ -4,6 +4,7 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { openSync, closeSync, readFileSync, readdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { z } from 'zod';
 import { createNodeSettings } from '../../standins/servePlatformSite/index.js';
 import { claimLoopbackRange } from '../claimLoopbackRange/index.js';
 import { fetchStatus } from '../fetchStatus/index.js';
@@ -42,8 +43,8 @@
   readonly waitUntilReady: () => Promise<void>;
   /** Returns the processor time since the start, in seconds. */
   readonly readProcessorSeconds: () => number;
-  /** Returns the private memory in megabytes. */
-  readonly readMemoryMegabytes: () => number;
+  /** Returns the private memory in megabytes; undefined when the process has ended. */
+  readonly readMemoryMegabytes: () => number | undefined;
   /** Returns the number of open files and sockets. */
   readonly countDescriptors: () => number;
 }
@@ -58,6 +59,8 @@
 const READY_TIMEOUT_MILLISECONDS = 60_000;
 const CLOCK_TICKS_PER_SECOND = 100;
 const KILOBYTES_PER_MEGABYTE = 1_024;
+/** Errors of reading a file of a process that has ended, whether or not its exit was collected. */
+const endedSchema = z.object({ code: z.enum(['ESRCH', 'ENOENT']) });
 
 /**
  * Running nodes. They are killed when this process exits, unless a signal ends it before its exit
@@ -89,8 +92,19 @@
   return (Number(fields[11]) + Number(fields[12])) / CLOCK_TICKS_PER_SECOND;
 }
 
-function readPrivateMegabytes(processId: number): number {
-  const text = readFileSync(`/proc/${processId}/smaps_rollup`, 'utf8');
+/** Reads a file of a process; undefined when the process has ended. */
+function readProcessFile(processId: number, name: string): string | undefined {
+  try {
+    return readFileSync(`/proc/${processId}/${name}`, 'utf8');
+  } catch (error) {
+    if (endedSchema.safeParse(error).success) return undefined;
+    throw error;
+  }
+}
+
+function readPrivateMegabytes(processId: number): number | undefined {
+  const text = readProcessFile(processId, 'smaps_rollup');
+  if (text === undefined) return undefined;
   const kilobytes = [...text.matchAll(/^Private_\w+:\s+(\d+) kB/gm)].map(([, value]) =>
     Number(value),
   );
--- a/bench/spawnNode/test.ts
+++ b/bench/spawnNode/test.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
+import { spawnNode } from './index.js';
 
 /** Spawns a node whose program runs until it is killed and writes its process id to a file. */
 const SPAWNER = `
@@ -77,3 +78,18 @@
   assert.match(second ?? '', /^127\.\d+\.20\.1$/);
   assert.notEqual(first, second);
 });
+
+test('reads no memory of a process that was killed and whose exit was not collected', async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'marjoramcleat-spawn-'));
+  const program = join(folder, 'program.cjs');
+  writeFileSync(program, 'setInterval(() => undefined, 1_000);');
+  const addresses = { host: '127.0.0.1', storeAddress: '127.0.0.1:1', seeds: [] };
+  const node = spawnNode({ index: 0, folder, program, ...addresses });
+  assert.ok((node.readMemoryMegabytes() ?? 0) > 0);
+  node.kill('SIGKILL');
+  // Blocks the event loop, so that the exit is not collected.
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 300);
+  assert.equal(node.readMemoryMegabytes(), undefined);
+  await node.exited;
+  rmSync(folder, { recursive: true });
+});
--- a/bench/spawnPlatform/index.ts
+++ b/bench/spawnPlatform/index.ts
@@ -23,7 +23,7 @@
 export interface SpawnedPlatform {
   /** Returns the processor time that each node has used since its start, in seconds. */
   readonly readProcessorSeconds: () => number[];
-  /** Returns the private memory of each node, in megabytes. */
+  /** Returns the private memory of each running node, in megabytes. */
   readonly readMemoryMegabytes: () => number[];
   /** Requests a stream from a node; resolves with whether it was complete. */
   readonly requestStream: (node: number) => Promise<boolean>;
@@ -56,7 +56,7 @@
   let requestCount = 0;
   return {
     readProcessorSeconds: () => spawned.map((node) => node.readProcessorSeconds()),
-    readMemoryMegabytes: () => spawned.map((node) => node.readMemoryMegabytes()),
+    readMemoryMegabytes: () => spawned.flatMap((node) => node.readMemoryMegabytes() ?? []),
     requestStream: async (node) => {
       requestCount += 1;
       const address = spawned[node]?.callerAddress ?? '';
--- a/soak/createNodes/index.ts
+++ b/soak/createNodes/index.ts
@@ -113,14 +113,10 @@
     },
     recordProcess: () => {
       const running = getRunningNode();
-      if (!running) return;
-      record.processes.push({
-        node: name,
-        birth,
-        at: now(),
-        descriptors: running.countDescriptors(),
-        megabytes: running.readMemoryMegabytes(),
-      });
+      const megabytes = running?.readMemoryMegabytes();
+      if (!running || megabytes === undefined) return;
+      const descriptors = running.countDescriptors();
+      record.processes.push({ node: name, birth, at: now(), descriptors, megabytes });
     },
     close: async () => {
       await endProcess('SIGKILL');
