--- a/standins/serveSiteStore/index.ts
+++ b/standins/serveSiteStore/index.ts
@@ -3,6 +3,7 @@
  */
 import type http from 'node:http';
 import { z } from 'zod';
+import { createChangeLog } from '../createChangeLog/index.js';
 import type { Faults } from '../createFaults/index.js';
 import { listenStandin, readText, replyJson, type Standin } from '../listenStandin/index.js';
 
@@ -57,14 +58,6 @@
   readonly cut: () => void;
 }
 
-/** Change of the state that can be reverted. */
-interface RevertibleChange {
-  readonly at: number;
-  readonly revert: () => void;
-}
-
-/** Age of the oldest state that can be restored. */
-const RESTORABLE_MILLISECONDS = 60_000;
 const ERA_HEADER = 'Store-Era';
 const COMPACTED_STATUS = 410;
 
@@ -90,17 +83,11 @@
   let compactedRevision = 0;
   let nextLease = 1;
   let era = 1;
-  let changes: RevertibleChange[] = [];
+  const changes = createChangeLog(() => performance.now());
 
-  const recordChange = (revert: () => void): void => {
-    const at = performance.now();
-    changes.push({ at, revert });
-    if ((changes[0]?.at ?? at) < at - 2 * RESTORABLE_MILLISECONDS)
-      changes = changes.filter((change) => change.at >= at - RESTORABLE_MILLISECONDS);
-  };
   const advanceRevision = (): void => {
     revision += 1;
-    recordChange(() => (revision -= 1));
+    changes.record(() => (revision -= 1));
   };
   /** Sets or removes an item, so that the change can be reverted. */
   const storeItem = (key: string, item: Item | undefined): void => {
@@ -110,7 +97,7 @@
       else items.delete(key);
     };
     assign(item);
-    recordChange(() => {
+    changes.record(() => {
       assign(previous);
     });
   };
@@ -135,7 +122,7 @@
     if (!known) return false;
     clearTimeout(known.timer);
     leases.delete(lease);
-    recordChange(() => leases.set(lease, known));
+    changes.record(() => leases.set(lease, known));
     advanceRevision();
     for (const item of [...items.values()]) if (item.lease === lease) removeItem(item.key);
     return true;
@@ -161,7 +148,7 @@
     const lease = nextLease;
     nextLease += 1;
     leases.set(lease, { milliseconds, timer: startLeaseTimer(lease, milliseconds) });
-    recordChange(() => {
+    changes.record(() => {
       clearTimeout(leases.get(lease)?.timer);
       leases.delete(lease);
       nextLease = lease;
@@ -264,8 +251,7 @@
       removeItem(key);
     },
     restore: (ageMilliseconds) => {
-      const restoredAt = performance.now() - ageMilliseconds;
-      while ((changes.at(-1)?.at ?? restoredAt) > restoredAt) changes.pop()?.revert();
+      changes.revertSince(performance.now() - ageMilliseconds);
       era += 1;
       history = history.filter((change) => change.revision <= revision);
       compactedRevision = Math.min(compactedRevision, revision);
