Give each call of an endpoint its own connection

What callers saw: the response to another caller's GET to a service. Cause: GET calls of services, and polls of engines, went over kept connections, where a late additional response was read as the response to the next call. Each call of an endpoint now has its own connection, as POST calls had before; a poll costs one new connection.

Evidence: with an agent that keeps connections, as the node passed one before, the second call of the test got "response 1"; it passes now. The cost was not measured.

--- a/src/process/runtime/createEffectHandlers/index.ts
+++ b/src/process/runtime/createEffectHandlers/index.ts
@@ -1,7 +1,6 @@
 /**
  * Handlers that execute the effects of a node.
  */
-import type http from 'node:http';
 import type { Histograms } from '../../createHistograms/index.js';
 import { callHttp } from '../callHttp/index.js';
 import type { createPlatformClient } from '../createPlatformClient/index.js';
@@ -23,8 +22,6 @@
   readonly log: EffectHandlers['log'];
   readonly exit: (code: number) => void;
   readonly platform: ReturnType<typeof createPlatformClient>;
-  /** Persistent connections, for calls that may be repeated. */
-  readonly pollAgent: http.Agent;
 }
 
 /**
@@ -53,8 +50,8 @@
       engines.cancel(attempt);
     },
     callEndpoint: ({ call, ...request }) => {
-      const agent = request.method === 'GET' ? parts.pollAgent : undefined;
-      callHttp({ ...request, ...(agent && { agent }) }, (result) => {
+      // On a connection that is used again, a late response would be taken for that of this call.
+      callHttp(request, (result) => {
         getDriver().feed(
           result.kind === 'reply'
             ? { ...result, call }
--- a/src/process/runtime/startNode/index.ts
+++ b/src/process/runtime/startNode/index.ts
@@ -2,7 +2,6 @@
  * Start of one node with its sockets.
  */
 import { randomBytes } from 'node:crypto';
-import http from 'node:http';
 import { performance } from 'node:perf_hooks';
 import { createHistograms, type Histograms } from '../../createHistograms/index.js';
 import { createLifeCycle, type LifeCycle } from '../../createLifeCycle/index.js';
@@ -111,13 +110,6 @@
     address: settings.platform.address,
     key: secrets.platformKey,
   });
-  const pollAgent = new http.Agent({ keepAlive: true, maxSockets: 256, maxFreeSockets: 128 });
-  lifeCycle.own({
-    name: 'poll-agent',
-    close: () => {
-      pollAgent.destroy();
-    },
-  });
   lifeCycle.own({ name: 'timers', close: timers.close });
   lifeCycle.own({ name: 'engine-runs', close: engines.close });
   lifeCycle.own({ name: 'platform-client', close: platform.close });
@@ -157,7 +149,6 @@
     timers,
     histograms,
     platform,
-    pollAgent,
     getDriver,
     log: ({ level, event, fields }) => {
       logger.log(level, event, fields);
