Never forward a response that is no stream as events of one

What callers saw: the text of a failure as an event in the middle of their stream, or a stream that broke off and ended as if it were complete. Cause: a response with status 200 was read as a stream whatever its `Content-Type` was, so that the body of another type could hold events, and an empty one ended the stream. A response of another type now fails the run; one without a type is still read as a stream.

Evidence: the two cases "a success that is no stream and whose body is the next event" and "a success without a body that is no stream" failed before (the text reached the caller; the stream was complete) and pass now. The other cases of the test passed before and guard.

--- a/src/process/relay/openStreamRun/index.ts
+++ b/src/process/relay/openStreamRun/index.ts
@@ -50,6 +50,16 @@
 /** Maximum size of a response that is not a stream, in bytes. */
 const MAXIMUM_NON_STREAM_BYTES = 1_048_576;
 
+const STREAM_TYPE = /^\s*text\/event-stream\s*(?:;|$)/i;
+
+/** Returns whether the headers allow a stream; a response without a type may be one. */
+function hasStreamType(headers: RawHeaders): boolean {
+  const index = headers.findIndex(
+    (name, position) => position % 2 === 0 && name.toLowerCase() === 'content-type',
+  );
+  return index < 0 || STREAM_TYPE.test(headers[index + 1] ?? '');
+}
+
 /**
  * Opens a run.
  *
@@ -81,6 +91,7 @@
       onMetadata(received.metadata);
       if (isStream(received)) {
         if (!isExpected(received.metadata)) onFailed('response not from the endpoint');
+        else if (!hasStreamType(received.headers)) onFailed('response is not a stream');
         return;
       }
       if (checkRefusal({ ...received, attempt }) !== 'refused') return;
--- /dev/null
+++ b/tests/brokenStreams.test.ts
@@ -0,0 +1,191 @@
+/**
+ * Streams that break off and go on at endpoints that respond with a failure. Guards against failures
+ * whose text reaches the middle of a caller's stream, and against streams that end as if complete.
+ */
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+import type { Socket } from 'node:net';
+import type { SiteStore } from '../standins/serveSiteStore/index.js';
+import {
+  serveRawEndpoint,
+  type RawEndpoint,
+  type RawRequest,
+  type RawResponder,
+} from './support/rawEndpoint/index.js';
+import {
+  COMPLETE_STREAM,
+  createPlatformConfiguration,
+  MODEL_SERVICE,
+  registerEndpoint,
+  sendCallerRequest,
+  startNode,
+  startStore,
+  STREAM_EVENT_COUNT,
+  waitFor,
+  waitUntilReady,
+  type CallerResponse,
+  type TestNode,
+} from './support/siteNodes/index.js';
+
+/** Number of events before the first run breaks off. */
+const FIRST_EVENTS = 2;
+const LATE_MILLISECONDS = 150;
+/** Text of every failure; no caller may receive it. */
+const FAILURE_TEXT = 'endpoint failed';
+const FAILURE_EVENT = `id: ${FIRST_EVENTS + 1}\ndata: ${FAILURE_TEXT}\n\n`;
+const BEGUN_STREAM = COMPLETE_STREAM.slice(0, COMPLETE_STREAM.indexOf('id: 3'));
+
+let store: SiteStore;
+let node: TestNode;
+let endpoints: RawEndpoint[] = [];
+
+function formatHead(request: RawRequest, status: string, headers: string): string {
+  return `HTTP/1.1 ${status}\r\nServer-Seal: s\r\nAttempt-Id: ${request.attempt}\r\n${headers}\r\n`;
+}
+
+function formatLength(body: string): string {
+  return `Content-Length: ${body.length}\r\n`;
+}
+
+function formatChunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+const EVENT_STREAM = 'Content-Type: text/event-stream\r\n';
+const JSON_TYPE = 'Content-Type: application/json\r\n';
+const CHUNKED = 'Transfer-Encoding: chunked\r\n';
+
+/** Streams the events up to the given one that the caller does not have. */
+function formatEvents({ lastEventId }: RawRequest, last: number): string {
+  const ids = Array.from({ length: last }, (_, index) => index + 1);
+  return ids
+    .filter((id) => id > lastEventId)
+    .map((id) => formatChunk(`id: ${id}\ndata: t${id}\n\n`))
+    .join('');
+}
+
+const breakOff: RawResponder = (socket, request) => {
+  const head = formatHead(request, '200 OK', `${EVENT_STREAM}${CHUNKED}`);
+  socket.end(`${head}${formatEvents(request, FIRST_EVENTS)}`);
+};
+const streamCompletely: RawResponder = (socket, request) => {
+  const head = formatHead(request, '200 OK', `${EVENT_STREAM}${CHUNKED}`);
+  socket.end(`${head}${formatEvents(request, STREAM_EVENT_COUNT)}0\r\n\r\n`);
+};
+
+const fail =
+  (status: string, headers: string, body: string, isFramed = true): RawResponder =>
+  (socket, request) => {
+    const framing = isFramed ? formatLength(body) : '';
+    socket.end(`${formatHead(request, status, `${headers}${framing}`)}${body}`);
+  };
+
+const FAILURES: Readonly<Record<string, RawResponder>> = {
+  'a failure with the type of streams': fail('500 Failed', EVENT_STREAM, FAILURE_TEXT),
+  'a failure whose body is the next event': fail('500 Failed', EVENT_STREAM, FAILURE_EVENT),
+  'a failure of its own at the deadline': fail('504 Deadline', JSON_TYPE, FAILURE_TEXT),
+  'a success that is no stream': fail('200 OK', JSON_TYPE, `{"error": "${FAILURE_TEXT}"}\n\n`),
+  'a success that is no stream and whose body is the next event': fail(
+    '200 OK',
+    JSON_TYPE,
+    FAILURE_EVENT,
+  ),
+  'a success without a body that is no stream': fail('200 OK', JSON_TYPE, ''),
+  'a success with another status': fail('202 Accepted', EVENT_STREAM, FAILURE_EVENT),
+  'a failure without a length': fail('500 Failed', JSON_TYPE, FAILURE_TEXT, false),
+  'a failure without a length whose body is the next event': fail(
+    '500 Failed',
+    EVENT_STREAM,
+    FAILURE_EVENT,
+    false,
+  ),
+  'a failure as an event without a number': fail(
+    '200 OK',
+    EVENT_STREAM,
+    `event: error\ndata: ${FAILURE_TEXT}\n\n`,
+  ),
+  'a failure whose body comes late': (socket, request) => {
+    socket.write(formatHead(request, '500 Failed', formatLength(FAILURE_TEXT)));
+    setTimeout(() => socket.write(FAILURE_TEXT), LATE_MILLISECONDS);
+  },
+  'a failure whose body never comes': (socket, request) => {
+    socket.write(formatHead(request, '500 Failed', formatLength(FAILURE_TEXT)));
+    setTimeout(() => socket.end(), LATE_MILLISECONDS);
+  },
+  'a stream that breaks off inside its first event': (socket, request) => {
+    const head = formatHead(request, '200 OK', `${EVENT_STREAM}${CHUNKED}`);
+    socket.end(`${head}${formatChunk(FAILURE_EVENT.slice(0, -1))}0\r\n\r\n`);
+  },
+};
+
+function countReceived(): number {
+  return endpoints.reduce((sum, { received }) => sum + received.length, 0);
+}
+
+/** Registers endpoints that respond to the requests of a stream in turn, the last one to all later ones. */
+async function replaceEndpoints(...responders: readonly RawResponder[]): Promise<void> {
+  for (const { id } of endpoints) store.remove(`servers/${id}`);
+  await Promise.all(endpoints.map((endpoint) => endpoint.close()));
+  const suffix = performance.now().toFixed(0);
+  const respond: RawResponder = (socket: Socket, request) => {
+    responders[Math.min(countReceived(), responders.length) - 1]?.(socket, request);
+  };
+  endpoints = await Promise.all(
+    ['first', 'second', 'third'].map((name) => serveRawEndpoint(`${name}-${suffix}`, respond)),
+  );
+  for (const endpoint of endpoints)
+    registerEndpoint(store, endpoint, MODEL_SERVICE, { layers: endpoint.layers });
+  await waitFor('the node has the endpoints in its table', () =>
+    endpoints.every(({ id }) => node.logs.some((line) => line.includes(`"${id}"`))),
+  );
+}
+
+function requestStream(path = '/ask/one'): Promise<CallerResponse> {
+  const headers = { 'Token-Counts': '20,10' };
+  return sendCallerRequest({ address: node.callers, path, headers });
+}
+
+interface Configuration {
+  readonly routes: readonly { readonly prefix: string }[];
+}
+
+/** Returns a configuration in which streams below `/tell/` may not be resumed. */
+function createConfiguration(): object {
+  const { routes, ...rest } = createPlatformConfiguration(1) as Configuration;
+  const stream = routes.find(({ prefix }) => prefix === '/ask/');
+  const single = { ...stream, name: 'tell', prefix: '/tell/', resumable: false };
+  return { ...rest, routes: [...routes, single] };
+}
+
+before(async () => {
+  store = await startStore();
+  store.put('op/config', createConfiguration());
+  node = await startNode('node-1', store);
+  await waitUntilReady(node);
+});
+
+after(async () => {
+  await node.node.leave();
+  await Promise.all(endpoints.map((endpoint) => endpoint.close()));
+  await store.close();
+});
+
+for (const [name, failure] of Object.entries(FAILURES)) {
+  test(`a stream that breaks off is broken off for its caller after ${name}`, async () => {
+    await replaceEndpoints(breakOff, failure);
+    const { status, body, isComplete } = await requestStream();
+    assert.deepEqual([status, body, isComplete], [200, BEGUN_STREAM, false]);
+  });
+}
+
+test('a stream that breaks off goes on at another endpoint', async () => {
+  await replaceEndpoints(breakOff, streamCompletely);
+  const { body, isComplete } = await requestStream();
+  assert.deepEqual([body, isComplete, countReceived()], [COMPLETE_STREAM, true, 2]);
+});
+
+test('a stream that may not be resumed is broken off for its caller', async () => {
+  await replaceEndpoints(breakOff, streamCompletely);
+  const { body, isComplete } = await requestStream('/tell/one');
+  assert.deepEqual([body, isComplete, countReceived()], [BEGUN_STREAM, false, 1]);
+});
