Do not end a stream with a connection that closed before its first event

What callers saw: a stream that broke off and ended as if it were complete. Cause: a run that continues a stream, whose response has no length and whose connection closed right after its head, counted as the end of the stream. Only framing now ends a stream without further events; otherwise the run has failed.

--- a/src/process/relay/openStreamRun/index.ts
+++ b/src/process/relay/openStreamRun/index.ts
@@ -76,6 +76,7 @@
   let bodyBytes = 0;
   let head: ResponseHead | undefined;
   let isRefused = false;
+  let hasEvents = false;
   const isExpected = (metadata: ResponseMetadata): boolean =>
     isResponseTo(metadata, attempt) && metadata.isFromEndpoint && !metadata.isEncoded;
   const isStream = ({ status }: ResponseHead): boolean => status === 200;
@@ -107,13 +108,18 @@
         if (bodyBytes > MAXIMUM_NON_STREAM_BYTES) onFailed('response too large');
         return;
       }
-      for (const event of splitter.add(chunk)) if (!onEvent(event, head.headers)) return;
+      for (const event of splitter.add(chunk)) {
+        hasEvents = true;
+        if (!onEvent(event, head.headers)) return;
+      }
       if (splitter.countPending() > MAXIMUM_EVENT_BYTES) onFailed('event too large');
     },
     onEnd: (end) => {
       if (!head || isRefused) return;
       if (!isStream(head)) endNonStream(head);
       else if (splitter.countPending() > 0) onFailed('response ended inside an event');
+      // The connection may have ended before the first event; a response after the last one is framed.
+      else if (end === 'connection' && !hasEvents) onFailed('response without events');
       else onComplete(end);
     },
     onFailure: (state, reason) => {
--- a/tests/brokenStreams.test.ts
+++ b/tests/brokenStreams.test.ts
@@ -99,6 +99,12 @@
     FAILURE_EVENT,
     false,
   ),
+  'a stream without a length that ends before its first event': fail(
+    '200 OK',
+    EVENT_STREAM,
+    '',
+    false,
+  ),
   'a failure as an event without a number': fail(
     '200 OK',
     EVENT_STREAM,
