Never forward the head of a response inside a stream

What callers saw: the head and the text of a failure in the middle of their stream. Cause: an endpoint wrote a second response into the body of a stream without framing; the number of the event after it let the whole piece pass. A piece with a line that begins a response of HTTP now has no number, and fails the run.

Evidence: "a head in the body of a stream" failed before (the caller received the head) and passes now.

--- a/src/request/createEventSplitter/index.ts
+++ b/src/request/createEventSplitter/index.ts
@@ -4,7 +4,7 @@
 
 /** One complete event. */
 export interface StreamEvent {
-  /** Number of the event; undefined when it has none. */
+  /** Number of the event; undefined when it has none, or contains the head of a response. */
   readonly id: number | undefined;
   readonly bytes: Buffer;
 }
@@ -19,8 +19,12 @@
 const EVENT_END = Buffer.from('\n\n');
 const ID_FIELD = /(?:^|\n)id: ?(\d+)\r?(?:\n|$)/;
 
+/** Line that begins a response of HTTP; no field of an event does. */
+const STATUS_LINE = /(?:^|\n)HTTP\/\d/;
+
 function readId(bytes: Buffer): number | undefined {
-  const match = ID_FIELD.exec(bytes.toString('latin1'));
+  const text = bytes.toString('latin1');
+  const match = STATUS_LINE.test(text) ? null : ID_FIELD.exec(text);
   return match ? Number(match[1]) : undefined;
 }
 
--- a/src/request/createEventSplitter/test.ts
+++ b/src/request/createEventSplitter/test.ts
@@ -26,3 +26,10 @@
 test('returns no number for an event without one', () => {
   assert.equal(createEventSplitter().add(Buffer.from('data: id: 9\n\n'))[0]?.id, undefined);
 });
+
+test('an event that contains the head of a response has no number', () => {
+  const [event] = createEventSplitter().add(Buffer.from('HTTP/1.1 500 Failed\r\n\r\nid: 3\n\n'));
+  assert.equal(event?.id, undefined);
+  const [data] = createEventSplitter().add(Buffer.from('id: 3\ndata: HTTP/1.1 500\n\n'));
+  assert.equal(data?.id, 3);
+});
--- a/tests/brokenStreams.test.ts
+++ b/tests/brokenStreams.test.ts
@@ -105,6 +105,12 @@
     '',
     false,
   ),
+  'a head in the body of a stream': fail(
+    '200 OK',
+    EVENT_STREAM,
+    `HTTP/1.1 500 Failed\r\n\r\n${FAILURE_EVENT}`,
+    false,
+  ),
   'a failure as an event without a number': fail(
     '200 OK',
     EVENT_STREAM,
