Reset the connection of a caller without chunks when its stream breaks off

What callers saw: with HTTP/1.0, a stream that broke off and ended as if it were complete. Cause: without chunks only the end of the connection ends the body, and `abort` closed it in the ordinary way. It resets such a connection now; a response with chunks or a length is cut as before, which its framing shows. The handler's last resort after an error takes the same way.

Evidence: "a caller without chunks sees that its stream is broken off" failed before ("complete") and passes now.

--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -122,7 +122,7 @@
       serve(incoming, response)
         .catch((error: unknown) => {
           logger.log('request-crashed', { reason: describeError(error) });
-          response.destroy();
+          createCallerResponse(response).abort();
         })
         .finally(() => {
           openRequests -= 1;
--- a/src/process/relay/createCallerResponse/index.ts
+++ b/src/process/relay/createCallerResponse/index.ts
@@ -25,6 +25,8 @@
       response.end(bytes);
     },
     abort: () => {
+      // Where only the end of the connection ends the body, an ordinary end would look complete.
+      if (response.headersSent && !response.chunkedEncoding) response.socket?.resetAndDestroy();
       response.destroy();
     },
     countBufferedBytes: () => response.writableLength,
--- a/tests/brokenStreams.test.ts
+++ b/tests/brokenStreams.test.ts
@@ -3,6 +3,7 @@
  * whose text reaches the middle of a caller's stream, and against streams that end as if complete.
  */
 import assert from 'node:assert/strict';
+import { connect } from 'node:net';
 import { after, before, test } from 'node:test';
 import type { Socket } from 'node:net';
 import type { SiteStore } from '../standins/serveSiteStore/index.js';
@@ -15,6 +16,7 @@
 import {
   COMPLETE_STREAM,
   createPlatformConfiguration,
+  KEY,
   MODEL_SERVICE,
   registerEndpoint,
   sendCallerRequest,
@@ -201,3 +203,23 @@
   const { body, isComplete } = await requestStream('/tell/one');
   assert.deepEqual([body, isComplete, countReceived()], [BEGUN_STREAM, false, 1]);
 });
+
+test('a caller without chunks sees that its stream is broken off', async () => {
+  await replaceEndpoints(breakOff, fail('500 Failed', EVENT_STREAM, FAILURE_TEXT));
+  const [host, port] = node.callers.split(':');
+  const end = await new Promise<string>((resolve) => {
+    const socket = connect(Number(port), host, () => {
+      socket.write(
+        `GET /ask/one HTTP/1.0\r\nHost: desk.example\r\nAttempt-Id: a\r\nCredential: ${KEY}\r\nDeadline-Ms: 5000\r\nToken-Counts: 20,10\r\n\r\n`,
+      );
+    });
+    socket.resume();
+    socket.on('end', () => {
+      resolve('complete');
+    });
+    socket.on('error', () => {
+      resolve('reset');
+    });
+  });
+  assert.equal(end, 'reset');
+});
