Test that a response cut at any byte is never complete

Guards, passes before: `openEndpointCall` reports a failure after sending where an endpoint closes or resets its connection at any byte of the head, of a chunk, of its size, of the trailer or of a body with a length.

--- a/src/process/relay/openEndpointCall/test.ts
+++ b/src/process/relay/openEndpointCall/test.ts
@@ -99,3 +99,41 @@
   });
   assert.equal(outcome, 'notSent');
 });
+
+const FRAMINGS: Readonly<Record<string, { readonly head: string; readonly body: string }>> = {
+  'a length': { head: `${HEAD}Content-Length: 6\r\n\r\n`, body: 'booked' },
+  chunks: {
+    head: `${HEAD}Transfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n`,
+    body: '3;part=1\r\nboo\r\n3\r\nked\r\n0\r\nSum: 1\r\n\r\n',
+  },
+  'no length': { head: `${HEAD}\r\n`, body: '' },
+};
+const ENDINGS: Readonly<Record<string, (socket: Socket) => void>> = {
+  closes: (socket) => {
+    socket.end();
+  },
+  resets: (socket) => {
+    socket.resetAndDestroy();
+  },
+};
+
+for (const [framing, { head, body }] of Object.entries(FRAMINGS)) {
+  for (const [ending, end] of Object.entries(ENDINGS)) {
+    test(`fails when the endpoint ${ending} at any byte of a response with ${framing}`, async () => {
+      const response = `${head}${body}`;
+      const isFramed = body !== '';
+      // Without a length, the end of the connection after the head is the end of the response.
+      const positions = isFramed ? response.length : head.length;
+      for (let position = 0; position < positions; position += 1) {
+        const outcome = await callRaw((socket) => {
+          if (position === 0) end(socket);
+          else
+            socket.write(response.slice(0, position), () => {
+              end(socket);
+            });
+        });
+        assert.match(outcome, /^sent /, JSON.stringify(response.slice(0, position)));
+      }
+    });
+  }
+}
