Never return an empty body that only a closed connection ended

What callers saw: 200 with an empty body and `Content-Length: 0` where an endpoint closed its connection right after a head without framing. Cause: such a response counted as complete, although nothing tells an empty body from one that had not begun. Its outcome is unknown now: an idempotent request goes to another endpoint, any other gets 502. Responses without a body by their status or method need no framing, and a response that is not empty may still end with its connection.

Evidence: "an endpoint that closes its connection after a head without framing has not answered" failed before (200, empty) and passes now. The other places in the head, with FIN and reset, passed before and guard.

--- a/src/process/relay/runBufferedAttempt/index.ts
+++ b/src/process/relay/runBufferedAttempt/index.ts
@@ -35,6 +35,22 @@
 /** Maximum size of a buffered response in bytes. */
 const MAXIMUM_RESPONSE_BYTES = 4_194_304;
 
+/** Statuses of responses without a body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 205, 304]);
+
+/**
+ * Returns whether the connection of a response ended before its body began. A response with an empty body
+ * states its length.
+ */
+function hasMissingBody(
+  { status, body }: BufferedResponse,
+  end: ResponseEnd,
+  method: string,
+): boolean {
+  if (end === 'framing' || body.length > 0) return false;
+  return method !== 'HEAD' && !BODILESS_STATUSES.has(status);
+}
+
 function classifyResponse(
   head: ResponseHead,
   attempt: string,
@@ -114,8 +130,11 @@
       },
       onEnd: (end) => {
         const body = Buffer.concat(chunks);
-        if (head) finish(classifyResponse(head, request.caller.attempt, body, end));
-        else finish({ kind: 'unknown', reason: 'no response' });
+        const { method } = request.forwarded;
+        if (!head) finish({ kind: 'unknown', reason: 'no response' });
+        else if (hasMissingBody({ ...head, body }, end, method))
+          finish({ kind: 'unknown', reason: 'response without a body', isConnectionLost: true });
+        else finish(classifyResponse(head, request.caller.attempt, body, end));
       },
       onFailure: (state, reason) => {
         if (state === 'notSent') finish({ kind: 'notSent', reason });
