Count a run as not run only where its engine states a refusal

What callers saw: in the product's own interface, "not run" for a request whose engine answered with a failure that states nothing, 500 for example. Cause: any status but 200 counted as a refusal. Only the header with which engines refuse does so now; any other failure leaves it open whether the engine ran the request.

Evidence: "only a response that states a refusal counts as not run" failed before (`sent: false`) and passes now. The second new test, of a response that is cut at any byte, passed before and guards.

--- a/src/process/runtime/createEngineRuns/index.ts
+++ b/src/process/runtime/createEngineRuns/index.ts
@@ -98,9 +98,10 @@
     firstEngine: string,
   ): void => {
     if (response.statusCode !== SUCCESS_STATUS) {
-      const isLeaving = response.headers['x-refused'] === 'leaving';
+      const refusal = response.headers['x-refused'];
       response.resume();
-      fail(attempt, false, firstEngine, isLeaving);
+      // Only the header states that the engine did not run the request.
+      fail(attempt, refusal === undefined, firstEngine, refusal === 'leaving');
       return;
     }
     const chunks = csp.chan<string>(csp.buffers.fixed(CHUNK_CHANNEL_CAPACITY));
--- a/src/process/runtime/createEngineRuns/test.ts
+++ b/src/process/runtime/createEngineRuns/test.ts
@@ -94,3 +94,26 @@
     assert.equal(new Set(connections).size, 2);
   });
 }
+
+test('only a response that states a refusal counts as not run', async () => {
+  respond = (socket, request) => {
+    const refused = request === 1 ? 'X-Refused: leaving\r\n' : '';
+    socket.end(`HTTP/1.1 503 Service Unavailable\r\n${refused}Content-Length: 0\r\n\r\n`);
+  };
+  const failure = { kind: 'runFailed', engine: 'engine-1' };
+  assert.deepEqual(await run('a'), [{ ...failure, attempt: 'a', sent: false, leaving: true }]);
+  assert.deepEqual(await run('b'), [{ ...failure, attempt: 'b', sent: true, leaving: false }]);
+});
+
+test('a run fails when the engine closes at any byte before the end of its response', async () => {
+  const chunk = `${TOKEN.length.toString(16)}\r\n${TOKEN}\r\n0\r\n\r\n`;
+  const response = `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${chunk}`;
+  for (let position = 1; position < response.length; position += 1) {
+    respond = (socket) => {
+      socket.end(response.slice(0, position));
+    };
+    const last = (await run(`cut at ${position}`)).at(-1);
+    assert.equal(last?.kind, 'runFailed');
+    assert.ok(last.sent);
+  }
+});
