--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -181,7 +181,7 @@
         if (response.writableEnded) return;
         if (response.headersSent) {
           recordUnanswered(openRequest, 'crashed');
-          response.destroy();
+          createCallerResponse(response).abort();
           return;
         }
         // An endpoint may have executed the request, so that it must not be refused as not run.
--- a/src/process/relay/openStreamRun/index.ts
+++ b/src/process/relay/openStreamRun/index.ts
@@ -50,6 +50,16 @@
 /** Maximum size of a response that is not a stream, in bytes. */
 const MAXIMUM_NON_STREAM_BYTES = 1_048_576;
 
+const STREAM_TYPE = /^\s*text\/event-stream\s*(?:;|$)/i;
+
+/** Returns whether the headers allow a stream; a response without a type may be one. */
+function hasStreamType(headers: RawHeaders): boolean {
+  const index = headers.findIndex(
+    (name, position) => position % 2 === 0 && name.toLowerCase() === 'content-type',
+  );
+  return index < 0 || STREAM_TYPE.test(headers[index + 1] ?? '');
+}
+
 /**
  * Opens a run.
  *
@@ -66,6 +76,7 @@
   let bodyBytes = 0;
   let head: ResponseHead | undefined;
   let isRefused = false;
+  let hasEvents = false;
   const isExpected = (metadata: ResponseMetadata): boolean =>
     isResponseTo(metadata, attempt) && metadata.isFromEndpoint && !metadata.isEncoded;
   const isStream = ({ status }: ResponseHead): boolean => status === 200;
@@ -81,6 +92,7 @@
       onMetadata(received.metadata);
       if (isStream(received)) {
         if (!isExpected(received.metadata)) onFailed('response not from the endpoint');
+        else if (!hasStreamType(received.headers)) onFailed('response is not a stream');
         return;
       }
       if (checkRefusal({ ...received, attempt }) !== 'refused') return;
@@ -96,13 +108,18 @@
         if (bodyBytes > MAXIMUM_NON_STREAM_BYTES) onFailed('response too large');
         return;
       }
-      for (const event of splitter.add(chunk)) if (!onEvent(event, head.headers)) return;
+      for (const event of splitter.add(chunk)) {
+        hasEvents = true;
+        if (!onEvent(event, head.headers)) return;
+      }
       if (splitter.countPending() > MAXIMUM_EVENT_BYTES) onFailed('event too large');
     },
     onEnd: (end) => {
       if (!head || isRefused) return;
       if (!isStream(head)) endNonStream(head);
       else if (splitter.countPending() > 0) onFailed('response ended inside an event');
+      // The connection may have ended before the first event; a response after the last one is framed.
+      else if (end === 'connection' && !hasEvents) onFailed('response without events');
       else onComplete(end);
     },
     onFailure: (state, reason) => {
