Do not let a late watch bring a removed item back

What callers saw: requests sent to an endpoint whose removal the node had applied, for as long as its address is used again.

Cause: a removed item left no revision behind, so that a watch answered before a removal that another node had forwarded wrote it again, and the removal was never read again. Each gap starts such a watch, a restoration too.

Evidence: an older change after a removal; the test fails before.

Change: the revisions of the last 4,096 removed items are remembered.

--- a/src/process/site/createStoreItems/index.ts
+++ b/src/process/site/createStoreItems/index.ts
@@ -32,6 +32,9 @@
   readonly onItem: ItemCallback;
 }
 
+/** Maximum number of removed items whose revision is remembered. */
+const MAXIMUM_REMEMBERED_REMOVALS = 4_096;
+
 /**
  * Creates an empty table of items.
  *
@@ -45,8 +48,18 @@
   /** Revision of the newest change of each present or retained item. */
   const revisions = new Map<string, number>();
   const removals = new Map<string, number>();
+  /** Revision of the newest change of removed items, so that an older change does not bring one back. */
+  const removedRevisions = new Map<string, number>();
 
+  const rememberRemoval = (key: string): void => {
+    removedRevisions.delete(key);
+    removedRevisions.set(key, revisions.get(key) ?? 0);
+    const [oldest] = removedRevisions.keys();
+    if (removedRevisions.size > MAXIMUM_REMEMBERED_REMOVALS && oldest !== undefined)
+      removedRevisions.delete(oldest);
+  };
   const remove = (key: string): void => {
+    rememberRemoval(key);
     revisions.delete(key);
     removals.delete(key);
     onItem(key, undefined, 'change');
@@ -55,15 +68,17 @@
     const known = revisions.get(key);
     if (known === undefined || revision < known) return;
     const dueAt = getRemovalTime();
+    revisions.set(key, revision);
     if (dueAt <= now()) {
       remove(key);
       return;
     }
-    revisions.set(key, revision);
     if (!removals.has(key)) removals.set(key, dueAt);
   };
   const write = (key: string, value: Buffer, revision: number, origin: ItemOrigin): void => {
-    if (revision <= (revisions.get(key) ?? Number.NEGATIVE_INFINITY)) return;
+    const known = revisions.get(key) ?? removedRevisions.get(key) ?? Number.NEGATIVE_INFINITY;
+    if (revision <= known) return;
+    removedRevisions.delete(key);
     revisions.set(key, revision);
     removals.delete(key);
     onItem(key, value, origin);
--- a/src/process/site/createStoreItems/test.ts
+++ b/src/process/site/createStoreItems/test.ts
@@ -57,3 +57,12 @@
   items.apply(item('a', 1_009, '3'));
   assert.deepEqual(calls, ['a 2 change', 'a 1 restored', 'a 3 change']);
 });
+
+test('a change that arrives after a newer removal does not bring the item back', () => {
+  const { calls, items } = createCase();
+  items.apply(item('a', 5, '1'));
+  items.apply(item('a', 6));
+  items.apply(item('a', 5, '1'));
+  items.apply(item('a', 7, '2'));
+  assert.deepEqual(calls, ['a 1 change', 'a removed change', 'a 2 change']);
+});
