Remove endpoints that only other nodes reported once the store lacks them

What callers saw: requests sent to an endpoint that had ended, after an outage in which the node learned of it from another node.

Cause: a read of all items removes what the follower had read before; entries of other nodes were not among these. A store that was restored from an older copy, or whose history was compacted, never reports their removal.

Evidence: an entry that a peer reported and that the read lacks; the test fails before (still there).

Change: the read also covers reported keys, with the time in which writers may write again, also where the node itself never reached the store before.

--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -240,6 +240,7 @@
         exchange.forwardChanges({ ...part, from: self.name, items });
       }
     },
+    listReported: () => state.listRegistryEntries().map(([id]) => `${keys.endpointPrefix}${id}`),
     onItem: (key, value, origin) => {
       applyItem(key, value?.toString('utf8'), origin);
     },
--- a/src/process/site/createStoreFollower/index.ts
+++ b/src/process/site/createStoreFollower/index.ts
@@ -45,6 +45,8 @@
   readonly logger: SiteLogger;
   readonly now: () => number;
   readonly onItem: ItemCallback;
+  /** Lists the keys of items that other nodes reported while this one did not reach the store. */
+  readonly listReported?: () => readonly string[];
   /** Returns the number of nodes that follow the store. */
   readonly countNodes: () => number;
   /** `alone` by default. */
@@ -123,6 +125,7 @@
 export function createStoreFollower(options: CreateStoreFollowerOptions): StoreFollower {
   const { store, logger, now, onItem, countNodes } = options;
   const { getRole = () => 'alone', onChanges = () => undefined } = options;
+  const { listReported = () => [] } = options;
   let revision = 0;
   let mustReadAll = true;
   let era: number | undefined;
@@ -162,9 +165,9 @@
   /** Records a failed call; returns the pause before the next one, in milliseconds. */
   const recordFailure = (reason: string): number => {
     isCheckDue = true;
+    hadOutage = true;
     if (isReachable) {
       isReachable = false;
-      hadOutage = true;
       logger.log('store-lost', { reason, revision });
     }
     const pause = retryPause;
@@ -185,6 +188,7 @@
       recordRestoration();
       logger.log('store-restored', { revision, newRevision: value.revision });
     }
+    for (const key of listReported()) items.addReported(key);
     items.applySnapshot(value, isRestored ? 'restored' : 'change');
     revision = value.revision;
     era = newEra;
--- a/src/process/site/createStoreFollower/test.ts
+++ b/src/process/site/createStoreFollower/test.ts
@@ -20,6 +20,7 @@
   const forwarded: ChangeBatch[] = [];
   const values = new Map<string, string>();
   const restored: string[] = [];
+  const reported: string[] = [];
   const logged: [string, object][] = [];
   const logger: SiteLogger = {
     log: (event, fields) => logged.push([event, fields]),
@@ -46,6 +47,7 @@
     now: () => clock.time,
     countNodes: () => nodes.count,
     getRole: () => role.now,
+    listReported: () => reported,
     onChanges: (batch) => forwarded.push(batch),
     onItem: (key, value, origin) => {
       if (origin === 'restored') restored.push(key);
@@ -64,6 +66,7 @@
     role,
     forwarded,
     restored,
+    reported,
     logged,
   };
 }
@@ -448,3 +451,17 @@
   assert.deepEqual(Object.fromEntries(values), { a: '9', b: '7' });
   assert.equal(follower.getRevision(), 9);
 });
+
+test('removes what other nodes reported during an outage and the store does not contain', async () => {
+  const { follower, responses, clock, values, reported } = createCase();
+  values.set('gone', 'from a peer');
+  reported.push('gone');
+  await follower.step();
+  responses.range.push({ kind: 'done', value: { items: [], revision: 9 } });
+  await follower.step();
+  assert.ok(values.has('gone'), 'its writer may write it again');
+  clock.time += 2_300;
+  responses.watch.push({ kind: 'done', value: { items: [], revision: 9 } });
+  await follower.step();
+  assert.ok(!values.has('gone'));
+});
--- a/src/process/site/createStoreItems/index.ts
+++ b/src/process/site/createStoreItems/index.ts
@@ -16,6 +16,8 @@
   readonly apply: (item: StoreItem) => void;
   /** Applies all items of the store; items that it does not contain are removed. */
   readonly applySnapshot: (snapshot: StoreSnapshot, origin: ItemOrigin) => void;
+  /** Adds a key that another node reported, so that a snapshot without it removes its item. */
+  readonly addReported: (key: string) => void;
   /** Removes an item immediately whose removal is deferred. */
   readonly confirmRemoval: (key: string) => void;
   /** Removes the items whose time has come. */
@@ -99,6 +101,9 @@
         if (!present.has(key)) scheduleRemoval(key, revision);
       }
     },
+    addReported: (key) => {
+      if (!revisions.has(key)) revisions.set(key, 0);
+    },
     confirmRemoval: (key) => {
       if (removals.has(key)) remove(key);
     },
