Do not use an endpoint that left because a peer or an older copy names it

What callers saw: requests sent to an endpoint that had announced its leave and was removed, from nodes that knew that (DRAIN).

Cause: the memory of removed endpoints held for entries of an older copy only, and for six seconds; a node that started later passed the same entry on, and after the wait the drain was forgotten too.

Evidence: an endpoint that drains, is removed, and comes back through a peer, then through an older copy; the test fails before (used).

Change: an endpoint that had been leaving is used again only after another start, or when the store has a new write of it.

--- a/src/process/site/createSiteState/index.ts
+++ b/src/process/site/createSiteState/index.ts
@@ -3,6 +3,7 @@
  */
 import {
   createEndpointTable,
+  isLeavingEndpoint,
   type EndpointTable,
 } from '../../../connection/createEndpointTable/index.js';
 import {
@@ -63,6 +64,8 @@
 /** Endpoint that was removed from the registry. */
 interface RemovedEndpoint {
   readonly startedAt: number;
+  /** Whether it was draining or announced that it leaves. */
+  readonly wasLeaving: boolean;
   /** Time of the removal in milliseconds. */
   readonly at: number;
 }
@@ -107,7 +110,11 @@
     entries.delete(id);
     const known = endpoints.find(id);
     if (!known) return;
-    removed.set(id, { startedAt: known.record.startedAt, at: now() });
+    removed.set(id, {
+      startedAt: known.record.startedAt,
+      wasLeaving: isLeavingEndpoint(known),
+      at: now(),
+    });
     endpoints.update(id, undefined, now());
     logger.log('endpoint-gone', { endpoint: id, source });
   };
@@ -134,8 +141,13 @@
       logger.log('endpoint-entry-outdated', details);
       return;
     }
-    const { startedAt: removedStart = Number.NEGATIVE_INFINITY } = removed.get(id) ?? {};
-    if (source === 'restored' && record && record.startedAt <= removedStart) {
+    const known = removed.get(id);
+    const isRemovedRun = known && record && record.startedAt <= known.startedAt;
+    if (source === 'peer' && isRemovedRun && known.wasLeaving) {
+      logger.log('endpoint-entry-outdated', details);
+      return;
+    }
+    if (source === 'restored' && isRemovedRun) {
       held.set(id, { text, dueAt: now() + HOLD_MILLISECONDS });
       logger.log('endpoint-entry-held', details);
       return;
@@ -172,6 +184,8 @@
     applyHeldEntries: () => {
       for (const [id, { text, dueAt }] of held) {
         if (dueAt > now()) continue;
+        held.delete(id);
+        if (removed.get(id)?.wasLeaving) continue;
         removed.delete(id);
         applyEntry(id, text, 'restored');
       }
--- a/src/process/site/createSiteState/test.ts
+++ b/src/process/site/createSiteState/test.ts
@@ -117,3 +117,17 @@
   assert.equal(state.endpoints.find('i-1')?.record.address, '10.0.0.2:80');
   assert.deepEqual(state.listRegistryEntries(), [['i-1', later]]);
 });
+
+test('an endpoint that left is not used again when a peer or the end of the wait brings its entry back', () => {
+  const { state, listUsable, wait } = createCase();
+  state.applyEndpoint('i-1', entry(10), 'store');
+  state.applyEndpoint('i-1', entry(10, { isDraining: true }), 'store');
+  state.applyEndpoint('i-1', undefined, 'store');
+  state.applyEndpoint('i-1', entry(10), 'peer');
+  assert.deepEqual(listUsable(), []);
+  state.applyEndpoint('i-1', entry(10), 'restored');
+  wait(HOLD_LIMIT_MILLISECONDS);
+  assert.deepEqual(listUsable(), []);
+  state.applyEndpoint('i-1', entry(11), 'peer');
+  assert.deepEqual(listUsable(), ['i-1']);
+});
