Start a node for each test of raw endpoints

The tests wait for log lines that name their endpoints, and a node limits its log lines. In a run of all tests "a failure with status 503 ... is not forwarded" failed once for that: "the node has the endpoints in its table" was not met within 10 s. As in the test of truncated heads, where the same occurred, each test has a new node now. What the tests assert is the same.

--- a/tests/brokenStreams.test.ts
+++ b/tests/brokenStreams.test.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import { connect } from 'node:net';
-import { after, before, test } from 'node:test';
+import { afterEach, beforeEach, test } from 'node:test';
 import type { Socket } from 'node:net';
 import type { SiteStore } from '../standins/serveSiteStore/index.js';
 import {
@@ -171,16 +171,18 @@
   return { ...rest, routes: [...routes, single] };
 }
 
-before(async () => {
+// A new node for each test, since a node limits the log lines that the tests wait for.
+beforeEach(async () => {
   store = await startStore();
   store.put('op/config', createConfiguration());
   node = await startNode('node-1', store);
   await waitUntilReady(node);
 });
 
-after(async () => {
+afterEach(async () => {
   await node.node.leave();
   await Promise.all(endpoints.map((endpoint) => endpoint.close()));
+  endpoints = [];
   await store.close();
 });
 
--- a/tests/repeatedRefusals.test.ts
+++ b/tests/repeatedRefusals.test.ts
@@ -3,7 +3,7 @@
  * have run and are reported as not run, or that run at a second endpoint.
  */
 import assert from 'node:assert/strict';
-import { after, before, test } from 'node:test';
+import { afterEach, beforeEach, test } from 'node:test';
 import type { Socket } from 'node:net';
 import type { SiteStore } from '../standins/serveSiteStore/index.js';
 import {
@@ -155,16 +155,18 @@
   return { ...rest, routes: [...strict, single] };
 }
 
-before(async () => {
+// A new node for each test, since a node limits the log lines that the tests wait for.
+beforeEach(async () => {
   store = await startStore();
   store.put('op/config', createStrictConfiguration());
   node = await startNode('node-1', store);
   await waitUntilReady(node);
 });
 
-after(async () => {
+afterEach(async () => {
   await node.node.leave();
   await Promise.all(endpoints.map((endpoint) => endpoint.close()));
+  endpoints = [];
   await store.close();
 });
 
