Keep a leaving node open until slow callers have their last bytes

What callers saw: a response that was cut (short of its length) when the node left. Cause: the node leaves when the handler counts no open request, and the handler counted a request as ended once its response was written, while bytes still waited for a slow caller; then the node destroys all sockets. A request now counts until its response is handed to the operating system or its connection closes. The grace of the node still bounds the wait.

Evidence: "a leaving node sends the last bytes of a response to a slow caller" failed before (3919708 of 4000000 bytes) and passes now.

--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -27,7 +27,7 @@
 /** HTTP handler of callers' requests. */
 export interface CallerHandler {
   readonly handle: (incoming: IncomingMessage, response: ServerResponse) => void;
-  /** Returns the number of requests without a final response. */
+  /** Returns the number of requests whose final response is not sent to its end. */
   readonly countOpen: () => number;
 }
 
@@ -125,7 +125,12 @@
           createCallerResponse(response).abort();
         })
         .finally(() => {
-          openRequests -= 1;
+          const endRequest = (): void => {
+            openRequests -= 1;
+          };
+          // The last bytes may wait for a slow caller.
+          if (response.closed || response.writableFinished) endRequest();
+          else response.once('close', endRequest);
         });
     },
     countOpen: () => openRequests,
--- a/tests/endpointFailures.test.ts
+++ b/tests/endpointFailures.test.ts
@@ -36,6 +36,10 @@
 const SLOW_EVENT_INTERVAL_MILLISECONDS = 300;
 const DRIP_INTERVAL_MILLISECONDS = 40;
 const DUPLICATE_DELAY_MILLISECONDS = 60;
+/** More bytes than the buffers of a connection hold. */
+const SLOW_CALLER_BYTES = 4_000_000;
+/** Time for which the caller reads nothing; longer than a leaving node serves without open requests. */
+const SLOW_CALLER_PAUSE_MILLISECONDS = 6_500;
 const ALL_LAYERS = { layers: { from: 0, to: 4 } };
 
 const streamSlowly: EndpointHandler = (request, response) => {
@@ -220,3 +224,31 @@
   assert.equal((await stream).body, COMPLETE_STREAM);
   await departure;
 });
+
+test('a leaving node sends the last bytes of a response to a slow caller', async () => {
+  const leaving = await startNode('node-2', store, { graceMilliseconds: 9_000 });
+  await waitUntilReady(leaving);
+  const body = 'x'.repeat(SLOW_CALLER_BYTES);
+  const plain = await addEndpoint('plain-1', PLAIN_SERVICE, (request, response) => {
+    response.writeHead(200, createEndpointHeaders(request));
+    response.end(body);
+  });
+  await waitFor('the leaving node has the endpoint in its table', () =>
+    leaving.logs.some((line) => line.includes('plain-1')),
+  );
+  const booking = sendCallerRequest({
+    address: leaving.callers,
+    path: '/book/one',
+    method: 'POST',
+    body: 'b',
+    onStart: (incoming) => {
+      incoming.pause();
+      setTimeout(() => incoming.resume(), SLOW_CALLER_PAUSE_MILLISECONDS);
+    },
+  });
+  await waitFor('the endpoint has the request', () => plain.received.length > 0);
+  const departure = leaving.node.leave();
+  const { body: received, isComplete } = await booking;
+  assert.deepEqual([received.length, isComplete], [body.length, true]);
+  await departure;
+});
