Refuse requests that an exiting node can no longer answer

What callers saw: the connection closed without an answer, or a stream without an end, for a request sent to a leaving node just before it exits.

Cause: the exit follows the last check of pending work by 200 ms, in which the node admitted requests as before.

Evidence: in a virtual system, a completion sent 5.08 s after the node began to leave was passed to the engine before it exited. The test fails before (the engine is active).

Change: once the exit is certain, requests are refused as leaving (1511, Retry-After 1), as not run, or as unknown for a repeated try. The system of tests/leaving.test.ts gets a service endpoint for the test's bookings.

--- a/src/process/leaving/createLeaving/index.ts
+++ b/src/process/leaving/createLeaving/index.ts
@@ -20,6 +20,8 @@
 export interface Leaving {
   readonly begin: (reason: string) => void;
   readonly isLeaving: () => boolean;
+  /** Returns true once the exit is certain: requests that are admitted then may not end before it. */
+  readonly isExiting: () => boolean;
 }
 
 /** Exit code of a drain that reached its limit. */
@@ -33,7 +35,7 @@
  *
  * A leaving node is first removed from address responses and announces its state by gossip. It
  * serves until every address response that names it has expired and its pending work has ended, and
- * then exits with code 0. Further requests to leave have no effect. At the drain limit the remaining
+ * then exits with code 0; between the last check and the exit it admits no requests. Further requests to leave have no effect. At the drain limit the remaining
  * requests get a final response and the exit code is 3.
  *
  * @param options - the context, the limits and the callbacks
@@ -44,8 +46,10 @@
 export function createLeaving(options: CreateLeavingOptions): Leaving {
   const { context } = options;
   let startedAt = -1;
+  let isExiting = false;
 
   const exit = (code: number): void => {
+    isExiting = true;
     context.log('info', 'node-exits', { code });
     context.schedule(EXIT_DELAY_MILLISECONDS, () => {
       context.emit({ kind: 'exit', code });
@@ -77,5 +81,6 @@
       check();
     },
     isLeaving: () => startedAt >= 0,
+    isExiting: () => isExiting,
   };
 }
--- a/src/process/node/createCallerRouter/index.ts
+++ b/src/process/node/createCallerRouter/index.ts
@@ -43,6 +43,8 @@
   readonly tickets: Tickets;
   readonly peerRequests: PeerRequests;
   readonly isLeaving: () => boolean;
+  /** Returns whether the node exits before a request that is admitted now can end. */
+  readonly isExiting: () => boolean;
   readonly addressExpirySeconds: number;
 }
 
@@ -56,6 +58,8 @@
 }
 
 const MAXIMUM_TICKETS = 100;
+/** Delay after which callers may repeat a request that an exiting node refused, in milliseconds. */
+const EXITING_RETRY_MILLISECONDS = 1_000;
 
 /**
  * Creates the router of callers' requests.
@@ -178,6 +182,17 @@
     );
     return false;
   };
+  const refuseAtExit = (event: CallerRequestEvent): void => {
+    context.count('requests_leaving');
+    context.emit(
+      createErrorResponse({
+        request: event.request,
+        code: 'leaving',
+        outcome: readEarlyOutcome(event),
+        retryAfterMilliseconds: EXITING_RETRY_MILLISECONDS,
+      }),
+    );
+  };
 
   return (event) => {
     const { request } = event;
@@ -205,6 +220,10 @@
       context.emit(createErrorResponse({ request, code: 'unauthorized', outcome }));
       return;
     }
+    if (options.isExiting() && route.handle !== sendAddresses) {
+      refuseAtExit(event);
+      return;
+    }
     if (route.isLimited && !isWithinLimit(event, account)) return;
     route.handle({ event, account, version });
   };
--- a/src/process/node/createNode/index.ts
+++ b/src/process/node/createNode/index.ts
@@ -226,6 +226,7 @@
     tickets,
     peerRequests,
     isLeaving: leaving.isLeaving,
+    isExiting: leaving.isExiting,
     addressExpirySeconds: options.addressExpirySeconds ?? 30,
   });
 
--- a/tests/leaving.test.ts
+++ b/tests/leaving.test.ts
@@ -11,19 +11,30 @@
   type VirtualFleet,
 } from '../standins/createVirtualFleet/index.js';
 import type { VirtualSystem } from '../standins/createVirtualSystem/index.js';
+import type { NodeEffect } from '../src/types/node/index.js';
 import { generateAnswer } from '../standins/generateToken/index.js';
-import { readOutcome, readStreamedText, sendRequest, startSystem } from './support/index.js';
+import {
+  readOutcome,
+  readStreamedText,
+  sendBooking,
+  sendRequest,
+  startSystem,
+} from './support/index.js';
 
 const DRAIN_LIMIT_MILLISECONDS = 60_000;
 const ADDRESS_EXPIRY_MILLISECONDS = 5_000;
 
-function startSystemWithOneEngine(): { fleet: VirtualFleet; system: VirtualSystem } {
+function startSystemWithOneEngine(onEffect?: (node: string, effect: NodeEffect) => void): {
+  fleet: VirtualFleet;
+  system: VirtualSystem;
+} {
   const fleet = createVirtualFleet({
     engines: [createVirtualEngine({ name: 'whole', from: 0, to: 48 })],
-    services: 0,
+    services: 1,
   });
   const drainLimitMilliseconds = DRAIN_LIMIT_MILLISECONDS;
-  return { fleet, system: startSystem(fleet, { nodes: 2, drainLimitMilliseconds }) };
+  const options = { nodes: 2, drainLimitMilliseconds, ...(onEffect && { onEffect }) };
+  return { fleet, system: startSystem(fleet, options) };
 }
 
 function sendCompletion(system: VirtualSystem, request: string, deadline = '30000'): void {
@@ -84,3 +95,29 @@
   assert.match(system.responses.get('stuck')?.body ?? '', /"code":1507.*"outcome":"unknown"/);
   assert.equal(system.exits.get('node-1'), 3);
 });
+
+test('requests that arrive after the last check of a leaving node are refused, not cut off', () => {
+  const retryDelays = new Map<string, string | undefined>();
+  const { fleet, system } = startSystemWithOneEngine((_, effect) => {
+    if (effect.kind === 'answer') retryDelays.set(effect.request, effect.headers['retry-after']);
+  });
+  system.dispatch('node-1', { kind: 'leave' });
+  system.run(ADDRESS_EXPIRY_MILLISECONDS + 80);
+  assert.equal(system.exits.get('node-1'), undefined);
+  sendCompletion(system, 'completion');
+  sendBooking(system, 'node-1', 'booking', 'key');
+  sendBooking(system, 'node-1', 'retry', 'other-key', 2);
+  system.run(60);
+  assert.equal(fleet.engines.get('whole')?.active, 0);
+  system.run(20_000);
+  assert.equal(system.exits.get('node-1'), 0);
+  for (const request of ['completion', 'booking', 'retry']) {
+    assert.equal(system.responses.get(request)?.status, 503);
+    assert.match(system.responses.get(request)?.body ?? '', /"code":1511/);
+    assert.equal(retryDelays.get(request), '1');
+  }
+  assert.equal(readOutcome(system.responses.get('completion')), 'not-run');
+  assert.equal(readOutcome(system.responses.get('booking')), 'not-run');
+  assert.equal(readOutcome(system.responses.get('retry')), 'unknown');
+  assert.equal(fleet.service.counts.size, 0);
+});
