Answer open bookings and service calls at the drain limit

What callers saw: the connection closed without an answer for bookings and service calls that were open when a node's drain reached its limit.

Cause: only requests to models were interrupted; the node waits for the others as well, but exits 200 ms after the limit without an answer to them.

Evidence: with a service that takes 200 ms longer than the limit, a booking and a call had no answer stating an unknown outcome; the test fails before.

Change: the node keeps the set of callers' requests without a final response. At the limit the remaining ones end as unknown (1506), and a response that comes later is dropped, so that each request has one.

--- a/src/process/node/createEventRouter/index.ts
+++ b/src/process/node/createEventRouter/index.ts
@@ -5,6 +5,7 @@
 import type { ModelRequests } from '../../../request/createModelRequests/index.js';
 import type { NodeEvent } from '../../../types/node/index.js';
 import type { Leaving } from '../../leaving/createLeaving/index.js';
+import type { OpenRequests } from '../createOpenRequests/index.js';
 import type { ContextControl } from '../createContext/index.js';
 
 type EventHandler<Kind extends NodeEvent['kind']> = (
@@ -17,6 +18,7 @@
   readonly control: Pick<ContextControl, 'resumeEndpoint' | 'resumePlatform' | 'resumeTimer'>;
   readonly attempts: Pick<Attempts, 'receiveTokens' | 'receiveEnd' | 'receiveFailure'>;
   readonly modelRequests: Pick<ModelRequests, 'cancel'>;
+  readonly openRequests: Pick<OpenRequests, 'add' | 'remove'>;
   readonly leaving: Pick<Leaving, 'begin'>;
   readonly routeCaller: EventHandler<'callerRequest'>;
   readonly routeOperator: EventHandler<'operatorRequest'>;
@@ -32,14 +34,18 @@
  * createEventRouter(options)({ kind: 'start' });
  */
 export function createEventRouter(options: CreateEventRouterOptions): (event: NodeEvent) => void {
-  const { start, control, attempts, modelRequests, leaving } = options;
+  const { start, control, attempts, modelRequests, openRequests, leaving } = options;
   const { routeCaller, routeOperator, routePeer } = options;
   const handlers: {
     [Kind in NodeEvent['kind']]: (event: Extract<NodeEvent, { kind: Kind }>) => void;
   } = {
     start,
-    callerRequest: routeCaller,
+    callerRequest: (event) => {
+      openRequests.add(event.request);
+      routeCaller(event);
+    },
     callerGone: ({ request }) => {
+      openRequests.remove(request);
       modelRequests.cancel(request);
     },
     operatorRequest: routeOperator,
--- a/src/process/node/createNode/index.ts
+++ b/src/process/node/createNode/index.ts
@@ -27,7 +27,8 @@
 import { createRegistration } from '../../membership/createRegistration/index.js';
 import { createOrders } from '../../orders/createOrders/index.js';
 import { createPeerRequests } from '../createPeerRequests/index.js';
-import { createContext } from '../createContext/index.js';
+import { createContext, type NodeContext } from '../createContext/index.js';
+import { createOpenRequests } from '../createOpenRequests/index.js';
 import { createDemandGossip } from '../createDemandGossip/index.js';
 import { describeStatus } from '../describeStatus/index.js';
 import type { NodeDecisions } from '../nodeDecisions/index.js';
@@ -83,7 +84,8 @@
 export function createNode(options: CreateNodeOptions): Node {
   const { decisions = {} } = options;
   const control = createContext(options);
-  const { context } = control;
+  const openRequests = createOpenRequests(control.context.emit);
+  const context: NodeContext = { ...control.context, emit: openRequests.emit };
   const fleet = createFleet();
   let version: CompiledConfiguration = compileConfiguration({
     revision: 0,
@@ -186,7 +188,10 @@
     countPendingWork: () =>
       modelRequests.count() + bookings.count() + journal.backlog() + services.inFlight(),
     onLeave: membership.leave,
-    interruptAll: modelRequests.interruptAll,
+    interruptAll: () => {
+      modelRequests.interruptAll();
+      openRequests.interruptAll();
+    },
   });
   const acceptor = createChangeAcceptor({
     context,
@@ -250,6 +255,7 @@
     attempts,
     modelRequests,
     leaving,
+    openRequests,
     routeCaller,
     routeOperator,
     routePeer: createPeerRouter({ membership, configuration, peerRequests }),
--- a/tests/leaving.test.ts
+++ b/tests/leaving.test.ts
@@ -14,6 +14,7 @@
 import type { NodeEffect } from '../src/types/node/index.js';
 import { generateAnswer } from '../standins/generateToken/index.js';
 import {
+  CALLER_KEY,
   readOutcome,
   readStreamedText,
   sendBooking,
@@ -121,3 +122,31 @@
   assert.equal(readOutcome(system.responses.get('retry')), 'unknown');
   assert.equal(fleet.service.counts.size, 0);
 });
+
+test('bookings and service calls that are open at the drain limit end as unknown, not cut off', () => {
+  const answers: string[] = [];
+  const { fleet, system } = startSystemWithOneEngine((_, effect) => {
+    if (effect.kind === 'answer') answers.push(effect.request);
+  });
+  fleet.service.delay = DRAIN_LIMIT_MILLISECONDS + 200;
+  const deadline = { 'x-deadline-milliseconds': '600000' };
+  const keyed = { ...deadline, 'idempotency-key': 'key' };
+  sendRequest(system, 'node-1', 'booking', '/v1/services/s/book', '{}', keyed);
+  system.dispatch('node-1', {
+    kind: 'callerRequest',
+    request: 'call',
+    method: 'GET',
+    path: '/v1/services/s/read',
+    headers: { authorization: `Bearer ${CALLER_KEY}`, ...deadline },
+    body: '',
+  });
+  system.run(100);
+  system.dispatch('node-1', { kind: 'leave' });
+  system.run(DRAIN_LIMIT_MILLISECONDS + 20_000);
+  assert.equal(system.exits.get('node-1'), 3);
+  for (const request of ['booking', 'call']) {
+    const response = system.responses.get(request);
+    assert.match(response?.body ?? '', /"code":1506.*"outcome":"unknown"/);
+    assert.equal(answers.filter((answer) => answer === request).length, 1);
+  }
+});
