Handle SIGTERM, SIGINT and SIGHUP from the start of serve

What callers saw: closed connections of a node that got SIGHUP at any time, or SIGTERM or SIGINT just after it began to listen.

Cause: SIGHUP had no handler, and the handlers of the others were registered after all listeners had been opened; until then the default action of a signal ends the process with all that it holds.

A signal that comes early takes effect when the node runs. serve logs SIGHUP and ignores it, since settings are read at the start only.

--- a/src/commands/serve/index.ts
+++ b/src/commands/serve/index.ts
@@ -3,6 +3,7 @@
  */
 import { defineCommand } from 'citty';
 import { ListenError } from '../../process/runtime/listenHttp/index.js';
+import { listenForSignals } from '../../process/runtime/listenForSignals/index.js';
 import { startNode, type RunningNode } from '../../process/runtime/startNode/index.js';
 import { readSettings, type LoadedSettings } from '../../process/settings/readSettings/index.js';
 import { formatSettingsErrors } from '../check/index.js';
@@ -31,6 +32,7 @@
   },
   args: { settings: { type: 'string', description: 'settings file', required: true } },
   run: async ({ args }) => {
+    const signals = listenForSignals();
     const loaded = readSettings(args.settings);
     if (loaded.isErr) {
       printError('invalidSettings', formatSettingsErrors(args.settings, loaded.error));
@@ -38,8 +40,11 @@
     }
     const running = await start(loaded.value);
     if (!running) return;
-    process.on('SIGTERM', running.leave);
-    process.on('SIGINT', running.leave);
+    signals.serve((signal) => {
+      // Settings are read at the start only; the operators' interface changes the configuration.
+      if (signal === 'SIGHUP') running.logIgnoredSignal(signal);
+      else running.leave();
+    });
     process.exitCode = await running.ended;
     process.exit();
   },
--- a/src/process/runtime/startNode/index.ts
+++ b/src/process/runtime/startNode/index.ts
@@ -29,6 +29,8 @@
   readonly histograms: Histograms;
   /** Starts a graceful shutdown of the node. */
   readonly leave: () => void;
+  /** Logs a signal that has no effect. */
+  readonly logIgnoredSignal: (signal: string) => void;
   /** Closes everything immediately, like a crash of the process. */
   readonly kill: () => Promise<void>;
   /** Resolves with the exit code when the node has exited by itself. */
@@ -180,6 +182,9 @@
     leave: () => {
       driver.feed({ kind: 'leave' });
     },
+    logIgnoredSignal: (signal) => {
+      logger.log('info', 'signal-ignored', { signal });
+    },
     kill: lifeCycle.close,
     ended,
     lifeCycle,
