Take the copies of the store stand-in's tests at a recorded time

Seen: "a restored lease ends when nobody renews it" failed once beside other tests on a busy machine. Cause: the test restored a state of a fixed age, and the pauses before it took longer than they asked for. Change: the tests restore the state of a recorded time, whatever the pauses take; what they expect is the same.

--- a/standins/serveSiteStore/test.ts
+++ b/standins/serveSiteStore/test.ts
@@ -15,8 +15,9 @@
   };
 }
 
-/** Age of the restored state; longer than a write takes, shorter than the pause before the restoration. */
-const AGE_MILLISECONDS = 60;
+const COPY_MARGIN_MILLISECONDS = 5;
+const DELAY_MILLISECONDS = 60;
+const LEASE_MILLISECONDS = 300;
 
 let store: SiteStore;
 
@@ -40,20 +41,33 @@
   return (await call('GET', '/kv-range?prefix=')).value.at ?? 0;
 }
 
-/** Waits until the present state is old enough to be the restored one. */
-async function keepState(): Promise<void> {
-  await sleep(2 * AGE_MILLISECONDS);
+/** Returns a function that restores the present state; changes before and after it are some time apart. */
+async function copyState(): Promise<() => void> {
+  await sleep(COPY_MARGIN_MILLISECONDS);
+  const copiedAt = performance.now();
+  await sleep(COPY_MARGIN_MILLISECONDS);
+  return () => {
+    store.restore(performance.now() - copiedAt);
+  };
+}
+
+/** Waits until an item is removed; fails when it is not. */
+async function waitUntilRemoved(key: string): Promise<void> {
+  for (let check = 0; store.read(key) !== undefined; check += 1) {
+    assert.ok(check < 100, `${key} was not removed`);
+    await sleep(DELAY_MILLISECONDS);
+  }
 }
 
 test('restores items, removals and the revision, and gives out the same revisions again', async () => {
   store.put('kept', 'old');
   store.put('removed', 'old');
   const revision = await readRevision();
-  await keepState();
+  const restore = await copyState();
   store.put('kept', 'new');
   store.put('added', 'new');
   store.remove('removed');
-  store.restore(AGE_MILLISECONDS);
+  restore();
   assert.equal(store.read('kept'), 'old');
   assert.equal(store.read('removed'), 'old');
   assert.equal(store.read('added'), undefined);
@@ -65,15 +79,15 @@
 
 test('changes nothing when all writes are older than the copy', async () => {
   store.put('kept', 'old');
-  await keepState();
-  store.restore(AGE_MILLISECONDS);
+  const restore = await copyState();
+  restore();
   assert.equal(store.read('kept'), 'old');
 });
 
 test('all responses carry the era, refusals too, and a restoration raises it by one', async () => {
   const era = (await call('GET', '/kv-range?prefix=')).era;
   assert.ok(Number.isInteger(era));
-  store.restore(AGE_MILLISECONDS);
+  store.restore(0);
   const expected = [{ key: 'missing', revision: 9 }];
   const answers = [
     await call('GET', '/kv-range?prefix='),
@@ -96,18 +110,18 @@
 
 test('a response that was delayed over a restoration carries the new era', async () => {
   const { era } = await watch(1);
-  store.faults.add({ kind: 'delay', milliseconds: AGE_MILLISECONDS });
+  store.faults.add({ kind: 'delay', milliseconds: DELAY_MILLISECONDS });
   const delayed = call('GET', '/kv-range?prefix=');
-  await sleep(AGE_MILLISECONDS / 2);
+  await sleep(DELAY_MILLISECONDS / 2);
   store.restore(0);
   assert.equal((await delayed).era, era + 1);
 });
 
 test('rejects a watch from a lost revision until that revision is given out again', async () => {
   const revision = await readRevision();
-  await keepState();
+  const restore = await copyState();
   store.put('lost', 'new');
-  store.restore(AGE_MILLISECONDS);
+  restore();
   assert.equal((await watch(revision + 1)).status, 410);
   store.put('other', 'new');
   store.put('another', 'new');
@@ -122,7 +136,7 @@
 test('cuts a watch that waits', async () => {
   const waiting = watch(await readRevision(), 5_000);
   const cut = assert.rejects(waiting);
-  await sleep(AGE_MILLISECONDS);
+  await sleep(DELAY_MILLISECONDS);
   store.restore(0);
   await cut;
 });
@@ -132,11 +146,11 @@
   const { lease: old = 0 } = (await grant()).value;
   const puts = [{ key: 'held', value: '', lease: old }];
   await call('POST', '/kv-txn', { expected: [], puts, remove: [] });
-  await keepState();
+  const restore = await copyState();
   const { lease: lost = 0 } = (await grant()).value;
   await call('DELETE', `/kv-lease-end/${old}`);
   assert.equal(store.read('held'), undefined);
-  store.restore(AGE_MILLISECONDS);
+  restore();
   assert.equal((await call('POST', `/kv-keep/${lost}`, {})).status, 404);
   assert.equal((await call('POST', `/kv-keep/${old}`, {})).status, 200);
   assert.equal(store.read('held'), '');
@@ -146,21 +160,20 @@
 });
 
 test('a restored lease ends when nobody renews it', async () => {
-  const { lease = 0 } = (await call('POST', '/kv-lease', { ttl_ms: AGE_MILLISECONDS })).value;
-  const puts = [{ key: 'held', value: '', lease }];
+  const grant = await call('POST', '/kv-lease', { ttl_ms: LEASE_MILLISECONDS });
+  const puts = [{ key: 'held', value: '', lease: grant.value.lease ?? 0 }];
   await call('POST', '/kv-txn', { expected: [], puts, remove: [] });
-  await sleep(3 * AGE_MILLISECONDS);
-  assert.equal(store.read('held'), undefined);
-  store.restore(2.5 * AGE_MILLISECONDS);
+  const restore = await copyState();
+  await waitUntilRemoved('held');
+  restore();
   assert.equal(store.read('held'), '');
-  await sleep(3 * AGE_MILLISECONDS);
-  assert.equal(store.read('held'), undefined);
+  await waitUntilRemoved('held');
 });
 
 test('a copy from before the history was compacted serves watches from its own revision', async () => {
   const revision = await readRevision();
-  await keepState();
+  const restore = await copyState();
   store.compactHistory();
-  store.restore(AGE_MILLISECONDS);
+  restore();
   assert.equal((await watch(revision)).status, 200);
 });
