--- a/src/process/relay/createCallerHandler/test.ts
+++ b/src/process/relay/createCallerHandler/test.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingHttpHeaders } from 'node:http';
 import { once } from 'node:events';
 import { connect, type AddressInfo } from 'node:net';
-import { test } from 'node:test';
+import { test, type TestContext } from 'node:test';
 import { createSiteProtocol } from '../../../../platform/createSiteProtocol/index.js';
 import type { CallerResponse } from '../../../types/relay/index.js';
 import type { Relay } from '../createRelay/index.js';
@@ -12,7 +12,7 @@
 const LARGE_BODY_BYTES = 8_000_000;
 
 /** Serves requests with a relay that never ends one by itself. */
-async function serveRelay(relayRequest: (response: CallerResponse) => void) {
+async function serveRelay(context: TestContext, relayRequest: (response: CallerResponse) => void) {
   const counted: string[] = [];
   const relay = {
     waitForStart: () => Promise.resolve(),
@@ -45,31 +45,30 @@
   const server = createServer(handler.handle);
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
+  context.after(() => {
+    server.close();
+    server.closeAllConnections();
+  });
   const { port } = server.address() as AddressInfo;
   return {
     handler,
     counted,
     url: `http://127.0.0.1:${port}/`,
-    close: () => {
-      server.close();
-      server.closeAllConnections();
-    },
   };
 }
 
-test('a request that fails with an internal error gets a final response', async () => {
-  const served = await serveRelay(() => {
+test('a request that fails with an internal error gets a final response', async (context) => {
+  const served = await serveRelay(context, () => {
     throw new Error('internal');
   });
   const response = await fetch(served.url);
   assert.equal(response.status, 502);
   assert.match(await response.text(), /"outcome":"unknown"/);
   assert.ok(served.counted.includes('request-crashed'));
-  served.close();
 });
 
-test('a response that an internal error interrupts does not look complete', async () => {
-  const served = await serveRelay((response) => {
+test('a response that an internal error interrupts does not look complete', async (context) => {
+  const served = await serveRelay(context, (response) => {
     response.begin(200, []);
     response.write(Buffer.from('half'));
     throw new Error('internal');
@@ -78,7 +77,6 @@
   assert.ok(served.counted.includes('unanswered_requests crashed'));
   assert.ok(served.counted.includes('request-unanswered'));
   assert.equal(served.handler.countOpen(), 0);
-  served.close();
 });
 
 /** Waits until a condition holds; throws after two seconds. */
@@ -96,9 +94,9 @@
 }
 
 for (const method of ['GET', 'POST']) {
-  test(`a ${method} request whose caller has left before it was read does not reach an endpoint`, async () => {
+  test(`a ${method} request whose caller has left before it was read does not reach an endpoint`, async (context) => {
     let relayed = 0;
-    const served = await serveRelay(() => {
+    const served = await serveRelay(context, () => {
       relayed += 1;
       throw new Error('internal');
     });
@@ -113,12 +111,11 @@
     await new Promise((resolve) => setTimeout(resolve, 100));
     assert.equal(relayed, 0);
     assert.ok(served.counted.some((name) => name.startsWith('abandoned_requests')));
-    served.close();
   });
 }
 
-test('a pipelined request whose caller has left does not count as open', async () => {
-  const served = await serveRelay((response) => {
+test('a pipelined request whose caller has left does not count as open', async (context) => {
+  const served = await serveRelay(context, (response) => {
     response.begin(200, []);
   });
   const { port, hostname } = new URL(served.url);
@@ -128,16 +125,14 @@
   await waitUntil(() => served.handler.countOpen() === 2);
   socket.destroy();
   await waitUntil(() => served.handler.countOpen() === 0);
-  served.close();
 });
 
-test('an internal error after the end of a response does not cut it', async () => {
-  const served = await serveRelay((response) => {
+test('an internal error after the end of a response does not cut it', async (context) => {
+  const served = await serveRelay(context, (response) => {
     response.begin(200, []);
     response.end(Buffer.alloc(LARGE_BODY_BYTES));
     throw new Error('internal');
   });
   const body = await (await fetch(served.url)).arrayBuffer();
   assert.equal(body.byteLength, LARGE_BODY_BYTES);
-  served.close();
 });
