--- a/src/process/leaving/createLeaving/index.ts
+++ b/src/process/leaving/createLeaving/index.ts
@@ -35,8 +35,9 @@
  *
  * A leaving node is first removed from address responses and announces its state by gossip. It
  * serves until every address response that names it has expired and its pending work has ended, and
- * then exits with code 0; between the last check and the exit it admits no requests. Further requests to leave have no effect. At the drain limit the remaining
- * requests get a final response and the exit code is 3.
+ * then exits with code 0; between the last check and the exit it admits no requests. Further requests
+ * to leave have no effect. At the drain limit the remaining requests get a final response and the exit
+ * code is 3.
  *
  * @param options - the context, the limits and the callbacks
  * @returns the control; `begin` starts the shutdown
