Count streams whose run the node itself gave up apart from those that an endpoint ended

A stream that ends in the middle was counted as interrupted, whoever ended its run. Only those whose run the node gave up while the endpoint had not ended it can break what callers were promised. run-broken says now whether the run was abandoned, and unanswered_requests has the cause abandoned. No decision changes; tests of moves, broken streams and log events pass.

--- a/src/process/relay/createStreamResponse/index.ts
+++ b/src/process/relay/createStreamResponse/index.ts
@@ -25,6 +25,8 @@
   readonly reason: string;
   readonly code: ResultCodeName;
   readonly retryAfterSeconds?: number;
+  /** Whether this node gave up the last run, while its endpoint had not ended it. */
+  readonly isAbandoned: boolean;
 }
 
 /** Response of one stream. */
@@ -131,7 +133,7 @@
       log.end(false);
       metrics.count('streams', 'gone');
     },
-    fail: ({ reason, code, retryAfterSeconds, sends, refused }) => {
+    fail: ({ reason, code, retryAfterSeconds, isAbandoned, sends, refused }) => {
       metrics.count('streams', code);
       log.add('request-failed', {
         route: route.name,
@@ -143,7 +145,7 @@
         milliseconds: Math.round(clock.now() - arrivedAt),
       });
       log.end(true);
-      if (hasBegun) metrics.count('unanswered_requests', 'interrupted');
+      if (hasBegun) metrics.count('unanswered_requests', isAbandoned ? 'abandoned' : 'interrupted');
       if (hasBegun) response.abort();
       else sendFailure(response, { code, retryAfterSeconds });
     },
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -51,6 +51,8 @@
   let call: EndpointCall | undefined;
   let path: ChosenPath | undefined;
   let release: (() => void) | undefined;
+  /** Whether this node gave up the last run, while its endpoint had not ended it. */
+  let isAbandoned = false;
   const counter = createRunCounter(route);
   const gate = context.partGuard.createGate(request);
   const run = createRunRecord(context, request, gate);
@@ -135,6 +137,7 @@
     const hasBegun = response.hasBegun();
     response.fail({
       reason,
+      isAbandoned,
       ...counter.count(call !== undefined),
       ...decideStreamFailure({
         hasBegun,
@@ -187,6 +190,7 @@
         if (call !== opened) return false;
         watch.reset();
         run.recordEvent();
+        isAbandoned = false;
         counter.recordMayHaveRun();
         if (response.forwardEvent(event, headers) !== 'broken') return true;
         recover('events out of order');
@@ -198,6 +202,7 @@
         else void endWithConnection();
       },
       onFailed: (reason) => {
+        isAbandoned = false;
         paths.recordFailedRun(first, reason);
         void recoverBroken(reason, 'report');
       },
@@ -266,7 +271,7 @@
     if (!first || !mayRunAgain() || budget.countLeft(service.name, clock.now()) < 1) return false;
     const newPath = paths.selectWithoutEndpoint(first.endpoint, computeSize());
     if (!newPath) return false;
-    recover('silence', newPath);
+    abandonRun('silence', newPath);
     return true;
   }
 
@@ -288,6 +293,12 @@
     recover(reason);
   }
 
+  /** Gives up a run that its endpoint has not ended, and starts another one. */
+  function abandonRun(reason: string, chosen?: ChosenPath): void {
+    isAbandoned = true;
+    recover(reason, chosen);
+  }
+
   /** Starts another run after a failed one, on the given path or a newly selected one. */
   function recover(reason: string, chosen?: ChosenPath): void {
     if (state === 'done') return;
@@ -295,7 +306,8 @@
     const isReplaceable = mayRunAgain();
     const runs = counter.recordFailed();
     const lastEvent = response.getLastEventId();
-    log.add('run-broken', { reason, runs, lastEvent, path: formatHops(listHops()) });
+    const path = formatHops(listHops());
+    log.add('run-broken', { reason, runs, lastEvent, abandoned: isAbandoned, path });
     if (isReplaceable) startRun(chosen);
     else fail(reason);
   }
@@ -304,13 +316,14 @@
   function avoidLost(lost: string): void {
     const [firstHop] = listHops();
     if (firstHop?.endpoint === lost) {
+      isAbandoned = true;
       void recoverBroken('endpoint lost', 'known');
       return;
     }
     const { movesRuns } = context.decisions;
     const newPath = movesRuns ? paths.selectWithFirstHop(firstHop, computeSize()) : undefined;
     if (newPath) void moveTo(newPath);
-    else recover('endpoint lost');
+    else abandonRun('endpoint lost');
   }
 
   async function moveTo(newPath: ChosenPath): Promise<void> {
@@ -326,7 +339,7 @@
     state = 'running';
     if (!isAccepted) {
       releaseNew();
-      recover(`migration failed: ${outcome}`);
+      abandonRun(`migration failed: ${outcome}`);
       return;
     }
     release?.();
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -304,6 +304,9 @@
     reason,
     runs,
     lastEvent,
+    abandoned: z
+      .boolean()
+      .describe('whether the node gave the run up, while its endpoint had not ended it'),
     path,
   }),
   'run-moved': define('warn', 'A run was moved off a lost endpoint.', {
