Give up a stream's run only for another one that is certain to follow

What callers saw: streams that ended in the middle although their engine would have sent the rest. Cause: an endpoint counts as lost when one report does not come within 200 ms, or when an order to move a run gets no answer in that time; each stream on it then gave up its run at once and looked for a path, memory and a retry only after that. Where one was missing (at 78 nodes a node has four retries in ten seconds) the caller's connection was closed. Class: a belief acted on as a fact. Change: a run that delivers events is left alone; a silent one is moved or replaced only when path, retry and attempts are at hand, and else continues and is looked at again; run-kept says so.

--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -22,6 +22,7 @@
 import { openRequestRun } from '../openRequestRun/index.js';
 import type { NonStreamResponse } from '../openStreamRun/index.js';
 import { reserveMemory } from '../selectPath/index.js';
+import { watchLostEndpoints } from '../watchLostEndpoints/index.js';
 import { watchStream } from '../watchStream/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
@@ -81,9 +82,6 @@
     getPath: () => path,
     hasBegun: response.hasBegun,
     onReplace: replaceIdleRun,
-    onLost: (lost) => {
-      if (state === 'running') avoidLost(lost);
-    },
     onTimeUp: () => {
       fail('deadline reached', { isTimeUp: true });
     },
@@ -96,6 +94,25 @@
       finish();
     },
   });
+  const lostEndpoints = watchLostEndpoints({
+    context,
+    request,
+    paths,
+    getPath: () => path,
+    isRunning: () => state === 'running',
+    isEstablished: run.isEstablished,
+    isSilent: watch.isSilent,
+    mayRunAgain,
+    computeSize,
+    onSuspectLost: () => {
+      isAbandoned = true;
+      void recoverBroken('endpoint lost', 'known');
+    },
+    onMove: (newPath) => {
+      void moveTo(newPath);
+    },
+    onReplace: abandonRun,
+  });
 
   function listHops(): readonly PathHop[] {
     return path?.hops ?? [];
@@ -121,6 +138,7 @@
     state = 'done';
     endRun();
     watch.close();
+    lostEndpoints.close();
     stopBlockListener();
     gate.end();
     onDone();
@@ -268,10 +286,9 @@
   /** Replaces an idle run; returns false, and the run continues, when nothing can replace it. */
   function replaceIdleRun(): boolean {
     const [first] = listHops();
-    if (!first || !mayRunAgain() || budget.countLeft(service.name, clock.now()) < 1) return false;
-    const newPath = paths.selectWithoutEndpoint(first.endpoint, computeSize());
+    const newPath = first && lostEndpoints.selectReplacement(first.endpoint);
     if (!newPath) return false;
-    abandonRun('silence', newPath);
+    abandonRun(newPath, 'silence');
     return true;
   }
 
@@ -293,10 +310,10 @@
     recover(reason);
   }
 
-  /** Gives up a run that its endpoint has not ended, and starts another one. */
-  function abandonRun(reason: string, chosen?: ChosenPath): void {
+  /** Gives up a run that its endpoint has not ended, for another one on the given path. */
+  function abandonRun(newPath: ChosenPath, reason: string): void {
     isAbandoned = true;
-    recover(reason, chosen);
+    recover(reason, newPath);
   }
 
   /** Starts another run after a failed one, on the given path or a newly selected one. */
@@ -312,20 +329,6 @@
     else fail(reason);
   }
 
-  /** Leaves a path with a lost endpoint: migrates the run, or restarts it if that is not possible. */
-  function avoidLost(lost: string): void {
-    const [firstHop] = listHops();
-    if (firstHop?.endpoint === lost) {
-      isAbandoned = true;
-      void recoverBroken('endpoint lost', 'known');
-      return;
-    }
-    const { movesRuns } = context.decisions;
-    const newPath = movesRuns ? paths.selectWithFirstHop(firstHop, computeSize()) : undefined;
-    if (newPath) void moveTo(newPath);
-    else abandonRun('endpoint lost');
-  }
-
   async function moveTo(newPath: ChosenPath): Promise<void> {
     const movedCall = call;
     state = 'moving';
@@ -339,15 +342,14 @@
     state = 'running';
     if (!isAccepted) {
       releaseNew();
-      abandonRun(`migration failed: ${outcome}`);
+      lostEndpoints.replace(`migration failed: ${outcome}`);
       return;
     }
     release?.();
     release = releaseNew;
     path = newPath;
     watch.reset();
-    const lostHop = paths.findLost(newPath.hops);
-    if (lostHop) avoidLost(lostHop.endpoint);
+    lostEndpoints.check();
   }
 
   startRun();
--- a/src/process/relay/watchIdleStream/index.ts
+++ b/src/process/relay/watchIdleStream/index.ts
@@ -21,6 +21,8 @@
   /** Starts or resets the watch, after data arrived or the path of the run changed. */
   readonly reset: () => void;
   readonly stop: () => void;
+  /** Returns the time since the last data in milliseconds; 0 while the watch is stopped. */
+  readonly getIdleMilliseconds: () => number;
 }
 
 const MINIMUM_TIMER_MILLISECONDS = 20;
@@ -64,6 +66,7 @@
       rounds = 0;
       if (!cancelTimer) arm();
     },
+    getIdleMilliseconds: () => (cancelTimer ? clock.now() - lastDataAt : 0),
     stop: () => {
       cancelTimer?.();
       cancelTimer = undefined;
--- /dev/null
+++ b/src/process/relay/watchLostEndpoints/index.ts
@@ -0,0 +1,138 @@
+/**
+ * Watch of the path of a stream for endpoints that count as lost.
+ *
+ * An endpoint counts as lost when its report is late, so it may be sound. A run that still delivers
+ * events continues, and so does one that nothing can take over: its endpoint may send the rest.
+ */
+import type { ChosenPath } from '../../../request/choosePath/index.js';
+import type { TokenEstimate } from '../../../request/estimateTokens/index.js';
+import type { StreamPaths } from '../createStreamPaths/index.js';
+import { formatHops } from '../formatHops/index.js';
+import type { RelayContext, RelayedRequest } from '../types/index.js';
+
+/** Options of {@link watchLostEndpoints}. */
+export interface WatchLostEndpointsOptions {
+  readonly context: Pick<RelayContext, 'clock' | 'budget' | 'decisions' | 'onLost'>;
+  readonly request: Pick<RelayedRequest, 'service' | 'log'>;
+  readonly paths: Pick<StreamPaths, 'selectWithFirstHop' | 'selectWithoutEndpoint' | 'findLost'>;
+  /** Returns the path of the current run; undefined when there is none. */
+  readonly getPath: () => ChosenPath | undefined;
+  /** Returns whether a run is open that is not being moved. */
+  readonly isRunning: () => boolean;
+  /** Returns whether the run has delivered enough events to be no cause of the loss. */
+  readonly isEstablished: () => boolean;
+  /** Returns whether the run has received nothing for longer than is usual. */
+  readonly isSilent: () => boolean;
+  /** Returns whether another run may follow the current one. */
+  readonly mayRunAgain: () => boolean;
+  readonly computeSize: () => TokenEstimate;
+  /** Called when the first endpoint is lost before the run is established. */
+  readonly onSuspectLost: () => void;
+  /** Called with a path to move the run to, which has the same first endpoint. */
+  readonly onMove: (newPath: ChosenPath) => void;
+  /** Called with a path for another run, which is to take over. */
+  readonly onReplace: (newPath: ChosenPath, reason: string) => void;
+}
+
+/** Watch of one stream. */
+export interface LostEndpointWatch {
+  /** Handles a lost endpoint on the path of the current run, if there is one. */
+  readonly check: () => void;
+  /** Replaces the run; where nothing can take over, the run continues. */
+  readonly replace: (reason: string) => void;
+  /** Returns a path for another run that avoids an endpoint, if one may follow now. */
+  readonly selectReplacement: (endpoint: string) => ChosenPath | undefined;
+  readonly close: () => void;
+}
+
+/** Time after which a path with a lost endpoint is checked again, in milliseconds; it doubles each time. */
+const FIRST_RECHECK_MILLISECONDS = 200;
+const MAXIMUM_RECHECK_MILLISECONDS = 1_600;
+
+/**
+ * Watches the path of a stream for lost endpoints.
+ *
+ * @param options - the stream, its path selection and the callbacks
+ * @returns the watch
+ * @example
+ * const lostEndpoints = watchLostEndpoints(options);
+ * lostEndpoints.check();
+ */
+export function watchLostEndpoints(options: WatchLostEndpointsOptions): LostEndpointWatch {
+  const { context, request, paths, getPath, isRunning, isEstablished, isSilent } = options;
+  const { mayRunAgain, computeSize, onSuspectLost, onMove, onReplace } = options;
+  const { clock, budget, decisions } = context;
+  let cancelRecheck: (() => void) | undefined;
+  let rechecks = 0;
+  /** Path whose run was logged as kept, so that each is logged once. */
+  let keptPath: ChosenPath | undefined;
+
+  const recheckLater = (): void => {
+    cancelRecheck?.();
+    const pause = Math.min(
+      MAXIMUM_RECHECK_MILLISECONDS,
+      FIRST_RECHECK_MILLISECONDS * 2 ** rechecks,
+    );
+    rechecks += 1;
+    cancelRecheck = clock.schedule(pause, check);
+  };
+  const logKept = (reason: string): void => {
+    const path = getPath();
+    if (!path || path === keptPath) return;
+    keptPath = path;
+    request.log.add('run-kept', { reason, path: formatHops(path.hops) });
+  };
+  const selectReplacement = (endpoint: string): ChosenPath | undefined => {
+    if (!mayRunAgain() || budget.countLeft(request.service.name, clock.now()) < 1) return undefined;
+    return paths.selectWithoutEndpoint(endpoint, computeSize());
+  };
+  const replaceEndpoint = (lost: string, reason: string): void => {
+    const newPath = selectReplacement(lost);
+    if (newPath) {
+      onReplace(newPath, reason);
+      return;
+    }
+    logKept(reason);
+    recheckLater();
+  };
+  const findLost = (): string | undefined => paths.findLost(getPath()?.hops ?? [])?.endpoint;
+  const avoid = (lost: string): void => {
+    const firstHop = getPath()?.hops[0];
+    if (firstHop?.endpoint === lost && !isEstablished()) {
+      onSuspectLost();
+      return;
+    }
+    if (!isSilent()) {
+      recheckLater();
+      return;
+    }
+    const mayMove = decisions.movesRuns && firstHop?.endpoint !== lost;
+    const movedPath = mayMove ? paths.selectWithFirstHop(firstHop, computeSize()) : undefined;
+    if (movedPath) onMove(movedPath);
+    else replaceEndpoint(lost, 'endpoint lost');
+  };
+  function check(): void {
+    const lost = isRunning() ? findLost() : undefined;
+    if (lost !== undefined) avoid(lost);
+  }
+
+  const stopListener = context.onLost((lost) => {
+    const isOnPath = getPath()?.hops.some(({ endpoint }) => endpoint === lost);
+    if (!isOnPath || !isRunning()) return;
+    rechecks = 0;
+    avoid(lost);
+  });
+  return {
+    check,
+    selectReplacement,
+    replace: (reason) => {
+      const lost = findLost();
+      if (lost === undefined) logKept(reason);
+      else replaceEndpoint(lost, reason);
+    },
+    close: () => {
+      cancelRecheck?.();
+      stopListener();
+    },
+  };
+}
--- /dev/null
+++ b/src/process/relay/watchLostEndpoints/test.ts
@@ -0,0 +1,188 @@
+/**
+ * Guards against runs that are given up for an endpoint that only seems lost, before another run is
+ * certain.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { ChosenPath } from '../../../request/choosePath/index.js';
+import { watchLostEndpoints, type WatchLostEndpointsOptions } from './index.js';
+
+const SIZE = { promptTokens: 10, answerTokens: 0, roomTokens: 20 };
+
+function createPath(...endpoints: string[]): ChosenPath {
+  const hops = endpoints.map((endpoint, index) => ({
+    endpoint,
+    address: `127.0.0.1:${index + 1}`,
+    range: { from: index, to: index + 1 },
+  }));
+  return { hops, firstEventMilliseconds: 50, pauseMilliseconds: 20 };
+}
+
+interface Stream {
+  isSilent: boolean;
+  isEstablished: boolean;
+  retriesLeft: number;
+  lost: string[];
+  movedPath: ChosenPath | undefined;
+  otherPath: ChosenPath | undefined;
+  readonly outcomes: string[];
+  readonly reportLost: (endpoint: string) => void;
+  /** Runs the timers that are due next. */
+  readonly elapse: () => void;
+}
+
+/** Watches a stream that runs on the endpoints a and b. */
+function watchStream(changes: Partial<Stream> = {}): Stream {
+  let listener: (endpoint: string) => void = () => undefined;
+  let timers: (() => void)[] = [];
+  const path = createPath('a', 'b');
+  const stream: Stream = {
+    isSilent: true,
+    isEstablished: true,
+    retriesLeft: 1,
+    lost: [],
+    movedPath: undefined,
+    otherPath: undefined,
+    outcomes: [],
+    reportLost: (endpoint) => {
+      stream.lost.push(endpoint);
+      listener(endpoint);
+    },
+    elapse: () => {
+      const due = timers;
+      timers = [];
+      for (const timer of due) timer();
+    },
+    ...changes,
+  };
+  const options = {
+    context: {
+      clock: {
+        now: () => 0,
+        schedule: (_: number, action: () => void) => {
+          timers.push(action);
+          return () => {
+            timers = timers.filter((timer) => timer !== action);
+          };
+        },
+      },
+      budget: { countLeft: () => stream.retriesLeft },
+      decisions: { movesRuns: true },
+      onLost: (callback: (endpoint: string) => void) => {
+        listener = callback;
+        return () => undefined;
+      },
+    },
+    request: {
+      service: { name: 'assistant' },
+      log: {
+        add: (event: string) => {
+          stream.outcomes.push(event);
+        },
+      },
+    },
+    paths: {
+      selectWithFirstHop: () => stream.movedPath,
+      selectWithoutEndpoint: () => stream.otherPath,
+      findLost: (hops: ChosenPath['hops']) =>
+        hops.find(({ endpoint }) => stream.lost.includes(endpoint)),
+    },
+    getPath: () => path,
+    isRunning: () => true,
+    isEstablished: () => stream.isEstablished,
+    isSilent: () => stream.isSilent,
+    mayRunAgain: () => true,
+    computeSize: () => SIZE,
+    onSuspectLost: () => stream.outcomes.push('suspect'),
+    onMove: () => stream.outcomes.push('move'),
+    onReplace: () => stream.outcomes.push('replace'),
+  } as unknown as WatchLostEndpointsOptions;
+  watchLostEndpoints(options);
+  return stream;
+}
+
+const OTHER = createPath('c', 'b');
+const MOVED = createPath('a', 'd');
+
+interface Case {
+  readonly name: string;
+  readonly changes: Partial<Stream>;
+  readonly lost: string;
+  readonly outcomes: readonly string[];
+}
+
+const CASES: readonly Case[] = [
+  {
+    name: 'moves a silent run off a later endpoint',
+    changes: { movedPath: MOVED, otherPath: OTHER },
+    lost: 'b',
+    outcomes: ['move'],
+  },
+  {
+    name: 'replaces a silent run that cannot be moved',
+    changes: { otherPath: OTHER },
+    lost: 'b',
+    outcomes: ['replace'],
+  },
+  {
+    name: 'replaces a silent run whose first endpoint is lost',
+    changes: { movedPath: MOVED, otherPath: OTHER },
+    lost: 'a',
+    outcomes: ['replace'],
+  },
+  {
+    name: 'keeps a run that no path can take over',
+    changes: {},
+    lost: 'a',
+    outcomes: ['run-kept'],
+  },
+  {
+    name: 'keeps a run when the retry budget is used up',
+    changes: { otherPath: OTHER, retriesLeft: 0 },
+    lost: 'b',
+    outcomes: ['run-kept'],
+  },
+  {
+    name: 'keeps a run that still delivers events',
+    changes: { isSilent: false, movedPath: MOVED, otherPath: OTHER },
+    lost: 'a',
+    outcomes: [],
+  },
+  {
+    name: 'leaves a run to the crash recorder before it is established',
+    changes: { isEstablished: false, isSilent: false },
+    lost: 'a',
+    outcomes: ['suspect'],
+  },
+  {
+    name: 'ignores the loss of an endpoint of another path',
+    changes: { otherPath: OTHER },
+    lost: 'c',
+    outcomes: [],
+  },
+];
+
+for (const { name, changes, lost, outcomes } of CASES) {
+  test(name, () => {
+    const stream = watchStream(changes);
+    stream.reportLost(lost);
+    assert.deepEqual(stream.outcomes, outcomes);
+  });
+}
+
+test('replaces a kept run as soon as another path has room', () => {
+  const stream = watchStream();
+  stream.reportLost('a');
+  stream.elapse();
+  stream.otherPath = OTHER;
+  stream.elapse();
+  assert.deepEqual(stream.outcomes, ['run-kept', 'replace']);
+});
+
+test('replaces a run that delivered events at first and fell silent', () => {
+  const stream = watchStream({ isSilent: false, otherPath: OTHER });
+  stream.reportLost('b');
+  stream.isSilent = true;
+  stream.elapse();
+  assert.deepEqual(stream.outcomes, ['replace']);
+});
--- a/src/process/relay/watchStream/index.ts
+++ b/src/process/relay/watchStream/index.ts
@@ -1,5 +1,5 @@
 /**
- * Watch for the external events of a stream: idle time, lost endpoints, deadline and disconnect.
+ * Watch for the external events of a stream: idle time, deadline, the node's stop and disconnect.
  */
 import type { ChosenPath } from '../../../request/choosePath/index.js';
 import { computeIdleLimit } from '../../../request/computeIdleLimit/index.js';
@@ -16,8 +16,6 @@
   readonly hasBegun: () => boolean;
   /** Called when the run is idle for too long; returns false when nothing can replace it now. */
   readonly onReplace: () => boolean;
-  /** Called when an endpoint of the path is lost. */
-  readonly onLost: (endpoint: string) => void;
   /** Called at the deadline of the final response. */
   readonly onTimeUp: () => void;
   /** Called when the node stops. */
@@ -28,6 +26,8 @@
 
 /** Watch of one stream. */
 export interface StreamWatch extends IdleStreamWatch {
+  /** Returns whether the run has received nothing for longer than is usual. */
+  readonly isSilent: () => boolean;
   /** Ends the watch; it cannot be started again. */
   readonly close: () => void;
 }
@@ -42,32 +42,31 @@
  * watch.reset();
  */
 export function watchStream(options: WatchStreamOptions): StreamWatch {
-  const { context, request, getPath, hasBegun, onReplace, onLost } = options;
+  const { context, request, getPath, hasBegun, onReplace } = options;
   const { onTimeUp, onStop, onDisconnect } = options;
   const { clock, prober } = context;
   const listEndpoints = (): string[] => (getPath()?.hops ?? []).map(({ endpoint }) => endpoint);
+  const getProbeLimit = (): number => computeIdleLimit(getPath(), hasBegun()).probe;
   const idleWatch = watchIdleStream({
     clock,
-    getIdleLimit: () => computeIdleLimit(getPath(), hasBegun()).probe,
+    getIdleLimit: getProbeLimit,
     getReplaceLimit: () => computeIdleLimit(getPath(), hasBegun()).replace,
     onIdle: (round) => {
       prober.probePath(listEndpoints(), round);
     },
     onReplace,
   });
-  const stopLostListener = context.onLost((lost) => {
-    if (listEndpoints().includes(lost)) onLost(lost);
-  });
   const cancelDeadline = clock.schedule(Math.max(0, request.deadlineAt - clock.now()), onTimeUp);
   const removeStopCallback = context.stopSignal.onRaised(onStop);
   request.response.onDisconnect(onDisconnect);
   return {
     reset: idleWatch.reset,
     stop: idleWatch.stop,
+    getIdleMilliseconds: idleWatch.getIdleMilliseconds,
+    isSilent: () => idleWatch.getIdleMilliseconds() >= getProbeLimit(),
     close: () => {
       idleWatch.stop();
       cancelDeadline();
-      stopLostListener();
       removeStopCallback();
     },
   };
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -309,6 +309,15 @@
       .describe('whether the node gave the run up, while its endpoint had not ended it'),
     path,
   }),
+  'run-kept': define(
+    'info',
+    'A run continues on a path that seems broken, as nothing can replace it.',
+    {
+      request,
+      reason,
+      path,
+    },
+  ),
   'run-moved': define('warn', 'A run was moved off a lost endpoint.', {
     request,
     outcome: text('response of the first endpoint'),
--- a/standins/serveSiteEndpoint/index.ts
+++ b/standins/serveSiteEndpoint/index.ts
@@ -51,6 +51,8 @@
   ignoresOrders: boolean;
   /** Whether its reports state that it is leaving. */
   isLeaving: boolean;
+  /** Time before it responds with its report, in milliseconds. */
+  reportDelayMilliseconds: number;
   /** Closes every connection and stops listening, as a crash does. */
   readonly crash: () => Promise<void>;
 }
@@ -153,8 +155,13 @@
       return;
     }
     readText(incoming, (body) => {
-      if (incoming.url === '/report') sendReport(response);
-      else if (incoming.url === '/order') applyOrder(body, response);
+      if (incoming.url === '/report') {
+        const respond = (): void => {
+          sendReport(response);
+        };
+        if (endpoint.reportDelayMilliseconds === 0) respond();
+        else setTimeout(respond, endpoint.reportDelayMilliseconds);
+      } else if (incoming.url === '/order') applyOrder(body, response);
       else handleRequest(incoming, response, body);
     });
   });
@@ -172,6 +179,7 @@
     slowdown: 1,
     ignoresOrders: false,
     isLeaving: false,
+    reportDelayMilliseconds: 0,
     crash: () =>
       new Promise((resolve) => {
         server.close(() => {
