Count how each request and each caller's connection ends

A node closed connections in several ways that left no trace: a stream it gave up was counted but not logged with its request, invalid bytes after an open request, the limit on connections and the idle time were not counted at all, and an exception that nothing caught left only the runtime's trace on stderr. Whether a lost request had come on a kept connection, and whether it had been passed on, could not be told from the logs.

Every request now ends in one of answered_requests, left_requests (its caller closed first) and unanswered_requests; the last is decided where the connection closes, so that a way that nobody thought of is counted too, as 'closed'. unanswered_on_kept_connections, closed_connections and internal_errors count the rest. No decision changes: the server's timeout listener closes the connection as the runtime did, and an uncaught exception still ends the process.

--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -2,6 +2,7 @@
  * HTTP handler that reads callers' requests and passes them to the relay.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { HeaderTranslator, RequestMetadata } from '../../../types/relay/index.js';
 import { describeError } from '../../describeError/index.js';
 import type { ResultCodeName } from '../../resultCodes/index.js';
@@ -38,10 +39,18 @@
   readonly attempt: string;
   readonly arrivedAt: number;
   readonly response: ServerResponse;
+  /** Whether the connection had an earlier request. */
+  readonly isKept: boolean;
+  /** Whether the request was read completely and passed to the relay. */
+  isPassedOn: boolean;
+  /** Whether its end without a complete response has been recorded. */
+  isRecorded: boolean;
+  /** Why the node closes the connection. */
+  cause: UnansweredCause;
 }
 
 /** Why the connection of a request ends without a complete response. */
-type UnansweredCause = 'crashed' | 'stopped';
+type UnansweredCause = 'interrupted' | 'crashed' | 'stopped' | 'closed';
 
 /** Maximum memory of all request bodies together. */
 const MAXIMUM_BODY_BYTES = 67_108_864;
@@ -76,6 +85,11 @@
   return text + (rawHeaders.length / 2) * HEADER_SEPARATOR_BYTES;
 }
 
+/** Returns whether the other side closed or reset a connection. */
+function wasClosedByCaller({ readableEnded, errored }: Socket): boolean {
+  return readableEnded || errored !== null;
+}
+
 /**
  * Creates the handler of callers' requests.
  *
@@ -89,27 +103,42 @@
   const bodyMemory = createBodyMemoryLimit(MAXIMUM_BODY_BYTES);
   const openRequests = new Set<OpenRequest>();
 
-  const recordUnanswered = (
-    { attempt, arrivedAt, response }: OpenRequest,
-    cause: UnansweredCause,
-  ): void => {
+  /** Connections that had a request. */
+  const usedConnections = new WeakSet<Socket>();
+
+  const recordUnanswered = (openRequest: OpenRequest): void => {
+    if (openRequest.isRecorded) return;
+    openRequest.isRecorded = true;
+    const { attempt, arrivedAt, response, isKept, isPassedOn, cause } = openRequest;
+    const begun = response.headersSent;
     metrics.count('unanswered_requests', cause);
+    if (isKept && isPassedOn && !begun) metrics.count('unanswered_on_kept_connections', cause);
     logger.log('request-unanswered', {
       request: attempt,
       cause,
-      begun: response.headersSent,
+      kept: isKept,
+      passedOn: isPassedOn,
+      begun,
       waitingBytes: response.writableLength,
       milliseconds: Math.round(now() - arrivedAt),
     });
   };
+  const recordEnd = (openRequest: OpenRequest, connection: Socket): void => {
+    if (openRequest.response.writableFinished) metrics.count('answered_requests');
+    else if (wasClosedByCaller(connection)) metrics.count('left_requests');
+    else recordUnanswered(openRequest);
+  };
 
   const serve = async (
     incoming: IncomingMessage,
     response: ServerResponse,
     caller: RequestMetadata,
+    openRequest: OpenRequest,
   ): Promise<void> => {
-    const arrivedAt = now();
-    const callerResponse = createCallerResponse(response);
+    const { arrivedAt } = openRequest;
+    const callerResponse = createCallerResponse(response, () => {
+      openRequest.cause = 'interrupted';
+    });
     const isDisconnected = (): boolean => response.destroyed || incoming.socket.readableEnded;
     const refuse = (code: ResultCodeName, retryAfterSeconds?: number): void => {
       // On a kept connection the unread bytes of the body would be parsed as the next request.
@@ -143,12 +172,14 @@
         refuse(code, retryAfterSeconds);
         return;
       }
+      metrics.count('read_requests');
       // A busy node reads late; the end of a connection that its caller gave up is then read next.
       await waitForPendingReads();
       if (isDisconnected()) {
         metrics.count('abandoned_requests');
         return;
       }
+      openRequest.isPassedOn = true;
       const forwarded = { method, url, rawHeaders, body: outcome.body };
       await relay.run({
         admitted: admission,
@@ -165,33 +196,48 @@
   return {
     handle: (incoming, response) => {
       const caller = headerTranslator.parseRequestHeaders(incoming.headers);
-      const openRequest = { attempt: caller.attempt, arrivedAt: now(), response };
+      const { socket } = incoming;
+      const openRequest: OpenRequest = {
+        attempt: caller.attempt,
+        arrivedAt: now(),
+        response,
+        isKept: usedConnections.has(socket),
+        isPassedOn: false,
+        isRecorded: false,
+        cause: 'closed',
+      };
+      usedConnections.add(socket);
       openRequests.add(openRequest);
       const endRequest = (): void => {
-        openRequests.delete(openRequest);
-        incoming.socket.off('close', endRequest);
+        socket.off('close', endRequest);
+        if (openRequests.delete(openRequest)) recordEnd(openRequest, socket);
       };
       response.once('close', endRequest);
       // A pipelined response that never got the connection is not closed with it.
-      incoming.socket.once('close', endRequest);
+      socket.once('close', endRequest);
       if (isLeaving()) response.setHeader('Connection', 'close');
-      serve(incoming, response, caller).catch((error: unknown) => {
+      serve(incoming, response, caller, openRequest).catch((error: unknown) => {
         logger.log('request-crashed', { reason: describeError(error) });
         // A complete response that is still being sent reaches its caller.
         if (response.writableEnded) return;
+        const callerResponse = createCallerResponse(response, () => {
+          openRequest.cause = 'crashed';
+        });
         if (response.headersSent) {
-          recordUnanswered(openRequest, 'crashed');
-          createCallerResponse(response).abort();
+          callerResponse.abort();
           return;
         }
         // An endpoint may have executed the request, so that it must not be refused as not run.
         const closes = !incoming.complete;
-        sendFailure(createCallerResponse(response), { code: 'endpointFailed', closes });
+        sendFailure(callerResponse, { code: 'endpointFailed', closes });
       });
     },
     countOpen: () => openRequests.size,
     recordUnanswered: () => {
-      for (const openRequest of openRequests) recordUnanswered(openRequest, 'stopped');
+      for (const openRequest of openRequests) {
+        openRequest.cause = 'stopped';
+        recordUnanswered(openRequest);
+      }
     },
   };
 }
--- a/src/process/relay/createCallerHandler/test.ts
+++ b/src/process/relay/createCallerHandler/test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { createServer, type IncomingHttpHeaders } from 'node:http';
 import { once } from 'node:events';
-import { connect, type AddressInfo } from 'node:net';
+import { connect, type AddressInfo, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
 import { createSiteProtocol } from '../../../../platform/createSiteProtocol/index.js';
 import type { CallerResponse } from '../../../types/relay/index.js';
@@ -10,6 +10,7 @@
 
 /** More than the operating system takes at once. */
 const LARGE_BODY_BYTES = 8_000_000;
+const REQUEST = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
 
 /** Serves requests with a relay that never ends one by itself. */
 async function serveRelay(context: TestContext, relayRequest: (response: CallerResponse) => void) {
@@ -120,13 +121,51 @@
   });
   const { port, hostname } = new URL(served.url);
   const socket = connect(Number(port), hostname);
-  const request = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
-  socket.write(request + request);
+  socket.write(REQUEST + REQUEST);
   await waitUntil(() => served.handler.countOpen() === 2);
   socket.destroy();
   await waitUntil(() => served.handler.countOpen() === 0);
 });
 
+/** Sends a request, and another one on the same connection when the first one is answered. */
+async function sendTwoRequests(url: string): Promise<Socket> {
+  const { port, hostname } = new URL(url);
+  const socket = connect(Number(port), hostname);
+  socket.write(REQUEST);
+  await once(socket, 'data');
+  socket.write(REQUEST);
+  return socket;
+}
+
+test('a request that gets no response on a kept connection is counted as such', async (context) => {
+  let relayed = 0;
+  const served = await serveRelay(context, (response) => {
+    relayed += 1;
+    if (relayed === 1) response.begin(204, []);
+    if (relayed === 1) response.end();
+    else response.abort();
+  });
+  const socket = await sendTwoRequests(served.url);
+  await once(socket, 'close');
+  assert.ok(served.counted.includes('answered_requests '));
+  assert.ok(served.counted.includes('unanswered_requests interrupted'));
+  assert.ok(served.counted.includes('unanswered_on_kept_connections interrupted'));
+});
+
+test('a request whose caller closes the connection is not counted as unanswered', async (context) => {
+  let relayed = 0;
+  const served = await serveRelay(context, (response) => {
+    relayed += 1;
+    if (relayed === 1) response.begin(204, []);
+    if (relayed === 1) response.end();
+  });
+  const socket = await sendTwoRequests(served.url);
+  await waitUntil(() => relayed === 2);
+  socket.destroy();
+  await waitUntil(() => served.counted.includes('left_requests '));
+  assert.ok(!served.counted.some((name) => name.startsWith('unanswered')));
+});
+
 test('an internal error after the end of a response does not cut it', async (context) => {
   const served = await serveRelay(context, (response) => {
     response.begin(200, []);
--- a/src/process/relay/createCallerResponse/index.ts
+++ b/src/process/relay/createCallerResponse/index.ts
@@ -8,11 +8,15 @@
  * Creates the port to a caller on an HTTP connection.
  *
  * @param response - the HTTP response
+ * @param onAbort - called before the response is aborted
  * @returns the port
  * @example
- * createCallerResponse(response).begin(200, []);
+ * createCallerResponse(response, () => undefined).begin(200, []);
  */
-export function createCallerResponse(response: ServerResponse): CallerResponse {
+export function createCallerResponse(
+  response: ServerResponse,
+  onAbort: () => void,
+): CallerResponse {
   return {
     isOpen: () => !response.headersSent && !response.destroyed,
     begin: (status, headers) => {
@@ -25,6 +29,7 @@
       response.end(bytes);
     },
     abort: () => {
+      onAbort();
       // Where only the end of the connection ends the body, an ordinary end would look complete.
       if (response.headersSent && !response.chunkedEncoding) response.socket?.resetAndDestroy();
       response.destroy();
--- a/src/process/relay/createStreamResponse/index.ts
+++ b/src/process/relay/createStreamResponse/index.ts
@@ -143,7 +143,6 @@
         milliseconds: Math.round(clock.now() - arrivedAt),
       });
       log.end(true);
-      if (hasBegun) metrics.count('unanswered_requests', 'interrupted');
       if (hasBegun) response.abort();
       else sendFailure(response, { code, retryAfterSeconds });
     },
--- a/src/process/runtime/createParserErrorResponder/index.ts
+++ b/src/process/runtime/createParserErrorResponder/index.ts
@@ -6,6 +6,9 @@
 import { formatError } from '../../../request/createErrorResponse/index.js';
 import { RESULT_CODES, type ResultCodeName } from '../../resultCodes/index.js';
 
+/** Why a connection is closed: the result code of the response, or that a request was open on it. */
+export type ParserErrorCause = ResultCodeName | 'afterRequest';
+
 /** Responder to invalid bytes, for the connections of one server. */
 export interface ParserErrorResponder {
   /**
@@ -29,12 +32,15 @@
  * While a completely received request of the connection is open, the caller would take the response
  * for that of the open request, so the connection is closed instead.
  *
+ * @param onClose - called with the cause when a connection is closed that its caller had not closed
  * @returns the responder
  * @example
- * const responder = createParserErrorResponder();
+ * const responder = createParserErrorResponder(console.log);
  * server.on('clientError', responder.respond);
  */
-export function createParserErrorResponder(): ParserErrorResponder {
+export function createParserErrorResponder(
+  onClose: (cause: ParserErrorCause) => void = () => undefined,
+): ParserErrorResponder {
   const openRequests = new WeakMap<Duplex, Set<IncomingMessage>>();
   /** Connections whose caller has a response that may promise that its request was not executed. */
   const endedConnections = new WeakSet<Duplex>();
@@ -55,7 +61,12 @@
       return true;
     },
     respond: (error, socket) => {
-      if (!socket.writable || hasCompleteRequest(socket)) {
+      if (!socket.writable) {
+        socket.destroy();
+        return;
+      }
+      if (hasCompleteRequest(socket)) {
+        if (!socket.readableEnded) onClose('afterRequest');
         socket.destroy();
         return;
       }
@@ -69,6 +80,7 @@
         'Connection: close',
       ];
       endedConnections.add(socket);
+      onClose(name);
       socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
     },
   };
--- a/src/process/site/createSiteServers/index.ts
+++ b/src/process/site/createSiteServers/index.ts
@@ -2,10 +2,20 @@
  * HTTP listeners of a node.
  */
 import { createServer, type RequestListener, type Server } from 'node:http';
+import type { Socket } from 'node:net';
 import type { CallerLimits } from '../../../types/site/index.js';
 import type { LifeCycle } from '../../createLifeCycle/index.js';
 import { parseJson } from '../../parseJson/index.js';
-import { createParserErrorResponder } from '../../runtime/createParserErrorResponder/index.js';
+import {
+  createParserErrorResponder,
+  type ParserErrorCause,
+} from '../../runtime/createParserErrorResponder/index.js';
+
+/**
+ * Why the node closes a connection of a caller: `idle`, `limit` when it has too many connections, or bytes
+ * that are not a valid request.
+ */
+export type ConnectionCloseCause = 'idle' | 'limit' | ParserErrorCause;
 
 /** One listener. */
 export interface SiteListener {
@@ -28,18 +38,29 @@
  * Creates the server that receives the requests of callers.
  *
  * @param handle - handles one request
+ * @param onClose - called with the cause when the node closes a connection without having a request to answer
  * @returns the server, which does not listen yet
  * @example
  * createCallerServer(callerHandler.handle);
  */
-export function createCallerServer(handle: RequestListener): Server {
-  const parserErrors = createParserErrorResponder();
+export function createCallerServer(
+  handle: RequestListener,
+  onClose: (cause: ConnectionCloseCause) => void = () => undefined,
+): Server {
+  const parserErrors = createParserErrorResponder(onClose);
   const limits = { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true };
   const server = createServer(limits, (incoming, response) => {
     if (parserErrors.admit(incoming, response)) handle(incoming, response);
   });
   server.maxConnections = MAXIMUM_CALLER_CONNECTIONS;
   server.on('clientError', parserErrors.respond);
+  server.on('drop', () => {
+    onClose('limit');
+  });
+  server.on('timeout', (socket: Socket) => {
+    onClose('idle');
+    socket.destroy();
+  });
   return server;
 }
 
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -58,13 +58,22 @@
     loop: text('name of the loop'),
     reason,
   }),
+  'internal-error': define('error', 'Nothing caught an exception; the process ends.', {
+    origin: text('`uncaughtException` or `unhandledRejection`'),
+    reason,
+    open,
+  }),
   'request-crashed': define('error', 'A request failed with an internal error.', { reason }),
   'request-unanswered': define(
     'warn',
     'The node closed the connection of a request without a complete response.',
     {
       request,
-      cause: text('`crashed`: internal error; `stopped`: the process exits'),
+      cause: text(
+        '`interrupted`: a stream that cannot be continued; `crashed`: internal error; `stopped`: the process exits; `closed`: otherwise',
+      ),
+      kept: z.boolean().describe('whether the connection had an earlier request'),
+      passedOn: z.boolean().describe('whether the request was read completely and passed on'),
       begun: z.boolean().describe('whether the response had begun'),
       waitingBytes: number('bytes of the response that the connection has not taken yet'),
       milliseconds,
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -70,6 +70,8 @@
    * read again.
    */
   readonly logReload: () => void;
+  /** Logs and counts an exception that nothing caught. */
+  readonly recordError: (error: unknown, origin: string) => void;
 }
 
 /**
@@ -125,9 +127,14 @@
   const logger = createSiteLogger({ node, availabilityZone, now, stream: options.logStream });
   const lifeCycle = createLifeCycle();
   let leaving: LeavingPeriod | undefined;
-  const callerServer = createCallerServer((incoming, response) => {
-    handler.handle(incoming, response);
-  });
+  const callerServer = createCallerServer(
+    (incoming, response) => {
+      handler.handle(incoming, response);
+    },
+    (cause) => {
+      metrics.count('closed_connections', cause);
+    },
+  );
   const peerPort = await createPeerPort({
     address: self.peerAddress,
     lifeCycle,
@@ -214,6 +221,11 @@
     logReload: () => {
       logger.log('reloaded', { version: state.getVersion() });
     },
+    recordError: (error, origin) => {
+      metrics.count('internal_errors', origin);
+      const reason = describeError(error);
+      logger.log('internal-error', { origin, reason, open: handler.countOpen() });
+    },
     leave: () => (stopped ??= stop()),
   };
 }
