--- a/src/process/relay/createCallerResponse/index.ts
+++ b/src/process/relay/createCallerResponse/index.ts
@@ -2,17 +2,21 @@
  * Adapter from a Node.js HTTP response to the caller port of the relay.
  */
 import type { ServerResponse } from 'node:http';
-import type { CallerResponse } from '../../../types/relay/index.js';
+import type { AbortCause, CallerResponse } from '../../../types/relay/index.js';
 
 /**
  * Creates the port to a caller on an HTTP connection.
  *
  * @param response - the HTTP response
+ * @param onAbort - called with the cause before the response is aborted
  * @returns the port
  * @example
- * createCallerResponse(response).begin(200, []);
+ * createCallerResponse(response, () => undefined).begin(200, []);
  */
-export function createCallerResponse(response: ServerResponse): CallerResponse {
+export function createCallerResponse(
+  response: ServerResponse,
+  onAbort: (cause: AbortCause) => void,
+): CallerResponse {
   return {
     isOpen: () => !response.headersSent && !response.destroyed,
     begin: (status, headers) => {
@@ -24,7 +28,8 @@
     end: (bytes) => {
       response.end(bytes);
     },
-    abort: () => {
+    abort: (cause) => {
+      onAbort(cause);
       // Where only the end of the connection ends the body, an ordinary end would look complete.
       if (response.headersSent && !response.chunkedEncoding) response.socket?.resetAndDestroy();
       response.destroy();
--- a/src/process/relay/createStreamResponse/index.ts
+++ b/src/process/relay/createStreamResponse/index.ts
@@ -145,8 +145,7 @@
         milliseconds: Math.round(clock.now() - arrivedAt),
       });
       log.end(true);
-      if (hasBegun) metrics.count('unanswered_requests', isAbandoned ? 'abandoned' : 'interrupted');
-      if (hasBegun) response.abort();
+      if (hasBegun) response.abort(isAbandoned ? 'abandoned' : 'interrupted');
       else sendFailure(response, { code, retryAfterSeconds });
     },
   };
--- a/src/types/relay/index.ts
+++ b/src/types/relay/index.ts
@@ -157,6 +157,12 @@
   ) => EndpointCall;
 }
 
+/**
+ * Why a response is aborted: a stream whose endpoint ended it, a stream whose run the node gave up, or an
+ * internal error.
+ */
+export type AbortCause = 'interrupted' | 'abandoned' | 'crashed';
+
 /** Port to one caller that waits for a response. */
 export interface CallerResponse {
   /** Returns whether the caller is connected and no response has begun. */
@@ -165,7 +171,7 @@
   readonly write: (bytes: Buffer) => void;
   readonly end: (bytes?: Buffer | string) => void;
   /** Aborts the response, so that the caller does not take it for complete. */
-  readonly abort: () => void;
+  readonly abort: (cause: AbortCause) => void;
   /** Returns the number of bytes that the caller has yet to read. */
   readonly countBufferedBytes: () => number;
   /** Registers a callback that runs once when the buffered bytes have been sent. */
