--- a/src/process/relay/createEndpointProber/index.ts
+++ b/src/process/relay/createEndpointProber/index.ts
@@ -2,6 +2,7 @@
  * Probes of endpoints that requests wait for: finds unreachable endpoints and measures slow ones.
  */
 import type { Endpoint, EndpointTable } from '../../../connection/createEndpointTable/index.js';
+import { createTokenBucket } from '../../../request/createTokenBucket/index.js';
 import type { EndpointControl } from '../../../types/relay/index.js';
 import type { EndpointReport } from '../../../types/site/index.js';
 import type { SiteLogger } from '../../site/createSiteLogger/index.js';
@@ -67,8 +68,11 @@
 export function createEndpointProber(options: CreateEndpointProberOptions): EndpointProber {
   const { endpoints, endpointPort, logger, now, onLost } = options;
   const recentProbes = new Map<string, RecentProbe>();
-  let availableProbes = MAXIMUM_PROBE_BURST;
-  let refilledAt = now();
+  const probeLimit = createTokenBucket({
+    tokensPerSecond: PROBES_PER_SECOND,
+    burst: MAXIMUM_PROBE_BURST,
+    now,
+  });
 
   const seemsIsolated = (): boolean => {
     const list = endpoints.list();
@@ -132,19 +136,11 @@
     recentProbes.set(id, { startedAt: now(), outcome });
     return outcome;
   };
-  const takeProbe = (): boolean => {
-    const refill = ((now() - refilledAt) * PROBES_PER_SECOND) / 1_000;
-    availableProbes = Math.min(MAXIMUM_PROBE_BURST, availableProbes + refill);
-    refilledAt = now();
-    if (availableProbes < 1) return false;
-    availableProbes -= 1;
-    return true;
-  };
   const probePath = (path: readonly string[], round: number): void => {
     // The report of the first endpoint lists the addresses that its requests wait for. The other
     // endpoints are probed only when that does not resolve the stall.
     const probed = round <= FIRST_HOP_ROUNDS ? path.slice(0, 1) : path;
-    for (const id of probed) if (takeProbe()) void probe(id, 'silence');
+    for (const id of probed) if (probeLimit.take()) void probe(id, 'silence');
   };
   return { probe, probePath, refreshReport, reportLost };
 }
--- a/src/process/site/createPartExchange/index.ts
+++ b/src/process/site/createPartExchange/index.ts
@@ -4,11 +4,11 @@
  * New facts are forwarded at once, by each node that learns them, to a few others. Nodes that miss them
  * get them in later rounds from random nodes, or all at once in the reply to a request.
  */
+import { createTokenBucket } from '../../../request/createTokenBucket/index.js';
 import type { PartBreakers } from '../../../request/createPartBreakers/index.js';
 import type { CrashReport, PartFacts } from '../../../types/breaker/index.js';
 import type { Clock } from '../../../types/clock/index.js';
 import type { NodeRecord } from '../../../types/site/index.js';
-import { MILLISECONDS_PER_SECOND } from '../../../constants/index.js';
 import { shuffleItems } from '../../shuffleItems/index.js';
 
 /** Options of {@link createPartExchange}. */
@@ -69,15 +69,15 @@
 
 /** Creates a rate limit of facts; what it does not let pass is left to later rounds. */
 function createFactLimit(clock: Pick<Clock, 'now'>) {
-  let available = MAXIMUM_FACT_BURST;
-  let refilledAt = clock.now();
+  const bucket = createTokenBucket({
+    tokensPerSecond: FACTS_PER_SECOND,
+    burst: MAXIMUM_FACT_BURST,
+    now: clock.now,
+  });
   return {
     take: <Fact>(facts: readonly Fact[]): readonly Fact[] => {
-      const refill = ((clock.now() - refilledAt) * FACTS_PER_SECOND) / MILLISECONDS_PER_SECOND;
-      available = Math.min(MAXIMUM_FACT_BURST, available + refill);
-      refilledAt = clock.now();
-      const taken = facts.slice(0, Math.floor(available));
-      available -= taken.length;
+      const taken = facts.slice(0, Math.floor(bucket.countAvailable()));
+      bucket.take(taken.length);
       return taken;
     },
   };
--- a/src/process/site/createSiteLogger/index.ts
+++ b/src/process/site/createSiteLogger/index.ts
@@ -2,6 +2,7 @@
  * Logger of a node on standard output: JSON lines at a limited rate.
  */
 import winston from 'winston';
+import { createTokenBucket } from '../../../request/createTokenBucket/index.js';
 import {
   LOG_EVENTS,
   type LogEventName,
@@ -80,8 +81,11 @@
   // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
   logger.add(new winston.transports.Stream({ stream }));
   const maximumLines = linesPerSecond * BURST_SECONDS;
-  let availableLines = maximumLines;
-  let refilledAt = now();
+  const lineLimit = createTokenBucket({
+    tokensPerSecond: linesPerSecond,
+    burst: maximumLines,
+    now,
+  });
   let leftOut = 0;
   let reported = 0;
   const formatTime = (at: number): string => new Date(Date.now() - (now() - at)).toISOString();
@@ -97,18 +101,12 @@
     });
   };
   const logRequestEvents = (entries: readonly LogEntry[]): void => {
-    const time = now();
-    availableLines = Math.min(
-      maximumLines,
-      availableLines + ((time - refilledAt) * linesPerSecond) / 1_000,
-    );
-    refilledAt = time;
     const reserved = maximumLines * Math.min(...entries.map(findReservedShare));
-    if (availableLines < entries.length + reserved) {
+    if (lineLimit.countAvailable() < entries.length + reserved) {
       leftOut += entries.length;
       return;
     }
-    availableLines -= entries.length;
+    lineLimit.take(entries.length);
     entries.forEach(write);
   };
   return {
