Keep the node running on addresses with an invalid port

Callers saw all open requests of a node end without an answer, since the process ended. The runtime throws from a request and from a datagram with an invalid port at once, rather than reporting it as it reports a refused connection. Where that happens in a callback or in the step of a loop, nothing catches it; callJson, which promises never to reject, rejected.

Evidence: an item of another writer under nodes/ with the port 99999, or the same record in a request of a peer, ended a running node in the next round of its exchange, with ERR_SOCKET_BAD_PORT.

Such a call fails as not sent, as one to a port without a listener does, and such a datagram is logged and lost. A loop whose step throws logs that and goes on, as it does where the step rejects: the loop had ended before.

--- a/src/process/relay/openEndpointCall/index.ts
+++ b/src/process/relay/openEndpointCall/index.ts
@@ -4,9 +4,10 @@
  * Connections are not reused. A late or additional response thus cannot be taken for that of a
  * later request, and no request fails because the endpoint closes an idle connection.
  */
-import { request, type IncomingMessage } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import type { EndpointCall, EndpointCallHandlers, SendState } from '../../../types/relay/index.js';
+import { tryRequest } from '../../runtime/tryRequest/index.js';
 
 /** Options of {@link openEndpointCall}. */
 export interface OpenEndpointCallOptions extends Omit<EndpointCallHandlers, 'onHead'> {
@@ -30,6 +31,23 @@
 /** Maximum number of interim responses (1xx) before the final response. */
 const MAXIMUM_INTERIM_RESPONSES = 256;
 
+/** Returns a call that was not sent, and that fails in a later turn. */
+function failUnsent(
+  { onFailure }: Pick<OpenEndpointCallOptions, 'onFailure'>,
+  reason: string,
+): EndpointCall {
+  const turn = setImmediate(() => {
+    onFailure('notSent', reason);
+  });
+  return {
+    abort: () => {
+      clearImmediate(turn);
+    },
+    pause: () => undefined,
+    resume: () => undefined,
+  };
+}
+
 /** Returns whether only the end of the connection marks the end of a response. */
 function isEndedByConnection({ headers }: IncomingMessage): boolean {
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
@@ -64,7 +82,7 @@
   let state: SendState = 'notSent';
   let response: IncomingMessage | undefined;
   let resetProbe: Promise<boolean> = Promise.resolve(false);
-  const outgoing = request({
+  const started = tryRequest({
     host,
     port: Number(port),
     method,
@@ -72,6 +90,8 @@
     agent: false,
     headers: [...headers, 'Connection', 'close'],
   });
+  if (started.isErr) return failUnsent(options, started.error);
+  const outgoing = started.value;
   const finish = (): boolean => {
     if (isDone) return false;
     isDone = true;
--- a/src/process/relay/openEndpointCall/test.ts
+++ b/src/process/relay/openEndpointCall/test.ts
@@ -137,3 +137,24 @@
     });
   }
 }
+
+for (const [name, changes] of Object.entries({
+  'an address with an invalid port': { address: '127.0.0.1:99999' },
+  'a header whose name is no token': { headers: ['Odd name', 'value'] },
+  'a path with a tab': { url: '/a\tb' },
+})) {
+  test(`fails as not sent, and does not throw, on ${name}`, async () => {
+    const call = { address: '127.0.0.1:1', method: 'GET', url: '/', headers: [], body: undefined };
+    const outcome = await new Promise<string>((resolve) => {
+      openEndpointCall({
+        ...call,
+        ...changes,
+        onResponse: () => undefined,
+        onData: () => undefined,
+        onEnd: resolve,
+        onFailure: resolve,
+      });
+    });
+    assert.equal(outcome, 'notSent');
+  });
+}
--- a/src/process/runtime/callHttp/index.ts
+++ b/src/process/runtime/callHttp/index.ts
@@ -1,7 +1,8 @@
 /**
  * Buffered HTTP calls whose result says whether the request can have reached the other side.
  */
-import http from 'node:http';
+import type http from 'node:http';
+import { tryRequest } from '../tryRequest/index.js';
 
 /** Options of {@link callHttp}. */
 export interface CallHttpOptions {
@@ -51,7 +52,7 @@
     finish({ kind: 'failed', sent: isConnected });
   };
   const body = options.body ?? '';
-  const request = http.request({
+  const started = tryRequest({
     host,
     port: Number(port),
     method: options.method,
@@ -62,6 +63,15 @@
     },
     agent: options.agent ?? false,
   });
+  if (started.isErr) {
+    const turn = setImmediate(() => {
+      done({ kind: 'failed', sent: false });
+    });
+    return () => {
+      clearImmediate(turn);
+    };
+  }
+  const request = started.value;
   const timer = setTimeout(() => {
     request.destroy(
       new Error(`the call did not complete within ${options.timeoutMilliseconds} ms`),
--- a/src/process/runtime/callHttp/test.ts
+++ b/src/process/runtime/callHttp/test.ts
@@ -33,3 +33,9 @@
   });
   assert.deepEqual(result, { kind: 'failed', sent: true });
 });
+
+test('fails as not sent on an address with an invalid port, and does not throw', async () => {
+  const call = { address: '127.0.0.1:99999', method: 'GET', path: '/', timeoutMilliseconds: 100 };
+  const result = await new Promise<HttpResult>((resolve) => callHttp(call, resolve));
+  assert.deepEqual(result, { kind: 'failed', sent: false });
+});
--- a/src/process/runtime/callJson/index.ts
+++ b/src/process/runtime/callJson/index.ts
@@ -1,8 +1,9 @@
 /**
  * HTTP calls with a JSON body and a JSON response.
  */
-import { request, type Agent } from 'node:http';
+import type { Agent } from 'node:http';
 import { parseJson } from '../../parseJson/index.js';
+import { tryRequest } from '../tryRequest/index.js';
 
 /** Options of {@link callJson}. */
 export interface CallJsonOptions {
@@ -47,7 +48,7 @@
   const text = body === undefined ? undefined : JSON.stringify(body);
   return new Promise((resolve) => {
     let isConnected = false;
-    const outgoing = request({
+    const started = tryRequest({
       host,
       port: Number(port),
       method,
@@ -61,6 +62,11 @@
         ...headers,
       },
     });
+    if (started.isErr) {
+      resolve({ kind: 'notSent', reason: started.error });
+      return;
+    }
+    const outgoing = started.value;
     const finish = (result: JsonResult): void => {
       clearTimeout(timer);
       resolve(result);
--- a/src/process/runtime/callJson/test.ts
+++ b/src/process/runtime/callJson/test.ts
@@ -37,3 +37,8 @@
   server.close();
   assert.deepEqual(result, { kind: 'unknown', reason: 'timeout after 100 ms' });
 });
+
+test('a call to an invalid port is not sent, and does not throw', async () => {
+  const call = { method: 'GET', path: '/', timeoutMilliseconds: 100 };
+  assert.equal((await callJson({ ...call, address: '127.0.0.1:99999' })).kind, 'notSent');
+});
--- a/src/process/runtime/runLoop/index.ts
+++ b/src/process/runtime/runLoop/index.ts
@@ -10,23 +10,26 @@
   readonly lifeCycle: LifeCycle;
   /** Executes one iteration; resolves to the pause before the next one, in milliseconds. */
   readonly step: () => Promise<number>;
-  /** Called when an iteration rejects; the loop then pauses {@link PAUSE_AFTER_FAILURE_MILLISECONDS}. */
+  /** Called when an iteration throws or rejects; the loop then pauses {@link PAUSE_AFTER_FAILURE_MILLISECONDS}. */
   readonly onFailure: (error: unknown) => void;
 }
 
 const PAUSE_AFTER_FAILURE_MILLISECONDS = 500;
 
-function runStep({ step, onFailure }: RunLoopOptions): Channel<number> {
+async function runStep({ step, onFailure }: RunLoopOptions): Promise<number> {
+  try {
+    return await step();
+  } catch (error) {
+    onFailure(error);
+    return PAUSE_AFTER_FAILURE_MILLISECONDS;
+  }
+}
+
+function startStep(options: RunLoopOptions): Channel<number> {
   const pauses = csp.chan<number>();
-  step().then(
-    (pause) => {
-      csp.putAsync(pauses, pause);
-    },
-    (error: unknown) => {
-      onFailure(error);
-      csp.putAsync(pauses, PAUSE_AFTER_FAILURE_MILLISECONDS);
-    },
-  );
+  void runStep(options).then((pause) => {
+    csp.putAsync(pauses, pause);
+  });
   return pauses;
 }
 
@@ -48,7 +51,7 @@
   });
   csp.go(function* (): Generator<unknown, void, never> {
     while (!isClosed) {
-      const pause: number = yield csp.take(runStep(options));
+      const pause: number = yield csp.take(startStep(options));
       if (pause > 0) yield csp.timeout(pause);
     }
   });
--- a/src/process/site/createPeerPort/index.ts
+++ b/src/process/site/createPeerPort/index.ts
@@ -65,9 +65,15 @@
   });
   return {
     send: (to, message) => {
+      if (!isOpen) return;
       const [host, port] = to.split(':');
       // A datagram that cannot be sent is treated like one that is lost on the network.
-      if (isOpen) socket.send(message, Number(port), host, () => undefined);
+      try {
+        socket.send(message, Number(port), host, () => undefined);
+      } catch (error) {
+        // The address came from another node or the store; the runtime throws on an invalid port.
+        onFailure(error instanceof Error ? error : new Error(String(error)));
+      }
     },
     sendRequest: async (to, request) => {
       const call = { address: to, method: 'POST', path: '/news', body: request, agent };
