Take a final status below 200 for a broken response

Callers saw all open requests of a node end without an answer: an engine's response with the status 099 or 000 to a stream ended the process. The parser reads any three digits; the runtime throws on such a status as it writes the response to the caller, here in a callback that nothing surrounds. A response with the status 101 was sent on as if it were final.

Evidence: a node with one engine that answers 'HTTP/1.1 099 Odd' ended with ERR_INVALID_STATUS_CODE; the three new tests got 'complete hi' before. Such a response breaks off its call now, and the request is repeated or answered with 502 as after any broken response.

--- a/src/process/relay/openEndpointCall/index.ts
+++ b/src/process/relay/openEndpointCall/index.ts
@@ -31,6 +31,9 @@
 /** Maximum number of interim responses (1xx) before the final response. */
 const MAXIMUM_INTERIM_RESPONSES = 256;
 
+/** Final statuses below this one cannot be sent to callers: 101, and those that HTTP does not define. */
+const FIRST_FINAL_STATUS = 200;
+
 /** Returns a call that was not sent, and that fails in a later turn. */
 function failUnsent(
   { onFailure }: Pick<OpenEndpointCallOptions, 'onFailure'>,
@@ -149,6 +152,11 @@
   outgoing.on('response', (incoming) => {
     response = incoming;
     if (isDone) return;
+    const { statusCode = 0 } = incoming;
+    if (statusCode < FIRST_FINAL_STATUS) {
+      fail(`invalid status ${statusCode}`);
+      return;
+    }
     onResponse(incoming);
     incoming.on('data', (chunk: Buffer) => {
       bytesWithoutBody = 0;
--- a/src/process/relay/openEndpointCall/test.ts
+++ b/src/process/relay/openEndpointCall/test.ts
@@ -138,6 +138,15 @@
   }
 }
 
+for (const status of ['099', '000', '101']) {
+  test(`fails on a response whose final status is ${status}, which no caller can be sent`, async () => {
+    const outcome = await callRaw((socket) => {
+      socket.end(`HTTP/1.1 ${status} Odd\r\nContent-Length: 2\r\n\r\nhi`);
+    });
+    assert.match(outcome, /^sent invalid status/);
+  });
+}
+
 for (const [name, changes] of Object.entries({
   'an address with an invalid port': { address: '127.0.0.1:99999' },
   'a header whose name is no token': { headers: ['Odd name', 'value'] },
