Refuse requests that cannot be passed on as they are

The parser accepts a tab or form feed in a path, and a space in the name of a header. The runtime refuses to send either. Callers got 502 with an unknown outcome for a request that had never been sent, and the engine that had been chosen counted one more request for ever after.

--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -9,6 +9,7 @@
 import type { SiteLogger } from '../../site/createSiteLogger/index.js';
 import type { AdmissionRefusal } from '../admitRequest/index.js';
 import { sendFailure } from '../sendFailure/index.js';
+import { isWellFormedRequest } from '../isWellFormedRequest/index.js';
 import { createBodyMemoryLimit } from '../createBodyMemoryLimit/index.js';
 import { createCallerResponse } from '../createCallerResponse/index.js';
 import type { Relay } from '../createRelay/index.js';
@@ -146,6 +147,12 @@
       sendFailure(callerResponse, { code, retryAfterSeconds, closes });
       incoming.resume();
     };
+    if (!isWellFormedRequest(incoming)) {
+      metrics.count('refusals', 'malformedRequest');
+      logger.log('request-refused', { request: caller.attempt, code: 'malformedRequest' });
+      refuse('malformedRequest');
+      return;
+    }
     await relay.waitForStart(caller);
     if (isDisconnected()) return;
     const { url = '/', method = 'GET', rawHeaders } = incoming;
--- a/src/process/relay/createCallerHandler/test.ts
+++ b/src/process/relay/createCallerHandler/test.ts
@@ -175,3 +175,22 @@
   const body = await (await fetch(served.url)).arrayBuffer();
   assert.equal(body.byteLength, LARGE_BODY_BYTES);
 });
+
+for (const [what, head] of Object.entries({
+  'a path with a tab': 'POST /a\tb HTTP/1.1\r\n',
+  'a header whose name contains a space': 'POST / HTTP/1.1\r\nOdd name: 1\r\n',
+})) {
+  test(`a request with ${what} is refused and not passed on`, async (context) => {
+    let relayed = 0;
+    const served = await serveRelay(context, () => {
+      relayed += 1;
+    });
+    const { port, hostname } = new URL(served.url);
+    const socket = connect(Number(port), hostname);
+    socket.write(`${head}Host: a\r\nContent-Length: 0\r\n\r\n`);
+    const [received] = (await once(socket, 'data')) as [Buffer];
+    socket.destroy();
+    assert.match(received.toString(), /^HTTP\/1.1 400 [^]*"outcome":"not-run"/);
+    assert.equal(relayed, 0);
+  });
+}
