Go on after an exception that nothing caught

Callers saw all open requests of a node end without an answer, since any exception in a callback, and any rejection that nobody awaited, ended the process. No handler logged them either.

Such an exception is now logged and counted, and the node goes on. What failed belongs to one request, message or loop: its caller is answered at the deadline, whose timer stands by itself, and the loops restart their step. An orderly stop would cut the streams that have begun, and would let a request that causes the exception end node after node as its caller repeats it. While a node starts, an exception still ends it: nothing is lost then, and the platform sees that it does not start.

--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -58,7 +58,7 @@
     loop: text('name of the loop'),
     reason,
   }),
-  'internal-error': define('error', 'Nothing caught an exception; the process ends.', {
+  'internal-error': define('error', 'Nothing caught an exception; the node goes on.', {
     origin: text('`uncaughtException` or `unhandledRejection`'),
     reason,
     open,
--- a/tests/plannedStops.test.ts
+++ b/tests/plannedStops.test.ts
@@ -2,9 +2,8 @@
  * Planned stops of a node. Guards against requests that end without an answer because the node stops.
  */
 import assert from 'node:assert/strict';
-import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { after, afterEach, beforeEach, test } from 'node:test';
@@ -30,6 +29,7 @@
   type CallerResponse,
   type TestNode,
 } from './support/siteNodes/index.js';
+import { startProgram, writeSettings } from './support/siteProcess/index.js';
 
 /** Grace period of the stopped nodes; they end the last requests half a second before it ends. */
 const GRACE_MILLISECONDS = 1_500;
@@ -185,44 +185,11 @@
   await left;
 });
 
-function writeSettings(folder: string): string {
-  const path = join(folder, 'settings.json');
-  const ports = { front: 18_227, readiness: 18_220, directory: 18_224 };
-  const host = `127.77.${(process.pid >> 8) & 0xff}.${process.pid & 0xff}`;
-  const listen = Object.fromEntries(
-    Object.entries(ports).map(([name, port]) => [name, `${host}:${port}`]),
-  );
-  const settings = {
-    node_name: 'node-1',
-    ip: host,
-    zone: 'mission',
-    region: 'bc-south',
-    internal_ports: [17_340, 17_355],
-    listen,
-    bounds: { grace_s: 1 },
-    platform: { address: store.address },
-  };
-  writeFileSync(path, JSON.stringify(settings));
-  return path;
-}
-
-/** Starts the platform's program in a process that gets a signal before the node listens. */
-function startWithEarlySignal(signal: NodeJS.Signals, settingsPath: string): ChildProcess {
-  const script = `
-    import { main } from './platform/main.ts';
-    main().catch((error) => { console.error(error); process.exit(9); });
-    process.kill(process.pid, '${signal}');
-  `;
-  return spawn(process.execPath, ['--import', 'tsx', '--input-type=module', '--eval', script], {
-    env: { ...process.env, MARJORAMCLEAT_BOOT: settingsPath },
-    stdio: ['ignore', 'pipe', 'inherit'],
-  });
-}
-
 for (const signal of ['SIGTERM', 'SIGHUP'] as const) {
   test(`a ${signal} while the node starts does not end the process at once`, async () => {
     const folder = mkdtempSync(join(tmpdir(), 'planned-stop-'));
-    const child = startWithEarlySignal(signal, writeSettings(folder));
+    const settingsPath = writeSettings(folder, { storeAddress: store.address });
+    const child = startProgram(settingsPath, `process.kill(process.pid, '${signal}')`);
     let output = '';
     child.stdout?.on('data', (chunk: Buffer) => {
       output += chunk.toString();
