Answer the open request when bytes that are no request follow it

Callers got no answer to a request that had been passed on, when bytes behind it on the connection were no request: the node closed the connection at once. The same happened to an open request when the next one on the connection did not arrive in time.

Cause: nothing false may be sent in place of the open response, and the connection was destroyed with it. The response that is due can still be sent: what was received before the error is complete. It now ends the connection, and nothing after it is read as a request. A caller that leaves meanwhile is seen as before.

--- a/src/process/runtime/createParserErrorResponder/index.ts
+++ b/src/process/runtime/createParserErrorResponder/index.ts
@@ -12,11 +12,11 @@
 /** Responder to invalid bytes, for the connections of one server. */
 export interface ParserErrorResponder {
   /**
-   * Tracks a request as open until its response has ended; returns false, and closes the connection,
-   * when its response has already been sent as that to an error.
+   * Tracks a request as open until its response has ended; returns false when nothing is answered after an error
+   * of its connection.
    */
   readonly admit: (request: IncomingMessage, response: ServerResponse) => boolean;
-  /** Responds to an error of the HTTP parser, and closes the connection. */
+  /** Responds to an error of the HTTP parser, and closes the connection, after a response that is due. */
   readonly respond: (error: NodeJS.ErrnoException, socket: Duplex) => void;
 }
 
@@ -26,11 +26,20 @@
   ERR_HTTP_REQUEST_TIMEOUT: 'bodyTimeout',
 };
 
+/** Ends a connection after the response that is due or being sent on it. */
+function closeAfter(response: ServerResponse, socket: Duplex): void {
+  if (!response.headersSent) response.setHeader('Connection', 'close');
+  response.once('close', () => {
+    // Ends the connection also where the head of the response promised to keep it.
+    socket.end();
+  });
+}
+
 /**
  * Creates the responder of a server.
  *
- * While a completely received request of the connection is open, the caller would take the response
- * for that of the open request, so the connection is closed instead.
+ * While a completely received request of the connection is open, the caller would take the response for that
+ * of the open request. The open request is answered then, and nothing after it.
  *
  * @param onClose - called with the cause when a connection is closed that its caller had not closed
  * @returns the responder
@@ -41,33 +50,41 @@
 export function createParserErrorResponder(
   onClose: (cause: ParserErrorCause) => void = () => undefined,
 ): ParserErrorResponder {
-  const openRequests = new WeakMap<Duplex, Set<IncomingMessage>>();
-  /** Connections whose caller has a response that may promise that its request was not executed. */
+  const openRequests = new WeakMap<Duplex, Map<IncomingMessage, ServerResponse>>();
+  /** Connections that are closed after the response that is due. */
   const endedConnections = new WeakSet<Duplex>();
-  const hasCompleteRequest = (socket: Duplex): boolean =>
-    [...(openRequests.get(socket) ?? [])].some(({ complete }) => complete);
+  const findDueResponse = (socket: Duplex): ServerResponse | undefined => {
+    const complete = [...(openRequests.get(socket) ?? [])].filter(([request]) => request.complete);
+    return complete.at(-1)?.[1];
+  };
   return {
     admit: (request, response) => {
-      if (endedConnections.has(request.socket)) {
-        request.socket.destroy();
+      const { socket } = request;
+      if (endedConnections.has(socket)) {
+        // The rest of a request that came too late must not cut the response that is due.
+        if (!findDueResponse(socket)) socket.destroy();
         return false;
       }
-      const requests = openRequests.get(request.socket) ?? new Set();
-      openRequests.set(request.socket, requests);
-      requests.add(request);
+      const requests = openRequests.get(socket) ?? new Map<IncomingMessage, ServerResponse>();
+      openRequests.set(socket, requests);
+      requests.set(request, response);
       response.once('close', () => {
         requests.delete(request);
       });
       return true;
     },
     respond: (error, socket) => {
-      if (!socket.writable) {
+      if (!socket.writable || socket.readableEnded) {
         socket.destroy();
         return;
       }
-      if (hasCompleteRequest(socket)) {
-        if (!socket.readableEnded) onClose('afterRequest');
-        socket.destroy();
+      // The parser reports each further chunk of the connection.
+      if (endedConnections.has(socket)) return;
+      endedConnections.add(socket);
+      const due = findDueResponse(socket);
+      if (due) {
+        onClose('afterRequest');
+        closeAfter(due, socket);
         return;
       }
       const name = PARSER_ERROR_CODES[error.code ?? ''] ?? 'malformedRequest';
@@ -79,7 +96,6 @@
         `Content-Length: ${Buffer.byteLength(body)}`,
         'Connection: close',
       ];
-      endedConnections.add(socket);
       onClose(name);
       socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
     },
--- a/tests/callerListener.test.ts
+++ b/tests/callerListener.test.ts
@@ -1,11 +1,13 @@
 /**
  * Invalid bytes on a caller's connection. Guards against an open request that is reported as
- * not executed, because the caller takes the error response to the trailing bytes for its own.
+ * not executed, because the caller takes the error response to the trailing bytes for its own, and
+ * against one that ends without an answer.
  */
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
+import type { RequestListener, ServerResponse } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
-import test from 'node:test';
+import test, { type TestContext } from 'node:test';
 import { createLifeCycle } from '../src/process/createLifeCycle/index.js';
 import { listenHttp } from '../src/process/runtime/listenHttp/index.js';
 import { createCallerServer } from '../src/process/site/createSiteServers/index.js';
@@ -37,14 +39,24 @@
   return { port, lifeCycle };
 }
 
-test('invalid bytes after an open request do not end it as not-run', async () => {
+/** Bytes that are no request, after a complete one. */
+const REQUEST_AND_BYTES = 'DELETE /a HTTP/1.1\r\nhost: a\r\n\r\n{"bay":3}';
+/** One response whose head announces the end of the connection, and nothing after it. */
+const ONLY_RESPONSE = /^HTTP\/1.1 200 OK\r\nConnection: close\r\n(?:[^\r]+\r\n)+\r\ndone$/;
+
+function respondLate(response: ServerResponse): void {
+  setTimeout(() => response.writeHead(200, { 'Content-Length': 4 }).end('done'), 50);
+}
+
+test('invalid bytes after an open request do not end it as not-run, nor without its response', async () => {
   let accepted = 0;
-  const { port, lifeCycle } = await listen(() => {
+  const { port, lifeCycle } = await listen((_, response) => {
     accepted += 1;
+    respondLate(response);
   });
-  const received = await exchangeBytes(port, 'DELETE /a HTTP/1.1\r\nhost: a\r\n\r\n{"bay":3}');
+  const received = await exchangeBytes(port, REQUEST_AND_BYTES);
   assert.equal(accepted, 1);
-  assert.equal(received, '');
+  assert.match(received, ONLY_RESPONSE);
   await lifeCycle.close();
 });
 
@@ -54,18 +66,80 @@
   await lifeCycle.close();
 });
 
-test('invalid bytes after an open request of a site do not end it with a refusal', async () => {
+/** Serves the callers of a site; closes at the end of the test. */
+async function listenToCallers(context: TestContext, handle: RequestListener): Promise<number> {
+  const server = createCallerServer(handle);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  context.after(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  return (server.address() as AddressInfo).port;
+}
+
+test('invalid bytes after an open request of a site do not end it with a refusal, nor without its response', async (context) => {
   let accepted = 0;
-  const server = createCallerServer(() => {
+  const port = await listenToCallers(context, (_, response) => {
     accepted += 1;
+    respondLate(response);
+  });
+  const received = await exchangeBytes(port, REQUEST_AND_BYTES);
+  assert.equal(accepted, 1);
+  assert.match(received, ONLY_RESPONSE);
+});
+
+test('invalid bytes while a response is sent do not cut it, and close the connection after it', async (context) => {
+  const port = await listenToCallers(context, (_, response) => {
+    response.writeHead(200, { 'Content-Length': 8 }).write('half');
+    setTimeout(() => response.end('done'), 50);
+  });
+  assert.match(await exchangeBytes(port, REQUEST_AND_BYTES), /\r\n\r\nhalfdone$/);
+});
+
+test('a caller that leaves after invalid bytes ends its open request at once', async (context) => {
+  let closed = false;
+  const port = await listenToCallers(context, (_, response) => {
+    response.on('close', () => {
+      closed = true;
+    });
+  });
+  const socket = connect(port, '127.0.0.1', () => socket.write(REQUEST_AND_BYTES));
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.ok(!closed);
+  socket.end();
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.ok(closed);
+});
+
+test('a request that times out behind an open one does not cut its response', async (context) => {
+  let accepted = 0;
+  const server = createCallerServer((_, response) => {
+    accepted += 1;
+    respondLate(response);
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
+  context.after(() => {
+    server.close();
+  });
   const { port } = server.address() as AddressInfo;
-  const received = await exchangeBytes(port, 'DELETE /a HTTP/1.1\r\nhost: a\r\n\r\n{"bay":3}');
+  server.once('connection', (connection: Socket) => {
+    setTimeout(() => {
+      server.emit('clientError', { code: 'ERR_HTTP_REQUEST_TIMEOUT' }, connection);
+      socket.write('\r\n');
+    }, 20);
+  });
+  let received = '';
+  const socket = connect(port, '127.0.0.1', () =>
+    socket.write('DELETE /a HTTP/1.1\r\nhost: a\r\n\r\nDELETE /b HTTP/1.1\r\nhost: a\r\n'),
+  );
+  socket.on('data', (chunk: Buffer) => {
+    received += chunk.toString();
+  });
+  await once(socket, 'close');
   assert.equal(accepted, 1);
-  assert.equal(received, '');
-  server.close();
+  assert.match(received, ONLY_RESPONSE);
 });
 
 test('a request that arrives after its connection was refused as late is not executed', async () => {
