--- a/standins/serveSiteStore/index.ts
+++ b/standins/serveSiteStore/index.ts
@@ -31,7 +31,7 @@
 
 /** Running store. */
 export interface SiteStore extends Standin {
-  /** Writes an item as an operator or an endpoint does. */
+  /** Writes an item as an operator or an endpoint does: text or bytes as they are, else as JSON. */
   readonly put: (key: string, value: unknown) => void;
   readonly remove: (key: string) => void;
   /**
@@ -243,8 +243,9 @@
     ...standin,
     put: (key, value) => {
       const text = typeof value === 'string' ? value : JSON.stringify(value);
+      const bytes = Buffer.isBuffer(value) ? value : Buffer.from(text);
       advanceRevision();
-      writeItem(key, Buffer.from(text).toString('base64'), 0);
+      writeItem(key, bytes.toString('base64'), 0);
     },
     remove: (key) => {
       advanceRevision();
