Let calls to an address or with a header that cannot be sent fail as not sent

Seen: with an address whose port is out of range, a call to an endpoint rejected though it is documented never to, a request ended without an outcome, the check for a listener rejected, and a datagram threw.

Cause: the sockets of the runtime throw on such a port, and the HTTP client on such a header, before there is a connection whose error could be read. The callers of these functions do not expect that: the planner's round ended, and a probe that nobody waits for would end the process.

Why it works: all calls to endpoints, nodes and the store start in startRequest, which returns why nothing can be sent. Addresses reach it also from other nodes and from settings, not only from the registry.

--- a/src/process/relay/checkListening/index.ts
+++ b/src/process/relay/checkListening/index.ts
@@ -2,6 +2,7 @@
  * Check of whether a process accepts connections at an address.
  */
 import { connect } from 'node:net';
+import { splitAddress } from '../../runtime/splitAddress/index.js';
 
 /** Time after which an address that does not respond counts as not listening, in milliseconds. */
 const TIMEOUT_MILLISECONDS = 200;
@@ -15,9 +16,10 @@
  * await checkListening('10.0.0.1:80');
  */
 export function checkListening(address: string): Promise<boolean> {
-  const [host, port] = address.split(':');
+  const target = splitAddress(address);
+  if (!target) return Promise.resolve(false);
   return new Promise((resolve) => {
-    const socket = connect({ host, port: Number(port) });
+    const socket = connect(target);
     const finish = (isListening: boolean): void => {
       socket.destroy();
       resolve(isListening);
--- a/src/process/relay/openEndpointCall/index.ts
+++ b/src/process/relay/openEndpointCall/index.ts
@@ -4,9 +4,10 @@
  * Connections are not reused. A late or additional response thus cannot be taken for that of a
  * later request, and no request fails because the endpoint closes an idle connection.
  */
-import { request, type IncomingMessage } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import type { EndpointCall, EndpointCallHandlers, SendState } from '../../../types/relay/index.js';
+import { startRequest } from '../../runtime/startRequest/index.js';
 
 /** Options of {@link openEndpointCall}. */
 export interface OpenEndpointCallOptions extends Omit<EndpointCallHandlers, 'onHead'> {
@@ -49,6 +50,20 @@
   });
 }
 
+/** Returns a call that was not sent; it fails once the caller has it, as one that could not connect. */
+function failLater(reason: string, onFailure: OpenEndpointCallOptions['onFailure']): EndpointCall {
+  const failure = setImmediate(() => {
+    onFailure('notSent', reason);
+  });
+  return {
+    abort: () => {
+      clearImmediate(failure);
+    },
+    pause: () => undefined,
+    resume: () => undefined,
+  };
+}
+
 /**
  * Opens a call to an endpoint.
  *
@@ -59,19 +74,18 @@
  */
 export function openEndpointCall(options: OpenEndpointCallOptions): EndpointCall {
   const { address, method, url, headers, body, onResponse, onData, onEnd, onFailure } = options;
-  const [host, port] = address.split(':');
   let isDone = false;
   let state: SendState = 'notSent';
   let response: IncomingMessage | undefined;
   let resetProbe: Promise<boolean> = Promise.resolve(false);
-  const outgoing = request({
-    host,
-    port: Number(port),
+  const started = startRequest(address, {
     method,
     path: url,
     agent: false,
     headers: [...headers, 'Connection', 'close'],
   });
+  if (started.isErr) return failLater(started.error, onFailure);
+  const outgoing = started.value;
   const finish = (): boolean => {
     if (isDone) return false;
     isDone = true;
--- a/src/process/relay/openEndpointCall/test.ts
+++ b/src/process/relay/openEndpointCall/test.ts
@@ -137,3 +137,30 @@
     });
   }
 }
+
+/** Guards against requests that end without a response because the runtime throws on a port or header. */
+test('a call that cannot be sent fails as not sent, after it was returned', async () => {
+  for (const [address, name] of [
+    ['127.0.0.1:99999', 'i-1'],
+    ['127.0.0.1:80', 'a\nb'],
+  ] as const) {
+    let hasReturned = false;
+    const state = await new Promise<string>((resolve, reject) => {
+      openEndpointCall({
+        address,
+        method: 'GET',
+        url: '/',
+        headers: ['Expect-Instance', name],
+        body: undefined,
+        onResponse: reject,
+        onData: reject,
+        onEnd: reject,
+        onFailure: (sent) => {
+          resolve(hasReturned ? sent : 'too early');
+        },
+      });
+      hasReturned = true;
+    });
+    assert.equal(state, 'notSent');
+  }
+});
--- a/src/process/runtime/callJson/index.ts
+++ b/src/process/runtime/callJson/index.ts
@@ -1,8 +1,9 @@
 /**
  * HTTP calls with a JSON body and a JSON response.
  */
-import { request, type Agent } from 'node:http';
+import type { Agent } from 'node:http';
 import { parseJson } from '../../parseJson/index.js';
+import { startRequest } from '../startRequest/index.js';
 
 /** Options of {@link callJson}. */
 export interface CallJsonOptions {
@@ -43,13 +44,10 @@
 export function callJson(options: CallJsonOptions): Promise<JsonResult> {
   const { address, method, path, body, timeoutMilliseconds, agent = false, headers } = options;
   const { maximumResponseBytes = MAXIMUM_RESPONSE_BYTES } = options;
-  const [host, port] = address.split(':');
   const text = body === undefined ? undefined : JSON.stringify(body);
   return new Promise((resolve) => {
     let isConnected = false;
-    const outgoing = request({
-      host,
-      port: Number(port),
+    const started = startRequest(address, {
       method,
       path,
       agent,
@@ -61,6 +59,11 @@
         ...headers,
       },
     });
+    if (started.isErr) {
+      resolve({ kind: 'notSent', reason: started.error });
+      return;
+    }
+    const outgoing = started.value;
     const finish = (result: JsonResult): void => {
       clearTimeout(timer);
       resolve(result);
--- a/src/process/runtime/callJson/test.ts
+++ b/src/process/runtime/callJson/test.ts
@@ -37,3 +37,10 @@
   server.close();
   assert.deepEqual(result, { kind: 'unknown', reason: 'timeout after 100 ms' });
 });
+
+test('a call that cannot be sent resolves as not sent', async () => {
+  const common = { method: 'GET', path: '/', timeoutMilliseconds: 100 };
+  const headers = { 'Expect-Instance': 'a\nb' };
+  assert.equal((await callJson({ ...common, address: '127.0.0.1:99999' })).kind, 'notSent');
+  assert.equal((await callJson({ ...common, address: '127.0.0.1:80', headers })).kind, 'notSent');
+});
--- a/src/process/site/createPeerPort/index.ts
+++ b/src/process/site/createPeerPort/index.ts
@@ -5,6 +5,7 @@
 import { Agent } from 'node:http';
 import type { LifeCycle } from '../../createLifeCycle/index.js';
 import { callJson } from '../../runtime/callJson/index.js';
+import { splitAddress } from '../../runtime/splitAddress/index.js';
 import type { PeerPort } from '../createPeerExchange/index.js';
 
 /** Options of {@link createPeerPort}. */
@@ -65,9 +66,9 @@
   });
   return {
     send: (to, message) => {
-      const [host, port] = to.split(':');
+      const target = splitAddress(to);
       // A datagram that cannot be sent is treated like one that is lost on the network.
-      if (isOpen) socket.send(message, Number(port), host, () => undefined);
+      if (isOpen && target) socket.send(message, target.port, target.host, () => undefined);
     },
     sendRequest: async (to, request) => {
       const call = { address: to, method: 'POST', path: '/news', body: request, agent };
