Keep an endpoint whose entry another writer replaced by an odd one

Seen: an entry that names no endpoint, under the key of a sound one, took that out of use at once, with what was known of its load, failures and leaving; with one endpoint for a service, its requests were refused.

Cause: an entry that could not be decoded was applied as a removal.

Why it works: the endpoint stays as its own entry named it, draining too. It writes that again with its next heartbeat if it is there, so that one that has not done so for three heartbeats and more is removed, as if its own entry had lapsed. The removal of the key removes it at once. Peers get its own entry.

--- a/src/process/site/createSiteState/index.ts
+++ b/src/process/site/createSiteState/index.ts
@@ -38,7 +38,10 @@
   readonly applyConfiguration: (text: string, source: ValueSource) => boolean;
   /** Applies the registry's entry for an endpoint; undefined removes the endpoint. */
   readonly applyEndpoint: (id: string, text: string | undefined, source: ValueSource) => void;
-  /** Applies the entries of endpoints that an older copy brought back, once they have been held back. */
+  /**
+   * Applies the entries of endpoints that an older copy brought back, once they have been held back, and
+   * removes endpoints that have not written again after an unreadable entry under their key.
+   */
   readonly applyHeldEntries: () => void;
   /** Lists the registry entries as they were received, without those that are outdated or held back. */
   readonly listRegistryEntries: () => [string, string][];
@@ -58,6 +61,11 @@
  * three heartbeats and more, after which the entries of endpoints that have ended lapse.
  */
 const HOLD_MILLISECONDS = 6_000;
+/**
+ * How long an endpoint is kept whose entry was replaced by an unreadable one: three heartbeats and more,
+ * in which an endpoint that has not ended writes its own again.
+ */
+const REPLACED_MILLISECONDS = 6_000;
 /** How long removed endpoints are remembered; older copies of the store are younger than that. */
 const REMOVED_MEMORY_MILLISECONDS = 600_000;
 
@@ -70,11 +78,19 @@
   readonly at: number;
 }
 
-/** Entry with its record, undefined when it cannot be decoded. */
+/** Entry with its record. */
 interface AppliedEntry {
   readonly text: string;
-  readonly record: EndpointRecord | undefined;
+  readonly record: EndpointRecord;
+  readonly source: ValueSource;
+}
+
+/** Entry that cannot be decoded, until the endpoint of its key writes its own again. */
+interface UnreadableEntry {
+  readonly text: string;
   readonly source: ValueSource;
+  /** Time in milliseconds at which an endpoint that did not write again has ended. */
+  readonly dueAt: number;
 }
 
 /** Entry that is held back until a time in milliseconds. */
@@ -86,7 +102,8 @@
 /**
  * Creates an empty state.
  *
- * Values that cannot be decoded are logged, and the last valid value stays active. A store that is
+ * Values that cannot be decoded are logged, and the last valid value stays active; an endpoint that does
+ * not write its entry again after that counts as removed. A store that is
  * restored from an older copy does not undo what was confirmed: lower versions, earlier starts and the
  * end of a drain are ignored, and an endpoint that was removed is used again only when it is written
  * again or its entry does not lapse.
@@ -102,12 +119,14 @@
   const entries = new Map<string, string>();
   const removed = new Map<string, RemovedEndpoint>();
   const held = new Map<string, HeldEntry>();
+  const unreadable = new Map<string, UnreadableEntry>();
   let compiled: CompiledSiteConfiguration | undefined;
   let configurationText: string | undefined;
   const getVersion = (): number => compiled?.configuration.version ?? 0;
   const removeEndpoint = (id: string, source: ValueSource): void => {
     held.delete(id);
     entries.delete(id);
+    unreadable.delete(id);
     const known = endpoints.find(id);
     if (!known) return;
     removed.set(id, {
@@ -120,11 +139,11 @@
   };
   const applyRecord = (id: string, { text, record, source }: AppliedEntry): void => {
     entries.set(id, text);
+    unreadable.delete(id);
     removed.delete(id);
-    if (!record) logger.log('endpoint-unreadable', { endpoint: id, source });
     const before = endpoints.find(id)?.record;
     const isNew = endpoints.update(id, record, now());
-    if (!record || (!isNew && before?.isDraining === record.isDraining)) return;
+    if (!isNew && before?.isDraining === record.isDraining) return;
     logger.log(record.isDraining ? 'endpoint-draining' : 'endpoint-ready', {
       endpoint: id,
       source,
@@ -132,17 +151,31 @@
       bornAt: record.startedAt,
     });
   };
+  /** Keeps the endpoint of the key for a time: it has not written this. */
+  const recordUnreadable = (id: string, text: string, source: ValueSource): void => {
+    const dueAt = unreadable.get(id)?.dueAt ?? now() + REPLACED_MILLISECONDS;
+    unreadable.set(id, { text, dueAt, source });
+    logger.log('endpoint-unreadable', { endpoint: id, source });
+  };
   const applyEntry = (id: string, text: string, source: ValueSource): void => {
-    held.delete(id);
-    if (entries.get(id) === text) return;
+    if (unreadable.get(id)?.text === text) return;
+    if (entries.get(id) === text) {
+      unreadable.delete(id);
+      return;
+    }
     const record = decoders.decodeEndpoint(id, parse(text));
-    const details = { endpoint: id, source, bornAt: record?.startedAt ?? 0 };
-    if (record && endpoints.isOutdated(id, record)) {
+    if (!record) {
+      recordUnreadable(id, text, source);
+      return;
+    }
+    held.delete(id);
+    const details = { endpoint: id, source, bornAt: record.startedAt };
+    if (endpoints.isOutdated(id, record)) {
       logger.log('endpoint-entry-outdated', details);
       return;
     }
     const known = removed.get(id);
-    const isRemovedRun = known && record && record.startedAt <= known.startedAt;
+    const isRemovedRun = known && record.startedAt <= known.startedAt;
     if (source === 'peer' && isRemovedRun && known.wasLeaving) {
       logger.log('endpoint-entry-outdated', details);
       return;
@@ -189,6 +222,8 @@
         removed.delete(id);
         applyEntry(id, text, 'restored');
       }
+      for (const [id, { dueAt, source }] of unreadable)
+        if (dueAt <= now() && endpoints.find(id)) removeEndpoint(id, source);
       for (const [id, { at }] of removed)
         if (now() - at > REMOVED_MEMORY_MILLISECONDS) removed.delete(id);
     },
--- a/src/process/site/createSiteState/test.ts
+++ b/src/process/site/createSiteState/test.ts
@@ -19,7 +19,9 @@
     decoders: {
       decodeConfiguration: (value) => createSiteConfiguration({ version: Number(value) }),
       decodeEndpoint: (id, value) =>
-        createEndpointRecord({ id, ...(value as Partial<EndpointRecord>) }),
+        value === undefined
+          ? undefined
+          : createEndpointRecord({ id, ...(value as Partial<EndpointRecord>) }),
     },
     logger: {
       log: (event) => events.push(event),
@@ -131,3 +133,42 @@
   state.applyEndpoint('i-1', entry(11), 'peer');
   assert.deepEqual(listUsable(), ['i-1']);
 });
+
+/** Guards against an entry of another writer that takes a sound endpoint out of use. */
+test('an unreadable entry under the key of an endpoint does not replace its own', () => {
+  const { events, state, listUsable, wait } = createCase();
+  state.applyEndpoint('i-1', entry(100), 'store');
+  for (let round = 0; round < 10; round += 1) {
+    state.applyEndpoint('i-1', `no entry ${round}`, 'store');
+    assert.deepEqual(listUsable(), ['i-1']);
+    wait(900);
+    state.applyEndpoint('i-1', entry(100), 'store');
+  }
+  assert.deepEqual(listUsable(), ['i-1']);
+  assert.deepEqual(state.listRegistryEntries(), [['i-1', entry(100)]]);
+  assert.equal(events.filter((event) => event === 'endpoint-ready').length, 1);
+  wait(HOLD_LIMIT_MILLISECONDS);
+  assert.deepEqual(listUsable(), ['i-1']);
+});
+
+/** Guards against requests to an endpoint that has ended while another writer keeps its key. */
+test('an endpoint that does not write again after an unreadable entry counts as removed', () => {
+  const { state, listUsable, wait } = createCase();
+  state.applyEndpoint('i-1', entry(100, { isDraining: true }), 'store');
+  state.applyEndpoint('i-1', 'no entry', 'store');
+  assert.equal(state.endpoints.find('i-1')?.record.isDraining, true);
+  state.applyEndpoint('i-1', 'no entry either', 'store');
+  wait(HOLD_LIMIT_MILLISECONDS);
+  assert.equal(state.endpoints.find('i-1'), undefined);
+  state.applyEndpoint('i-1', entry(200), 'store');
+  assert.deepEqual(listUsable(), ['i-1']);
+});
+
+test('the removal of an unreadable entry removes the endpoint of its key', () => {
+  const { state } = createCase();
+  state.applyEndpoint('i-1', entry(100), 'store');
+  state.applyEndpoint('i-1', 'no entry', 'store');
+  state.applyEndpoint('i-1', undefined, 'store');
+  assert.deepEqual(state.endpoints.list(), []);
+  assert.deepEqual(state.listRegistryEntries(), []);
+});
