Do not parse an entry that is far longer than that of any endpoint

Seen: while odd entries of 200 kB to 1 MB arrived, an attempt of a look-up got no response in time, in 2 of 12 runs of the test of complete nodes played four at a time; the request took 461 and 670 ms, of which the process had the processor for some 220 ms.

Cause: parsing such a text takes 12 to 63 ms here, where a node has a whole core, during which it does nothing else; it throws the result away.

Evidence: times of each entry (a list of 40,000 ranges 50 ms, an object nested 100,000 deep 63 ms); the new test of createSiteState.

Why it works: an entry has some hundred characters; one of more than 16,384 is unreadable by its length.

--- a/src/process/site/createSiteState/index.ts
+++ b/src/process/site/createSiteState/index.ts
@@ -66,6 +66,8 @@
  * in which an endpoint that has not ended writes its own again.
  */
 const REPLACED_MILLISECONDS = 6_000;
+/** Length of an entry, in characters, far above that of any endpoint; longer ones are not parsed. */
+const MAXIMUM_ENTRY_LENGTH = 16_384;
 /** How long removed endpoints are remembered; older copies of the store are younger than that. */
 const REMOVED_MEMORY_MILLISECONDS = 600_000;
 
@@ -163,7 +165,8 @@
       unreadable.delete(id);
       return;
     }
-    const record = decoders.decodeEndpoint(id, parse(text));
+    const record =
+      text.length > MAXIMUM_ENTRY_LENGTH ? undefined : decoders.decodeEndpoint(id, parse(text));
     if (!record) {
       recordUnreadable(id, text, source);
       return;
--- a/src/process/site/createSiteState/test.ts
+++ b/src/process/site/createSiteState/test.ts
@@ -172,3 +172,15 @@
   assert.deepEqual(state.endpoints.list(), []);
   assert.deepEqual(state.listRegistryEntries(), []);
 });
+
+/** Guards against late responses of a node that parses what another writer left among the entries. */
+test('an entry far longer than that of any endpoint is unreadable without being parsed', () => {
+  const { events, state } = createCase();
+  state.applyEndpoint('i-1', entry(100, { kind: 'x'.repeat(20_000) }), 'store');
+  state.applyEndpoint('i-2', entry(100, { kind: 'x'.repeat(2_000) }), 'store');
+  assert.deepEqual(
+    state.endpoints.list().map(({ record }) => record.id),
+    ['i-2'],
+  );
+  assert.deepEqual(events, ['endpoint-unreadable', 'endpoint-ready']);
+});
