Count and plan only the layers that the model has

Seen: an endpoint that names layers beyond those of its model made the planner order layers that do not exist (80 to 100 of 80); a range to 1e15 ended the process with "Invalid array length".

Cause: the table of copies grew with the range, so that layers above the model's count were rare ones that want a copy. Entries are bounded where they are read, but not by this model, and ranges also come from reports and from other nodes.

Evidence: new tests of countLayerCopies and planPlacement failed before.

Why it works: the loops over a range end at the model's last layer, so the tables keep one element for each layer.

--- a/src/request/describeFreeMemory/index.ts
+++ b/src/request/describeFreeMemory/index.ts
@@ -30,7 +30,7 @@
     const layers = range.to - range.from;
     const free = computeFreeMemory(model, kind.memoryMegabytes, layers) - usedTokenLayers;
     const tokens = Math.max(0, Math.floor(free / layers));
-    for (let layer = range.from; layer < range.to; layer += 1) {
+    for (let layer = range.from; layer < Math.min(range.to, model.layers); layer += 1) {
       tokensByLayer[layer] = Math.max(tokensByLayer[layer] ?? 0, tokens);
     }
   }
--- a/src/request/describeFreeMemory/test.ts
+++ b/src/request/describeFreeMemory/test.ts
@@ -24,3 +24,9 @@
   assert.deepEqual(first?.range, { from: 0, to: 20 });
   assert.equal(findLeastFreeMemory([]), undefined);
 });
+
+test('describes only the layers of the model when an endpoint names more', () => {
+  const endless = createPathCandidate('1', 60, 1e15);
+  const sections = describeFreeMemory(LAYERED_MODEL, [endless]);
+  assert.equal(formatRanges(sections.map(({ range }) => range)), '0-60 60-80');
+});
--- a/src/version/countLayerCopies/index.ts
+++ b/src/version/countLayerCopies/index.ts
@@ -4,7 +4,7 @@
 import type { LayeredModel, LayerRange } from '../../types/site/index.js';
 
 /**
- * Counts the copies of each layer.
+ * Counts the copies of each layer of the model; a range may name more than the model has.
  *
  * @param model - the model
  * @param ranges - layer ranges that endpoints host or are assigned
@@ -15,7 +15,7 @@
 export function countLayerCopies(model: LayeredModel, ranges: Iterable<LayerRange>): number[] {
   const copies = new Array<number>(model.layers).fill(0);
   for (const range of ranges) {
-    for (let layer = range.from; layer < range.to; layer += 1)
+    for (let layer = range.from; layer < Math.min(range.to, model.layers); layer += 1)
       copies[layer] = (copies[layer] ?? 0) + 1;
   }
   return copies;
--- a/src/version/planPlacement/test.ts
+++ b/src/version/planPlacement/test.ts
@@ -143,3 +143,19 @@
     { seed: 11, numRuns: 200 },
   );
 });
+
+/** Guards against orders for layers that the model does not have, which an endpoint claims to host. */
+test('orders only layers of the model when an endpoint names more than there are', () => {
+  for (const range of [
+    { from: 0, to: 100 },
+    { from: 90, to: 100 },
+    { from: 60, to: 1e15 },
+  ]) {
+    const fleet = SITE.map((candidate, index) =>
+      index === 0 ? { ...candidate, range } : candidate,
+    );
+    for (const order of planPlacement(LAYERED_MODEL, fleet).values()) {
+      assert.ok(order.from >= 0 && order.from < order.to && order.to <= LAYERED_MODEL.layers);
+    }
+  }
+});
