--- a/src/process/relay/openEndpointCall/index.ts
+++ b/src/process/relay/openEndpointCall/index.ts
@@ -7,7 +7,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import type { EndpointCall, EndpointCallHandlers, SendState } from '../../../types/relay/index.js';
-import { tryRequest } from '../../runtime/tryRequest/index.js';
+import { startRequest } from '../../runtime/startRequest/index.js';
 
 /** Options of {@link openEndpointCall}. */
 export interface OpenEndpointCallOptions extends Omit<EndpointCallHandlers, 'onHead'> {
@@ -34,23 +34,6 @@
 /** Final statuses below this one cannot be sent to callers: 101, and those that HTTP does not define. */
 const FIRST_FINAL_STATUS = 200;
 
-/** Returns a call that was not sent, and that fails in a later turn. */
-function failUnsent(
-  { onFailure }: Pick<OpenEndpointCallOptions, 'onFailure'>,
-  reason: string,
-): EndpointCall {
-  const turn = setImmediate(() => {
-    onFailure('notSent', reason);
-  });
-  return {
-    abort: () => {
-      clearImmediate(turn);
-    },
-    pause: () => undefined,
-    resume: () => undefined,
-  };
-}
-
 /** Returns whether only the end of the connection marks the end of a response. */
 function isEndedByConnection({ headers }: IncomingMessage): boolean {
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
@@ -70,6 +53,20 @@
   });
 }
 
+/** Returns a call that was not sent; it fails once the caller has it, as one that could not connect. */
+function failLater(reason: string, onFailure: OpenEndpointCallOptions['onFailure']): EndpointCall {
+  const failure = setImmediate(() => {
+    onFailure('notSent', reason);
+  });
+  return {
+    abort: () => {
+      clearImmediate(failure);
+    },
+    pause: () => undefined,
+    resume: () => undefined,
+  };
+}
+
 /**
  * Opens a call to an endpoint.
  *
@@ -80,20 +77,17 @@
  */
 export function openEndpointCall(options: OpenEndpointCallOptions): EndpointCall {
   const { address, method, url, headers, body, onResponse, onData, onEnd, onFailure } = options;
-  const [host, port] = address.split(':');
   let isDone = false;
   let state: SendState = 'notSent';
   let response: IncomingMessage | undefined;
   let resetProbe: Promise<boolean> = Promise.resolve(false);
-  const started = tryRequest({
-    host,
-    port: Number(port),
+  const started = startRequest(address, {
     method,
     path: url,
     agent: false,
     headers: [...headers, 'Connection', 'close'],
   });
-  if (started.isErr) return failUnsent(options, started.error);
+  if (started.isErr) return failLater(started.error, onFailure);
   const outgoing = started.value;
   const finish = (): boolean => {
     if (isDone) return false;
--- a/src/process/runtime/callHttp/index.ts
+++ b/src/process/runtime/callHttp/index.ts
@@ -2,7 +2,7 @@
  * Buffered HTTP calls whose result says whether the request can have reached the other side.
  */
 import type http from 'node:http';
-import { tryRequest } from '../tryRequest/index.js';
+import { startRequest } from '../startRequest/index.js';
 
 /** Options of {@link callHttp}. */
 export interface CallHttpOptions {
@@ -52,9 +52,7 @@
     finish({ kind: 'failed', sent: isConnected });
   };
   const body = options.body ?? '';
-  const started = tryRequest({
-    host,
-    port: Number(port),
+  const started = startRequest(`${host}:${port}`, {
     method: options.method,
     path: options.path,
     headers: {
--- a/src/process/runtime/callJson/index.ts
+++ b/src/process/runtime/callJson/index.ts
@@ -3,7 +3,7 @@
  */
 import type { Agent } from 'node:http';
 import { parseJson } from '../../parseJson/index.js';
-import { tryRequest } from '../tryRequest/index.js';
+import { startRequest } from '../startRequest/index.js';
 
 /** Options of {@link callJson}. */
 export interface CallJsonOptions {
@@ -44,13 +44,10 @@
 export function callJson(options: CallJsonOptions): Promise<JsonResult> {
   const { address, method, path, body, timeoutMilliseconds, agent = false, headers } = options;
   const { maximumResponseBytes = MAXIMUM_RESPONSE_BYTES } = options;
-  const [host, port] = address.split(':');
   const text = body === undefined ? undefined : JSON.stringify(body);
   return new Promise((resolve) => {
     let isConnected = false;
-    const started = tryRequest({
-      host,
-      port: Number(port),
+    const started = startRequest(address, {
       method,
       path,
       agent,
--- a/src/process/runtime/callJson/test.ts
+++ b/src/process/runtime/callJson/test.ts
@@ -42,3 +42,10 @@
   const call = { method: 'GET', path: '/', timeoutMilliseconds: 100 };
   assert.equal((await callJson({ ...call, address: '127.0.0.1:99999' })).kind, 'notSent');
 });
+
+test('a call that cannot be sent resolves as not sent', async () => {
+  const common = { method: 'GET', path: '/', timeoutMilliseconds: 100 };
+  const headers = { 'Expect-Instance': 'a\nb' };
+  assert.equal((await callJson({ ...common, address: '127.0.0.1:99999' })).kind, 'notSent');
+  assert.equal((await callJson({ ...common, address: '127.0.0.1:80', headers })).kind, 'notSent');
+});
