Pass a request on only when the connection's earlier response is sent

Callers that send a request before they have the response to the one before got no answer to it where that response ended the connection, as every response of a leaving node does: the runtime reads both requests at once, both were passed on, and the connection closed after the first response.

Evidence: with three requests on a connection, the relay of the new test had all three at once. A request now waits until the earlier response is sent; if that ends the connection, it has not been passed on, and its caller may repeat it.

--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -86,6 +86,20 @@
   return text + (rawHeaders.length / 2) * HEADER_SEPARATOR_BYTES;
 }
 
+/** Resolves when a response has been sent or its connection has ended. */
+async function waitForEnd(response: ServerResponse, connection: Socket): Promise<void> {
+  if (response.closed || connection.destroyed) return;
+  await new Promise<void>((resolve) => {
+    const end = (): void => {
+      response.off('close', end);
+      connection.off('close', end);
+      resolve();
+    };
+    response.on('close', end);
+    connection.on('close', end);
+  });
+}
+
 /** Returns whether the other side closed or reset a connection. */
 function wasClosedByCaller({ readableEnded, errored }: Socket): boolean {
   return readableEnded || errored !== null;
@@ -106,6 +120,8 @@
 
   /** Connections that had a request. */
   const usedConnections = new WeakSet<Socket>();
+  /** The last open response of each connection. */
+  const openResponses = new WeakMap<Socket, ServerResponse>();
 
   const recordUnanswered = (openRequest: OpenRequest): void => {
     if (openRequest.isRecorded) return;
@@ -135,18 +151,23 @@
     response: ServerResponse,
     caller: RequestMetadata,
     openRequest: OpenRequest,
+    earlier: ServerResponse | undefined,
   ): Promise<void> => {
     const { arrivedAt } = openRequest;
     const callerResponse = createCallerResponse(response, () => {
       openRequest.cause = 'interrupted';
     });
-    const isDisconnected = (): boolean => response.destroyed || incoming.socket.readableEnded;
+    const isDisconnected = (): boolean =>
+      response.destroyed || incoming.socket.destroyed || incoming.socket.readableEnded;
     const refuse = (code: ResultCodeName, retryAfterSeconds?: number): void => {
       // On a kept connection the unread bytes of the body would be parsed as the next request.
       const closes = !incoming.complete;
       sendFailure(callerResponse, { code, retryAfterSeconds, closes });
       incoming.resume();
     };
+    // The connection may end with the response to an earlier request.
+    if (earlier) await waitForEnd(earlier, incoming.socket);
+    if (isDisconnected()) return;
     if (!isWellFormedRequest(incoming)) {
       metrics.count('refusals', 'malformedRequest');
       logger.log('request-refused', { request: caller.attempt, code: 'malformedRequest' });
@@ -204,6 +225,8 @@
     handle: (incoming, response) => {
       const caller = headerTranslator.parseRequestHeaders(incoming.headers);
       const { socket } = incoming;
+      const earlier = openResponses.get(socket);
+      openResponses.set(socket, response);
       const openRequest: OpenRequest = {
         attempt: caller.attempt,
         arrivedAt: now(),
@@ -217,13 +240,14 @@
       openRequests.add(openRequest);
       const endRequest = (): void => {
         socket.off('close', endRequest);
+        if (openResponses.get(socket) === response) openResponses.delete(socket);
         if (openRequests.delete(openRequest)) recordEnd(openRequest, socket);
       };
       response.once('close', endRequest);
       // A pipelined response that never got the connection is not closed with it.
       socket.once('close', endRequest);
       if (isLeaving()) response.setHeader('Connection', 'close');
-      serve(incoming, response, caller, openRequest).catch((error: unknown) => {
+      serve(incoming, response, caller, openRequest, earlier).catch((error: unknown) => {
         logger.log('request-crashed', { reason: describeError(error) });
         // A complete response that is still being sent reaches its caller.
         if (response.writableEnded) return;
--- a/src/process/relay/createCallerHandler/test.ts
+++ b/src/process/relay/createCallerHandler/test.ts
@@ -194,3 +194,27 @@
     assert.equal(relayed, 0);
   });
 }
+
+test('a request behind an open one is passed on after its response, not if that ends the connection', async (context) => {
+  const responses: CallerResponse[] = [];
+  const served = await serveRelay(context, (response) => {
+    responses.push(response);
+  });
+  const { port, hostname } = new URL(served.url);
+  const socket = connect(Number(port), hostname);
+  socket.resume();
+  socket.write(REQUEST + REQUEST + REQUEST);
+  await waitUntil(() => served.handler.countOpen() === 3);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.equal(responses.length, 1);
+  responses[0]?.begin(204, []);
+  responses[0]?.end();
+  await waitUntil(() => responses.length === 2);
+  responses[1]?.begin(204, ['Connection', 'close']);
+  responses[1]?.end();
+  await once(socket, 'close');
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.equal(responses.length, 2);
+  assert.equal(served.handler.countOpen(), 0);
+  assert.ok(!served.counted.some((name) => name.startsWith('unanswered_on_kept')));
+});
