Count the grace period from the signal, also before the node has started

Callers of a node that got SIGTERM while it started lost their open requests: the signal takes effect when the node has started, and the node then took its whole grace period from that moment, while the platform had counted from the signal and killed the process.

The time of arrival now goes with the signal.

--- a/src/process/runtime/listenForSignals/index.ts
+++ b/src/process/runtime/listenForSignals/index.ts
@@ -5,8 +5,8 @@
 /** Signals that are handled. */
 export type HandledSignal = 'SIGTERM' | 'SIGINT' | 'SIGHUP';
 
-/** Action of a node for a signal. */
-export type SignalAction = (signal: HandledSignal) => void;
+/** Action of a node for a signal; `receivedAt` is in milliseconds on the process's monotonic clock. */
+export type SignalAction = (signal: HandledSignal, receivedAt: number) => void;
 
 /** Control of the handled signals. */
 export interface SignalListener {
@@ -16,7 +16,7 @@
 
 /** A source of signals; the process outside of tests. */
 export interface SignalSource {
-  readonly on: (signal: HandledSignal, listener: SignalAction) => unknown;
+  readonly on: (signal: HandledSignal, listener: (signal: HandledSignal) => void) => unknown;
 }
 
 const HANDLED_SIGNALS: readonly HandledSignal[] = ['SIGTERM', 'SIGINT', 'SIGHUP'];
@@ -24,7 +24,8 @@
 /**
  * Listens for signals before a node runs, because their default action ends the process at once.
  *
- * A signal that arrives before {@link SignalListener.serve} takes effect then.
+ * A signal that arrives before {@link SignalListener.serve} takes effect then; the time that the platform leaves
+ * the process runs from its arrival.
  *
  * @param source - source of the signals
  * @returns the control; `serve` starts the actions
@@ -34,18 +35,19 @@
  * signals.serve(running.leave);
  */
 export function listenForSignals(source: SignalSource = process): SignalListener {
-  const pending = new Set<HandledSignal>();
+  const pending = new Map<HandledSignal, number>();
   let action: SignalAction | undefined;
   for (const name of HANDLED_SIGNALS) {
     source.on(name, (signal) => {
-      if (action) action(signal);
-      else pending.add(signal);
+      const receivedAt = performance.now();
+      if (action) action(signal, receivedAt);
+      else if (!pending.has(signal)) pending.set(signal, receivedAt);
     });
   }
   return {
     serve: (act) => {
       action = act;
-      for (const signal of pending) act(signal);
+      for (const [signal, receivedAt] of pending) act(signal, receivedAt);
       pending.clear();
     },
   };
--- a/src/process/runtime/listenForSignals/test.ts
+++ b/src/process/runtime/listenForSignals/test.ts
@@ -19,3 +19,15 @@
     assert.deepEqual(received, [signal, signal]);
   });
 }
+
+test('a signal that came before the node runs counts from its arrival', async () => {
+  const source = new EventEmitter();
+  const signals = listenForSignals(source);
+  const sentAt = performance.now();
+  source.emit('SIGTERM', 'SIGTERM');
+  await new Promise((resolve) => setTimeout(resolve, 30));
+  source.emit('SIGTERM', 'SIGTERM');
+  signals.serve((_, receivedAt) => {
+    assert.ok(receivedAt - sentAt < 20, `${receivedAt - sentAt} ms`);
+  });
+});
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -61,10 +61,11 @@
 /** Running node. */
 export interface SiteNode {
   /**
-   * Shuts the node down: accepts no new callers, completes open requests, and resolves. Further calls
-   * have no effect.
+   * Shuts the node down: accepts no new callers, completes open requests, and resolves. The grace period runs
+   * from `signalledAt`, in milliseconds on the process's monotonic clock; from now by default. Further calls have
+   * no effect.
    */
-  readonly leave: () => Promise<void>;
+  readonly leave: (signalledAt?: number) => Promise<void>;
   /**
    * Logs a request to reload, with the version of the active configuration. The settings file is not
    * read again.
@@ -198,8 +199,7 @@
   }
   logger.log('started', { incarnation: self.incarnation, address: self.callerAddress });
 
-  const stop = async (): Promise<void> => {
-    const startedAt = now();
+  const stop = async (startedAt: number): Promise<void> => {
     const endsAt = startedAt + options.graceMilliseconds - LEAVING_MARGIN_MILLISECONDS;
     leaving = { startedAt, endsAt };
     const serveEnd = Math.min(endsAt, startedAt + LEAVING_SERVE_MILLISECONDS);
@@ -226,6 +226,6 @@
       const reason = describeError(error);
       logger.log('internal-error', { origin, reason, open: handler.countOpen() });
     },
-    leave: () => (stopped ??= stop()),
+    leave: (signalledAt = now()) => (stopped ??= stop(signalledAt)),
   };
 }
--- a/tests/plannedStops.test.ts
+++ b/tests/plannedStops.test.ts
@@ -113,6 +113,18 @@
   await left;
 });
 
+test('a booking of a node that was to stop before it had started gets a response in time', async () => {
+  const node = await start();
+  plain.handle = neverRespond;
+  const signalledAt = performance.now() - 800;
+  const booked = book(node);
+  const left = node.node.leave(signalledAt);
+  const response = await booked;
+  assert.equal(response.status, OUTCOME_UNKNOWN_STATUS);
+  assert.ok(performance.now() - signalledAt < GRACE_MILLISECONDS);
+  await left;
+});
+
 test('a stream without events that is open when the node has to stop gets a final response', async () => {
   const node = await start();
   engine.handle = neverRespond;
