Keep serving until the last sixth of a short grace period

Callers of a node with a grace period of one second had their streams cut half a second after SIGTERM, although their engine ended them in time: the margin before the end of the grace is half a second, whatever the grace.

Evidence: a stream whose engine ends it 0.85 s after SIGTERM, with 1.2 s of grace, was cut. Below 3 s of grace, the margin is now a sixth of it; the last responses are sent in half of the margin, as before.

--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -82,12 +82,13 @@
 const LEAVING_SERVE_MILLISECONDS = 3_300;
 /**
  * Margin between the end of a leaving node and the end of the grace period of the platform, in
- * milliseconds.
+ * milliseconds, and as a share of a short grace period.
  */
 const LEAVING_MARGIN_MILLISECONDS = 500;
+const LEAVING_MARGIN_SHARE = 1 / 6;
 const LEAVING_CHECK_MILLISECONDS = 50;
-/** Time in which the last responses of a leaving node are sent, within that margin. */
-const LAST_RESPONSES_MILLISECONDS = 250;
+/** Share of that margin in which the last responses of a leaving node are sent. */
+const LAST_RESPONSES_SHARE = 0.5;
 
 /** Resolves when a condition holds, which is checked every {@link LEAVING_CHECK_MILLISECONDS}. */
 async function waitUntil(condition: () => boolean): Promise<void> {
@@ -200,7 +201,9 @@
   logger.log('started', { incarnation: self.incarnation, address: self.callerAddress });
 
   const stop = async (startedAt: number): Promise<void> => {
-    const endsAt = startedAt + options.graceMilliseconds - LEAVING_MARGIN_MILLISECONDS;
+    const { graceMilliseconds } = options;
+    const margin = Math.min(LEAVING_MARGIN_MILLISECONDS, graceMilliseconds * LEAVING_MARGIN_SHARE);
+    const endsAt = startedAt + graceMilliseconds - margin;
     leaving = { startedAt, endsAt };
     const serveEnd = Math.min(endsAt, startedAt + LEAVING_SERVE_MILLISECONDS);
     exchange.peers.setLeaving();
@@ -209,7 +212,7 @@
     const hasEnded = (): boolean => handler.countOpen() === 0;
     await waitUntil(() => now() >= endsAt || (now() >= serveEnd && hasEnded()));
     core.endRequests();
-    const sentBefore = now() + LAST_RESPONSES_MILLISECONDS;
+    const sentBefore = now() + margin * LAST_RESPONSES_SHARE;
     await waitUntil(() => now() >= sentBefore || hasEnded());
     handler.recordUnanswered();
     logger.log('stopped', { open: handler.countOpen() });
--- a/tests/plannedStops.test.ts
+++ b/tests/plannedStops.test.ts
@@ -10,6 +10,7 @@
 import {
   createEndpointHeaders,
   serveSiteEndpoint,
+  writeEvents,
   type EndpointHandler,
   type SiteEndpoint,
 } from '../standins/serveSiteEndpoint/index.js';
@@ -186,6 +187,24 @@
   assert.equal(body.length, LARGE_BODY.length);
 });
 
+test('a stream that ends before the last sixth of a short grace period is complete', async () => {
+  const node = await start(1_200);
+  engine.handle = (request, response) => {
+    writeEvents(request, response, 1);
+    setTimeout(() => {
+      response.end('id: 2\ndata: t2\n\n');
+    }, 850);
+  };
+  const received = engine.received.length;
+  const asked = ask(node);
+  await waitFor('the engine has the request', () => engine.received.length > received);
+  const left = node.node.leave();
+  const { isComplete, body } = await asked;
+  assert.ok(isComplete);
+  assert.match(body, /t2/);
+  await left;
+});
+
 test('a second request to stop does not admit streams again', async () => {
   const node = await start(6_000);
   plain.handle = neverRespond;
