--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -61,10 +61,11 @@
 /** Running node. */
 export interface SiteNode {
   /**
-   * Shuts the node down: accepts no new callers, completes open requests, and resolves. Further calls
-   * have no effect.
+   * Shuts the node down: accepts no new callers, completes open requests, and resolves. The grace period runs
+   * from `signalledAt`, in milliseconds on the process's monotonic clock; from now by default. Further calls have
+   * no effect.
    */
-  readonly leave: () => Promise<void>;
+  readonly leave: (signalledAt?: number) => Promise<void>;
   /**
    * Logs a request to reload, with the version of the active configuration. The settings file is not
    * read again.
@@ -81,12 +82,13 @@
 const LEAVING_SERVE_MILLISECONDS = 3_300;
 /**
  * Margin between the end of a leaving node and the end of the grace period of the platform, in
- * milliseconds.
+ * milliseconds, and as a share of a short grace period.
  */
 const LEAVING_MARGIN_MILLISECONDS = 500;
+const LEAVING_MARGIN_SHARE = 1 / 6;
 const LEAVING_CHECK_MILLISECONDS = 50;
-/** Time in which the last responses of a leaving node are sent, within that margin. */
-const LAST_RESPONSES_MILLISECONDS = 250;
+/** Share of that margin in which the last responses of a leaving node are sent. */
+const LAST_RESPONSES_SHARE = 0.5;
 
 /** Resolves when a condition holds, which is checked every {@link LEAVING_CHECK_MILLISECONDS}. */
 async function waitUntil(condition: () => boolean): Promise<void> {
@@ -198,9 +200,10 @@
   }
   logger.log('started', { incarnation: self.incarnation, address: self.callerAddress });
 
-  const stop = async (): Promise<void> => {
-    const startedAt = now();
-    const endsAt = startedAt + options.graceMilliseconds - LEAVING_MARGIN_MILLISECONDS;
+  const stop = async (startedAt: number): Promise<void> => {
+    const { graceMilliseconds } = options;
+    const margin = Math.min(LEAVING_MARGIN_MILLISECONDS, graceMilliseconds * LEAVING_MARGIN_SHARE);
+    const endsAt = startedAt + graceMilliseconds - margin;
     leaving = { startedAt, endsAt };
     const serveEnd = Math.min(endsAt, startedAt + LEAVING_SERVE_MILLISECONDS);
     exchange.peers.setLeaving();
@@ -209,7 +212,7 @@
     const hasEnded = (): boolean => handler.countOpen() === 0;
     await waitUntil(() => now() >= endsAt || (now() >= serveEnd && hasEnded()));
     core.endRequests();
-    const sentBefore = now() + LAST_RESPONSES_MILLISECONDS;
+    const sentBefore = now() + margin * LAST_RESPONSES_SHARE;
     await waitUntil(() => now() >= sentBefore || hasEnded());
     handler.recordUnanswered();
     logger.log('stopped', { open: handler.countOpen() });
@@ -226,6 +229,6 @@
       const reason = describeError(error);
       logger.log('internal-error', { origin, reason, open: handler.countOpen() });
     },
-    leave: () => (stopped ??= stop()),
+    leave: (signalledAt = now()) => (stopped ??= stop(signalledAt)),
   };
 }
