Start the site of three tests of raw endpoints in one place

Broken streams, repeated refusals and truncated heads set up store, node and endpoints with the same code.

--- a/tests/brokenStreams.test.ts
+++ b/tests/brokenStreams.test.ts
@@ -6,40 +6,28 @@
 import { connect } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
 import type { Socket } from 'node:net';
-import type { SiteStore } from '../standins/serveSiteStore/index.js';
-import {
-  serveRawEndpoint,
-  type RawEndpoint,
-  type RawRequest,
-  type RawResponder,
-} from './support/rawEndpoint/index.js';
+import { type RawRequest, type RawResponder } from './support/rawEndpoint/index.js';
+import { startRawSite, type RawSite } from './support/rawSite/index.js';
 import {
   COMPLETE_STREAM,
   createPlatformConfiguration,
   KEY,
   MODEL_SERVICE,
-  registerEndpoint,
   sendCallerRequest,
-  startNode,
-  startStore,
   STREAM_EVENT_COUNT,
-  waitFor,
-  waitUntilReady,
   type CallerResponse,
-  type TestNode,
 } from './support/siteNodes/index.js';
 
 /** Number of events before the first run breaks off. */
 const FIRST_EVENTS = 2;
+const ENDPOINT_COUNT = 3;
 const LATE_MILLISECONDS = 150;
 /** Text of every failure; no caller may receive it. */
 const FAILURE_TEXT = 'endpoint failed';
 const FAILURE_EVENT = `id: ${FIRST_EVENTS + 1}\ndata: ${FAILURE_TEXT}\n\n`;
 const BEGUN_STREAM = COMPLETE_STREAM.slice(0, COMPLETE_STREAM.indexOf('id: 3'));
 
-let store: SiteStore;
-let node: TestNode;
-let endpoints: RawEndpoint[] = [];
+let site: RawSite;
 
 function formatHead(request: RawRequest, status: string, headers: string): string {
   return `HTTP/1.1 ${status}\r\nServer-Seal: s\r\nAttempt-Id: ${request.attempt}\r\n${headers}\r\n`;
@@ -132,31 +120,17 @@
   },
 };
 
-function countReceived(): number {
-  return endpoints.reduce((sum, { received }) => sum + received.length, 0);
-}
-
 /** Registers endpoints that respond to the requests of a stream in turn, the last one to all later ones. */
 async function replaceEndpoints(...responders: readonly RawResponder[]): Promise<void> {
-  for (const { id } of endpoints) store.remove(`servers/${id}`);
-  await Promise.all(endpoints.map((endpoint) => endpoint.close()));
-  const suffix = performance.now().toFixed(0);
   const respond: RawResponder = (socket: Socket, request) => {
-    responders[Math.min(countReceived(), responders.length) - 1]?.(socket, request);
+    responders[Math.min(site.countReceived(), responders.length) - 1]?.(socket, request);
   };
-  endpoints = await Promise.all(
-    ['first', 'second', 'third'].map((name) => serveRawEndpoint(`${name}-${suffix}`, respond)),
-  );
-  for (const endpoint of endpoints)
-    registerEndpoint(store, endpoint, MODEL_SERVICE, { layers: endpoint.layers });
-  await waitFor('the node has the endpoints in its table', () =>
-    endpoints.every(({ id }) => node.logs.some((line) => line.includes(`"${id}"`))),
-  );
+  await site.replaceEndpoints(MODEL_SERVICE, respond, ENDPOINT_COUNT);
 }
 
 function requestStream(path = '/ask/one'): Promise<CallerResponse> {
   const headers = { 'Token-Counts': '20,10' };
-  return sendCallerRequest({ address: node.callers, path, headers });
+  return sendCallerRequest({ address: site.node.callers, path, headers });
 }
 
 interface Configuration {
@@ -173,17 +147,11 @@
 
 // A new node for each test, since a node limits the log lines that the tests wait for.
 beforeEach(async () => {
-  store = await startStore();
-  store.put('op/config', createConfiguration());
-  node = await startNode('node-1', store);
-  await waitUntilReady(node);
+  site = await startRawSite(createConfiguration());
 });
 
 afterEach(async () => {
-  await node.node.leave();
-  await Promise.all(endpoints.map((endpoint) => endpoint.close()));
-  endpoints = [];
-  await store.close();
+  await site.close();
 });
 
 for (const [name, failure] of Object.entries(FAILURES)) {
@@ -197,18 +165,18 @@
 test('a stream that breaks off goes on at another endpoint', async () => {
   await replaceEndpoints(breakOff, streamCompletely);
   const { body, isComplete } = await requestStream();
-  assert.deepEqual([body, isComplete, countReceived()], [COMPLETE_STREAM, true, 2]);
+  assert.deepEqual([body, isComplete, site.countReceived()], [COMPLETE_STREAM, true, 2]);
 });
 
 test('a stream that may not be resumed is broken off for its caller', async () => {
   await replaceEndpoints(breakOff, streamCompletely);
   const { body, isComplete } = await requestStream('/tell/one');
-  assert.deepEqual([body, isComplete, countReceived()], [BEGUN_STREAM, false, 1]);
+  assert.deepEqual([body, isComplete, site.countReceived()], [BEGUN_STREAM, false, 1]);
 });
 
 test('a caller without chunks sees that its stream is broken off', async () => {
   await replaceEndpoints(breakOff, fail('500 Failed', EVENT_STREAM, FAILURE_TEXT));
-  const [host, port] = node.callers.split(':');
+  const [host, port] = site.node.callers.split(':');
   const end = await new Promise<string>((resolve) => {
     const socket = connect(Number(port), host, () => {
       socket.write(
--- a/tests/repeatedRefusals.test.ts
+++ b/tests/repeatedRefusals.test.ts
@@ -5,33 +5,20 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import type { Socket } from 'node:net';
-import type { SiteStore } from '../standins/serveSiteStore/index.js';
-import {
-  serveRawEndpoint,
-  type RawEndpoint,
-  type RawRequest,
-  type RawResponder,
-} from './support/rawEndpoint/index.js';
+import { type RawRequest, type RawResponder } from './support/rawEndpoint/index.js';
+import { startRawSite, type RawSite } from './support/rawSite/index.js';
 import {
   createPlatformConfiguration,
   MODEL_SERVICE,
   PLAIN_SERVICE,
-  registerEndpoint,
   sendCallerRequest,
-  startNode,
-  startStore,
-  waitFor,
-  waitUntilReady,
   type CallerResponse,
-  type TestNode,
 } from './support/siteNodes/index.js';
 
 const OTHER_ATTEMPT = 'Attempt-Id: attempt-of-another-caller\r\n';
 const MAXIMUM_ATTEMPTS = 3;
 
-let store: SiteStore;
-let node: TestNode;
-let endpoints: RawEndpoint[] = [];
+let site: RawSite;
 
 function formatOwnAttempt({ attempt }: RawRequest): string {
   return `Attempt-Id: ${attempt}\r\n`;
@@ -92,38 +79,20 @@
   },
 };
 
-async function replaceEndpoints(service: string, respond: RawResponder): Promise<void> {
-  for (const { id } of endpoints) store.remove(`servers/${id}`);
-  await Promise.all(endpoints.map((endpoint) => endpoint.close()));
-  const suffix = performance.now().toFixed(0);
-  endpoints = await Promise.all(
-    ['first', 'second'].map((name) => serveRawEndpoint(`${name}-${suffix}`, respond)),
-  );
-  for (const endpoint of endpoints)
-    registerEndpoint(store, endpoint, service, { layers: endpoint.layers });
-  await waitFor('the node has the endpoints in its table', () =>
-    endpoints.every(({ id }) => node.logs.some((line) => line.includes(`"${id}"`))),
-  );
-}
-
-function countReceived(): number {
-  return endpoints.reduce((sum, { received }) => sum + received.length, 0);
-}
-
 /** Responds as given to the first request, and as a healthy endpoint after that. */
 function respondFirst(
   faulty: FaultyResponder,
   formatOwn: (request: RawRequest) => string,
 ): RawResponder {
   return (socket, request) => {
-    if (countReceived() > 1) socket.write(formatOwn(request));
+    if (site.countReceived() > 1) socket.write(formatOwn(request));
     else faulty(socket, request, formatOwn(request));
   };
 }
 
 function sendBooking(): Promise<CallerResponse> {
   return sendCallerRequest({
-    address: node.callers,
+    address: site.node.callers,
     path: '/book/one',
     method: 'POST',
     body: 'book',
@@ -132,7 +101,7 @@
 
 function requestStream(path = '/ask/one'): Promise<CallerResponse> {
   const headers = { 'Token-Counts': '20,10' };
-  return sendCallerRequest({ address: node.callers, path, headers });
+  return sendCallerRequest({ address: site.node.callers, path, headers });
 }
 
 interface Configuration {
@@ -157,37 +126,31 @@
 
 // A new node for each test, since a node limits the log lines that the tests wait for.
 beforeEach(async () => {
-  store = await startStore();
-  store.put('op/config', createStrictConfiguration());
-  node = await startNode('node-1', store);
-  await waitUntilReady(node);
+  site = await startRawSite(createStrictConfiguration());
 });
 
 afterEach(async () => {
-  await node.node.leave();
-  await Promise.all(endpoints.map((endpoint) => endpoint.close()));
-  endpoints = [];
-  await store.close();
+  await site.close();
 });
 
 for (const [name, faulty] of Object.entries(FAULTY_RESPONDERS)) {
   test(`a booking is not taken for refused after ${name}`, async () => {
-    await replaceEndpoints(PLAIN_SERVICE, respondFirst(faulty, formatBookingResponse));
+    await site.replaceEndpoints(PLAIN_SERVICE, respondFirst(faulty, formatBookingResponse));
     const { status } = await sendBooking();
-    assert.deepEqual([status, countReceived()], [502, 1], node.logs.slice(-6).join(''));
+    assert.deepEqual([status, site.countReceived()], [502, 1], site.node.logs.slice(-6).join(''));
   });
 
   test(`a stream is not taken for refused after ${name}`, async () => {
-    await replaceEndpoints(MODEL_SERVICE, respondFirst(faulty, formatStream));
+    await site.replaceEndpoints(MODEL_SERVICE, respondFirst(faulty, formatStream));
     const { status } = await requestStream();
-    assert.deepEqual([status, countReceived()], [502, 1], node.logs.slice(-6).join(''));
+    assert.deepEqual([status, site.countReceived()], [502, 1], site.node.logs.slice(-6).join(''));
   });
 }
 
 test('a failure of another attempt never reaches the caller of a stream', async () => {
   const failure = `HTTP/1.1 500 Failed\r\nServer-Seal: s\r\n${OTHER_ATTEMPT}Content-Length: 6\r\n\r\nfailed`;
   const respond = respondFirst((socket) => socket.write(failure), formatStream);
-  await replaceEndpoints(MODEL_SERVICE, respond);
+  await site.replaceEndpoints(MODEL_SERVICE, respond);
   const { status, headers } = await requestStream('/tell/one');
   assert.deepEqual([status, headers['server-seal']], [502, undefined]);
 });
@@ -197,23 +160,23 @@
     const fail = write((request) =>
       formatRefusal(formatOwnAttempt(request), status).replace('Not-Executed: 1\r\n', ''),
     );
-    await replaceEndpoints(PLAIN_SERVICE, respondFirst(fail, formatBookingResponse));
+    await site.replaceEndpoints(PLAIN_SERVICE, respondFirst(fail, formatBookingResponse));
     const booking = await sendBooking();
-    assert.deepEqual([booking.status, countReceived()], [502, 1]);
-    await replaceEndpoints(MODEL_SERVICE, respondFirst(fail, formatStream));
+    assert.deepEqual([booking.status, site.countReceived()], [502, 1]);
+    await site.replaceEndpoints(MODEL_SERVICE, respondFirst(fail, formatStream));
     const stream = await requestStream('/tell/one');
-    assert.deepEqual([stream.status, countReceived()], [502, 1]);
+    assert.deepEqual([stream.status, site.countReceived()], [502, 1]);
   });
 }
 
 test('a refusal of its own attempt sends a request to another endpoint', async () => {
   const refuse = write((request) => formatRefusal(formatOwnAttempt(request)));
-  await replaceEndpoints(PLAIN_SERVICE, respondFirst(refuse, formatBookingResponse));
+  await site.replaceEndpoints(PLAIN_SERVICE, respondFirst(refuse, formatBookingResponse));
   const booking = await sendBooking();
-  assert.deepEqual([booking.status, booking.body, countReceived()], [200, 'booked', 2]);
-  await replaceEndpoints(MODEL_SERVICE, respondFirst(refuse, formatStream));
+  assert.deepEqual([booking.status, booking.body, site.countReceived()], [200, 'booked', 2]);
+  await site.replaceEndpoints(MODEL_SERVICE, respondFirst(refuse, formatStream));
   const stream = await requestStream();
-  assert.deepEqual([stream.status, countReceived()], [200, 2]);
+  assert.deepEqual([stream.status, site.countReceived()], [200, 2]);
 });
 
 test('a response to the request is taken after an interim response with the headers of a refusal', async () => {
@@ -222,7 +185,7 @@
     (socket, _, own) => socket.write(`${interim}${own}`),
     formatBookingResponse,
   );
-  await replaceEndpoints(PLAIN_SERVICE, respond);
+  await site.replaceEndpoints(PLAIN_SERVICE, respond);
   const { status, body } = await sendBooking();
-  assert.deepEqual([status, body, countReceived()], [200, 'booked', 1]);
+  assert.deepEqual([status, body, site.countReceived()], [200, 'booked', 1]);
 });
--- a/tests/truncatedHeads.test.ts
+++ b/tests/truncatedHeads.test.ts
@@ -5,29 +5,16 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import type { Socket } from 'node:net';
-import type { SiteStore } from '../standins/serveSiteStore/index.js';
-import {
-  serveRawEndpoint,
-  type RawEndpoint,
-  type RawResponder,
-} from './support/rawEndpoint/index.js';
+import { startRawSite, type RawSite } from './support/rawSite/index.js';
 import {
   createPlatformConfiguration,
   MODEL_SERVICE,
   PLAIN_SERVICE,
-  registerEndpoint,
   sendCallerRequest,
-  startNode,
-  startStore,
-  waitFor,
-  waitUntilReady,
   type CallerResponse,
-  type TestNode,
 } from './support/siteNodes/index.js';
 
-let store: SiteStore;
-let node: TestNode;
-let endpoints: RawEndpoint[] = [];
+let site: RawSite;
 
 const STATUS_LINE = 'HTTP/1.1 200 OK\r\n';
 const FIELDS = 'Server-Seal: s\r\nAttempt-Id: attempt-1\r\nContent-Type: text/event-stream\r\n';
@@ -55,39 +42,24 @@
   },
 };
 
-function countReceived(): number {
-  return endpoints.reduce((sum, { received }) => sum + received.length, 0);
-}
-
 /** Registers endpoints that truncate the first response, and respond completely after that. */
 async function replaceEndpoints(
   service: string,
   text: string,
   end: (socket: Socket) => void,
 ): Promise<void> {
-  for (const { id } of endpoints) store.remove(`servers/${id}`);
-  await Promise.all(endpoints.map((endpoint) => endpoint.close()));
-  const suffix = performance.now().toFixed(0);
-  const respond: RawResponder = (socket) => {
-    if (countReceived() > 1) socket.write(WHOLE);
+  await site.replaceEndpoints(service, (socket) => {
+    if (site.countReceived() > 1) socket.write(WHOLE);
     else
       socket.write(text, () => {
         end(socket);
       });
-  };
-  endpoints = await Promise.all(
-    ['first', 'second'].map((name) => serveRawEndpoint(`${name}-${suffix}`, respond)),
-  );
-  for (const endpoint of endpoints)
-    registerEndpoint(store, endpoint, service, { layers: endpoint.layers });
-  await waitFor('the node has the endpoints in its table', () =>
-    endpoints.every(({ id }) => node.logs.some((line) => line.includes(`"${id}"`))),
-  );
+  });
 }
 
 function send(path: string, method = 'GET'): Promise<CallerResponse> {
   const headers = { 'Token-Counts': '20,10' };
-  return sendCallerRequest({ address: node.callers, path, method, headers });
+  return sendCallerRequest({ address: site.node.callers, path, method, headers });
 }
 
 interface Configuration {
@@ -105,17 +77,11 @@
 
 // A new node for each test, since a node limits the log lines that the tests wait for.
 beforeEach(async () => {
-  store = await startStore();
-  store.put('op/config', createConfiguration());
-  node = await startNode('node-1', store);
-  await waitUntilReady(node);
+  site = await startRawSite(createConfiguration());
 });
 
 afterEach(async () => {
-  await node.node.leave();
-  await Promise.all(endpoints.map((endpoint) => endpoint.close()));
-  endpoints = [];
-  await store.close();
+  await site.close();
 });
 
 for (const [place, text] of Object.entries(TRUNCATED)) {
@@ -123,16 +89,16 @@
     test(`an endpoint that ${ending} its connection ${place} has not answered`, async () => {
       await replaceEndpoints(PLAIN_SERVICE, text, end);
       const lookUp = await send('/look/one');
-      assert.deepEqual([lookUp.status, lookUp.body, countReceived()], [200, EVENT, 2]);
+      assert.deepEqual([lookUp.status, lookUp.body, site.countReceived()], [200, EVENT, 2]);
       await replaceEndpoints(PLAIN_SERVICE, text, end);
       const booking = await send('/book/one', 'POST');
-      assert.deepEqual([booking.status, countReceived()], [502, 1]);
+      assert.deepEqual([booking.status, site.countReceived()], [502, 1]);
       await replaceEndpoints(MODEL_SERVICE, text, end);
       const resumed = await send('/ask/one');
-      assert.deepEqual([resumed.status, resumed.body, countReceived()], [200, EVENT, 2]);
+      assert.deepEqual([resumed.status, resumed.body, site.countReceived()], [200, EVENT, 2]);
       await replaceEndpoints(MODEL_SERVICE, text, end);
       const single = await send('/tell/one');
-      assert.deepEqual([single.status, countReceived()], [502, 1]);
+      assert.deepEqual([single.status, site.countReceived()], [502, 1]);
     });
   }
 }
@@ -143,5 +109,5 @@
     socket.end();
   });
   const booking = await send('/book/one', 'POST');
-  assert.deepEqual([booking.status, countReceived()], [204, 1]);
+  assert.deepEqual([booking.status, site.countReceived()], [204, 1]);
 });
