Give a trial of a blocked request one run, and let trials without an outcome become rare

Cause: the gate let a request that tried a part run as long as no crash of it was known, so that a run that an endpoint refused was repeated, up to three times more. Besides, only a crash lengthened the pause: a trial without an outcome let the next node try the part two seconds later.

Why it works: a trial admits one run. The time after trials without a crash or an answer grows fourfold, as that after crashes does, and trials are exchanged for as long as their part is blocked, so that all nodes count them.

--- a/src/process/relay/createPartGuard/index.ts
+++ b/src/process/relay/createPartGuard/index.ts
@@ -39,7 +39,7 @@
  * @param options - the node, its clock, logger and counters, and the announcement to other nodes
  * @returns the guard
  * @example
- * createPartGuard(options).createGate(request).check();
+ * createPartGuard(options).createGate(request).admitRun();
  */
 export function createPartGuard(options: CreatePartGuardOptions): PartGuard {
   const { node, clock, logger, metrics, announce } = options;
--- a/src/process/relay/createRunGate/index.ts
+++ b/src/process/relay/createRunGate/index.ts
@@ -24,6 +24,8 @@
   /** Returns the parts of the request; the last one identifies the request itself. */
   readonly listParts: () => readonly string[];
   /** Returns why the request must not be sent to an endpoint now; undefined when it may be. */
+  readonly admitRun: () => BlockedRun | undefined;
+  /** Returns why the current run must end; undefined when it may go on. */
   readonly check: () => BlockedRun | undefined;
   /** Records that an endpoint answers the request, which shows that its parts are harmless. */
   readonly recordAnswer: () => void;
@@ -63,7 +65,7 @@
  * @param options - the breakers, the request's parts, the log, and the announcement to other nodes
  * @returns the gate
  * @example
- * createRunGate(options).check(); // undefined
+ * createRunGate(options).admitRun(); // undefined
  */
 export function createRunGate(options: CreateRunGateOptions): RunGate {
   const { breakers, clock, log, metrics, isPrompt, announce, onChange } = options;
@@ -105,17 +107,24 @@
   };
   const isOwnTrial = ({ part, retryAt }: Blocked): boolean =>
     trial?.part === part && trial.retryAt === retryAt;
-  const check = (): BlockedRun | undefined => {
+  const decide = (): Blocked | undefined => {
     if (!breakers.hasReports()) return undefined;
     const decision = breakers.decide(listParts(), clock.now());
     if (decision.kind === 'trial') beginTrial(decision);
-    if (decision.kind !== 'blocked' || isOwnTrial(decision)) return undefined;
-    return describeBlocked(decision);
+    return decision.kind === 'blocked' ? decision : undefined;
   };
 
   return {
     listParts,
-    check,
+    // A trial is one run: where an endpoint refuses it, the next one may crash.
+    admitRun: () => {
+      const blocked = decide();
+      return blocked && describeBlocked(blocked);
+    },
+    check: () => {
+      const blocked = decide();
+      return blocked && !isOwnTrial(blocked) ? describeBlocked(blocked) : undefined;
+    },
     recordCrash: (report) => {
       crashes += 1;
       if (breakers.add({ reports: [report] }, clock.now()).reports.length === 0) return;
--- a/src/process/relay/relayBuffered/index.ts
+++ b/src/process/relay/relayBuffered/index.ts
@@ -182,7 +182,7 @@
   ) {
     const remainingMilliseconds = deadlineAt - clock.now();
     if (remainingMilliseconds <= 0 || stopSignal.isRaised()) break;
-    const blocked = gate.check();
+    const blocked = gate.admitRun();
     if (blocked) {
       progress.reason = `part ${blocked.part} is blocked`;
       progress.blockedSeconds = blocked.retryAfterSeconds;
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -152,7 +152,7 @@
   }
 
   function startRun(chosen?: ChosenPath): void {
-    const blocked = gate.check();
+    const blocked = gate.admitRun();
     if (blocked) {
       failBlocked(blocked);
       return;
--- a/src/process/site/createPartExchange/test.ts
+++ b/src/process/site/createPartExchange/test.ts
@@ -101,8 +101,8 @@
 }
 
 for (const count of [6, 78]) {
-  test(`the trial of a part does not circulate among ${count} nodes`, async () => {
-    const { time, nodes, report } = createNetwork(count);
+  test(`the trial of a part becomes known to ${count} nodes and does not circulate among them`, async () => {
+    const { time, nodes, report, countBlocking } = createNetwork(count);
     report(0, [createCrashReport(0, ['head-1', 'dead'])]);
     await time.run(400);
     report(1, [createCrashReport(400, ['head-2', 'dead'])]);
@@ -112,6 +112,8 @@
     const facts = { trials: [{ part: 'dead', at: time.now() }] };
     first?.breakers.add(facts, time.now());
     first?.exchange.announce(facts);
+    await time.run(15_000 + CONTACT_MILLISECONDS);
+    assert.equal(countBlocking('dead'), count);
     await time.run(25_000);
     const bytes = Math.max(...nodes.map(({ sentBytes }) => sentBytes / 10));
     assert.ok(bytes <= MAXIMUM_BYTES_PER_SECOND, `${bytes} bytes/s`);
--- a/src/request/createPartBreakers/index.ts
+++ b/src/request/createPartBreakers/index.ts
@@ -29,10 +29,12 @@
       readonly retryMilliseconds: number;
     };
 
+type OpenState = Extract<BreakerState, { readonly kind: 'open' }>;
+
 /** Blocked part, with what decided it. */
 export interface BlockedPart {
   readonly part: string;
-  readonly state: Extract<BreakerState, { readonly kind: 'open' }>;
+  readonly state: OpenState;
   readonly reports: readonly CrashReport[];
 }
 
@@ -81,8 +83,13 @@
 const MAXIMUM_LATEST_SUCCESSES = 1_000;
 /** Time for which a report is kept, in milliseconds; longer than the longest pause. */
 const REPORT_EXPIRY_MILLISECONDS = 1_200_000;
-/** Maximum time for which the trial of a part keeps others from trying it, in milliseconds. */
+/** Minimum time until the next trial after one without an outcome, in milliseconds. */
 const TRIAL_MILLISECONDS = 2_000;
+/** Factor between the times that follow, as an endpoint may refuse each trial. */
+const TRIAL_FACTOR = 4;
+const MAXIMUM_TRIAL_PAUSE_MILLISECONDS = 600_000;
+/** Trials that are kept of one part. */
+const MAXIMUM_TRIALS_OF_PART = 8;
 /** Maximum difference between the times of one trial on several nodes, in milliseconds. */
 const SAME_TRIAL_MILLISECONDS = 1_000;
 /** Maximum time over which the nodes' first trials of a part are spread, in milliseconds. */
@@ -94,14 +101,15 @@
   reports: CrashReport[];
   count: CrashCount;
   state: BreakerState;
-  trialAt: number;
+  /** Times of the last trials in milliseconds, oldest first. */
+  trials: readonly number[];
 }
 
 const CLOSED: BreakerState = { kind: 'closed' };
 
 function createRecord(part: string): PartRecord {
   const count = countCrashes({ part, reports: [], findSuccess: () => undefined });
-  return { reports: [], count, state: CLOSED, trialAt: Number.NEGATIVE_INFINITY };
+  return { reports: [], count, state: CLOSED, trials: [] };
 }
 
 function identifyReport({ endpoint, startedAt, attempt }: CrashReport): string {
@@ -114,6 +122,19 @@
   return isShort && parts.length > 0 && parts.length <= MAXIMUM_PARTS;
 }
 
+/** Returns when the next trial may follow those since the last crash, none of which had an outcome. */
+function findTrialEnd(
+  trials: readonly number[],
+  { retryAt, pauseMilliseconds }: OpenState,
+): number {
+  const open = trials.filter((at) => at > retryAt - pauseMilliseconds);
+  const lastAt = open.at(-1);
+  if (lastAt === undefined) return Number.NEGATIVE_INFINITY;
+  const first = Math.max(TRIAL_MILLISECONDS, pauseMilliseconds);
+  const pause = first * TRIAL_FACTOR ** (open.length - 1);
+  return lastAt + Math.min(MAXIMUM_TRIAL_PAUSE_MILLISECONDS, pause);
+}
+
 /**
  * Creates breakers without any reports.
  *
@@ -215,8 +236,12 @@
   };
   const addTrial = ({ part, at }: PartTime): boolean => {
     const record = records.get(part);
-    if (!record || at - record.trialAt < SAME_TRIAL_MILLISECONDS) return false;
-    record.trialAt = at;
+    if (
+      !record ||
+      at - (record.trials.at(-1) ?? Number.NEGATIVE_INFINITY) < SAME_TRIAL_MILLISECONDS
+    )
+      return false;
+    record.trials = [...record.trials, at].slice(-MAXIMUM_TRIALS_OF_PART);
     return true;
   };
   /** Returns when this node may try a blocked part. */
@@ -225,7 +250,7 @@
     const { retryAt, crashes, pauseMilliseconds } = record.state;
     const share = hashText(`${node}/${part}/${crashes}`) / HASH_RANGE;
     const spread = share * Math.min(TRIAL_SPREAD_MILLISECONDS, pauseMilliseconds);
-    return Math.max(retryAt + spread, record.trialAt + TRIAL_MILLISECONDS);
+    return Math.max(retryAt + spread, findTrialEnd(record.trials, record.state));
   };
   const listPartSuccesses = (parts: Iterable<string>): PartTime[] =>
     [...parts].flatMap((part) => {
@@ -266,9 +291,12 @@
       return {
         reports: [...reports.values()],
         successes: listPartSuccesses(records.keys()),
-        trials: [...records].flatMap(([part, { trialAt }]) =>
-          now - trialAt < TRIAL_MILLISECONDS ? [{ part, at: trialAt }] : [],
-        ),
+        trials: [...records]
+          .flatMap(([part, { state, trials }]) => {
+            const at = trials.at(-1);
+            return state.kind === 'closed' || at === undefined ? [] : [{ part, at }];
+          })
+          .sort((left, right) => right.at - left.at),
       };
     },
     listLatestSuccesses: () => successes.listLatest(MAXIMUM_LATEST_SUCCESSES),
--- a/src/request/createPartBreakers/test.ts
+++ b/src/request/createPartBreakers/test.ts
@@ -79,6 +79,18 @@
   assert.equal(breakers.decide(['dead', 'x'], 51_300).kind, 'passed');
 });
 
+test('trials that endpoints refuse become rare, as each of them may crash an endpoint', () => {
+  const { breakers } = createFixture();
+  for (const at of [1_000, 1_400]) crash(breakers, at, [`head-${at}`, 'dead']);
+  const trials: number[] = [];
+  for (let at = 1_500; at < 61_500; at += 100) {
+    if (breakers.decide(['dead', 'x'], at).kind !== 'trial') continue;
+    breakers.add({ trials: [{ part: 'dead', at }] }, at);
+    trials.push(at);
+  }
+  assert.ok(trials.length <= 3, `trials at ${trials.join(' ')}`);
+});
+
 test('a request with two blocked parts is no trial of either', () => {
   const { breakers } = createFixture();
   for (const at of [1_000, 1_400]) crash(breakers, at, ['head', 'dead']);
