Announce the only crash of a request that ends without an answer

What callers saw: nothing yet. A booking that crashes each endpoint crashes one more for every node that it is sent to.

Cause: the first crash of a request is kept back, as an answer of its repeat may refute it. When the request ended without one, the crash was announced only if one of its shared parts had never been answered. A plain request has no shared parts, and those of a prompt mostly were answered, so that the crash stayed at the node that saw it. Where nothing is repeated (bookings; streams whose retry budget is spent), each node of a site learned for itself: as many crashes as nodes, far later than contact_ms after the third.

Why it works: the end of a request announces what was kept back. Where endpoints answered the shared parts, the report names the request's own part alone, so that mass crashes do not add up to a block of a part that all requests share.

--- a/src/process/relay/createRunGate/index.ts
+++ b/src/process/relay/createRunGate/index.ts
@@ -134,7 +134,10 @@
     // Where no endpoint ever answered a part, the next one would show nothing but another crash.
     mayRepeatAfterCrash: () => crashes === 0 || breakers.isProven(listParts()),
     end: () => {
-      if (!breakers.isProven(listParts())) announceCrashes();
+      // Parts that endpoints answered are not the cause; the request itself may be.
+      if (unannounced.length > 0 && breakers.isProven(listParts()))
+        unannounced = unannounced.map((report) => ({ ...report, parts: report.parts.slice(-1) }));
+      announceCrashes();
     },
     recordAnswer: () => {
       // Other nodes need the success of the request's own part only if they know of its crashes.
--- a/src/process/relay/createRunGate/test.ts
+++ b/src/process/relay/createRunGate/test.ts
@@ -1,33 +1,47 @@
 /**
- * Guards against a blocked request that reaches one endpoint after another while it is tried.
+ * Guards against a blocked request that reaches one endpoint after another while it is tried, and against
+ * crashes that only the node knows that saw them.
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { createCrashReport } from '../../../../tests/support/crashReports/index.js';
-import { createPartBreakers } from '../../../request/createPartBreakers/index.js';
+import {
+  createPartBreakers,
+  type PartBreakers,
+} from '../../../request/createPartBreakers/index.js';
+import type { CrashReport } from '../../../types/breaker/index.js';
 import { createRunGate, type RunGate } from './index.js';
 
 const LOG = { id: 'attempt', add: () => undefined, end: () => undefined };
 const AFTER_PAUSE = 20_000;
 
-function createFixture(parts: readonly string[]): { gate: RunGate; set: (now: number) => void } {
+interface Fixture {
+  readonly gate: RunGate;
+  readonly breakers: PartBreakers;
+  readonly announced: CrashReport[];
+  readonly set: (now: number) => void;
+}
+
+function createFixture(parts: readonly string[]): Fixture {
   let now = 1_000;
+  const announced: CrashReport[] = [];
   const breakers = createPartBreakers({ node: 'node-1', onChange: () => undefined });
-  const first = createCrashReport(1_000, []);
-  const repeat = createCrashReport(1_400, [], { parts, sentAt: 1_001 });
-  breakers.add({ reports: [{ ...first, parts }, repeat] }, 1_400);
   const gate = createRunGate({
     breakers,
     clock: { now: () => now },
     log: LOG,
     metrics: { count: () => undefined },
-    isPrompt: true,
+    isPrompt: parts.length > 1,
     readParts: () => parts,
-    announce: () => undefined,
+    announce: ({ reports = [] }) => {
+      announced.push(...reports);
+    },
     onChange: () => () => undefined,
   });
   return {
     gate,
+    breakers,
+    announced,
     set: (time) => {
       now = time;
     },
@@ -35,7 +49,11 @@
 }
 
 test('a blocked request that an endpoint refuses as it is tried does not run on another one', () => {
-  const { gate, set } = createFixture(['head', 'own']);
+  const parts = ['head', 'own'];
+  const { gate, breakers, set } = createFixture(parts);
+  const first = createCrashReport(1_000, [], { parts });
+  const repeat = createCrashReport(1_400, [], { parts, sentAt: 1_001 });
+  breakers.add({ reports: [first, repeat] }, 1_400);
   assert.ok(gate.admitRun());
   set(AFTER_PAUSE);
   assert.equal(gate.admitRun(), undefined);
@@ -43,3 +61,26 @@
   set(AFTER_PAUSE + 100);
   assert.ok(gate.admitRun());
 });
+
+test('other nodes learn of the only crash of a request that ends without an answer', () => {
+  for (const parts of [['call'], ['head', 'own']]) {
+    const { gate, breakers, announced } = createFixture(parts);
+    breakers.recordSuccess(['head', 'other'], 500);
+    gate.recordCrash(createCrashReport(1_000, [], { parts }));
+    assert.equal(announced.length, 0);
+    gate.end();
+    assert.deepEqual(
+      announced.map((report) => report.parts),
+      [parts.slice(-1)],
+    );
+  }
+});
+
+test('other nodes do not learn of a crash of a request that another endpoint answers', () => {
+  const { gate, breakers, announced } = createFixture(['head', 'own']);
+  breakers.recordSuccess(['head', 'other'], 500);
+  gate.recordCrash(createCrashReport(1_000, [], { parts: ['head', 'own'] }));
+  gate.recordAnswer();
+  gate.end();
+  assert.equal(announced.length, 0);
+});
--- a/tests/crashingRequests.test.ts
+++ b/tests/crashingRequests.test.ts
@@ -196,6 +196,22 @@
   assert.equal(harmless.status, 200);
 });
 
+test('a booking that crashes its endpoint is known to all nodes, though none may repeat it', async () => {
+  for (const endpoint of plainEndpoints)
+    endpoint.handle = (request, response, self) => {
+      if (request.url === '/book/crashing') void self.crash();
+      else respondCompletely(request, response, self);
+    };
+  for (let index = 0; index < 9; index += 1) {
+    const address = nodes[index % nodes.length]?.callers ?? '';
+    await sendCallerRequest({ address, path: '/book/crashing', method: 'POST', body: 'seat' });
+    await new Promise((resolve) => setTimeout(resolve, REQUEST_INTERVAL_MILLISECONDS));
+  }
+  const received = plainEndpoints.flatMap((endpoint) => endpoint.received);
+  const crashing = received.filter(({ url }) => url === '/book/crashing');
+  assert.ok(crashing.length <= 2, `${crashing.length} endpoints received it`);
+});
+
 test('a refusal of a blocked request names no run, and its log leads to the crashes', async () => {
   crashingParts = new Set(['dead3']);
   await askInTurn(Array.from({ length: 6 }, () => [HEAD]));
