Do not take a failure response for proof that a request is harmless

What callers saw: nothing yet. A plain request that crashes its endpoints, and that some of them answer with a failure (500) before it comes to that, crashes one after the other.

Cause: any whole response of an endpoint counted as a success of the request's part. A success refutes all crashes before it, and raises the number of crashes that block the part again from two to four.

Why it works: an endpoint that fails may have given up before the point at which the others crashed. Only a response below 500 refutes crashes; streams recorded nothing else before.

--- a/src/process/relay/relayBuffered/index.ts
+++ b/src/process/relay/relayBuffered/index.ts
@@ -211,9 +211,10 @@
       continue;
     }
     progress.sends += 1;
-    gate.recordAnswer();
     const { response } = outcome;
     if (response.status < FIRST_FAILURE_STATUS) {
+      // A failure does not show that the request is harmless.
+      gate.recordAnswer();
       endpoints.recordSuccess(endpoint);
       forwardResponse(context, request, response, progress.sends);
       return;
--- a/tests/crashingRequests.test.ts
+++ b/tests/crashingRequests.test.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict';
 import { after, before, beforeEach, test } from 'node:test';
 import {
+  createEndpointHeaders,
   serveSiteEndpoint,
   type EndpointHandler,
   type ReceivedRequest,
@@ -29,6 +30,7 @@
 } from './support/siteNodes/index.js';
 
 const ENGINE_COUNT = 12;
+const PLAIN_COUNT = 7;
 /** Most crashes that one part may cause before every node refuses it. */
 const MAXIMUM_CRASHES = 5;
 /** Time in which an engine reads a prompt before it begins to write, in milliseconds. */
@@ -121,6 +123,16 @@
   );
 }
 
+async function addPlainEndpoints(prefix: string, handle: EndpointHandler): Promise<void> {
+  const added = await Promise.all(
+    Array.from({ length: PLAIN_COUNT }, (_, index) =>
+      serveSiteEndpoint({ id: `${prefix}-${index}`, handle }),
+    ),
+  );
+  for (const endpoint of added) registerEndpoint(store, endpoint, PLAIN_SERVICE);
+  plainEndpoints.push(...added);
+}
+
 before(async () => {
   store = await startStore();
   nodes = [
@@ -128,12 +140,8 @@
     await startNode('node-2', store),
     await startNode('node-3', store),
   ];
-  plainEndpoints = await Promise.all(
-    ['plain-1', 'plain-2', 'plain-3', 'plain-4', 'plain-5', 'plain-6', 'plain-7'].map((id) =>
-      serveSiteEndpoint({ id, handle: respondCompletely }),
-    ),
-  );
-  for (const endpoint of plainEndpoints) registerEndpoint(store, endpoint, PLAIN_SERVICE);
+  plainEndpoints = [];
+  await addPlainEndpoints('plain', respondCompletely);
   store.put('op/config', createPlatformConfiguration(1));
   await Promise.all(nodes.map(waitUntilReady));
   await waitFor('the nodes know each other', () =>
@@ -212,6 +220,34 @@
   assert.ok(crashing.length <= 2, `${crashing.length} endpoints received it`);
 });
 
+test('a failure response in between does not clear a request that crashes its endpoints', async () => {
+  let sends = 0;
+  const handle: EndpointHandler = (request, response, self) => {
+    if (request.url !== '/look/failing') {
+      respondCompletely(request, response, self);
+      return;
+    }
+    sends += 1;
+    if (sends % 2 === 1) {
+      void self.crash();
+      return;
+    }
+    response.writeHead(500, createEndpointHeaders(request));
+    response.end('failed');
+  };
+  for (const endpoint of plainEndpoints) endpoint.handle = handle;
+  await addPlainEndpoints('failing', handle);
+  await waitFor('all nodes know the endpoints', () =>
+    nodes.every(({ logs }) => logs.some((line) => line.includes('"failing-6"'))),
+  );
+  for (let index = 0; index < 9; index += 1) {
+    const address = nodes[index % nodes.length]?.callers ?? '';
+    await sendCallerRequest({ address, path: '/look/failing' });
+    await new Promise((resolve) => setTimeout(resolve, REQUEST_INTERVAL_MILLISECONDS));
+  }
+  assert.ok(sends <= MAXIMUM_CRASHES, `${sends} sends`);
+});
+
 test('a refusal of a blocked request names no run, and its log leads to the crashes', async () => {
   crashingParts = new Set(['dead3']);
   await askInTurn(Array.from({ length: 6 }, () => [HEAD]));
