--- a/src/process/relay/createRunGate/index.ts
+++ b/src/process/relay/createRunGate/index.ts
@@ -7,6 +7,7 @@
   PartChange,
   PartDecision,
 } from '../../../request/createPartBreakers/index.js';
+import { OWN_PARTS } from '../../../request/listRequestParts/index.js';
 import type { CrashReport, PartFacts } from '../../../types/breaker/index.js';
 import type { Clock } from '../../../types/clock/index.js';
 import type { RequestLog } from '../createRequestLog/index.js';
@@ -24,6 +25,8 @@
   /** Returns the parts of the request; the last one identifies the request itself. */
   readonly listParts: () => readonly string[];
   /** Returns why the request must not be sent to an endpoint now; undefined when it may be. */
+  readonly admitRun: () => BlockedRun | undefined;
+  /** Returns why the current run must end; undefined when it may go on. */
   readonly check: () => BlockedRun | undefined;
   /** Records that an endpoint answers the request, which shows that its parts are harmless. */
   readonly recordAnswer: () => void;
@@ -45,8 +48,8 @@
   readonly metrics: Pick<RelayMetrics, 'count'>;
   /** Computes the parts of the request; called once at most, and only when they are needed. */
   readonly readParts: () => readonly string[];
-  /** Whether the parts are known without a computation, so that each answer is recorded. */
-  readonly isPrompt: boolean;
+  /** Parts that are known without a computation, so that each answer is recorded; none for a plain request. */
+  readonly promptParts: readonly string[];
   /** Announces facts that this node found to the other nodes. */
   readonly announce: (facts: Partial<PartFacts>) => void;
   /** Registers a callback for changes of parts; returns its removal. */
@@ -56,6 +59,8 @@
 type Blocked = Extract<PartDecision, { readonly kind: 'blocked' }>;
 
 const MAXIMUM_LOGGED_REPORTS = 8;
+/** Stands for the identity of a request where no report can name it. */
+const UNKNOWN_IDENTITY = '';
 
 /**
  * Creates the gate of one request.
@@ -63,10 +68,10 @@
  * @param options - the breakers, the request's parts, the log, and the announcement to other nodes
  * @returns the gate
  * @example
- * createRunGate(options).check(); // undefined
+ * createRunGate(options).admitRun(); // undefined
  */
 export function createRunGate(options: CreateRunGateOptions): RunGate {
-  const { breakers, clock, log, metrics, isPrompt, announce, onChange } = options;
+  const { breakers, clock, log, metrics, promptParts, announce, onChange } = options;
   let parts: readonly string[] | undefined;
   const listParts = (): readonly string[] => (parts ??= options.readParts());
   /** Blocked part that this request tries, with its state at that time. */
@@ -105,17 +110,24 @@
   };
   const isOwnTrial = ({ part, retryAt }: Blocked): boolean =>
     trial?.part === part && trial.retryAt === retryAt;
-  const check = (): BlockedRun | undefined => {
+  const decide = (): Blocked | undefined => {
     if (!breakers.hasReports()) return undefined;
     const decision = breakers.decide(listParts(), clock.now());
     if (decision.kind === 'trial') beginTrial(decision);
-    if (decision.kind !== 'blocked' || isOwnTrial(decision)) return undefined;
-    return describeBlocked(decision);
+    return decision.kind === 'blocked' ? decision : undefined;
   };
 
   return {
     listParts,
-    check,
+    // A trial is one run: where an endpoint refuses it, the next one may crash.
+    admitRun: () => {
+      const blocked = decide();
+      return blocked && describeBlocked(blocked);
+    },
+    check: () => {
+      const blocked = decide();
+      return blocked && !isOwnTrial(blocked) ? describeBlocked(blocked) : undefined;
+    },
     recordCrash: (report) => {
       crashes += 1;
       if (breakers.add({ reports: [report] }, clock.now()).reports.length === 0) return;
@@ -125,15 +137,23 @@
     // Where no endpoint ever answered a part, the next one would show nothing but another crash.
     mayRepeatAfterCrash: () => crashes === 0 || breakers.isProven(listParts()),
     end: () => {
-      if (!breakers.isProven(listParts())) announceCrashes();
+      // Parts that endpoints answered are not the cause; the request itself may be.
+      if (unannounced.length > 0 && breakers.isProven(listParts()))
+        unannounced = unannounced.map((report) => ({
+          ...report,
+          parts: report.parts.slice(-OWN_PARTS),
+        }));
+      announceCrashes();
     },
     recordAnswer: () => {
-      // Other nodes need the success of the request's own part only if they know of its crashes.
-      const own = unannounced.length > 0 ? listParts().at(-1) : undefined;
+      // Other nodes need the success of the request's own parts only if they know of its crashes.
+      const own = unannounced.length > 0 ? listParts().slice(-OWN_PARTS) : [];
       unannounced = [];
-      if (!isPrompt && !breakers.hasReports()) return;
-      const recorded = breakers.recordSuccess(listParts(), clock.now());
-      const successes = recorded.filter(({ part }) => part !== own);
+      const hasReports = breakers.hasReports();
+      if (promptParts.length === 0 && !hasReports) return;
+      const known = hasReports ? listParts() : [...promptParts, UNKNOWN_IDENTITY];
+      const recorded = breakers.recordSuccess(known, clock.now());
+      const successes = recorded.filter(({ part }) => !own.includes(part));
       if (successes.length > 0) announce({ successes });
     },
     onBlocked: (callback) =>
--- a/src/process/relay/relayBuffered/index.ts
+++ b/src/process/relay/relayBuffered/index.ts
@@ -182,7 +182,7 @@
   ) {
     const remainingMilliseconds = deadlineAt - clock.now();
     if (remainingMilliseconds <= 0 || stopSignal.isRaised()) break;
-    const blocked = gate.check();
+    const blocked = gate.admitRun();
     if (blocked) {
       progress.reason = `part ${blocked.part} is blocked`;
       progress.blockedSeconds = blocked.retryAfterSeconds;
@@ -211,9 +211,10 @@
       continue;
     }
     progress.sends += 1;
-    gate.recordAnswer();
     const { response } = outcome;
     if (response.status < FIRST_FAILURE_STATUS) {
+      // A failure does not show that the request is harmless.
+      gate.recordAnswer();
       endpoints.recordSuccess(endpoint);
       forwardResponse(context, request, response, progress.sends);
       return;
--- a/tests/crashingRequests.test.ts
+++ b/tests/crashingRequests.test.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict';
 import { after, before, beforeEach, test } from 'node:test';
 import {
+  createEndpointHeaders,
   serveSiteEndpoint,
   type EndpointHandler,
   type ReceivedRequest,
@@ -29,6 +30,7 @@
 } from './support/siteNodes/index.js';
 
 const ENGINE_COUNT = 12;
+const PLAIN_COUNT = 7;
 /** Most crashes that one part may cause before every node refuses it. */
 const MAXIMUM_CRASHES = 5;
 /** Time in which an engine reads a prompt before it begins to write, in milliseconds. */
@@ -37,6 +39,7 @@
 const REQUEST_INTERVAL_MILLISECONDS = 60;
 const HEAD = 'a1a1';
 const MIDDLE = 'b2b2';
+const CRASHING_BODY = 'crashing';
 const ALL_LAYERS = { from: 0, to: 4 };
 
 let store: SiteStore;
@@ -56,7 +59,8 @@
 const crashOnParts: EndpointHandler = (request, response, endpoint) => {
   setTimeout(() => {
     if (request.wasAborted) return;
-    if (listParts(request).some((part) => crashingParts.has(part))) void endpoint.crash();
+    const isCrashing = listParts(request).some((part) => crashingParts.has(part));
+    if (isCrashing || request.body === CRASHING_BODY) void endpoint.crash();
     else streamCompletely(request, response, endpoint);
   }, READ_MILLISECONDS);
 };
@@ -72,13 +76,20 @@
 }
 
 function ask(node: TestNode, shared: readonly string[]): Promise<CallerResponse> {
+  return askWithParts(node, [...shared, `c${requestCount + 1}`]);
+}
+
+function askWithParts(
+  node: TestNode,
+  parts: readonly string[],
+  body = 'question',
+): Promise<CallerResponse> {
   requestCount += 1;
-  const parts = [...shared, `c${requestCount}`];
   return sendCallerRequest({
     address: node.callers,
     path: '/ask/x',
     method: 'POST',
-    body: 'question',
+    body,
     headers: {
       'Attempt-Id': `attempt-${requestCount}`,
       'Token-Counts': '30,10',
@@ -121,6 +132,16 @@
   );
 }
 
+async function addPlainEndpoints(prefix: string, handle: EndpointHandler): Promise<void> {
+  const added = await Promise.all(
+    Array.from({ length: PLAIN_COUNT }, (_, index) =>
+      serveSiteEndpoint({ id: `${prefix}-${index}`, handle }),
+    ),
+  );
+  for (const endpoint of added) registerEndpoint(store, endpoint, PLAIN_SERVICE);
+  plainEndpoints.push(...added);
+}
+
 before(async () => {
   store = await startStore();
   nodes = [
@@ -128,12 +149,8 @@
     await startNode('node-2', store),
     await startNode('node-3', store),
   ];
-  plainEndpoints = await Promise.all(
-    ['plain-1', 'plain-2', 'plain-3', 'plain-4', 'plain-5', 'plain-6', 'plain-7'].map((id) =>
-      serveSiteEndpoint({ id, handle: respondCompletely }),
-    ),
-  );
-  for (const endpoint of plainEndpoints) registerEndpoint(store, endpoint, PLAIN_SERVICE);
+  plainEndpoints = [];
+  await addPlainEndpoints('plain', respondCompletely);
   store.put('op/config', createPlatformConfiguration(1));
   await Promise.all(nodes.map(waitUntilReady));
   await waitFor('the nodes know each other', () =>
@@ -196,6 +213,61 @@
   assert.equal(harmless.status, 200);
 });
 
+test('a request that crashes engines is blocked although its session is answered in between', async () => {
+  for (let index = 0; index < 24; index += 1) {
+    const node = nodes[index % nodes.length];
+    const body = index % 2 === 0 ? CRASHING_BODY : 'harmless';
+    if (node) await askWithParts(node, [HEAD, 'c0de'], body);
+  }
+  const received = engines.flatMap((engine) => engine.received);
+  const crashing = received.filter(({ body }) => body === CRASHING_BODY);
+  assert.ok(crashing.length <= MAXIMUM_CRASHES, `${crashing.length} requests reached engines`);
+});
+
+test('a booking that crashes its endpoint is known to all nodes, though none may repeat it', async () => {
+  for (const endpoint of plainEndpoints)
+    endpoint.handle = (request, response, self) => {
+      if (request.url === '/book/crashing') void self.crash();
+      else respondCompletely(request, response, self);
+    };
+  for (let index = 0; index < 9; index += 1) {
+    const address = nodes[index % nodes.length]?.callers ?? '';
+    await sendCallerRequest({ address, path: '/book/crashing', method: 'POST', body: 'seat' });
+    await new Promise((resolve) => setTimeout(resolve, REQUEST_INTERVAL_MILLISECONDS));
+  }
+  const received = plainEndpoints.flatMap((endpoint) => endpoint.received);
+  const crashing = received.filter(({ url }) => url === '/book/crashing');
+  assert.ok(crashing.length <= 2, `${crashing.length} endpoints received it`);
+});
+
+test('a failure response in between does not clear a request that crashes its endpoints', async () => {
+  let sends = 0;
+  const handle: EndpointHandler = (request, response, self) => {
+    if (request.url !== '/look/failing') {
+      respondCompletely(request, response, self);
+      return;
+    }
+    sends += 1;
+    if (sends % 2 === 1) {
+      void self.crash();
+      return;
+    }
+    response.writeHead(500, createEndpointHeaders(request));
+    response.end('failed');
+  };
+  for (const endpoint of plainEndpoints) endpoint.handle = handle;
+  await addPlainEndpoints('failing', handle);
+  await waitFor('all nodes know the endpoints', () =>
+    nodes.every(({ logs }) => logs.some((line) => line.includes('"failing-6"'))),
+  );
+  for (let index = 0; index < 9; index += 1) {
+    const address = nodes[index % nodes.length]?.callers ?? '';
+    await sendCallerRequest({ address, path: '/look/failing' });
+    await new Promise((resolve) => setTimeout(resolve, REQUEST_INTERVAL_MILLISECONDS));
+  }
+  assert.ok(sends <= MAXIMUM_CRASHES, `${sends} sends`);
+});
+
 test('a refusal of a blocked request names no run, and its log leads to the crashes', async () => {
   crashingParts = new Set(['dead3']);
   await askInTurn(Array.from({ length: 6 }, () => [HEAD]));
