Go on when a listener cannot accept a connection

A node whose file descriptors are used up, as by connections of callers and of engines together, ended with all open requests: the runtime reports the failed accept as an error of the server, which ends the process where nothing listens for it. Only the time until a server listens was covered.

The node logs the failure as that of a loop and accepts the next connection. That the runtime reports it in this way is taken from its code; descriptors were not used up in a run.

--- a/src/process/site/createSiteServers/index.ts
+++ b/src/process/site/createSiteServers/index.ts
@@ -122,17 +122,22 @@
  *
  * @param lifeCycle - life cycle that closes them
  * @param listeners - the listeners
+ * @param onFailure - called with the name of a listener that cannot accept a connection; it goes on
  * @returns resolves when all listen; rejects when an address is in use
  * @example
- * await startListeners(lifeCycle, [{ name: 'callers', address: '127.0.0.1:80', server }]);
+ * await startListeners(lifeCycle, [{ name: 'callers', address: '127.0.0.1:80', server }], console.error);
  */
 export async function startListeners(
   lifeCycle: LifeCycle,
   listeners: readonly SiteListener[],
+  onFailure: (name: string, error: Error) => void,
 ): Promise<void> {
   for (const listener of listeners) {
     await listen(listener);
     const { name, server } = listener;
+    server.on('error', (error) => {
+      onFailure(name, error);
+    });
     lifeCycle.own({
       name,
       close: () => {
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -54,10 +54,14 @@
   }),
   leaving: define('info', 'The node is shutting down and accepts no new callers.', { open }),
   stopped: define('info', 'The node stopped and the process exits.', { open }),
-  'loop-failed': define('error', 'A loop failed with an internal error and continues.', {
-    loop: text('name of the loop'),
-    reason,
-  }),
+  'loop-failed': define(
+    'error',
+    'A loop failed with an internal error, or a listener cannot accept a connection; it continues.',
+    {
+      loop: text('name of the loop or listener'),
+      reason,
+    },
+  ),
   'internal-error': define('error', 'Nothing caught an exception; the node goes on.', {
     origin: text('`uncaughtException` or `unhandledRejection`'),
     reason,
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -186,15 +186,23 @@
     queries.createAddressHandler(exchange.peers.listAlive(), core.random)(incoming, response);
   });
   lifeCycle.own({ name: 'store connections', close: store.close });
-  await startListeners(lifeCycle, [
-    { name: 'peers', server: createPeerServer(exchange.handleRequest), address: self.peerAddress },
-    { name: 'directory', server: directoryServer, address: options.directoryAddress },
-    { name: 'callers', server: callerServer, address: self.callerAddress },
-    { name: 'readiness', server: readinessServer, address: options.readinessAddress },
-  ]);
+  const recordLoopFailure = (loop: string, error: unknown): void => {
+    logger.log('loop-failed', { loop, reason: describeError(error) });
+  };
+  const peerServer = createPeerServer(exchange.handleRequest);
+  await startListeners(
+    lifeCycle,
+    [
+      { name: 'peers', server: peerServer, address: self.peerAddress },
+      { name: 'directory', server: directoryServer, address: options.directoryAddress },
+      { name: 'callers', server: callerServer, address: self.callerAddress },
+      { name: 'readiness', server: readinessServer, address: options.readinessAddress },
+    ],
+    recordLoopFailure,
+  );
   for (const [name, step] of Object.entries(core.loops)) {
     const onFailure = (error: unknown): void => {
-      logger.log('loop-failed', { loop: name, reason: describeError(error) });
+      recordLoopFailure(name, error);
     };
     runLoop({ name, lifeCycle, step, onFailure });
   }
