Release the memory of request bodies that were given up

Callers of a node got 503 for want of memory in the end, without any request in it: bytes of a body that arrive after its time limit, or after the memory limit refused a part of it, reserved memory that nothing released.

Evidence: 600 bytes after the time limit stayed reserved in the new test. Bytes after the outcome are not kept now. No such node was seen; it takes 64 MB of such bytes.

--- a/src/process/relay/readBody/index.ts
+++ b/src/process/relay/readBody/index.ts
@@ -42,7 +42,9 @@
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let size = 0;
+    let isDone = false;
     const finish = (outcome: BodyOutcome): void => {
+      isDone = true;
       clearTimeout(timer);
       resolve(outcome);
     };
@@ -50,6 +52,8 @@
       finish({ kind: 'timeout' });
     }, timeoutMilliseconds);
     incoming.on('data', (chunk: Buffer) => {
+      // Bytes after the outcome must not reserve memory again, which nothing would release.
+      if (isDone) return;
       size += chunk.length;
       if (size > maximumBytes) finish({ kind: 'tooLarge' });
       else if (!memory.add(chunk.length)) finish({ kind: 'noMemory' });
