Look every 10 ms whether a leaving node may stop

With a grace period of one second and callers that keep sending, a node resolved its stop 991 ms after SIGTERM, 9 ms before the platform would have killed it with its last responses unsent: three waits were each rounded up to 50 ms.

--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -86,7 +86,7 @@
  */
 const LEAVING_MARGIN_MILLISECONDS = 500;
 const LEAVING_MARGIN_SHARE = 1 / 6;
-const LEAVING_CHECK_MILLISECONDS = 50;
+const LEAVING_CHECK_MILLISECONDS = 10;
 /** Share of that margin in which the last responses of a leaving node are sent. */
 const LAST_RESPONSES_SHARE = 0.5;
 
