--- a/tests/oddNumbers.test.ts
+++ b/tests/oddNumbers.test.ts
@@ -3,8 +3,14 @@
  * each other because a number that one node took from outside makes its messages unreadable.
  */
 import assert from 'node:assert/strict';
+import type { ServerResponse } from 'node:http';
 import { after, before, test } from 'node:test';
-import { serveSiteEndpoint, type SiteEndpoint } from '../standins/serveSiteEndpoint/index.js';
+import {
+  serveSiteEndpoint,
+  writeEvents,
+  type ReceivedRequest,
+  type SiteEndpoint,
+} from '../standins/serveSiteEndpoint/index.js';
 import type { SiteStore } from '../standins/serveSiteStore/index.js';
 import {
   createPlatformConfiguration,
@@ -13,6 +19,7 @@
   sendCallerRequest,
   startNode,
   startStore,
+  STREAM_EVENT_COUNT,
   streamCompletely,
   waitFor,
   waitUntilReady,
@@ -36,9 +43,9 @@
   return nodes.flatMap(({ logs }) => logs).filter((line) => line.includes('"node-lost"')).length;
 }
 
-function sendStream() {
+function sendStream(headers: Readonly<Record<string, string>> = {}) {
   const address = nodes[0]?.callers ?? '';
-  return sendCallerRequest({ address, path: '/ask/x', method: 'POST', body: 'q' });
+  return sendCallerRequest({ address, path: '/ask/x', method: 'POST', body: 'q', headers });
 }
 
 before(async () => {
@@ -70,3 +77,31 @@
   assert.equal(countLosses(), 0);
   assert.equal((await sendStream()).status, 200);
 });
+
+/** Streams events for longer than it takes to lose a node. */
+function streamSlowly(request: ReceivedRequest, response: ServerResponse): void {
+  writeEvents(request, response, 1);
+  let id = 1;
+  const timer = setInterval(() => {
+    id += 1;
+    response.write(`id: ${id}\ndata: t${id}\n\n`);
+    if (id < STREAM_EVENT_COUNT) return;
+    clearInterval(timer);
+    response.end();
+  }, LOSS_MILLISECONDS / STREAM_EVENT_COUNT);
+}
+
+const ODD_COUNTS = {
+  'below zero': ['-320,400', '-30,200', '-320.5,500'],
+  'that is none': ['0.5,1e308', 'NaN,Infinity', '1e400,1', '0x10,1', '5', '', ',,'],
+};
+
+for (const [kind, odd] of Object.entries(ODD_COUNTS)) {
+  test(`a request with a number of tokens ${kind} does not part the nodes`, async () => {
+    const lossesBefore = countLosses();
+    for (const endpoint of [engine, second]) endpoint.handle = streamSlowly;
+    const sent = odd.map((counts) => sendStream({ 'Token-Counts': counts, 'Length-Hint': '300' }));
+    for (const { status } of await Promise.all(sent)) assert.equal(status, 200);
+    assert.equal(countLosses(), lossesBefore);
+  });
+}
