Keep one item or one message from stopping what a node follows

Seen in tests: a failure at one item of the store kept the items after it from the node until the next round, half a second later, and ended the process where another node had forwarded the item; so did a failure at a message of another node.

Cause: items are applied inside the round that reads them, and messages inside the event of a socket, where nothing catches a failure.

Evidence: the new tests of createStoreFollower and createPeerExchange failed before with the error. That of odd bytes, nested 65,000 deep or with lengths and numbers out of range, passed before: the decoder does not recurse. An incarnation of a node that is no whole number is now refused.

Why it works: each item, each message and each request of another node is applied by itself; a failure is logged with its key or address, and the next one follows. Boundaries still refuse what is odd; this is for what they miss.

--- a/src/process/site/createPeerExchange/index.ts
+++ b/src/process/site/createPeerExchange/index.ts
@@ -3,6 +3,7 @@
  */
 import type { PartFacts } from '../../../types/breaker/index.js';
 import type { NodeRecord } from '../../../types/site/index.js';
+import { describeError } from '../../describeError/index.js';
 import { shuffleItems } from '../../shuffleItems/index.js';
 import type { EndpointProber } from '../../relay/createEndpointProber/index.js';
 import { recordLeaving } from '../../relay/recordResponse/index.js';
@@ -273,7 +274,11 @@
         revision: getRevision(),
         isReachable: getFollower().isReachable(),
       };
-      void peerPort.sendRequest(address, request).then(applyReply);
+      void peerPort.sendRequest(address, request).then((reply) => {
+        guard(address, () => {
+          applyReply(reply);
+        });
+      });
     },
   });
   const requestMissing = (update: PeerUpdate, address: string): void => {
@@ -305,7 +310,7 @@
     requestMissing(update, address);
     if (update.wantsReply) sendReply(address);
   };
-  const receive = (bytes: Uint8Array, address: string): void => {
+  const applyMessage = (bytes: Uint8Array, address: string): void => {
     const message = decodeMessage(bytes, {
       findNode: peers.findNodeByTag,
       findZone: peers.findZoneByTag,
@@ -317,6 +322,15 @@
     else if (message.kind === 'unknownSender') requests.request(`sender ${address}`, address);
     else unreadable += 1;
   };
+  /** Does what another node asks for; a failure at it ends neither the node nor its loops. */
+  const guard = <Value>(address: string, action: () => Value): Value | undefined => {
+    try {
+      return action();
+    } catch (error) {
+      logger.log('message-failed', { address, reason: describeError(error) });
+      return undefined;
+    }
+  };
 
   const updateRemoteLoads = (): void => {
     const alive = peers.listAlive().filter(({ name }) => name !== self.name);
@@ -343,6 +357,20 @@
     }
   };
 
+  const createReply = (request: PeerRequest): PeerReply => {
+    peers.addNodes([request.node]);
+    const revision = getRevision();
+    const isBehind = request.version < state.getVersion();
+    const needsEntries = !request.isReachable && request.revision < revision;
+    return {
+      nodes: peers.listAlive(),
+      revision,
+      ...(isBehind && { configuration: state.getConfigurationText() }),
+      ...(needsEntries && { entries: state.listRegistryEntries() }),
+      parts: encodePartFacts(getParts().list(), now()),
+    };
+  };
+
   return {
     peers,
     step: () => {
@@ -356,22 +384,16 @@
         for (const address of options.seeds) requests.request(`seed ${address}`, address);
       return Promise.resolve(ROUND_MILLISECONDS);
     },
-    receive,
+    receive: (bytes, address) => {
+      guard(address, () => {
+        applyMessage(bytes, address);
+      });
+    },
     handleRequest: (value) => {
       const parsed = peerRequestSchema.safeParse(value);
       if (!parsed.success) return undefined;
       const request = parsed.data;
-      peers.addNodes([request.node]);
-      const revision = getRevision();
-      const isBehind = request.version < state.getVersion();
-      const needsEntries = !request.isReachable && request.revision < revision;
-      return {
-        nodes: peers.listAlive(),
-        revision,
-        ...(isBehind && { configuration: state.getConfigurationText() }),
-        ...(needsEntries && { entries: state.listRegistryEntries() }),
-        parts: encodePartFacts(getParts().list(), now()),
-      };
+      return guard(request.node.peerAddress, () => createReply(request));
     },
     forwardChanges: (changes) => {
       const bytes = encodeStoreChanges(changes, self.incarnation);
--- a/src/process/site/createPeerExchange/test.ts
+++ b/src/process/site/createPeerExchange/test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { encode } from '@msgpack/msgpack';
 import { createEndpointRecord, NOOP_LOGGER } from '../../../../tests/support/site/index.js';
 import { createRandom } from '../../createRandom/index.js';
 import { parseJson } from '../../parseJson/index.js';
@@ -246,3 +247,46 @@
   assert.ok(markingNodes.length > 4, `${markingNodes.length} nodes`);
   for (const name of markingNodes.slice(2)) assert.equal(findEndpoint(name).lossFoundAt, undefined);
 });
+
+/** Guards against a node that ends because of what one message of another node holds. */
+test('a message at which the node fails is dropped, and later ones are applied', async () => {
+  const { run, states, exchanges, findEndpoint } = createCase(['a', 'b']);
+  await run(3);
+  const endpoints = states.get('a')?.endpoints;
+  assert.ok(endpoints);
+  const { find } = endpoints;
+  Object.assign(endpoints, {
+    find: () => {
+      throw new Error('odd');
+    },
+  });
+  findEndpoint('b').leavingSince = 10_900;
+  await run(2);
+  Object.assign(endpoints, { find });
+  await run(2);
+  assert.equal(exchanges.get('a')?.peers.countAlive(), 2);
+  assert.ok(findEndpoint('a').leavingSince !== undefined);
+});
+
+/** Guards against a node that ends because of bytes that are nested without bound, or odd numbers. */
+test('odd bytes from any sender are counted as unreadable', async () => {
+  const { run, exchanges } = createCase(['a', 'b']);
+  await run(3);
+  const first = exchanges.get('a');
+  assert.ok(first);
+  const odd = [
+    Buffer.alloc(65_000, 0x91),
+    Buffer.alloc(65_000, 0x81),
+    Buffer.concat([Buffer.alloc(60_000, 0x91), Buffer.from([1])]),
+    Buffer.from([0xdd, 0xff, 0xff, 0xff, 0xff]),
+    Buffer.from([0xdf, 0xff, 0xff, 0xff, 0xff]),
+    Buffer.from([0xc6, 0xff, 0xff, 0xff, 0xff]),
+    encode([1, 1, ...Array.from({ length: 14 }, () => 1e308)]),
+    encode([1, 2, 1, -1, Number.NaN, false, []]),
+    encode([1, 3, { reports: [], successes: [['a', Number.POSITIVE_INFINITY]], trials: [] }]),
+  ];
+  for (const bytes of odd) first.receive(bytes, 'b');
+  assert.equal(first.countUnreadable(), odd.length);
+  await run(2);
+  assert.equal(first.peers.countAlive(), 2);
+});
--- a/src/process/site/createStoreFollower/index.ts
+++ b/src/process/site/createStoreFollower/index.ts
@@ -2,6 +2,7 @@
  * Follows the store's items: by watches of this node, or by changes that other nodes forward.
  */
 import type { Store, StoreItem, StoreResult } from '../../../types/store/index.js';
+import { describeError } from '../../describeError/index.js';
 import type { SiteLogger } from '../createSiteLogger/index.js';
 import { createStoreItems, type ItemCallback } from '../createStoreItems/index.js';
 
@@ -123,7 +124,7 @@
  * createStoreFollower({ store, logger, now, onItem, countNodes }).step();
  */
 export function createStoreFollower(options: CreateStoreFollowerOptions): StoreFollower {
-  const { store, logger, now, onItem, countNodes } = options;
+  const { store, logger, now, countNodes } = options;
   const { getRole = () => 'alone', onChanges = () => undefined } = options;
   const { listReported = () => [] } = options;
   let revision = 0;
@@ -143,9 +144,17 @@
    * Revision before the oldest item that a shortened batch omitted, and the time of the omission.
    */
   let pendingRead: { readonly after: number; readonly at: number } | undefined;
+  /** Passes an item on; what it makes the node fail at must not keep the others from it. */
+  const passItem: ItemCallback = (key, value, origin) => {
+    try {
+      options.onItem(key, value, origin);
+    } catch (error) {
+      logger.log('item-failed', { key, reason: describeError(error) });
+    }
+  };
   const items = createStoreItems({
     now,
-    onItem,
+    onItem: passItem,
     getRemovalTime: () => (hadOutage ? recoveredAt + RECOVERY_GRACE_MILLISECONDS : now()),
   });
 
--- a/src/process/site/createStoreFollower/test.ts
+++ b/src/process/site/createStoreFollower/test.ts
@@ -6,6 +6,9 @@
 
 const LOST: StoreResult<never> = { kind: 'unknown', reason: 'timeout' };
 
+/** Value at which the node that follows fails. */
+const FAILING_VALUE = 'fails';
+
 /** Creates a follower of a store whose next responses the test sets. */
 function createCase() {
   const clock = { time: 1_000 };
@@ -50,6 +53,7 @@
     listReported: () => reported,
     onChanges: (batch) => forwarded.push(batch),
     onItem: (key, value, origin) => {
+      if (value?.toString() === FAILING_VALUE) throw new Error('odd');
       if (origin === 'restored') restored.push(key);
       if (value) values.set(key, value.toString());
       else values.delete(key);
@@ -465,3 +469,24 @@
   await follower.step();
   assert.ok(!values.has('gone'));
 });
+
+/** Guards against a node that stops following, or ends, because of what one item of the store holds. */
+test('an item at which the node fails keeps it from no other one', async () => {
+  const { responses, values, follower, logged } = createCase();
+  const list = (revision: number) =>
+    ['servers/i-1', 'servers/odd', 'servers/i-2'].map((key) => ({
+      key,
+      revision,
+      value: Buffer.from(key.endsWith('odd') ? FAILING_VALUE : String(revision)),
+    }));
+  responses.range.push({ kind: 'done', value: { items: list(5), revision: 5 } });
+  responses.watch.push({ kind: 'done', value: { items: list(6), revision: 6 } });
+  await follower.step();
+  assert.deepEqual([...values.values()], ['5', '5']);
+  await follower.step();
+  assert.deepEqual([...values.values()], ['6', '6']);
+  assert.equal(follower.getRevision(), 6);
+  follower.applyChanges({ after: 6, revision: 7, items: list(7), isShortened: false });
+  assert.deepEqual([...values.values()], ['7', '7']);
+  assert.equal(logged.filter(([event]) => event === 'item-failed').length, 3);
+});
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -58,6 +58,16 @@
     loop: text('name of the loop'),
     reason,
   }),
+  'item-failed': define(
+    'error',
+    'An item of the store made the node fail with an internal error; the node goes on with the others.',
+    { key: text('key of the item'), reason },
+  ),
+  'message-failed': define(
+    'error',
+    'A message of another node made the node fail with an internal error and is dropped.',
+    { address: text('address that the message came from'), reason },
+  ),
   'request-crashed': define('error', 'A request failed with an internal error.', { reason }),
   'request-unanswered': define(
     'warn',
--- a/src/process/site/peerMessages/index.ts
+++ b/src/process/site/peerMessages/index.ts
@@ -11,7 +11,7 @@
   availabilityZone: z.string(),
   callerAddress: z.string(),
   peerAddress: z.string(),
-  incarnation: z.number(),
+  incarnation: z.int().min(0),
   isLeaving: z.boolean(),
 });
 
