Give a look-up its whole time where no other endpoint can take it

What callers saw: 504 after half of the time although the only endpoint would have answered in time (457 of 900 ms). Cause: the time of a send was halved for a second one, before it was asked whether an endpoint and a retry for it are there.

--- a/src/process/relay/relayBuffered/index.ts
+++ b/src/process/relay/relayBuffered/index.ts
@@ -58,6 +58,19 @@
   return endpoint;
 }
 
+/** Returns whether another send could follow the next one. */
+function mayFollow(
+  { endpoints, clock, budget }: RelayContext,
+  { route, service }: RelayedRequest,
+  { tried, sends }: Progress,
+): boolean {
+  if (sends + 1 >= route.maximumAttempts || budget.countLeft(service.name, clock.now()) < 1)
+    return false;
+  return endpoints
+    .listUsable(service.name, clock.now())
+    .some(({ record }) => !tried.has(record.id));
+}
+
 /** Records a send without a response that can be forwarded. */
 function recordFailedSend(
   context: RelayContext,
@@ -192,7 +205,7 @@
     if (!endpoint) break;
     if (progress.tried.size > 0 && !budget.take(service.name, clock.now())) break;
     progress.tried.add(endpoint.record.id);
-    const isLast = !mayRepeat || progress.sends + 1 >= route.maximumAttempts;
+    const isLast = !mayRepeat || !mayFollow(context, request, progress);
     const timeoutMilliseconds = isLast
       ? remainingMilliseconds
       : remainingMilliseconds * ATTEMPT_TIME_SHARE;
