End no run for a belief about its endpoint, also before its second event

What callers saw: 502, or a stream cut after its first event, where a sound engine reported late; 503 for harmless requests. Class as in: a belief acted on as a fact. Now a run is replaced only when it is silent, when attempts, retry, path and gate allow another one, and when its engine, if it has not answered, still accepts connections; else it continues.

--- a/src/process/relay/createCrashRecorder/index.ts
+++ b/src/process/relay/createCrashRecorder/index.ts
@@ -27,12 +27,12 @@
   /** Number of events that the run delivered. */
   readonly events: number;
   readonly reason: string;
-  /** How to find out whether the endpoint has crashed; `known` when that was found out before. */
+  /** How to find out whether the endpoint has crashed. */
   readonly check: CrashCheck;
 }
 
 /** Check of an endpoint: by its report, or, where it has none, by a connection. */
-export type CrashCheck = 'report' | 'connection' | 'known';
+export type CrashCheck = 'report' | 'connection';
 
 /** Options of {@link createCrashRecorder}. */
 export interface CreateCrashRecorderOptions {
@@ -146,7 +146,7 @@
     recordBrokenRun: async (run) => {
       const address = findPresent(run.endpoint)?.record.address;
       if (address === undefined) return NO_CRASH;
-      if (run.check !== 'known' && (await isResponding(run, address))) {
+      if (await isResponding(run, address)) {
         const restarted = findPresent(run.endpoint);
         if (!restarted || restarted.record.startedAt === run.startedAt) return NO_CRASH;
       }
--- a/src/process/relay/createRunGate/index.ts
+++ b/src/process/relay/createRunGate/index.ts
@@ -28,6 +28,8 @@
   readonly admitRun: () => BlockedRun | undefined;
   /** Returns why the current run must end; undefined when it may go on. */
   readonly check: () => BlockedRun | undefined;
+  /** Returns whether another run may be sent now, without beginning a trial. */
+  readonly mayRun: () => boolean;
   /** Records that an endpoint answers the request, which shows that its parts are harmless. */
   readonly recordAnswer: () => void;
   /** Records that an endpoint crashed as the request ran on it without an answer. */
@@ -128,6 +130,8 @@
       const blocked = decide();
       return blocked && !isOwnTrial(blocked) ? describeBlocked(blocked) : undefined;
     },
+    mayRun: () =>
+      !breakers.hasReports() || breakers.decide(listParts(), clock.now()).kind !== 'blocked',
     recordCrash: (report) => {
       crashes += 1;
       if (breakers.add({ reports: [report] }, clock.now()).reports.length === 0) return;
--- a/src/process/relay/createStreamResponse/index.ts
+++ b/src/process/relay/createStreamResponse/index.ts
@@ -33,6 +33,8 @@
 export interface StreamResponse {
   /** Returns whether an event was forwarded. */
   readonly hasBegun: () => boolean;
+  /** Returns whether too many bytes wait for a slow caller. */
+  readonly isFull: () => boolean;
   /** Returns the number of the last event that was forwarded to the caller. */
   readonly getLastEventId: () => number;
   /** Forwards an event if it is the next one. */
@@ -100,6 +102,7 @@
 
   return {
     hasBegun: () => hasBegun,
+    isFull: () => isFull,
     getLastEventId: guard.getLastId,
     forwardEvent: ({ id, bytes }, headers) => {
       const result = guard.check(id);
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -58,7 +58,7 @@
   const gate = context.partGuard.createGate(request);
   const run = createRunRecord(context, request, gate);
   const stopBlockListener = gate.onBlocked(() => {
-    if (state === 'idle' || state === 'done' || run.isEstablished()) return;
+    if (state === 'idle' || state === 'done' || response.hasBegun()) return;
     const blocked = gate.check();
     if (blocked) failBlocked(blocked);
   });
@@ -71,9 +71,8 @@
       call?.pause();
     },
     onDrained: () => {
-      if (state !== 'running') return;
       call?.resume();
-      watch.reset();
+      if (state === 'running') watch.reset();
     },
   });
   const watch = watchStream({
@@ -102,12 +101,9 @@
     isRunning: () => state === 'running',
     isEstablished: run.isEstablished,
     isSilent: watch.isSilent,
-    mayRunAgain,
+    mayReplace: () => counter.mayReplaceRun() && deadlineAt > clock.now() && gate.mayRun(),
     computeSize,
-    onSuspectLost: () => {
-      isAbandoned = true;
-      void recoverBroken('endpoint lost', 'known');
-    },
+    checkSuspect,
     onMove: (newPath) => {
       void moveTo(newPath);
     },
@@ -206,7 +202,7 @@
       hasBegun: response.hasBegun(),
       onEvent: (event, headers) => {
         if (call !== opened) return false;
-        watch.reset();
+        if (!response.isFull()) watch.reset();
         run.recordEvent();
         isAbandoned = false;
         counter.recordMayHaveRun();
@@ -292,6 +288,15 @@
     return true;
   }
 
+  /** Finds out whether a run whose endpoint seems lost may be followed by another one. */
+  async function checkSuspect(): Promise<boolean> {
+    const suspectCall = call;
+    await run.recordBroken('endpoint lost', 'connection');
+    if (gate.mayRepeatAfterCrash()) return true;
+    if (call === suspectCall && !response.hasBegun()) fail('endpoint lost');
+    return false;
+  }
+
   /** Finds out whether a run without an answer crashed its endpoint before another one is started. */
   async function recoverBroken(reason: string, check: CrashCheck): Promise<void> {
     const isKnown = run.recordBroken(reason, check);
--- a/src/process/relay/watchLostEndpoints/index.ts
+++ b/src/process/relay/watchLostEndpoints/index.ts
@@ -23,11 +23,14 @@
   readonly isEstablished: () => boolean;
   /** Returns whether the run has received nothing for longer than is usual. */
   readonly isSilent: () => boolean;
-  /** Returns whether another run may follow the current one. */
-  readonly mayRunAgain: () => boolean;
+  /** Returns whether another run may take over from the current one. */
+  readonly mayReplace: () => boolean;
   readonly computeSize: () => TokenEstimate;
-  /** Called when the first endpoint is lost before the run is established. */
-  readonly onSuspectLost: () => void;
+  /**
+   * Finds out whether a run that is not established may be followed by another one, although its lost
+   * first endpoint may have crashed by it; ends the request otherwise, where its response has not begun.
+   */
+  readonly checkSuspect: () => Promise<boolean>;
   /** Called with a path to move the run to, which has the same first endpoint. */
   readonly onMove: (newPath: ChosenPath) => void;
   /** Called with a path for another run, which is to take over. */
@@ -60,7 +63,7 @@
  */
 export function watchLostEndpoints(options: WatchLostEndpointsOptions): LostEndpointWatch {
   const { context, request, paths, getPath, isRunning, isEstablished, isSilent } = options;
-  const { mayRunAgain, computeSize, onSuspectLost, onMove, onReplace } = options;
+  const { mayReplace, computeSize, checkSuspect, onMove, onReplace } = options;
   const { clock, budget, decisions } = context;
   let cancelRecheck: (() => void) | undefined;
   let rechecks = 0;
@@ -83,7 +86,7 @@
     request.log.add('run-kept', { reason, path: formatHops(path.hops) });
   };
   const selectReplacement = (endpoint: string): ChosenPath | undefined => {
-    if (!mayRunAgain() || budget.countLeft(request.service.name, clock.now()) < 1) return undefined;
+    if (!mayReplace() || budget.countLeft(request.service.name, clock.now()) < 1) return undefined;
     return paths.selectWithoutEndpoint(endpoint, computeSize());
   };
   const replaceEndpoint = (lost: string, reason: string): void => {
@@ -95,17 +98,24 @@
     logKept(reason);
     recheckLater();
   };
+  const replaceSuspect = async (lost: string): Promise<void> => {
+    const path = getPath();
+    const mayRepeat = await checkSuspect();
+    if (!isRunning() || getPath() !== path) return;
+    if (mayRepeat) replaceEndpoint(lost, 'endpoint lost');
+    else logKept('endpoint lost');
+  };
   const findLost = (): string | undefined => paths.findLost(getPath()?.hops ?? [])?.endpoint;
   const avoid = (lost: string): void => {
     const firstHop = getPath()?.hops[0];
-    if (firstHop?.endpoint === lost && !isEstablished()) {
-      onSuspectLost();
-      return;
-    }
     if (!isSilent()) {
       recheckLater();
       return;
     }
+    if (firstHop?.endpoint === lost && !isEstablished()) {
+      void replaceSuspect(lost);
+      return;
+    }
     const mayMove = decisions.movesRuns && firstHop?.endpoint !== lost;
     const movedPath = mayMove ? paths.selectWithFirstHop(firstHop, computeSize()) : undefined;
     if (movedPath) onMove(movedPath);
@@ -127,8 +137,12 @@
     selectReplacement,
     replace: (reason) => {
       const lost = findLost();
-      if (lost === undefined) logKept(reason);
-      else replaceEndpoint(lost, reason);
+      if (lost !== undefined && isSilent()) {
+        replaceEndpoint(lost, reason);
+        return;
+      }
+      logKept(reason);
+      recheckLater();
     },
     close: () => {
       cancelRecheck?.();
--- a/src/process/relay/watchLostEndpoints/test.ts
+++ b/src/process/relay/watchLostEndpoints/test.ts
@@ -22,6 +22,7 @@
   isSilent: boolean;
   isEstablished: boolean;
   retriesLeft: number;
+  mayRepeat: boolean;
   lost: string[];
   movedPath: ChosenPath | undefined;
   otherPath: ChosenPath | undefined;
@@ -40,6 +41,7 @@
     isSilent: true,
     isEstablished: true,
     retriesLeft: 1,
+    mayRepeat: false,
     lost: [],
     movedPath: undefined,
     otherPath: undefined,
@@ -91,9 +93,12 @@
     isRunning: () => true,
     isEstablished: () => stream.isEstablished,
     isSilent: () => stream.isSilent,
-    mayRunAgain: () => true,
+    mayReplace: () => true,
     computeSize: () => SIZE,
-    onSuspectLost: () => stream.outcomes.push('suspect'),
+    checkSuspect: () => {
+      stream.outcomes.push('suspect');
+      return Promise.resolve(stream.mayRepeat);
+    },
     onMove: () => stream.outcomes.push('move'),
     onReplace: () => stream.outcomes.push('replace'),
   } as unknown as WatchLostEndpointsOptions;
@@ -149,10 +154,28 @@
     outcomes: [],
   },
   {
-    name: 'leaves a run to the crash recorder before it is established',
-    changes: { isEstablished: false, isSilent: false },
+    name: 'keeps a run that is not established while it is not silent',
+    changes: { isEstablished: false, isSilent: false, otherPath: OTHER },
+    lost: 'a',
+    outcomes: [],
+  },
+  {
+    name: 'keeps a run that may have crashed its first endpoint',
+    changes: { isEstablished: false, otherPath: OTHER },
+    lost: 'a',
+    outcomes: ['suspect', 'run-kept'],
+  },
+  {
+    name: 'replaces a run that did not crash its first endpoint',
+    changes: { isEstablished: false, mayRepeat: true, otherPath: OTHER },
+    lost: 'a',
+    outcomes: ['suspect', 'replace'],
+  },
+  {
+    name: 'keeps a run that did not crash its first endpoint and that no path can take over',
+    changes: { isEstablished: false, mayRepeat: true },
     lost: 'a',
-    outcomes: ['suspect'],
+    outcomes: ['suspect', 'run-kept'],
   },
   {
     name: 'ignores the loss of an endpoint of another path',
@@ -163,9 +186,11 @@
 ];
 
 for (const { name, changes, lost, outcomes } of CASES) {
-  test(name, () => {
+  test(name, async () => {
     const stream = watchStream(changes);
     stream.reportLost(lost);
+    await Promise.resolve();
+    await Promise.resolve();
     assert.deepEqual(stream.outcomes, outcomes);
   });
 }
