Recognize a request that crashes engines by its path, caller and body

What callers saw: nothing yet. A request that crashes each engine, and whose last prompt part belongs to a session, crashes one after the other while its session's other requests are answered; so does a plain request whose path and body another caller sends without harm.

Cause: a request was recognized by the last part of its prompt, or by a digest of its call without the caller. Others share both. Each answer to one of them refutes all crashes before it, and lets two more crashes pass before the block.

Evidence: the new tests fail on the code before.

Why it works: the identity of a request (service, method, path, body, caller, last part) is a part of its own at the end of the list. Only an answer to that very request refutes its crashes. The last prompt part and the call are shared parts now: blocked where different requests with them crash endpoints. Successes of them are still recorded only where a report names them, so that answers cost nothing more; the digest is computed only while reports are known.

Reports in tests got a last prompt part before the identity; no bound changed.

--- a/src/process/relay/createPartGuard/index.ts
+++ b/src/process/relay/createPartGuard/index.ts
@@ -7,6 +7,7 @@
   type PartBreakers,
   type PartChange,
 } from '../../../request/createPartBreakers/index.js';
+import { limitPromptParts } from '../../../request/limitPromptParts/index.js';
 import { listRequestParts } from '../../../request/listRequestParts/index.js';
 import type { PartFacts } from '../../../types/breaker/index.js';
 import type { Clock } from '../../../types/clock/index.js';
@@ -29,7 +30,7 @@
 export interface PartGuard {
   readonly breakers: PartBreakers;
   readonly createGate: (
-    request: Pick<RelayedRequest, 'service' | 'forwarded' | 'caller' | 'log'>,
+    request: Pick<RelayedRequest, 'service' | 'account' | 'forwarded' | 'caller' | 'log'>,
   ) => RunGate;
 }
 
@@ -68,15 +69,16 @@
   });
   return {
     breakers,
-    createGate: ({ service, forwarded, caller, log }) => {
-      const { promptParts } = caller;
+    createGate: ({ service, account, forwarded, caller, log }) => {
+      const promptParts = limitPromptParts(caller.promptParts);
       return createRunGate({
         breakers,
         clock,
         log,
         metrics,
-        isPrompt: promptParts.length > 0,
-        readParts: () => listRequestParts({ service: service.name, forwarded, promptParts }),
+        promptParts,
+        readParts: () =>
+          listRequestParts({ service: service.name, account, forwarded, promptParts }),
         announce,
         onChange: (callback) => {
           callbacks.add(callback);
--- a/src/process/relay/createRunGate/index.ts
+++ b/src/process/relay/createRunGate/index.ts
@@ -7,6 +7,7 @@
   PartChange,
   PartDecision,
 } from '../../../request/createPartBreakers/index.js';
+import { OWN_PARTS } from '../../../request/listRequestParts/index.js';
 import type { CrashReport, PartFacts } from '../../../types/breaker/index.js';
 import type { Clock } from '../../../types/clock/index.js';
 import type { RequestLog } from '../createRequestLog/index.js';
@@ -47,8 +48,8 @@
   readonly metrics: Pick<RelayMetrics, 'count'>;
   /** Computes the parts of the request; called once at most, and only when they are needed. */
   readonly readParts: () => readonly string[];
-  /** Whether the parts are known without a computation, so that each answer is recorded. */
-  readonly isPrompt: boolean;
+  /** Parts that are known without a computation, so that each answer is recorded; none for a plain request. */
+  readonly promptParts: readonly string[];
   /** Announces facts that this node found to the other nodes. */
   readonly announce: (facts: Partial<PartFacts>) => void;
   /** Registers a callback for changes of parts; returns its removal. */
@@ -58,6 +59,8 @@
 type Blocked = Extract<PartDecision, { readonly kind: 'blocked' }>;
 
 const MAXIMUM_LOGGED_REPORTS = 8;
+/** Stands for the identity of a request where no report can name it. */
+const UNKNOWN_IDENTITY = '';
 
 /**
  * Creates the gate of one request.
@@ -68,7 +71,7 @@
  * createRunGate(options).admitRun(); // undefined
  */
 export function createRunGate(options: CreateRunGateOptions): RunGate {
-  const { breakers, clock, log, metrics, isPrompt, announce, onChange } = options;
+  const { breakers, clock, log, metrics, promptParts, announce, onChange } = options;
   let parts: readonly string[] | undefined;
   const listParts = (): readonly string[] => (parts ??= options.readParts());
   /** Blocked part that this request tries, with its state at that time. */
@@ -136,16 +139,21 @@
     end: () => {
       // Parts that endpoints answered are not the cause; the request itself may be.
       if (unannounced.length > 0 && breakers.isProven(listParts()))
-        unannounced = unannounced.map((report) => ({ ...report, parts: report.parts.slice(-1) }));
+        unannounced = unannounced.map((report) => ({
+          ...report,
+          parts: report.parts.slice(-OWN_PARTS),
+        }));
       announceCrashes();
     },
     recordAnswer: () => {
-      // Other nodes need the success of the request's own part only if they know of its crashes.
-      const own = unannounced.length > 0 ? listParts().at(-1) : undefined;
+      // Other nodes need the success of the request's own parts only if they know of its crashes.
+      const own = unannounced.length > 0 ? listParts().slice(-OWN_PARTS) : [];
       unannounced = [];
-      if (!isPrompt && !breakers.hasReports()) return;
-      const recorded = breakers.recordSuccess(listParts(), clock.now());
-      const successes = recorded.filter(({ part }) => part !== own);
+      const hasReports = breakers.hasReports();
+      if (promptParts.length === 0 && !hasReports) return;
+      const known = hasReports ? listParts() : [...promptParts, UNKNOWN_IDENTITY];
+      const recorded = breakers.recordSuccess(known, clock.now());
+      const successes = recorded.filter(({ part }) => !own.includes(part));
       if (successes.length > 0) announce({ successes });
     },
     onBlocked: (callback) =>
--- a/src/process/relay/createRunGate/test.ts
+++ b/src/process/relay/createRunGate/test.ts
@@ -31,7 +31,7 @@
     clock: { now: () => now },
     log: LOG,
     metrics: { count: () => undefined },
-    isPrompt: parts.length > 1,
+    promptParts: parts.slice(0, -1),
     readParts: () => parts,
     announce: ({ reports = [] }) => {
       announced.push(...reports);
@@ -49,7 +49,7 @@
 }
 
 test('a blocked request that an endpoint refuses as it is tried does not run on another one', () => {
-  const parts = ['head', 'own'];
+  const parts = ['head', 'last', 'own'];
   const { gate, breakers, set } = createFixture(parts);
   const first = createCrashReport(1_000, [], { parts });
   const repeat = createCrashReport(1_400, [], { parts, sentAt: 1_001 });
@@ -63,23 +63,26 @@
 });
 
 test('other nodes learn of the only crash of a request that ends without an answer', () => {
-  for (const parts of [['call'], ['head', 'own']]) {
+  for (const parts of [
+    ['call', 'own'],
+    ['head', 'last', 'own'],
+  ]) {
     const { gate, breakers, announced } = createFixture(parts);
-    breakers.recordSuccess(['head', 'other'], 500);
+    breakers.recordSuccess(['head', 'last-2', 'own-2'], 500);
     gate.recordCrash(createCrashReport(1_000, [], { parts }));
     assert.equal(announced.length, 0);
     gate.end();
     assert.deepEqual(
       announced.map((report) => report.parts),
-      [parts.slice(-1)],
+      [parts.slice(-2)],
     );
   }
 });
 
 test('other nodes do not learn of a crash of a request that another endpoint answers', () => {
-  const { gate, breakers, announced } = createFixture(['head', 'own']);
-  breakers.recordSuccess(['head', 'other'], 500);
-  gate.recordCrash(createCrashReport(1_000, [], { parts: ['head', 'own'] }));
+  const { gate, breakers, announced } = createFixture(['head', 'last', 'own']);
+  breakers.recordSuccess(['head', 'last-2', 'own-2'], 500);
+  gate.recordCrash(createCrashReport(1_000, [], { parts: ['head', 'last', 'own'] }));
   gate.recordAnswer();
   gate.end();
   assert.equal(announced.length, 0);
--- a/src/process/site/createPartExchange/test.ts
+++ b/src/process/site/createPartExchange/test.ts
@@ -124,7 +124,7 @@
   const { time, nodes, report, countBlocking } = createNetwork(36);
   const [first] = nodes;
   assert.ok(first);
-  first.breakers.recordSuccess(['head', 'own'], 500);
+  first.breakers.recordSuccess(['head', 'last', 'own'], 500);
   await time.run(1_000);
   report(5, [createCrashReport(1_000, ['head', 'dead'])]);
   await time.run(1_400);
--- a/src/process/site/partFactsCodec/index.ts
+++ b/src/process/site/partFactsCodec/index.ts
@@ -2,7 +2,7 @@
  * Encoding of facts about parts for messages between nodes, which have clocks of their own.
  */
 import { z } from 'zod';
-import { MAXIMUM_PART_LENGTH, MAXIMUM_PARTS } from '../../../request/listRequestParts/index.js';
+import { MAXIMUM_PART_LENGTH, MAXIMUM_PARTS } from '../../../request/limitPromptParts/index.js';
 import type { CrashReport, PartFacts, PartTime } from '../../../types/breaker/index.js';
 
 const milliseconds = z.number().min(0);
--- a/src/request/countCrashes/index.ts
+++ b/src/request/countCrashes/index.ts
@@ -2,6 +2,7 @@
  * Count of the crashes that speak against one part of requests.
  */
 import type { CrashReport } from '../../types/breaker/index.js';
+import { OWN_PARTS } from '../listRequestParts/index.js';
 
 /** Crashes that speak against a part. */
 export interface CrashCount {
@@ -97,7 +98,7 @@
   const firstAt = later[0]?.at ?? Number.POSITIVE_INFINITY;
   const isRecentlyAnswered = firstAt - lastSuccessAt < RECENT_SUCCESS_MILLISECONDS;
   const hasOneAddress = new Set(later.map(({ address }) => address)).size === 1;
-  const shared = later[0]?.parts.slice(0, -1) ?? [];
+  const shared = later[0]?.parts.slice(0, -OWN_PARTS) ?? [];
   const isOfProvenParts =
     isOwn && shared.length > 0 && shared.every((other) => findSuccess(other) !== undefined);
   return {
--- a/src/request/createPartBreakers/index.ts
+++ b/src/request/createPartBreakers/index.ts
@@ -9,7 +9,8 @@
 import type { BreakerState, CrashReport, PartFacts, PartTime } from '../../types/breaker/index.js';
 import { computeBreakerStates } from '../computeBreakerStates/index.js';
 import { countCrashes, type CrashCount } from '../countCrashes/index.js';
-import { MAXIMUM_PART_LENGTH, MAXIMUM_PARTS } from '../listRequestParts/index.js';
+import { MAXIMUM_PART_LENGTH, MAXIMUM_PARTS } from '../limitPromptParts/index.js';
+import { OWN_PARTS } from '../listRequestParts/index.js';
 import { createSuccessTable } from '../createSuccessTable/index.js';
 
 /** Decision about a request: pass it on, try it for a blocked part, or block it. */
@@ -281,8 +282,8 @@
     }),
     recordSuccess: (parts, now) =>
       parts
-        // A request's own part is rarely seen again, so its success matters only to a report.
-        .filter((part, index) => index < parts.length - 1 || records.has(part))
+        // A request's own parts are rarely seen again, so their success matters only to a report.
+        .filter((part, index) => index < parts.length - OWN_PARTS || records.has(part))
         .map((part) => ({ part, at: now }))
         .filter(addSuccess),
     listSuccesses: (named) => listPartSuccesses(new Set(named.flatMap(({ parts }) => parts))),
@@ -308,6 +309,6 @@
     hasReports: () => reports.size > 0,
     isSuspect: ({ parts, attempt }) =>
       parts.some((part) => records.get(part)?.reports.some((other) => other.attempt !== attempt)),
-    isProven: (parts) => parts.slice(0, -1).every((part) => successes.has(part)),
+    isProven: (parts) => parts.slice(0, -OWN_PARTS).every((part) => successes.has(part)),
   };
 }
--- a/src/request/createPartBreakers/test.ts
+++ b/src/request/createPartBreakers/test.ts
@@ -19,7 +19,7 @@
 
 test('blocks the part that crashes have in common, and no part that endpoints answer', () => {
   const { breakers, changes } = createFixture();
-  breakers.recordSuccess(['head', 'own'], 500);
+  breakers.recordSuccess(['head', 'last', 'own'], 500);
   crash(breakers, 1_000, ['head', 'dead']);
   assert.equal(breakers.decide(['head', 'dead', 'x'], 1_001).kind, 'passed');
   crash(breakers, 1_400, ['head', 'dead']);
@@ -63,6 +63,20 @@
   assert.equal(breakers.decide(['new', 'y'], 5_200).kind, 'passed');
 });
 
+test('answers to other requests of a session, or of the same call, do not clear the one that crashes', () => {
+  const { breakers } = createFixture();
+  let crashes = 0;
+  for (let at = 1_000; at < 9_000; at += 400) {
+    breakers.recordSuccess(['head', 'session', 'harmless'], at + 200);
+    const parts = ['head', 'session', 'crashing'];
+    if (breakers.decide(parts, at).kind === 'blocked') continue;
+    crashes += 1;
+    breakers.add({ reports: [createCrashReport(at, [], { parts })] }, at);
+  }
+  assert.ok(crashes <= 3, `${crashes} crashes`);
+  assert.equal(breakers.decide(['head', 'session', 'harmless'], 9_000).kind, 'passed');
+});
+
 test('one node tries one request after the pause, the others wait for its outcome', () => {
   const { breakers } = createFixture();
   for (const at of [1_000, 1_400]) crash(breakers, at, [`head-${at}`, 'dead']);
--- a/src/request/listRequestParts/index.ts
+++ b/src/request/listRequestParts/index.ts
@@ -3,48 +3,40 @@
  */
 import { createHash } from 'node:crypto';
 import type { ForwardedRequest } from '../../types/relay/index.js';
+import { DIGEST_DIGITS, limitPromptParts } from '../limitPromptParts/index.js';
 
 /** Options of {@link listRequestParts}. */
 export interface ListRequestPartsOptions {
   readonly service: string;
+  /** Account of the caller; undefined when it has none. */
+  readonly account: string | undefined;
   readonly forwarded: Pick<ForwardedRequest, 'method' | 'url' | 'body'>;
   /** Identifiers of the parts of the prompt; none for a plain request. */
   readonly promptParts: readonly string[];
 }
 
-/** Parts of one request, and the length of a part's identifier in characters. */
-export const MAXIMUM_PARTS = 64;
-export const MAXIMUM_PART_LENGTH = 64;
-/** Length of the digest of a plain request in hexadecimal digits. */
-const DIGEST_DIGITS = 24;
-
-function shortenPart(part: string): string {
-  if (part.length <= MAXIMUM_PART_LENGTH) return part;
-  return `long-${createHash('sha256').update(part).digest('hex').slice(0, DIGEST_DIGITS)}`;
-}
-
-/** Shortens a long list, but keeps its last part, which identifies the request. */
-function limitParts(parts: readonly string[]): readonly string[] {
-  const kept =
-    parts.length <= MAXIMUM_PARTS
-      ? parts
-      : [...parts.slice(0, MAXIMUM_PARTS - 1), ...parts.slice(-1)];
-  return kept.map(shortenPart);
-}
+/** Parts at the end of a list that few requests share: the last one of the prompt, or the call, and the identity. */
+export const OWN_PARTS = 2;
 
 /**
- * Lists the parts of a request: those of its prompt, or a digest of the request where it has no prompt.
+ * Lists the parts of a request: those of its prompt, or a digest of the call where it has no prompt; and its
+ * identity, a digest that also depends on the caller and the body.
+ *
+ * A session's requests share the last part of a prompt, and callers the same call, so that an answer
+ * to one of them says nothing of the others.
  *
- * @param options - the service, the request and the parts of its prompt
+ * @param options - the service, the account, the request and the parts of its prompt
  * @returns the parts in order; the last one identifies the request itself
  * @example
- * listRequestParts({ service: 'assistant', forwarded, promptParts: ['a1', 'b2'] }); // ['a1', 'b2']
+ * listRequestParts({ service: 'assistant', account, forwarded, promptParts: ['a1', 'b2'] }).length; // 3
  */
 export function listRequestParts(options: ListRequestPartsOptions): readonly string[] {
-  const { service, forwarded, promptParts } = options;
-  if (promptParts.length > 0) return limitParts(promptParts);
+  const { service, account = '', forwarded, promptParts } = options;
   const { method, url, body } = forwarded;
   const hash = createHash('sha256').update(`${service}\n${method}\n${url}\n`);
   if (body) hash.update(body);
-  return [`call-${hash.digest('hex').slice(0, DIGEST_DIGITS)}`];
+  const call = `call-${hash.digest('hex').slice(0, DIGEST_DIGITS)}`;
+  const shared = promptParts.length > 0 ? limitPromptParts(promptParts) : [call];
+  const identity = createHash('sha256').update(`${call}\n${account}\n${shared.at(-1) ?? ''}`);
+  return [...shared, `request-${identity.digest('hex').slice(0, DIGEST_DIGITS)}`];
 }
--- a/tests/crashingRequests.test.ts
+++ b/tests/crashingRequests.test.ts
@@ -39,6 +39,7 @@
 const REQUEST_INTERVAL_MILLISECONDS = 60;
 const HEAD = 'a1a1';
 const MIDDLE = 'b2b2';
+const CRASHING_BODY = 'crashing';
 const ALL_LAYERS = { from: 0, to: 4 };
 
 let store: SiteStore;
@@ -58,7 +59,8 @@
 const crashOnParts: EndpointHandler = (request, response, endpoint) => {
   setTimeout(() => {
     if (request.wasAborted) return;
-    if (listParts(request).some((part) => crashingParts.has(part))) void endpoint.crash();
+    const isCrashing = listParts(request).some((part) => crashingParts.has(part));
+    if (isCrashing || request.body === CRASHING_BODY) void endpoint.crash();
     else streamCompletely(request, response, endpoint);
   }, READ_MILLISECONDS);
 };
@@ -74,13 +76,20 @@
 }
 
 function ask(node: TestNode, shared: readonly string[]): Promise<CallerResponse> {
+  return askWithParts(node, [...shared, `c${requestCount + 1}`]);
+}
+
+function askWithParts(
+  node: TestNode,
+  parts: readonly string[],
+  body = 'question',
+): Promise<CallerResponse> {
   requestCount += 1;
-  const parts = [...shared, `c${requestCount}`];
   return sendCallerRequest({
     address: node.callers,
     path: '/ask/x',
     method: 'POST',
-    body: 'question',
+    body,
     headers: {
       'Attempt-Id': `attempt-${requestCount}`,
       'Token-Counts': '30,10',
@@ -204,6 +213,17 @@
   assert.equal(harmless.status, 200);
 });
 
+test('a request that crashes engines is blocked although its session is answered in between', async () => {
+  for (let index = 0; index < 24; index += 1) {
+    const node = nodes[index % nodes.length];
+    const body = index % 2 === 0 ? CRASHING_BODY : 'harmless';
+    if (node) await askWithParts(node, [HEAD, 'c0de'], body);
+  }
+  const received = engines.flatMap((engine) => engine.received);
+  const crashing = received.filter(({ body }) => body === CRASHING_BODY);
+  assert.ok(crashing.length <= MAXIMUM_CRASHES, `${crashing.length} requests reached engines`);
+});
+
 test('a booking that crashes its endpoint is known to all nodes, though none may repeat it', async () => {
   for (const endpoint of plainEndpoints)
     endpoint.handle = (request, response, self) => {
--- a/tests/support/crashReports/index.ts
+++ b/tests/support/crashReports/index.ts
@@ -17,7 +17,7 @@
     startedAt: 1,
     address: `10.0.0.${count}:80`,
     attempt: `attempt-${count}`,
-    parts: [...shared, `own-${count}`],
+    parts: [...shared, `last-${count}`, `own-${count}`],
     sentAt: at - 50,
     at,
     ...changes,
