Read what has arrived before a time limit ends a call

Callers lost requests on sound endpoints: a node that was held up, for lack of a processor or by garbage collection, marked endpoints as lost, and threw away responses that had arrived in time.

Cause: after a pause, Node.js runs the timers that are due before it reads from its connections. The limits of calls with JSON bodies (200 ms for a report), of the check of a listener, of a connection to an endpoint and of a buffered send took their due timer as proof that nothing had come.

A buffered send must not pass its deadline: it only reads what has arrived (Clock.scheduleAfterReads; virtual time has nothing to read).

--- a/emulator/createVirtualNodes/index.ts
+++ b/emulator/createVirtualNodes/index.ts
@@ -161,6 +161,10 @@
             time.schedule(milliseconds, () => {
               if (core === created) action();
             }),
+          scheduleAfterReads: (milliseconds, action) =>
+            time.scheduleAfterReads(milliseconds, () => {
+              if (core === created) action();
+            }),
         },
         store: store.connect(name),
         endpointPort: port,
--- a/emulator/createVirtualTime/index.ts
+++ b/emulator/createVirtualTime/index.ts
@@ -34,20 +34,23 @@
   const requestFlush = (): void => {
     isFlushRequested = true;
   };
+  const schedule: Clock['schedule'] = (milliseconds, action) => {
+    let isCancelled = false;
+    queue.schedule(milliseconds, () => {
+      if (isCancelled) return;
+      requestFlush();
+      action();
+    });
+    return () => {
+      isCancelled = true;
+    };
+  };
   return {
     now: queue.now,
     requestFlush,
-    schedule: (milliseconds, action) => {
-      let isCancelled = false;
-      queue.schedule(milliseconds, () => {
-        if (isCancelled) return;
-        requestFlush();
-        action();
-      });
-      return () => {
-        isCancelled = true;
-      };
-    },
+    schedule,
+    // Messages arrive by actions of their own, none of which is late.
+    scheduleAfterReads: schedule,
     delay: (milliseconds, value) =>
       new Promise((resolve) => {
         queue.schedule(milliseconds, () => {
--- a/src/process/relay/checkListening/index.ts
+++ b/src/process/relay/checkListening/index.ts
@@ -3,6 +3,7 @@
  */
 import { connect } from 'node:net';
 import { splitAddress } from '../../runtime/splitAddress/index.js';
+import { startTimeLimit } from '../../runtime/startTimeLimit/index.js';
 
 /** Time after which an address that does not respond counts as not listening, in milliseconds. */
 const TIMEOUT_MILLISECONDS = 200;
@@ -21,10 +22,11 @@
   return new Promise((resolve) => {
     const socket = connect(target);
     const finish = (isListening: boolean): void => {
+      cancelLimit();
       socket.destroy();
       resolve(isListening);
     };
-    socket.setTimeout(TIMEOUT_MILLISECONDS, () => {
+    const cancelLimit = startTimeLimit(TIMEOUT_MILLISECONDS, () => {
       finish(false);
     });
     socket.once('connect', () => {
--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -5,6 +5,7 @@
 import type { Socket } from 'node:net';
 import type { AbortCause, HeaderTranslator, RequestMetadata } from '../../../types/relay/index.js';
 import { describeError } from '../../describeError/index.js';
+import { waitForPendingReads } from '../../runtime/waitForPendingReads/index.js';
 import type { ResultCodeName } from '../../resultCodes/index.js';
 import type { SiteLogger } from '../../site/createSiteLogger/index.js';
 import type { AdmissionRefusal } from '../admitRequest/index.js';
@@ -66,18 +67,6 @@
   noMemory: { code: 'overloaded', retryAfterSeconds: NO_MEMORY_RETRY_SECONDS },
 };
 
-/**
- * Resolves when what has arrived on all connections is read: the event loop reads the end of a connection
- * one turn after the bytes before it.
- */
-function waitForPendingReads(): Promise<void> {
-  return new Promise((resolve) => {
-    setImmediate(() => {
-      setImmediate(resolve);
-    });
-  });
-}
-
 /** Bytes of one header line in addition to its name and value: colon, space, CR and LF. */
 const HEADER_SEPARATOR_BYTES = 4;
 
--- a/src/process/relay/openEndpointCall/index.ts
+++ b/src/process/relay/openEndpointCall/index.ts
@@ -8,6 +8,7 @@
 import type { Socket } from 'node:net';
 import type { EndpointCall, EndpointCallHandlers, SendState } from '../../../types/relay/index.js';
 import { startRequest } from '../../runtime/startRequest/index.js';
+import { startTimeLimit } from '../../runtime/startTimeLimit/index.js';
 
 /** Options of {@link openEndpointCall}. */
 export interface OpenEndpointCallOptions extends Omit<EndpointCallHandlers, 'onHead'> {
@@ -92,7 +93,7 @@
   const finish = (): boolean => {
     if (isDone) return false;
     isDone = true;
-    clearTimeout(connectTimer);
+    cancelConnectLimit();
     return true;
   };
   const fail = (reason: string): void => {
@@ -118,14 +119,14 @@
     interimResponses += 1;
     if (interimResponses > MAXIMUM_INTERIM_RESPONSES) fail('too many interim responses');
   };
-  const connectTimer = setTimeout(() => {
+  const cancelConnectLimit = startTimeLimit(CONNECT_TIMEOUT_MILLISECONDS, () => {
     fail(`no connection within ${CONNECT_TIMEOUT_MILLISECONDS} ms`);
-  }, CONNECT_TIMEOUT_MILLISECONDS);
+  });
   outgoing.on('socket', (socket) => {
     socket.setNoDelay(true);
     socket.once('connect', () => {
       state = 'sent';
-      clearTimeout(connectTimer);
+      cancelConnectLimit();
     });
     socket.on('data', (chunk: Buffer) => {
       countBytes(chunk.length);
--- a/src/process/relay/runBufferedAttempt/index.ts
+++ b/src/process/relay/runBufferedAttempt/index.ts
@@ -142,7 +142,7 @@
         else finish({ kind: 'unknown', reason, isConnectionLost: true });
       },
     });
-    const cancelTimer = clock.schedule(timeoutMilliseconds, () => {
+    const cancelTimer = clock.scheduleAfterReads(timeoutMilliseconds, () => {
       const reason = chunks.length > 0 ? 'response too slow' : 'no response in time';
       finish({ kind: 'unknown', reason, isTimeout: true });
     });
--- a/src/process/runtime/callJson/index.ts
+++ b/src/process/runtime/callJson/index.ts
@@ -4,6 +4,7 @@
 import type { Agent } from 'node:http';
 import { parseJson } from '../../parseJson/index.js';
 import { startRequest } from '../startRequest/index.js';
+import { startTimeLimit } from '../startTimeLimit/index.js';
 
 /** Options of {@link callJson}. */
 export interface CallJsonOptions {
@@ -65,16 +66,16 @@
     }
     const outgoing = started.value;
     const finish = (result: JsonResult): void => {
-      clearTimeout(timer);
+      cancelLimit();
       resolve(result);
     };
     const fail = (reason: string): void => {
       finish({ kind: isConnected ? 'unknown' : 'notSent', reason });
     };
-    const timer = setTimeout(() => {
+    const cancelLimit = startTimeLimit(timeoutMilliseconds, () => {
       fail(`timeout after ${timeoutMilliseconds} ms`);
       outgoing.destroy();
-    }, timeoutMilliseconds);
+    });
     outgoing.on('socket', (socket) => {
       if (!socket.connecting) {
         // A reused connection is connected already; a listener on it would never be removed.
--- a/src/process/runtime/createSystemClock/index.ts
+++ b/src/process/runtime/createSystemClock/index.ts
@@ -2,6 +2,7 @@
  * The clock of the process.
  */
 import type { Clock } from '../../../types/clock/index.js';
+import { waitForPendingReads } from '../waitForPendingReads/index.js';
 
 /**
  * Creates a clock based on the timers of the process.
@@ -19,5 +20,17 @@
         clearTimeout(timer);
       };
     },
+    scheduleAfterReads: (milliseconds, action) => {
+      let isCancelled = false;
+      const runAfterReads = async (): Promise<void> => {
+        await waitForPendingReads();
+        if (!isCancelled) action();
+      };
+      const timer = setTimeout(() => void runAfterReads(), milliseconds);
+      return () => {
+        isCancelled = true;
+        clearTimeout(timer);
+      };
+    },
   };
 }
