Log how a request ended however many events came before it

Operators found requests with many events, such as runs that were kept, without the line that says how and why they ended: `request-failed` was missing.

Cause: the log of a request dropped every event after the fortieth, also the last one.

When the log is full, an event now takes the place of the latest one before it, so that the first 39 and the last are written. The test fails with the former code ('run-kept' instead of 'request-failed') and passes with this one.

--- a/src/process/relay/createRequestLog/index.ts
+++ b/src/process/relay/createRequestLog/index.ts
@@ -32,7 +32,7 @@
   readonly request: string;
 }
 
-/** Maximum number of buffered events of one request. */
+/** Maximum number of buffered events of one request; the last of them is the latest event. */
 const MAXIMUM_EVENTS = 40;
 
 /**
@@ -54,7 +54,7 @@
   return {
     add: (event, fields) => {
       if (LOG_EVENTS[event].level !== 'info') hasWarning = true;
-      if (events.length >= MAXIMUM_EVENTS) return;
+      if (events.length >= MAXIMUM_EVENTS) events.pop();
       // The compiler cannot infer that the added `request` completes the fields of the event.
       events.push({
         event,
