Keep a stream's run open until the one that takes over delivers an event

Cause: that a path, a retry and an attempt are at hand does not make another run certain; only its first event does. Now both runs are open for that time, on different first endpoints; the first event of either ends the other, and where the new one is refused or fails, the old one goes on.

--- a/src/process/relay/createStreamPaths/index.ts
+++ b/src/process/relay/createStreamPaths/index.ts
@@ -12,8 +12,11 @@
 export interface StreamPaths {
   /** Selects a path for the next run; undefined when none has enough free memory. */
   readonly select: (size: TokenEstimate) => ChosenPath | undefined;
-  /** Selects a path that avoids an endpoint; undefined when none has enough free memory. */
-  readonly selectWithoutEndpoint: (endpoint: string, size: TokenEstimate) => ChosenPath | undefined;
+  /** Selects a path that avoids endpoints; undefined when none has enough free memory. */
+  readonly selectWithoutEndpoints: (
+    excluded: readonly string[],
+    size: TokenEstimate,
+  ) => ChosenPath | undefined;
   /** Selects a path with a given first hop; undefined when none has enough free memory. */
   readonly selectWithFirstHop: (
     firstHop: PathHop | undefined,
@@ -60,8 +63,11 @@
     void prober.probe(first.endpoint, reason);
   };
 
-  const selectWithoutEndpoint: StreamPaths['selectWithoutEndpoint'] = (endpoint, size) =>
-    selectPath(context, request, { ...size, excluded: new Set([...avoidedEndpoints, endpoint]) });
+  const selectWithoutEndpoints: StreamPaths['selectWithoutEndpoints'] = (excluded, size) =>
+    selectPath(context, request, {
+      ...size,
+      excluded: new Set([...avoidedEndpoints, ...excluded]),
+    });
 
   return {
     // Prefers a path without the endpoint at which the last run failed.
@@ -69,10 +75,10 @@
       const failedEndpoint = failedFirstEndpoint;
       failedFirstEndpoint = undefined;
       const otherPath =
-        failedEndpoint === undefined ? undefined : selectWithoutEndpoint(failedEndpoint, size);
+        failedEndpoint === undefined ? undefined : selectWithoutEndpoints([failedEndpoint], size);
       return otherPath ?? selectPath(context, request, { ...size, excluded: avoidedEndpoints });
     },
-    selectWithoutEndpoint,
+    selectWithoutEndpoints,
     selectWithFirstHop: (firstHop, size) =>
       selectPath(context, request, { ...size, excluded: avoidedEndpoints, firstHop }),
     recordFailedRun: (first, reason) => {
--- a/src/process/relay/watchLostEndpoints/index.ts
+++ b/src/process/relay/watchLostEndpoints/index.ts
@@ -14,13 +14,15 @@
 export interface WatchLostEndpointsOptions {
   readonly context: Pick<RelayContext, 'clock' | 'budget' | 'decisions' | 'onLost'>;
   readonly request: Pick<RelayedRequest, 'service' | 'log'>;
-  readonly paths: Pick<StreamPaths, 'selectWithFirstHop' | 'selectWithoutEndpoint' | 'findLost'>;
+  readonly paths: Pick<StreamPaths, 'selectWithFirstHop' | 'selectWithoutEndpoints' | 'findLost'>;
   /** Returns the path of the current run; undefined when there is none. */
   readonly getPath: () => ChosenPath | undefined;
   /** Returns whether a run is open that is not being moved. */
   readonly isRunning: () => boolean;
   /** Returns whether the run has delivered enough events to be no cause of the loss. */
   readonly isEstablished: () => boolean;
+  /** Returns whether an event was forwarded, so that the run stays open until another one delivers an event. */
+  readonly hasBegun: () => boolean;
   /** Returns whether the run has received nothing for longer than is usual. */
   readonly isSilent: () => boolean;
   /** Returns whether another run may take over from the current one. */
@@ -45,6 +47,8 @@
   readonly replace: (reason: string) => void;
   /** Returns a path for another run that avoids an endpoint, if one may follow now. */
   readonly selectReplacement: (endpoint: string) => ChosenPath | undefined;
+  /** Checks the path again after a time. */
+  readonly recheckLater: () => void;
   readonly close: () => void;
 }
 
@@ -62,7 +66,8 @@
  * lostEndpoints.check();
  */
 export function watchLostEndpoints(options: WatchLostEndpointsOptions): LostEndpointWatch {
-  const { context, request, paths, getPath, isRunning, isEstablished, isSilent } = options;
+  const { context, request, paths, getPath, isRunning, isEstablished, isSilent, hasBegun } =
+    options;
   const { mayReplace, computeSize, checkSuspect, onMove, onReplace } = options;
   const { clock, budget, decisions } = context;
   let cancelRecheck: (() => void) | undefined;
@@ -87,7 +92,10 @@
   };
   const selectReplacement = (endpoint: string): ChosenPath | undefined => {
     if (!mayReplace() || budget.countLeft(request.service.name, clock.now()) < 1) return undefined;
-    return paths.selectWithoutEndpoint(endpoint, computeSize());
+    const first = hasBegun() ? getPath()?.hops[0]?.endpoint : undefined;
+    // An endpoint does not tell two runs of one request apart.
+    const excluded = first === undefined ? [endpoint] : [endpoint, first];
+    return paths.selectWithoutEndpoints(excluded, computeSize());
   };
   const replaceEndpoint = (lost: string, reason: string): void => {
     const newPath = selectReplacement(lost);
@@ -135,6 +143,7 @@
   return {
     check,
     selectReplacement,
+    recheckLater,
     replace: (reason) => {
       const lost = findLost();
       if (lost !== undefined && isSilent()) {
--- a/src/process/relay/watchLostEndpoints/test.ts
+++ b/src/process/relay/watchLostEndpoints/test.ts
@@ -85,7 +85,7 @@
     },
     paths: {
       selectWithFirstHop: () => stream.movedPath,
-      selectWithoutEndpoint: () => stream.otherPath,
+      selectWithoutEndpoints: () => stream.otherPath,
       findLost: (hops: ChosenPath['hops']) =>
         hops.find(({ endpoint }) => stream.lost.includes(endpoint)),
     },
@@ -93,6 +93,7 @@
     isRunning: () => true,
     isEstablished: () => stream.isEstablished,
     isSilent: () => stream.isSilent,
+    hasBegun: () => true,
     mayReplace: () => true,
     computeSize: () => SIZE,
     checkSuspect: () => {
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -341,6 +341,16 @@
       path,
     },
   ),
+  'run-doubled': define(
+    'warn',
+    'Another run was started for one that seems broken, which stays open until the other delivers an event.',
+    {
+      request,
+      reason,
+      path: text('the path before'),
+      newPath: text('the path after'),
+    },
+  ),
   'run-moved': define('warn', 'A run was moved off a lost endpoint.', {
     request,
     outcome: text('response of the first endpoint'),
