Check in the soak that nodes catch their exceptions

A node goes on after an exception that nothing caught, so that its exit code no longer showed one, and a soak run passed over such a fault.

The soak now reads the nodes' logs after their stop and counts each `internal-error` line as a violation.

Evidence: a record with such a line breaks the promise in soak/findViolations.

--- a/soak/checkProcesses/index.ts
+++ b/soak/checkProcesses/index.ts
@@ -1,5 +1,5 @@
 /**
- * Promises: processes exit in time and without an error when they are stopped, and leak no resources.
+ * Promises: processes exit in time and without an error when they are stopped, catch their exceptions, and leak no resources.
  */
 import { hasFault } from '../createRecord/index.js';
 import { groupByProcess } from '../groupItems/index.js';
@@ -24,6 +24,14 @@
       })),
 };
 
+/** Checks that no node logs an exception that nothing caught: it goes on after one, so that its exit does not tell. */
+export const checkInternalErrors: Check = {
+  promise: 'a node catches its exceptions',
+  count: ({ processes }) => groupByProcess(processes).length,
+  find: ({ internalErrors }) =>
+    internalErrors.map(({ node, line }) => ({ request: undefined, detail: `${node}: ${line}` })),
+};
+
 /** Time after a start in which memory grows to the level that the load needs. */
 const WARM_UP_MILLISECONDS = 10_000;
 
--- a/soak/createNodes/index.ts
+++ b/soak/createNodes/index.ts
@@ -1,7 +1,7 @@
 /**
  * Nodes of a soak run: processes that can be frozen, killed, stopped and restarted.
  */
-import { mkdirSync } from 'node:fs';
+import { mkdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import {
   computeLoopbackAddress,
@@ -42,11 +42,15 @@
   readonly changeAddress: () => void;
   /** Records the number of open files and the memory of the process. */
   readonly recordProcess: () => void;
+  /** Records the lines of the log about exceptions that nothing caught. */
+  readonly recordInternalErrors: () => void;
   readonly close: () => Promise<void>;
 }
 
 /** Settings of all nodes. The retry budget is so small that a short run can exhaust it. */
 const SETTINGS = { bounds: { retry_slack: 20 } };
+/** Mark of a log line about an exception that nothing caught. */
+const INTERNAL_ERROR = '"internal-error"';
 const SEEDS = 3;
 /** Distance between the host indexes of a node's successive addresses. */
 const HOST_INDEX_STEP = 400;
@@ -61,6 +65,7 @@
   const seeds = await Promise.all(
     Array.from({ length: SEEDS }, (_, seed) => computeLoopbackAddress(seed)),
   );
+  const logFile = join(folder, `${name}.log`);
   let hostIndex = index;
   let birth = 0;
   let node: SpawnedNode | undefined;
@@ -96,7 +101,6 @@
     start: async () => {
       if (getRunningNode()) return;
       birth += 1;
-      const logFile = join(folder, `${name}.log`);
       const host = await computeLoopbackAddress(hostIndex);
       const common = { index, host, seeds, folder, program, logFile, settings: SETTINGS };
       node = spawnNode({ ...common, storeAddress: storeLink.address });
@@ -118,6 +122,11 @@
       const descriptors = running.countDescriptors();
       record.processes.push({ node: name, birth, at: now(), descriptors, megabytes });
     },
+    recordInternalErrors: () => {
+      const lines = readFileSync(logFile, 'utf8').split('\n');
+      for (const line of lines)
+        if (line.includes(INTERNAL_ERROR)) record.internalErrors.push({ node: name, line });
+    },
     close: async () => {
       await endProcess('SIGKILL');
       await callerLink.close();
--- a/soak/createRecord/index.ts
+++ b/soak/createRecord/index.ts
@@ -24,6 +24,7 @@
     registrations: [],
     processes: [],
     ends: [],
+    internalErrors: [],
     calmAt: undefined,
   };
 }
--- a/soak/findViolations/index.ts
+++ b/soak/findViolations/index.ts
@@ -6,7 +6,7 @@
 import { checkCompletion } from '../checkCompletion/index.js';
 import { checkLeaving } from '../checkLeaving/index.js';
 import { checkPaths } from '../checkPaths/index.js';
-import { checkExits, checkLeaks } from '../checkProcesses/index.js';
+import { checkExits, checkInternalErrors, checkLeaks } from '../checkProcesses/index.js';
 import { checkRefusals } from '../checkRefusals/index.js';
 import { checkBackoffs } from '../checkBackoffs/index.js';
 import { checkRetries } from '../checkRetries/index.js';
@@ -34,6 +34,7 @@
   checkHarmlessParts,
   checkPlannedStops,
   checkExits,
+  checkInternalErrors,
   checkLeaks,
   checkVersions,
   checkRegistrations,
--- a/soak/findViolations/test.ts
+++ b/soak/findViolations/test.ts
@@ -291,6 +291,11 @@
     'process that does not exit',
     record({ ends: [{ ...STOPPED, endedAt: Infinity, code: null }] }),
   ],
+  [
+    'a node catches its exceptions',
+    'exception that nothing caught',
+    record({ internalErrors: [{ node: 'node-0', line: '{"message":"internal-error"}' }] }),
+  ],
   [
     'a node that is asked to stop ends in time',
     'exit code other than 0',
--- a/soak/runSoak/index.ts
+++ b/soak/runSoak/index.ts
@@ -260,6 +260,7 @@
     stopRegistrationWatch();
     for (const node of nodes) node.recordProcess();
     await Promise.all(nodes.map((node) => node.stop()));
+    for (const node of nodes) node.recordInternalErrors();
     return { violations: findViolations(record, SOAK_BOUNDS), record, schedule, faults };
   } finally {
     await lifeCycle.close();
--- a/soak/types/index.ts
+++ b/soak/types/index.ts
@@ -155,6 +155,12 @@
   readonly code: number | null;
 }
 
+/** Line of a node's log about an exception that nothing caught. */
+export interface InternalError {
+  readonly node: string;
+  readonly line: string;
+}
+
 /** All observations of a run. */
 export interface SoakRecord {
   readonly attempts: CallerAttempt[];
@@ -169,6 +175,7 @@
   readonly registrations: RegistrationObservation[];
   readonly processes: ProcessObservation[];
   readonly ends: ProcessExit[];
+  readonly internalErrors: InternalError[];
   /** End of the recovery time after the last fault; undefined in a run without recovery time. */
   calmAt: number | undefined;
 }
