End the run that another one takes over where its endpoint refuses it late

A run without a response yet that was kept open beside its replacement could be refused or not reach its endpoint: the replacement was ended in its place, and the dead run restored, so that the stream hung until its caller left.

--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -263,7 +263,10 @@
         recover('events out of order');
         return false;
       },
-      onNonStreamResponse: handleNonStreamResponse,
+      onNonStreamResponse: (received) => {
+        if (standby?.call === opened) giveUpStandby(`status ${received.head.status}`);
+        else handleNonStreamResponse(received);
+      },
       onComplete: (end) => {
         if (standby?.call === opened) restoreStandby('complete');
         if (end === 'framing') endComplete();
@@ -272,15 +275,13 @@
       onFailed: (reason) => {
         isAbandoned = false;
         paths.recordFailedRun(first, reason);
-        if (standby?.call === opened) {
-          giveUpStandby(reason);
-          return;
-        }
-        void recoverBroken(reason, 'report');
+        if (standby?.call === opened) giveUpStandby(reason);
+        else void recoverBroken(reason, 'report');
       },
       onNotSent: (reason) => {
         paths.recordNotSent(first, reason);
-        retryRefused(reason);
+        if (standby?.call === opened) giveUpStandby(reason);
+        else retryRefused(reason);
       },
     });
     call = opened;
