--- a/tests/oddEntries.test.ts
+++ b/tests/oddEntries.test.ts
@@ -6,9 +6,9 @@
 import assert from 'node:assert/strict';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { after, before, test } from 'node:test';
+import { listOddEntries, type OddEntry } from '../standins/listOddEntries/index.js';
 import { serveSiteEndpoint, type SiteEndpoint } from '../standins/serveSiteEndpoint/index.js';
 import type { SiteStore } from '../standins/serveSiteStore/index.js';
-import { listOddEntries, type OddEntry } from './support/oddEntries/index.js';
 import {
   createPlatformConfiguration,
   MODEL_SERVICE,
