Write odd entries and odd configurations in the fault soak

Seen: the soak wrote only sound entries, so that it could not find a node that ends, stops following, or sends requests by what another writer left. A node that ended by itself and was started again by a later fault was in no check, and a node that served none of the versions was not observed.

Change: every run draws odd entries under identifiers of their own, with changes of the configuration and departures while they stand, and odd configurations, from draws of its own. They excuse nothing. Two promises: no node ends by itself, and no request reaches the address that odd entries name.

Evidence: each new promise has violating records; three more defective followers (takes odd entries, stops at the first, takes odd configurations) are found, and a sound one is not reported; programs that exit by themselves are recorded.

--- a/soak/createDefectiveFollower/index.ts
+++ b/soak/createDefectiveFollower/index.ts
@@ -1,9 +1,12 @@
 /**
  * Minimal follower of the store for a defective node. Each defect misunderstands a store that was restored from an
- * older copy.
+ * older copy, or entries that no endpoint can have written.
  */
 import { z } from 'zod';
 import { sleep } from '../../bench/sleep/index.js';
+import { decodeConfiguration } from '../../platform/decodeConfiguration/index.js';
+import { decodeEndpoint } from '../../platform/decodeEndpoint/index.js';
+import { addressSchema } from '../../platform/fieldSchemas/index.js';
 import { parseJson } from '../../src/process/parseJson/index.js';
 
 /** Planted defect; `none` keeps all promises. */
@@ -14,13 +17,21 @@
   /** Takes the configuration that the store has, also an older one. */
   | 'revertsConfiguration'
   /** Takes the entries of endpoints that the store has, also of those that have left. */
-  | 'forgetsDepartures';
+  | 'forgetsDepartures'
+  /** Takes each entry that names a service and an address, whatever its other fields are. */
+  | 'takesOddEntries'
+  /** Follows the store no further than to the first entry that names no endpoint. */
+  | 'stopsAtOddEntry'
+  /** Takes each configuration that has a version, whatever its other fields are. */
+  | 'takesOddConfigurations';
 
 /** Running follower. */
 export interface DefectiveFollower {
   /** Returns the version of the configuration; 0 before the first one. */
   readonly getVersion: () => number;
   readonly isAvailable: (endpoint: string) => boolean;
+  /** Lists the addresses of the service's entries that name no endpoint and were taken. */
+  readonly listOddAddresses: (service: string) => readonly string[];
   readonly close: () => Promise<void>;
 }
 
@@ -31,8 +42,8 @@
   items: z.array(z.object({ key: z.string(), revision: z.number(), value: z.string() })),
   at: z.number(),
 });
-const configurationSchema = z.object({ version: z.number() });
-const endpointSchema = z.object({ state: z.string(), born: z.number() });
+const versionSchema = z.object({ version: z.number() });
+const looseSchema = z.object({ service: z.string(), address: addressSchema });
 
 type Item = z.infer<typeof rangeSchema>['items'][number];
 
@@ -55,21 +66,39 @@
 ): DefectiveFollower {
   const departed = new Set<string>();
   const available = new Map<string, boolean>();
+  const odd = new Map<string, z.infer<typeof looseSchema>>();
   let version = 0;
   let latestEra = 0;
   let latestRevision = 0;
   let isClosed = false;
+  let hasStopped = false;
 
   const applyConfiguration = (item: Item): void => {
-    const next = configurationSchema.parse(decodeValue(item)).version;
+    const value = decodeValue(item);
+    const next =
+      defect === 'takesOddConfigurations'
+        ? versionSchema.safeParse(value).data?.version
+        : decodeConfiguration(value)?.version;
+    if (next === undefined) return;
     version = defect === 'revertsConfiguration' ? next : Math.max(version, next);
   };
+  const applyOddEntry = (id: string, value: unknown): void => {
+    hasStopped ||= defect === 'stopsAtOddEntry';
+    const loose = looseSchema.safeParse(value);
+    if (defect === 'takesOddEntries' && loose.success) odd.set(id, loose.data);
+  };
   const applyEndpoint = (item: Item): void => {
-    const { state, born } = endpointSchema.parse(decodeValue(item));
-    const start = `${item.key} ${born}`;
-    if (state !== 'ready') departed.add(start);
-    const hasLeft = defect === 'forgetsDepartures' ? state !== 'ready' : departed.has(start);
-    available.set(item.key.slice(ENDPOINT_PREFIX.length), !hasLeft);
+    const id = item.key.slice(ENDPOINT_PREFIX.length);
+    const value = decodeValue(item);
+    const record = decodeEndpoint(id, value);
+    if (!record) {
+      applyOddEntry(id, value);
+      return;
+    }
+    const start = `${id} ${record.startedAt}`;
+    if (record.isDraining) departed.add(start);
+    const hasLeft = defect === 'forgetsDepartures' ? record.isDraining : departed.has(start);
+    available.set(id, !hasLeft);
   };
   const poll = async (): Promise<void> => {
     const response = await fetch(`http://${address}/kv-range?prefix=`);
@@ -85,7 +114,7 @@
     latestRevision = Math.max(after, at);
   };
   const follow = async (): Promise<void> => {
-    while (!isClosed) {
+    while (!isClosed && !hasStopped) {
       await poll().catch(() => {
         // The store is away for a moment; the next poll shows whether it is back.
       });
@@ -96,6 +125,8 @@
   return {
     getVersion: () => version,
     isAvailable: (endpoint) => available.get(endpoint) ?? false,
+    listOddAddresses: (service) =>
+      [...odd.values()].filter((entry) => entry.service === service).map(({ address: at }) => at),
     close: () => {
       isClosed = true;
       return following;
--- a/soak/createFaultInjector/index.ts
+++ b/soak/createFaultInjector/index.ts
@@ -11,6 +11,7 @@
 import type { FaultKind, ScheduledFault } from '../drawSchedule/index.js';
 import type { Operator } from '../createOperator/index.js';
 import { restoreStore } from '../restoreStore/index.js';
+import { writeOddEntries } from '../writeOddEntries/index.js';
 import type { SoakRecord } from '../types/index.js';
 
 /** Components of the run that faults act on. */
@@ -21,6 +22,8 @@
   /** Creates an endpoint of another service that listens on the address of a given endpoint. */
   readonly replaceEndpoint: (endpoint: SoakEndpoint) => Promise<SoakEndpoint>;
   readonly store: SiteStore;
+  /** Address that only odd entries name. */
+  readonly oddAddress: string;
   readonly record: SoakRecord;
   readonly now: () => number;
   /** Writes the configurations. */
@@ -283,6 +286,22 @@
   withdrawEndpoint: departEndpoint((endpoint) => {
     endpoint.unregister();
   }),
+  /** Writes an odd configuration, and then the next good one. */
+  writeOddConfiguration: async ({ operator }, { milliseconds, choices = [] }) => {
+    operator.writeOddConfiguration(choices[0] ?? 0);
+    await sleep(milliseconds);
+    operator.changeConfiguration();
+  },
+  writeOddEntries: ({ store, record, now, oddAddress }, { index, milliseconds, choices = [] }) =>
+    writeOddEntries({
+      store,
+      record,
+      now,
+      address: oddAddress,
+      name: String(index),
+      choices,
+      milliseconds,
+    }),
 };
 
 /** Resources that a kind of fault locks, so that no other fault changes the same process or state meanwhile. */
--- a/soak/createNodes/index.ts
+++ b/soak/createNodes/index.ts
@@ -63,6 +63,8 @@
   );
   let hostIndex = index;
   let birth = 0;
+  /** Number of the last start that a signal ended. */
+  let endedBirth = 0;
   let node: SpawnedNode | undefined;
   const getRunningNode = (): SpawnedNode | undefined =>
     node?.hasExited() === false ? node : undefined;
@@ -78,6 +80,7 @@
     const running = getRunningNode();
     if (!running) return;
     const askedAt = now();
+    endedBirth = birth;
     running.kill(signal);
     const hasExitedInTime = await waitForEnd(running);
     const endedAt = hasExitedInTime ? now() : Infinity;
@@ -87,6 +90,12 @@
     const isPlanned = signal === 'SIGTERM';
     record.ends.push({ node: name, birth, isPlanned, askedAt, endedAt, code });
   };
+  /** Records the exit of a process that no signal of the run ended. */
+  const recordDeath = async (started: SpawnedNode, startNumber: number): Promise<void> => {
+    const code = await started.exited;
+    if (endedBirth === startNumber) return;
+    record.deaths.push({ node: name, birth: startNumber, at: now(), code });
+  };
   return {
     name,
     callerLink,
@@ -100,6 +109,7 @@
       const host = await computeLoopbackAddress(hostIndex);
       const common = { index, host, seeds, folder, program, logFile, settings: SETTINGS };
       node = spawnNode({ ...common, storeAddress: storeLink.address });
+      void recordDeath(node, birth);
       callerLink.retarget(node.callerAddress);
       await node.waitUntilReady();
     },
--- a/soak/createOperator/index.ts
+++ b/soak/createOperator/index.ts
@@ -3,6 +3,7 @@
  */
 import type { SiteStore } from '../../standins/serveSiteStore/index.js';
 import { createConfiguration } from '../createConfiguration/index.js';
+import { listOddConfigurations } from '../listOddConfigurations/index.js';
 import type { SoakRecord } from '../types/index.js';
 
 /** Options of {@link createOperator}. */
@@ -18,6 +19,8 @@
 export interface Operator {
   /** Writes the next configuration; while the store is away, as soon as it has returned. */
   readonly changeConfiguration: () => void;
+  /** Writes an odd configuration in place of the last one, chosen by a number from 0 to 1, unless the store is away. */
+  readonly writeOddConfiguration: (choice: number) => void;
   /** Returns whether the store accepts no writes. */
   readonly isStoreAway: () => boolean;
   readonly setStoreAway: (isAway: boolean) => void;
@@ -51,6 +54,11 @@
   };
   return {
     changeConfiguration,
+    writeOddConfiguration: (choice) => {
+      if (isAway) return;
+      const odd = listOddConfigurations(timeoutMilliseconds);
+      store.put('op/config', odd[Math.floor(choice * odd.length)] ?? '');
+    },
     isStoreAway: () => isAway,
     setStoreAway: (next) => {
       isAway = next;
--- a/soak/createRecord/index.ts
+++ b/soak/createRecord/index.ts
@@ -24,6 +24,8 @@
     registrations: [],
     processes: [],
     ends: [],
+    deaths: [],
+    strays: [],
     calmAt: undefined,
   };
 }
--- a/soak/drawRestorations/index.ts
+++ b/soak/drawRestorations/index.ts
@@ -2,6 +2,7 @@
  * Schedule of the store's restorations in a run, with changes and departures that they lose.
  */
 import { createRandom, type Random } from '../../src/process/createRandom/index.js';
+import { drawBetween } from '../drawBetween/index.js';
 import type { DrawScheduleOptions, ScheduledFault } from '../drawSchedule/index.js';
 
 const MEAN_PAUSE_MILLISECONDS = 2_000;
@@ -24,10 +25,6 @@
 /** Distance from the seed of the other draws of a run. */
 const SEED_OFFSET = 7_919;
 
-function drawBetween(random: Random, minimum: number, maximum: number): number {
-  return Math.round(minimum + (maximum - minimum) * random());
-}
-
 /** Draws a restoration, and before it what it loses. */
 function drawRestoration(random: Random, at: number, endpoints: number): ScheduledFault[] {
   const away = drawBetween(random, MINIMUM_AWAY_MILLISECONDS, MAXIMUM_AWAY_MILLISECONDS);
--- a/soak/drawSchedule/index.ts
+++ b/soak/drawSchedule/index.ts
@@ -48,10 +48,13 @@
   forgetfulStore: { target: 'store', weight: 1 },
   changeConfiguration: { target: 'configuration', weight: 3 },
   stormConfiguration: { target: 'configuration', weight: 1 },
-  // Drawn by drawRestorations only.
+  // Drawn by drawRestorations, and the departures by drawOddEntries.
   restoreStore: { target: 'store', weight: 0 },
   drainEndpoint: { target: 'endpoint', weight: 0 },
   withdrawEndpoint: { target: 'endpoint', weight: 0 },
+  // Drawn by drawOddEntries only.
+  writeOddEntries: { target: 'store', weight: 0 },
+  writeOddConfiguration: { target: 'configuration', weight: 0 },
 } as const satisfies Record<string, { readonly target: FaultTarget; readonly weight: number }>;
 
 /** Kind of a fault. */
@@ -62,12 +65,14 @@
   /** Time since the start of the run, in milliseconds. */
   readonly at: number;
   readonly kind: FaultKind;
-  /** Index of the node or endpoint; 0 for the store and the configuration. */
+  /** Index of the node or endpoint; number of the writing for odd entries; 0 for the store and the configuration. */
   readonly index: number;
   /** Duration of the fault, in milliseconds. */
   readonly milliseconds: number;
   /** Age of the copy that the store is restored from, in milliseconds. */
   readonly ageMilliseconds?: number;
+  /** Numbers from 0 to 1 that choose the odd entries, or the odd configuration; one each. */
+  readonly choices?: readonly number[];
 }
 
 /** Options of {@link drawSchedule}. */
--- a/soak/findViolations/index.ts
+++ b/soak/findViolations/index.ts
@@ -6,6 +6,8 @@
 import { checkCompletion } from '../checkCompletion/index.js';
 import { checkLeaving } from '../checkLeaving/index.js';
 import { checkPaths } from '../checkPaths/index.js';
+import { checkDeaths } from '../checkDeaths/index.js';
+import { checkOddEntries } from '../checkOddEntries/index.js';
 import { checkExits, checkLeaks } from '../checkProcesses/index.js';
 import { checkRefusals } from '../checkRefusals/index.js';
 import { checkBackoffs } from '../checkBackoffs/index.js';
@@ -29,11 +31,13 @@
   checkBackoffs,
   checkLeaving,
   checkDepartures,
+  checkOddEntries,
   checkRetries,
   checkCrashingParts,
   checkHarmlessParts,
   checkPlannedStops,
   checkExits,
+  checkDeaths,
   checkLeaks,
   checkVersions,
   checkRegistrations,
--- a/soak/findViolations/test.ts
+++ b/soak/findViolations/test.ts
@@ -268,6 +268,16 @@
     'request after the drain time',
     createRequestAfterLeaving(2_200),
   ],
+  [
+    'no request reaches the address of an odd entry',
+    'request of a node',
+    record({ strays: [{ request: 'r1', method: 'GET', url: '/look/one?request=r1', at: 1_200 }] }),
+  ],
+  [
+    'no request reaches the address of an odd entry',
+    'order of a node, which names no request',
+    record({ strays: [{ request: '', method: 'POST', url: '/orders', at: 1_200 }] }),
+  ],
   [
     'requests are repeated within the budget',
     'more repeated sends than the budget allows',
@@ -296,6 +306,19 @@
     'exit code other than 0',
     record({ ends: [{ ...STOPPED, code: 1 }] }),
   ],
+  [
+    'no node ends by itself',
+    'exit with an error',
+    record({ deaths: [{ node: 'node-0', birth: 1, at: 1_200, code: 1 }] }),
+  ],
+  [
+    'no node ends by itself',
+    'exit with code 0 while odd entries stand',
+    record({
+      deaths: [{ node: 'node-0', birth: 1, at: 1_200, code: 0 }],
+      disturbances: [{ kind: 'oddEntries', target: 'registry', from: 1_000, until: 3_000 }],
+    }),
+  ],
   [
     'a node keeps its open files and memory',
     'growing number of open files',
@@ -323,6 +346,11 @@
       ],
     }),
   ],
+  [
+    'an accepted configuration is in force in time and never goes back',
+    'odd configuration that took the place of a good one',
+    record({ versions: [VERSION, { ...VERSION, version: 0, at: 20_500 }] }),
+  ],
   [
     'an accepted configuration is in force in time and never goes back',
     'version that the restored store had lost, and that is applied too late',
@@ -446,6 +474,12 @@
       restorations: [EARLY_RESTORATION],
     }),
   ],
+  [
+    'odd entries of which nothing was taken',
+    record({
+      disturbances: [{ kind: 'oddEntries', target: 'registry', from: 1_000, until: 3_000 }],
+    }),
+  ],
   ['request within the drain time of a departed endpoint', createRequestAfterDeparture(1_900)],
   [
     'request to a departed endpoint through a node that started after its departure',
--- a/soak/runSoak/index.ts
+++ b/soak/runSoak/index.ts
@@ -18,6 +18,8 @@
 import { createNodes, type SoakNode } from '../createNodes/index.js';
 import { drawRestorations } from '../drawRestorations/index.js';
 import { createRecord } from '../createRecord/index.js';
+import { drawOddEntries } from '../drawOddEntries/index.js';
+import { serveOddAddress, type OddAddress } from '../serveOddAddress/index.js';
 import { createSoakEndpoint, type SoakEndpoint } from '../createSoakEndpoint/index.js';
 import { drawSchedule, type FaultKind, type ScheduledFault } from '../drawSchedule/index.js';
 import { createFaultInjector, type FaultInjector } from '../createFaultInjector/index.js';
@@ -87,6 +89,7 @@
 
 interface Site {
   readonly store: SiteStore;
+  readonly oddAddress: OddAddress;
   readonly endpoints: readonly SoakEndpoint[];
   readonly nodes: readonly SoakNode[];
   readonly record: SoakRecord;
@@ -105,6 +108,8 @@
   const now = (): number => performance.now() - startedAt;
   const store = await serveSiteStore(0);
   lifeCycle.own({ name: 'store', close: store.close });
+  const oddAddress = await serveOddAddress(record, now);
+  lifeCycle.own({ name: 'odd-address', close: oddAddress.close });
   const endpoints: SoakEndpoint[] = [];
   const writers: SoakEndpoint[] = [];
   const schedule: Site['schedule'] = {};
@@ -154,7 +159,18 @@
   });
   for (const node of nodes) lifeCycle.own({ name: node.name, close: node.close });
   await Promise.all(nodes.map((node) => node.start()));
-  return { store, endpoints, writers, nodes, record, now, createEndpoint, operator, schedule };
+  return {
+    store,
+    oddAddress,
+    endpoints,
+    writers,
+    nodes,
+    record,
+    now,
+    createEndpoint,
+    operator,
+    schedule,
+  };
 }
 
 function startCallers(site: Site, seed: number): Callers {
@@ -176,10 +192,12 @@
 /** Draws the faults of a run in the order of their starts. */
 function drawFaults(options: RunSoakOptions, nodes: number, endpoints: number): ScheduledFault[] {
   const { seed, milliseconds, restoresStore = false } = options;
-  const faults = drawSchedule({ seed, milliseconds, nodes, endpoints });
-  if (!restoresStore) return faults;
-  const restorations = drawRestorations({ seed, milliseconds, endpoints });
-  return [...faults, ...restorations].sort((left, right) => left.at - right.at);
+  const restorations = restoresStore ? drawRestorations({ seed, milliseconds, endpoints }) : [];
+  return [
+    ...drawSchedule({ seed, milliseconds, nodes, endpoints }),
+    ...drawOddEntries({ seed, milliseconds, endpoints }),
+    ...restorations,
+  ].sort((left, right) => left.at - right.at);
 }
 
 /** Records the nodes' processes at an interval; returns a function that stops it. */
@@ -199,6 +217,7 @@
     nodes,
     endpoints,
     store,
+    oddAddress: site.oddAddress.address,
     record,
     now,
     operator,
@@ -248,6 +267,7 @@
       })),
       callers,
       record,
+      now,
     });
     const stopRegistrationWatch = watchRegistrations({ nodes, store, record, now });
     const faults = await runSchedule(site, schedule, seed);
--- a/soak/serveDefectiveNode/index.ts
+++ b/soak/serveDefectiveNode/index.ts
@@ -8,7 +8,7 @@
   type DefectiveFollower,
   type FollowerDefect,
 } from '../createDefectiveFollower/index.js';
-import { findVersionPath } from '../createConfiguration/index.js';
+import { findVersionPath, MODEL_SERVICE, PLAIN_SERVICE } from '../createConfiguration/index.js';
 import type { SoakEndpoint } from '../createSoakEndpoint/index.js';
 import { listenOnLoopback } from '../../standins/listenOnLoopback/index.js';
 
@@ -73,12 +73,8 @@
   return !path.startsWith(findVersionPath(follower.getVersion()));
 }
 
-function send(
-  endpoint: SoakEndpoint,
-  incoming: IncomingMessage,
-  path: string,
-): Promise<EndpointResponse> {
-  const [host, port] = endpoint.link.address.split(':');
+function send(address: string, incoming: IncomingMessage, path: string): Promise<EndpointResponse> {
+  const [host, port] = address.split(':');
   return new Promise((resolve) => {
     const outgoing = request(
       {
@@ -89,7 +85,7 @@
         agent: false,
         headers: {
           'Attempt-Id': incoming.headers['attempt-id'],
-          'Hop-Count': path.replace('ENDPOINT', endpoint.link.address),
+          'Hop-Count': path.replace('ENDPOINT', address),
           'Prompt-Prefix': incoming.headers['prompt-prefix'] ?? '',
         },
       },
@@ -129,12 +125,19 @@
   const follower = followed && createDefectiveFollower(followed.address, followed.defect);
   const backoffUntil = new Map<SoakEndpoint, number>();
   const leaving = new Set<SoakEndpoint>();
+  let picks = 0;
   const path = defect === 'omitsLayers' ? 'ENDPOINT=0-3' : 'ENDPOINT=0-4';
 
   const isAvoided = (endpoint: SoakEndpoint): boolean =>
     follower?.isAvailable(endpoint.id) === false ||
     (defect !== 'ignoresBackoff' && (backoffUntil.get(endpoint) ?? 0) > now()) ||
     (defect !== 'ignoresLeaving' && leaving.has(endpoint));
+  /** Picks among the endpoint and the odd entries of its service, in turn. */
+  const pickAddress = (endpoint: SoakEndpoint, service: string): string => {
+    const addresses = [endpoint.link.address, ...(follower?.listOddAddresses(service) ?? [])];
+    picks += 1;
+    return addresses[picks % addresses.length] ?? endpoint.link.address;
+  };
   const recordResponse = (endpoint: SoakEndpoint, { status, headers }: EndpointResponse): void => {
     const backoffMilliseconds = Number(headers['retry-after'] ?? 0) * 1_000;
     if (status === 503) backoffUntil.set(endpoint, now() + backoffMilliseconds);
@@ -156,8 +159,9 @@
       return;
     }
     const responses: EndpointResponse[] = [];
+    const address = pickAddress(endpoint, isStream ? MODEL_SERVICE : PLAIN_SERVICE);
     for (let sent = 0; sent < countSends(incoming.method); sent += 1) {
-      responses.push(await send(endpoint, incoming, isStream ? path : ''));
+      responses.push(await send(address, incoming, isStream ? path : ''));
     }
     const [endpointResponse] = responses;
     if (!endpointResponse || defect === 'neverResponds') return;
--- a/soak/serveDefectiveNode/test.ts
+++ b/soak/serveDefectiveNode/test.ts
@@ -6,7 +6,7 @@
 import { test } from 'node:test';
 import { sleep } from '../../bench/sleep/index.js';
 import { createRandom } from '../../src/process/createRandom/index.js';
-import { serveSiteStore } from '../../standins/serveSiteStore/index.js';
+import { serveSiteStore, type SiteStore } from '../../standins/serveSiteStore/index.js';
 import {
   ACCELERATOR_KIND,
   MODEL_SERVICE,
@@ -15,14 +15,21 @@
   SOAK_API_KEY,
 } from '../createConfiguration/index.js';
 import { createRecord } from '../createRecord/index.js';
-import { createSoakEndpoint, type EndpointMode } from '../createSoakEndpoint/index.js';
+import {
+  createSoakEndpoint,
+  type EndpointMode,
+  type SoakEndpoint,
+} from '../createSoakEndpoint/index.js';
 import { findViolations } from '../findViolations/index.js';
 import { createCallers } from '../createCallers/index.js';
 import { SOAK_BOUNDS } from '../runSoak/index.js';
 import type { FollowerDefect } from '../createDefectiveFollower/index.js';
-import { createOperator } from '../createOperator/index.js';
+import { createOperator, type Operator } from '../createOperator/index.js';
 import { restoreStore } from '../restoreStore/index.js';
+import { serveOddAddress } from '../serveOddAddress/index.js';
+import type { SoakRecord } from '../types/index.js';
 import { watchVersions } from '../watchVersions/index.js';
+import { writeOddEntries } from '../writeOddEntries/index.js';
 import { serveDefectiveNode, type Defect } from './index.js';
 
 const ATTEMPT_MILLISECONDS = 1_500;
@@ -50,6 +57,11 @@
 /** Changes that the restoration loses; more than the writers write again. */
 const LOST_CHANGES = 8;
 const PROBE_MILLISECONDS = 500;
+/** Choices that take each short odd entry about once, and time for which these stand. */
+const ODD_CHOICES = Array.from({ length: 120 }, (_, index) => index / 120);
+const ODD_MILLISECONDS = 1_500;
+/** Choice of a configuration that only lacks sound limits. */
+const ODD_CONFIGURATION_CHOICE = 7.5 / 17;
 /** Time for which an endpoint is down after a crash. */
 const CRASHED_MILLISECONDS = 60;
 
@@ -62,11 +74,23 @@
   readonly crashingShare?: number;
 }
 
+/** Components of a run with a node that follows a store. */
+interface FollowedSite {
+  readonly store: SiteStore;
+  readonly record: SoakRecord;
+  readonly now: () => number;
+  readonly operator: Operator;
+  readonly model: SoakEndpoint;
+  readonly writers: readonly SoakEndpoint[];
+}
+
 /**
- * Runs callers against a node that follows a store, which is restored from a copy: from before its last configurations
- * and before an endpoint announced its shutdown. Returns the promises that the checks report as broken.
+ * Runs callers against a node that follows a store, and returns the promises that the checks report as broken.
  */
-async function findBrokenAfterRestoration(followerDefect: FollowerDefect): Promise<string[]> {
+async function findBrokenByFollower(
+  followerDefect: FollowerDefect,
+  disturb: (site: FollowedSite) => Promise<void>,
+): Promise<string[]> {
   const record = createRecord();
   const now = (): number => performance.now();
   const store = await serveSiteStore(0);
@@ -106,7 +130,20 @@
   });
   callers.start();
   const nodes = [{ ...target, getStartNumber: () => 1 }];
-  const stopVersionWatch = watchVersions({ nodes, callers, record });
+  const stopVersionWatch = watchVersions({ nodes, callers, record, now });
+  await disturb({ store, record, now, operator, model, writers });
+  await sleep(RESTORATION_BOUNDS.applyMilliseconds + 3 * PROBE_MILLISECONDS);
+  await Promise.all([callers.stop(), stopVersionWatch()]);
+  await node.close();
+  await Promise.all([plain.close(), model.close(), store.close()]);
+  return [...new Set(findViolations(record, RESTORATION_BOUNDS).map(({ promise }) => promise))];
+}
+
+/**
+ * Restores the store from a copy: from before its last configurations and before an endpoint announced its shutdown.
+ */
+async function disturbByRestoration(site: FollowedSite): Promise<void> {
+  const { store, record, now, operator, model, writers } = site;
   await sleep(COPY_AGE_MILLISECONDS);
   const copiedAt = now();
   for (let change = 0; change < LOST_CHANGES; change += 1) operator.changeConfiguration();
@@ -125,11 +162,36 @@
     ageMilliseconds: now() - copiedAt + COPY_AGE_MILLISECONDS / 2,
   });
   operator.changeConfiguration();
-  await sleep(RESTORATION_BOUNDS.applyMilliseconds + 3 * PROBE_MILLISECONDS);
-  await Promise.all([callers.stop(), stopVersionWatch()]);
-  await node.close();
-  await Promise.all([plain.close(), model.close(), store.close()]);
-  return [...new Set(findViolations(record, RESTORATION_BOUNDS).map(({ promise }) => promise))];
+}
+
+/** Writes odd entries; while they stand, the configuration changes, and an endpoint announces its shutdown. */
+async function disturbByOddEntries(site: FollowedSite): Promise<void> {
+  const { store, record, now, operator, model } = site;
+  const oddAddress = await serveOddAddress(record, now);
+  const writing = writeOddEntries({
+    store,
+    record,
+    now,
+    address: oddAddress.address,
+    name: '0',
+    choices: ODD_CHOICES,
+    milliseconds: ODD_MILLISECONDS,
+  });
+  await sleep(ODD_MILLISECONDS / 2);
+  operator.changeConfiguration();
+  model.setMode('draining');
+  model.register();
+  model.recordDeparture();
+  await writing;
+  await oddAddress.close();
+}
+
+/** Writes an odd configuration of a high version, and then the next good one. */
+async function disturbByOddConfiguration({ operator }: FollowedSite): Promise<void> {
+  await sleep(PROBE_MILLISECONDS);
+  operator.writeOddConfiguration(ODD_CONFIGURATION_CHOICE);
+  await sleep(2 * PROBE_MILLISECONDS);
+  operator.changeConfiguration();
 }
 
 /** Runs callers against a defective node and returns the promises that the checks report as broken. */
@@ -243,12 +305,43 @@
 
 for (const [defect, promise] of FOLLOWER_DEFECTS) {
   test(`detects a node that ${defect} when the store was restored from an older copy`, async () => {
-    assert.deepEqual(await findBrokenAfterRestoration(defect), [promise]);
+    assert.deepEqual(await findBrokenByFollower(defect, disturbByRestoration), [promise]);
   });
 }
 
 test('reports no violation for a node that follows a restored store without a defect', async () => {
-  assert.deepEqual(await findBrokenAfterRestoration('none'), []);
+  assert.deepEqual(await findBrokenByFollower('none', disturbByRestoration), []);
+});
+
+const ODD_ENTRY_DEFECTS: readonly (readonly [FollowerDefect, readonly string[]])[] = [
+  ['takesOddEntries', ['no request reaches the address of an odd entry']],
+  [
+    'stopsAtOddEntry',
+    [
+      'an endpoint that has left the registry gets nothing from a node that knows',
+      CONFIGURATION_PROMISE,
+    ],
+  ],
+];
+
+for (const [defect, promises] of ODD_ENTRY_DEFECTS) {
+  test(`detects a node that ${defect}`, async () => {
+    const broken = await findBrokenByFollower(defect, disturbByOddEntries);
+    for (const promise of promises) assert.ok(broken.includes(promise), broken.join(', '));
+  });
+}
+
+test('detects a node that takesOddConfigurations', async () => {
+  const broken = await findBrokenByFollower('takesOddConfigurations', disturbByOddConfiguration);
+  assert.deepEqual(broken, [CONFIGURATION_PROMISE]);
+});
+
+test('reports no violation for a node without a defect after an odd configuration', async () => {
+  assert.deepEqual(await findBrokenByFollower('none', disturbByOddConfiguration), []);
+});
+
+test('reports no violation for a node without a defect while odd entries stand', async () => {
+  assert.deepEqual(await findBrokenByFollower('none', disturbByOddEntries), []);
 });
 
 for (const mode of ['healthy', 'resting', 'leaving', 'full', 'breaksOff'] as const) {
--- a/soak/types/index.ts
+++ b/soak/types/index.ts
@@ -99,7 +99,10 @@
   readonly at: number;
 }
 
-/** Version that a node served, observed by a probe of the route that only this version has. */
+/**
+ * Version that a node served, observed by a probe of the route that only this version has; 0 for a node that has the
+ * route of no version.
+ */
 export interface VersionObservation {
   readonly node: string;
   /** Number of the node's start, counted from 1. */
@@ -155,6 +158,23 @@
   readonly code: number | null;
 }
 
+/** Exit of a node's process that nothing asked for. */
+export interface ProcessDeath {
+  readonly node: string;
+  readonly birth: number;
+  readonly at: number;
+  /** Exit code; null when a signal ended the process. */
+  readonly code: number | null;
+}
+
+/** Request at an address that only odd entries of the registry name. */
+export interface StrayRequest {
+  readonly request: string;
+  readonly method: string;
+  readonly url: string;
+  readonly at: number;
+}
+
 /** All observations of a run. */
 export interface SoakRecord {
   readonly attempts: CallerAttempt[];
@@ -169,6 +189,8 @@
   readonly registrations: RegistrationObservation[];
   readonly processes: ProcessObservation[];
   readonly ends: ProcessExit[];
+  readonly deaths: ProcessDeath[];
+  readonly strays: StrayRequest[];
   /** End of the recovery time after the last fault; undefined in a run without recovery time. */
   calmAt: number | undefined;
 }
