--- a/soak/createRecord/index.ts
+++ b/soak/createRecord/index.ts
@@ -25,6 +25,8 @@
     processes: [],
     ends: [],
     internalErrors: [],
+    deaths: [],
+    strays: [],
     calmAt: undefined,
   };
 }
