--- a/soak/types/index.ts
+++ b/soak/types/index.ts
@@ -196,8 +196,6 @@
   readonly processes: ProcessObservation[];
   readonly ends: ProcessExit[];
   readonly internalErrors: InternalError[];
-}
-
   readonly deaths: ProcessDeath[];
   readonly strays: StrayRequest[];
   /** End of the recovery time after the last fault; undefined in a run without recovery time. */
