Count, check and end each of two open runs of a stream

Of a second review, by tests of whole nodes on the code before (trials): - a run that was not needed was not counted, so that a stream that fell silent three times ran on four engines of a route that allows two; - two silent runs kept a third endpoint from being asked, so that the stream was cut at its deadline; - the crash of the first run's endpoint, where only its connection ended the response, ended the other run; - a check of the one run's end went on with that of the other, and cut a complete response; - a first event out of order ended both runs; - a refusal of the first run counted as a failure, and its crash was not recorded.

--- a/src/process/relay/createRunCounter/index.ts
+++ b/src/process/relay/createRunCounter/index.ts
@@ -27,8 +27,8 @@
   readonly isLastRun: () => boolean;
   /** Returns whether the route allows another run if the current one fails. */
   readonly mayRunAgain: () => boolean;
-  /** Returns whether the route allows another run to take over from the current one, which has not failed. */
-  readonly mayReplaceRun: () => boolean;
+  /** Returns whether the route allows another run to take over, where a number of runs are open. */
+  readonly mayReplaceRun: (openRuns: number) => boolean;
   /** Returns whether another run may follow the refused ones. */
   readonly mayRetryRefused: () => boolean;
   /** Returns the numbers of runs; `isRunning` adds the current run. */
@@ -70,7 +70,7 @@
     isRepeat: () => failed + refused > 0,
     isLastRun: () => failed + 1 >= route.maximumAttempts,
     mayRunAgain: () => route.isResumable && failed < Math.max(MINIMUM_RUNS, route.maximumAttempts),
-    mayReplaceRun: () => route.isResumable && failed + 1 < route.maximumAttempts,
+    mayReplaceRun: (openRuns) => route.isResumable && failed + openRuns < route.maximumAttempts,
     mayRetryRefused: () => refused <= MAXIMUM_REFUSED_RUNS,
     count: (isRunning) => ({ sends: failed + (isRunning ? 1 : 0), refused }),
   };
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -8,7 +8,7 @@
 import { estimateTokens, type TokenEstimate } from '../../../request/estimateTokens/index.js';
 import type { ChosenPath } from '../../../request/choosePath/index.js';
 import { findBackoffEnd } from '../../../request/findBackoffEnd/index.js';
-import type { EndpointCall } from '../../../types/relay/index.js';
+import type { EndpointCall, ResponseEnd } from '../../../types/relay/index.js';
 import type { PathHop } from '../../../types/site/index.js';
 import type { CrashCheck } from '../createCrashRecorder/index.js';
 import type { BlockedRun } from '../createRunGate/index.js';
@@ -62,6 +62,7 @@
   let release: (() => void) | undefined;
   /** Run that another one is to take over, and that stays open until that delivers an event. */
   let standby: OpenRun | undefined;
+  let checks = 0;
   /** Whether this node gave up the last run, while its endpoint had not ended it. */
   let isAbandoned = false;
   const counter = createRunCounter(route);
@@ -112,7 +113,7 @@
     isEstablished: () => run.isEstablished(),
     hasBegun: response.hasBegun,
     isSilent: watch.isSilent,
-    mayReplace: () => counter.mayReplaceRun() && deadlineAt > clock.now() && gate.mayRun(),
+    mayReplace: () => mayReplace(1),
     computeSize,
     checkSuspect,
     onMove: (newPath) => {
@@ -125,8 +126,12 @@
     return path?.hops ?? [];
   }
 
-  function isChecking(): boolean {
-    return state === 'checking';
+  /** Begins to look into the end of a run; returns whether nothing else has happened since. */
+  function beginCheck(): () => boolean {
+    state = 'checking';
+    checks += 1;
+    const own = checks;
+    return () => state === 'checking' && checks === own;
   }
 
   function hasEnded(): boolean {
@@ -150,12 +155,19 @@
   /** Goes on with the run that was to be replaced; returns false when there is none. */
   function restoreStandby(reason: string): boolean {
     if (!standby) return false;
+    // The other run may have begun, so that it counts as one that the route allows.
+    if (call) recordBrokenRun('not needed', path);
     endRun();
     ({ call, path, release, record: run } = standby);
     standby = undefined;
     state = 'running';
+    checks += 1;
+    isAbandoned = false;
     log.add('run-kept', { reason, path: formatHops(listHops()) });
-    watch.reset();
+    if (!response.isFull()) {
+      call.resume();
+      watch.reset();
+    }
     lostEndpoints.recheckLater();
     return true;
   }
@@ -171,6 +183,30 @@
   function giveUpStandby(reason: string): void {
     recordBrokenRun(reason, standby?.path);
     endStandby();
+    lostEndpoints.recheckLater();
+  }
+
+  /** Ends the run that was to be replaced, after its endpoint refused it or was not reached. */
+  function endRefusedStandby(reason: string): void {
+    isAbandoned = false;
+    counter.recordRefused();
+    log.add('run-refused', { reason, path: formatHops(standby?.path.hops ?? []) });
+    endStandby();
+  }
+
+  /** Goes on after the run that was to be replaced has ended its response. */
+  async function completeStandby(kept: OpenRun, end: ResponseEnd): Promise<void> {
+    const hasCrashed =
+      end === 'connection' && (await kept.record.recordBroken('connection ended', 'report'));
+    if (standby === kept && hasCrashed) {
+      isAbandoned = false;
+      giveUpStandby('connection ended');
+      return;
+    }
+    if (standby === kept) restoreStandby('complete');
+    if (call !== kept.call) return;
+    if (hasCrashed) recover('connection ended');
+    else endComplete();
   }
 
   function finish(): void {
@@ -254,33 +290,47 @@
       onEvent: (event, headers) => {
         if (standby?.call === opened) restoreStandby('events');
         if (call !== opened) return false;
-        if (standby) giveUpStandby('replaced');
         if (!response.isFull()) watch.reset();
         run.recordEvent();
-        isAbandoned = false;
         counter.recordMayHaveRun();
-        if (response.forwardEvent(event, headers) !== 'broken') return true;
+        const result = response.forwardEvent(event, headers);
+        if (result === 'pass' && standby) giveUpStandby('replaced');
+        isAbandoned = false;
+        if (result !== 'broken') return true;
         recover('events out of order');
         return false;
       },
       onNonStreamResponse: (received) => {
-        if (standby?.call === opened) giveUpStandby(`status ${received.head.status}`);
-        else handleNonStreamResponse(received);
+        const { status, metadata } = received.head;
+        if (standby?.call !== opened) {
+          handleNonStreamResponse(received);
+          return;
+        }
+        if (!metadata.isNotExecuted) {
+          giveUpStandby(`status ${status}`);
+          return;
+        }
+        paths.recordRefusal(standby.path.hops, status, metadata.failedAddress);
+        endRefusedStandby(`status ${status}`);
       },
       onComplete: (end) => {
-        if (standby?.call === opened) restoreStandby('complete');
-        if (end === 'framing') endComplete();
+        if (standby?.call === opened) void completeStandby(standby, end);
+        else if (end === 'framing') endComplete();
         else void endWithConnection();
       },
       onFailed: (reason) => {
         isAbandoned = false;
         paths.recordFailedRun(first, reason);
-        if (standby?.call === opened) giveUpStandby(reason);
-        else void recoverBroken(reason, 'report');
+        if (standby?.call !== opened) {
+          void recoverBroken(reason, 'report');
+          return;
+        }
+        void standby.record.recordBroken(reason, 'report');
+        giveUpStandby(reason);
       },
       onNotSent: (reason) => {
         paths.recordNotSent(first, reason);
-        if (standby?.call === opened) giveUpStandby(reason);
+        if (standby?.call === opened) endRefusedStandby(reason);
         else retryRefused(reason);
       },
     });
@@ -289,11 +339,11 @@
 
   /** Ends a response that only its connection ended, unless the crash of the endpoint did that. */
   async function endWithConnection(): Promise<void> {
-    state = 'checking';
+    const isUnchanged = beginCheck();
     endRun();
     counter.recordMayHaveRun();
     const hasCrashed = await run.recordBroken('connection ended', 'report');
-    if (!isChecking()) return;
+    if (!isUnchanged()) return;
     if (hasCrashed) recover('connection ended');
     else endComplete();
   }
@@ -342,13 +392,33 @@
   /** Replaces an idle run; returns false, and the run continues, when nothing can replace it. */
   function replaceIdleRun(): boolean {
     const [first] = listHops();
-    if (state !== 'running' || standby) return false;
+    if (state !== 'running') return false;
+    if (standby) return replaceIdleStandby(standby);
     const newPath = first && lostEndpoints.selectReplacement(first.endpoint);
     if (!newPath) return false;
     abandonRun(newPath, 'silence');
     return true;
   }
 
+  /** Starts a third run where two are silent and the route allows another one. */
+  function replaceIdleStandby({ path: keptPath }: OpenRun): boolean {
+    const firstHops = [keptPath, path].flatMap((open) => open?.hops.slice(0, 1) ?? []);
+    const excluded = firstHops.map(({ endpoint }) => endpoint);
+    if (!mayReplace(2)) return false;
+    const newPath = paths.selectWithoutEndpoints(excluded, computeSize());
+    if (!newPath) return false;
+    giveUpStandby('silence');
+    abandonRun(newPath, 'silence');
+    return true;
+  }
+
+  /** Returns whether another run may take over, where a number of runs are open. */
+  function mayReplace(openRuns: number): boolean {
+    const now = clock.now();
+    const hasTime = deadlineAt > now && budget.countLeft(service.name, now) >= 1;
+    return hasTime && counter.mayReplaceRun(openRuns) && gate.mayRun();
+  }
+
   /** Finds out whether a run whose endpoint seems lost may be followed by another one. */
   async function checkSuspect(): Promise<boolean> {
     const suspectCall = call;
@@ -361,19 +431,18 @@
   /** Finds out whether a run without an answer crashed its endpoint before another one is started. */
   async function recoverBroken(reason: string, check: CrashCheck): Promise<void> {
     const isKnown = run.recordBroken(reason, check);
-    if (!run.isEstablished()) {
-      state = 'checking';
-      endRun();
-      counter.recordMayHaveRun();
-      await isKnown;
-      if (!isChecking()) return;
-      if (!gate.mayRepeatAfterCrash()) {
-        counter.recordFailed();
-        failRun(reason);
-        return;
-      }
+    if (run.isEstablished()) {
+      recover(reason);
+      return;
     }
-    recover(reason);
+    const isUnchanged = beginCheck();
+    const isRepeatable = mayRunAgain();
+    endRun();
+    recordBrokenRun(reason, path);
+    await isKnown;
+    if (!isUnchanged()) return;
+    if (gate.mayRepeatAfterCrash()) repeatRun(reason, isRepeatable);
+    else failRun(reason);
   }
 
   /**
@@ -401,10 +470,15 @@
   function recover(reason: string, chosen?: ChosenPath): void {
     if (state === 'done') return;
     endRun();
-    const isReplaceable = mayRunAgain();
+    const isRepeatable = mayRunAgain();
     recordBrokenRun(reason, path);
+    repeatRun(reason, isRepeatable, chosen);
+  }
+
+  /** Goes on after a failed run: with the run that was to be replaced, or with another one. */
+  function repeatRun(reason: string, isRepeatable: boolean, chosen?: ChosenPath): void {
     if (restoreStandby(reason)) return;
-    if (isReplaceable) startRun(chosen);
+    if (isRepeatable) startRun(chosen);
     else fail(reason);
   }
 
--- a/src/process/relay/watchLostEndpoints/index.ts
+++ b/src/process/relay/watchLostEndpoints/index.ts
@@ -110,6 +110,10 @@
     const path = getPath();
     const mayRepeat = await checkSuspect();
     if (!isRunning() || getPath() !== path) return;
+    if (!isSilent()) {
+      recheckLater();
+      return;
+    }
     if (mayRepeat) replaceEndpoint(lost, 'endpoint lost');
     else logKept('endpoint lost');
   };
