--- a/tests/lateReports.test.ts
+++ b/tests/lateReports.test.ts
@@ -9,6 +9,7 @@
   serveSiteEndpoint,
   writeEvents,
   type EndpointHandler,
+  type ReceivedRequest,
   type SiteEndpoint,
 } from '../standins/serveSiteEndpoint/index.js';
 import type { SiteStore } from '../standins/serveSiteStore/index.js';
@@ -32,6 +33,14 @@
 
 const LATE_REPORT_MILLISECONDS = 600;
 const PAUSE_MILLISECONDS = 900;
+/** Pause in a stream, in which a node asks for the report and marks the endpoint as lost. */
+const MOVE_PAUSE_MILLISECONDS = 700;
+const FIRST_EVENTS = 2;
+/** Engine whose accelerators have memory for half of the layers, so that a path needs two engines. */
+const SMALL_ENGINE = {
+  ...ENGINE,
+  types: [{ name: 'large', size_mb: 250, pace: 1, read_factor: 1 }],
+};
 
 let store: SiteStore;
 let node: TestNode;
@@ -55,8 +64,9 @@
   models: readonly EndpointHandler[],
   plains: readonly EndpointHandler[] = [respondCompletely, respondCompletely, respondCompletely],
   moreRoutes: readonly object[] = [],
+  engine: object = ENGINE,
 ): Promise<SiteEndpoint[]> {
-  const services = [{ name: PLAIN_SERVICE }, { name: MODEL_SERVICE, engine: ENGINE }];
+  const services = [{ name: PLAIN_SERVICE }, { name: MODEL_SERVICE, engine }];
   const usual = createPlatformConfiguration(1) as { routes: object[] };
   const routes = [...moreRoutes, ...usual.routes];
   store.put('op/config', createPlatformConfiguration(1, { services, routes }));
@@ -93,6 +103,24 @@
     .join('\n');
 }
 
+/** Writes two events, calls back, and writes the rest after a pause. */
+function streamWithPause(onPause: (request: ReceivedRequest, endpoint: SiteEndpoint) => void) {
+  const handle: EndpointHandler = (request, response, endpoint) => {
+    writeEvents(request, response, FIRST_EVENTS);
+    onPause(request, endpoint);
+    setTimeout(() => {
+      for (let id = FIRST_EVENTS + 1; id <= STREAM_EVENT_COUNT; id += 1)
+        response.write(`id: ${id}\ndata: t${id}\n\n`);
+      response.end();
+    }, MOVE_PAUSE_MILLISECONDS);
+  };
+  return handle;
+}
+
+function hasLogged(text: string): boolean {
+  return node.logs.some((line) => line.includes(text));
+}
+
 beforeEach(async () => {
   store = await startStore();
   node = await startNode('node-1', store);
@@ -208,3 +236,28 @@
   const response = await asked;
   assert.equal(response.body, COMPLETE_STREAM);
 });
+
+test('a stream whose only endpoint reports late is not cut', async () => {
+  const pauseLate = streamWithPause((_, endpoint) => {
+    endpoint.reportDelayMilliseconds = LATE_REPORT_MILLISECONDS;
+  });
+  await startEndpoints([pauseLate]);
+  const response = await ask();
+  assert.ok(hasLogged('endpoint-lost'), 'the node took the endpoint for lost');
+  assert.equal(response.body, COMPLETE_STREAM);
+  assert.ok(response.isComplete);
+  assert.equal(endpoints[0]?.received.length, 1, 'the stream was not restarted');
+});
+
+test('a stream is not cut when its first endpoint refuses to move it and no other path exists', async () => {
+  const pauseStalled = streamWithPause((request, endpoint) => {
+    const [, second = ''] = String(request.headers['hop-count']).split(',');
+    endpoint.refusesMoves = true;
+    endpoint.stalledAddresses = [second.split('=')[0] ?? ''];
+  });
+  await startEndpoints([pauseStalled, pauseStalled], undefined, [], SMALL_ENGINE);
+  const response = await ask();
+  assert.ok(hasLogged('endpoint-lost'), 'the node took the second endpoint for lost');
+  assert.equal(response.body, COMPLETE_STREAM);
+  assert.ok(response.isComplete);
+});
