Log the rate limits that endpoints announce

Cause: nothing reads the header in which an engine in need names the requests per second that it accepts from all nodes together, so that logs cannot tell a limit that nobody knew from one that was known and passed.

Change: the limit is read from responses and reports, kept with the endpoint and logged when it changes (endpoint-limits, endpoint-limit-ended). No decision uses it.

--- a/src/process/relay/createEndpointProber/index.ts
+++ b/src/process/relay/createEndpointProber/index.ts
@@ -6,6 +6,7 @@
 import type { EndpointControl } from '../../../types/relay/index.js';
 import type { EndpointReport } from '../../../types/site/index.js';
 import type { SiteLogger } from '../../site/createSiteLogger/index.js';
+import { recordRateLimit } from '../recordRateLimit/index.js';
 import { recordLeaving } from '../recordResponse/index.js';
 
 /** Options of {@link createEndpointProber}. */
@@ -97,6 +98,8 @@
     if (report.startedAt !== 0 && report.startedAt < record.startedAt) return;
     if (report.startedAt > record.startedAt) endpoints.recordRestart(endpoint, report.startedAt);
     if (report.isLeaving) recordLeaving({ endpoints, logger, now: now() }, endpoint, 'itself');
+    const { requestsPerSecond } = report;
+    recordRateLimit(endpoint, { logger, requestsPerSecond, source: 'report' });
     endpoint.acceptedOrders = report.acceptedOrders;
     endpoint.layers = report.layers;
     endpoint.layersReportedAt = now();
--- a/src/process/relay/recordResponse/index.ts
+++ b/src/process/relay/recordResponse/index.ts
@@ -4,6 +4,7 @@
 import type { Endpoint, EndpointTable } from '../../../connection/createEndpointTable/index.js';
 import type { ResponseMetadata, BackoffRequest } from '../../../types/relay/index.js';
 import type { SiteLogger } from '../../site/createSiteLogger/index.js';
+import { recordRateLimit } from '../recordRateLimit/index.js';
 import type { RelayContext } from '../types/index.js';
 
 /** Options of {@link recordLeaving}. */
@@ -72,7 +73,7 @@
 }
 
 /**
- * Records the load of an endpoint, whether it is leaving, and the backoff that it requests.
+ * Records the load of an endpoint, its rate limit, whether it is leaving, and the backoff that it requests.
  *
  * @param context - dependencies of the process
  * @param endpoint - the endpoint that responded
@@ -84,14 +85,17 @@
 export function recordResponse(
   context: RecordingContext,
   endpoint: Endpoint,
-  { runningRequests, waitingRequests = 0, isLeaving, backoff, failedAddress }: ResponseMetadata,
+  metadata: ResponseMetadata,
 ): void {
   const { endpoints, clock, logger } = context;
+  const { runningRequests, waitingRequests = 0, isLeaving, backoff, failedAddress } = metadata;
+  const { requestsPerSecond } = metadata;
   if (runningRequests !== undefined) {
     endpoint.running = runningRequests;
     endpoint.waiting = waitingRequests;
     endpoint.loadReadAt = clock.now();
   }
+  recordRateLimit(endpoint, { logger, requestsPerSecond, source: 'response' });
   if (isLeaving) recordLeaving({ endpoints, logger, now: clock.now() }, endpoint, 'itself');
   if (!backoff) return;
   recordBackoff(context, endpoint, backoff);
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -25,6 +25,9 @@
 const source = z
   .enum(['store', 'restored', 'peer'])
   .describe('where the information came from; restored: an older copy of the store');
+const announcedIn = z
+  .enum(['response', 'report'])
+  .describe('the response to a request, or the report');
 const reason = text('cause');
 const milliseconds = number('milliseconds since the request arrived');
 const path = text('endpoints of the path, each with its layers');
@@ -204,6 +207,15 @@
     endpoint,
     milliseconds: number('length of the pause in milliseconds'),
   }),
+  'endpoint-limits': define('info', 'An endpoint announced a rate limit for all nodes together.', {
+    endpoint,
+    requestsPerSecond: number('requests per second'),
+    source: announcedIn,
+  }),
+  'endpoint-limit-ended': define('info', 'An endpoint no longer announces a rate limit.', {
+    endpoint,
+    source: announcedIn,
+  }),
   'endpoint-rest-unreadable': define(
     'warn',
     'An endpoint requested no traffic, but the duration cannot be parsed.',
--- a/src/types/relay/index.ts
+++ b/src/types/relay/index.ts
@@ -57,6 +57,8 @@
   readonly isLeaving: boolean;
   /** Time in which this node must send the endpoint no requests; undefined when none is requested. */
   readonly backoff?: BackoffRequest | undefined;
+  /** Requests per second that the endpoint accepts from all nodes together; undefined without a limit. */
+  readonly requestsPerSecond?: number | undefined;
 }
 
 /** Backoff that an endpoint requests: a time in milliseconds, or a text that is not a valid time. */
--- a/src/types/site/index.ts
+++ b/src/types/site/index.ts
@@ -136,6 +136,8 @@
   readonly stalledAddresses: readonly string[];
   /** Whether the endpoint reports that it is leaving. */
   readonly isLeaving: boolean;
+  /** Requests per second that the endpoint accepts from all nodes together; undefined without a limit. */
+  readonly requestsPerSecond?: number | undefined;
 }
 
 /** Hop of a request's path through endpoints that each host a part of the layers. */
