--- a/standins/serveSiteEndpoint/index.ts
+++ b/standins/serveSiteEndpoint/index.ts
@@ -51,6 +51,8 @@
   ignoresOrders: boolean;
   /** Whether its reports state that it is leaving. */
   isLeaving: boolean;
+  /** Rate limit that all its responses announce, in requests per second; undefined when they announce none. */
+  requestsPerSecond: number | undefined;
   /** Time before it responds with its report, in milliseconds. */
   reportDelayMilliseconds: number;
   /** Closes every connection and stops listening, as a crash does. */
@@ -148,6 +150,8 @@
     endpoint.handle(request, response, endpoint);
   };
   const server = createServer((incoming, response) => {
+    if (endpoint.requestsPerSecond !== undefined)
+      response.setHeader('Server-Limit', String(endpoint.requestsPerSecond));
     if (endpoint.handleBeforeBody && incoming.url !== '/report') {
       const { method = '', url = '', headers } = incoming;
       const request: ReceivedRequest = { method, url, headers, body: '', wasAborted: false };
@@ -179,6 +183,7 @@
     slowdown: 1,
     ignoresOrders: false,
     isLeaving: false,
+    requestsPerSecond: undefined,
     reportDelayMilliseconds: 0,
     crash: () =>
       new Promise((resolve) => {
