--- a/src/process/site/createPeerExchange/index.ts
+++ b/src/process/site/createPeerExchange/index.ts
@@ -15,7 +15,6 @@
   peerReplySchema,
   peerRequestSchema,
   type EndpointLoadUpdate,
-  type LayerUpdate,
   type LocalState,
   type PeerReply,
   type PeerUpdate,
@@ -26,7 +25,9 @@
 import type { SiteState } from '../createSiteState/index.js';
 import type { StoreFollower } from '../createStoreFollower/index.js';
 import type { Planner } from '../createPlanner/index.js';
-import { sumLoads, type NodeLoad } from '../sumLoads/index.js';
+import { createLayerRelay } from '../createLayerRelay/index.js';
+import { createLossReports } from '../createLossReports/index.js';
+import { createRemoteLoads } from '../createRemoteLoads/index.js';
 
 /** Port to other nodes. */
 export interface PeerPort {
@@ -92,23 +93,12 @@
 }
 
 const ROUND_MILLISECONDS = 300;
-/** How long a node relays layer updates that it received, in milliseconds. */
-const LAYER_RELAY_MILLISECONDS = 1_500;
 /** How long a node announces a removed, leaving or lost endpoint, in milliseconds. */
 const ANNOUNCE_MILLISECONDS = 3_000;
 /** Share of the messages that carry loads in a large availability zone. */
 const LARGE_ZONE_LOADS_SHARE = 0.34;
-/** How long a node's load report stays valid, in milliseconds. */
-const LOAD_EXPIRY_MILLISECONDS = 2_500;
 /** Maximum number of entries of each kind (loads, layers and so on) in one message. */
 const MAXIMUM_FACTS = 40;
-/** Nodes of a group that check a reported loss, in addition to those that use the endpoint. */
-const LOSS_CHECKERS = 4;
-/**
- * How long an endpoint that two nodes reported as lost is marked so without a check, in
- * milliseconds.
- */
-const LOST_MARK_MILLISECONDS = 1_500;
 /** Time without an update from any peer after which facts about parts may have been missed. */
 const MISSED_FACTS_MILLISECONDS = 1_000;
 /**
@@ -123,13 +113,7 @@
   const { self, state, prober, logger, now, random, getFollower, getPlanner } = options;
   const { peerPort, onDeregistered, onChanges, getParts } = options;
   const { endpoints } = state;
-  const loadsByNode = new Map<string, { at: number; loads: NodeLoad['loads'] }>();
   const deregisteredAt = new Map<string, number>();
-  /** First node that reported the loss of an endpoint, and when. */
-  const reporters = new Map<string, { readonly reporter: string; readonly at: number }>();
-  const relayedLayers = new Map<string, { at: number; update: LayerUpdate }>();
-  let loadReceivedAt = now();
-  let nodesWithoutLoad = 0;
   /**
    * Store revision of the registry as peers reported it while this node could not reach the store.
    */
@@ -139,12 +123,6 @@
   let needsParts = true;
   let updateReceivedAt = now();
 
-  const listRelayedLayers = (): LayerUpdate[] => {
-    for (const [id, { at }] of relayedLayers) {
-      if (now() - at > LAYER_RELAY_MILLISECONDS) relayedLayers.delete(id);
-    }
-    return [...relayedLayers.values()].map(({ update }) => update);
-  };
   const isAnnounced = (since = Number.NEGATIVE_INFINITY): boolean =>
     now() - since < ANNOUNCE_MILLISECONDS;
   const listDeregistered = (): string[] => {
@@ -179,7 +157,7 @@
       leaving: pickFacts(list.filter(({ leavingSince }) => isAnnounced(leavingSince))).map(
         ({ record }) => [record.id, record.startedAt] as const,
       ),
-      layers: pickFacts([...planner.listLayerUpdates(), ...listRelayedLayers()]),
+      layers: pickFacts([...planner.listLayerUpdates(), ...layerRelay.list()]),
       slowdowns: pickFacts(planner.listSlowdowns()),
     };
   };
@@ -192,20 +170,6 @@
       if (!present.has(id)) state.applyEndpoint(id, undefined, 'peer');
     }
   };
-  const applyLayers = (layers: PeerUpdate['layers']): void => {
-    for (const update of layers) {
-      const [id, startedAt, acceptedOrders, from, to] = update;
-      const endpoint = endpoints.find(id);
-      if (endpoint?.record.startedAt !== startedAt) continue;
-      const known = endpoint.acceptedOrders ?? 0;
-      if (known > acceptedOrders) continue;
-      // Relayed, because the planner itself reaches only a few nodes in a round.
-      if (known < acceptedOrders) relayedLayers.set(id, { at: now(), update });
-      endpoint.acceptedOrders = acceptedOrders;
-      endpoint.layersReportedAt = now();
-      endpoint.layers = to > from ? { from, to } : undefined;
-    }
-  };
   const applyLeaving = (leaving: PeerUpdate['leaving']): void => {
     for (const [id, startedAt] of leaving) {
       const endpoint = endpoints.find(id);
@@ -213,34 +177,12 @@
       recordLeaving({ endpoints, logger, now: now() }, endpoint, 'peer');
     }
   };
-  /**
-   * Handles a report that an endpoint is lost.
-   *
-   * The reporting node may itself be isolated from the network, so the report is checked by the nodes
-   * that use the endpoint and by a few others. A node announces only losses that it found itself.
-   */
-  const applyLoss = (id: string, reporter: string): void => {
-    const endpoint = endpoints.find(id);
-    if (!endpoint || endpoint.lostUntil > now()) return;
-    const first = reporters.get(id);
-    if (first && now() - first.at < ANNOUNCE_MILLISECONDS) {
-      if (first.reporter !== reporter) endpoints.markLost(endpoint, now(), LOST_MARK_MILLISECONDS);
-      return;
-    }
-    reporters.set(id, { reporter, at: now() });
-    const share = LOSS_CHECKERS / Math.max(1, peers.listGroup().length);
-    const isChecked = endpoint.localRequests > 0 || random() < share;
-    if (isChecked) void prober.probe(id, `reported by ${reporter}`);
-  };
   const applyUpdate = (update: PeerUpdate): void => {
-    if (update.loads) {
-      loadsByNode.set(update.from, { at: now(), loads: update.loads });
-      loadReceivedAt = now();
-    }
+    if (update.loads) remoteLoads.record(update.from, update.loads);
     for (const id of update.deregistered) onDeregistered(id);
     applyLeaving(update.leaving);
-    for (const id of update.lost) applyLoss(id, update.from);
-    applyLayers(update.layers);
+    for (const id of update.lost) lossReports.apply(id, update.from);
+    layerRelay.apply(update.layers);
     for (const [id, slowdown] of update.slowdowns) {
       const endpoint = endpoints.find(id);
       if (endpoint) endpoint.slowdown = slowdown;
@@ -254,6 +196,15 @@
       logger.log(event, { peer: node.name, incarnation: node.incarnation });
     },
   });
+  const layerRelay = createLayerRelay({ endpoints, now });
+  const remoteLoads = createRemoteLoads({ self, endpoints, listAlive: peers.listAlive, now });
+  const lossReports = createLossReports({
+    endpoints,
+    prober,
+    now,
+    random,
+    countGroup: () => peers.listGroup().length,
+  });
   const applyReply = (value: unknown): void => {
     const parsed = peerReplySchema.safeParse(value);
     if (!parsed.success) return;
@@ -332,31 +283,6 @@
     }
   };
 
-  const updateRemoteLoads = (): void => {
-    const alive = peers.listAlive().filter(({ name }) => name !== self.name);
-    const zones = new Map(alive.map(({ name, availabilityZone }) => [name, availabilityZone]));
-    const reported: NodeLoad[] = [];
-    for (const [name, { at, loads }] of loadsByNode) {
-      const availabilityZone = zones.get(name);
-      if (availabilityZone === undefined || now() - at > LOAD_EXPIRY_MILLISECONDS)
-        loadsByNode.delete(name);
-      else reported.push({ availabilityZone, loads });
-    }
-    const nodesByZone = new Map<string, number>();
-    for (const zone of zones.values()) nodesByZone.set(zone, (nodesByZone.get(zone) ?? 0) + 1);
-    const countNodes = (zone: string): number => nodesByZone.get(zone) ?? 0;
-    const hasZoneLoad = reported.some(
-      ({ availabilityZone }) => availabilityZone === self.availabilityZone,
-    );
-    nodesWithoutLoad = hasZoneLoad ? 0 : countNodes(self.availabilityZone);
-    const sums = sumLoads(reported, countNodes);
-    for (const endpoint of endpoints.list()) {
-      const sum = sums.get(endpoint.record.id);
-      endpoint.remoteRequests = sum?.requests ?? 0;
-      endpoint.remoteTokenLayers = sum?.tokenLayers ?? 0;
-    }
-  };
-
   const createReply = (request: PeerRequest): PeerReply => {
     peers.addNodes([request.node]);
     const revision = getRevision();
@@ -375,7 +301,7 @@
     peers,
     step: () => {
       peers.sweep();
-      updateRemoteLoads();
+      remoteLoads.apply();
       requests.dropOld();
       const targets = peers.pickTargets();
       const { updates } = encodeRound();
@@ -402,8 +328,8 @@
     recordDeregistration: (endpoint) => {
       deregisteredAt.set(endpoint, now());
     },
-    readLoadAge: () => now() - loadReceivedAt,
-    countNodesWithoutLoad: () => nodesWithoutLoad,
+    readLoadAge: remoteLoads.readAge,
+    countNodesWithoutLoad: remoteLoads.countNodesWithoutLoad,
     countUnreadable: () => unreadable,
   };
 }
