Let engines of the emulator and of the soak announce rate limits

Evidence that the checks see the fault: a defective twin each (ignore-limits, ignoresLimit) breaks them; nodes without one do not, also while all nodes are replaced by others that know nothing.

--- a/emulator/createEndpointPort/index.ts
+++ b/emulator/createEndpointPort/index.ts
@@ -11,6 +11,7 @@
 } from '../../src/types/relay/index.js';
 import type { EngineFleet } from '../createEngineFleet/index.js';
 import type { PlainFleet } from '../createPlainFleet/index.js';
+import type { VirtualLimits } from '../createVirtualLimits/index.js';
 import type { VirtualTime } from '../createVirtualTime/index.js';
 
 /** Attributes of an emulated request; the port looks them up by the attempt in its raw headers. */
@@ -26,6 +27,7 @@
   readonly time: VirtualTime;
   readonly engines: EngineFleet;
   readonly plain: PlainFleet;
+  readonly limits: Pick<VirtualLimits, 'find' | 'recordRequest'>;
   /** Returns the request that a caller sent with an attempt. */
   readonly findRequest: (attempt: string) => VirtualRequest;
   /** Returns false after the process of the port's node has ended. */
@@ -48,20 +50,12 @@
 const CONNECT_TIMEOUT_MILLISECONDS = 250;
 const REPORT_TIMEOUT_MILLISECONDS = 200;
 
-function createHead(
-  status: number,
-  attempt: string,
-  metadata: Partial<ResponseHead['metadata']>,
-): ResponseHead {
-  const defaults = {
-    attempt,
-    isFromEndpoint: true,
-    isNotExecuted: false,
-    isEncoded: false,
-    isLeaving: false,
-  };
-  return { status, metadata: { ...defaults, ...metadata }, headers: [] };
-}
+const DEFAULT_METADATA = {
+  isFromEndpoint: true,
+  isNotExecuted: false,
+  isEncoded: false,
+  isLeaving: false,
+} as const;
 
 /**
  * Creates the endpoint port of one node.
@@ -77,12 +71,26 @@
   /** Aborts all calls, as the end of the node's process does. */
   readonly closeAll: () => void;
 } {
-  const { time, engines, plain, findRequest, isAlive } = options;
+  const { time, engines, plain, limits, findRequest, isAlive } = options;
   const counts: PortCounts = { reports: 0, orders: 0, moves: 0 };
   const openCalls = new Set<() => void>();
   const computeDelay = (zone: string | undefined): number =>
     zone === options.availabilityZone ? LOCAL_ZONE_MILLISECONDS : options.zoneMilliseconds;
 
+  const createHead = (
+    address: string,
+    status: number,
+    attempt: string,
+    metadata: Partial<ResponseHead['metadata']>,
+  ): ResponseHead => {
+    const rateLimit = { requestsPerSecond: limits.find(address) };
+    return {
+      status,
+      metadata: { ...DEFAULT_METADATA, attempt, rateLimit, ...metadata },
+      headers: [],
+    };
+  };
+
   const callPlain = (
     attempt: string,
     { address }: ForwardingDetails,
@@ -90,6 +98,7 @@
     isOpen: () => boolean,
   ): void => {
     time.schedule(LOCAL_ZONE_MILLISECONDS, () => {
+      limits.recordRequest(address);
       plain.call(address, attempt, (response) => {
         if (!isOpen()) return;
         time.requestFlush();
@@ -98,7 +107,7 @@
           return;
         }
         const { status, ...metadata } = response;
-        handlers.onHead(createHead(status, attempt, metadata));
+        handlers.onHead(createHead(address, status, attempt, metadata));
         handlers.onEnd('framing');
       });
     });
@@ -122,7 +131,8 @@
     };
     const refuse = (failedAddress: string | undefined): void => {
       afterDelay(() => {
-        handlers.onHead(createHead(503, attempt, { isNotExecuted: true, failedAddress }));
+        const metadata = { isNotExecuted: true, failedAddress };
+        handlers.onHead(createHead(forwarding.address, 503, attempt, metadata));
         handlers.onEnd('framing');
       });
     };
@@ -135,6 +145,7 @@
         });
         return;
       }
+      limits.recordRequest(forwarding.address);
       const started = engines.startRun({
         attempt,
         path: forwarding.path ?? [],
@@ -143,7 +154,7 @@
         lastEvent,
         onEvent: (event) => {
           afterDelay(() => {
-            if (!hasHead) handlers.onHead(createHead(200, attempt, {}));
+            if (!hasHead) handlers.onHead(createHead(forwarding.address, 200, attempt, {}));
             hasHead = true;
             handlers.onData(Buffer.from(`id: ${event}\ndata: x\n\n`));
           });
@@ -206,7 +217,7 @@
         const wait = engine?.isUnresponsive ? REPORT_TIMEOUT_MILLISECONDS : LOCAL_ZONE_MILLISECONDS;
         return time.delay(wait, undefined);
       }
-      const report = engines.createReport(engine);
+      const report = { ...engines.createReport(engine), requestsPerSecond: limits.find(address) };
       return time.delay(2 * computeDelay(engine.availabilityZone), report);
     },
     sendOrder: async (order) => {
--- a/emulator/createPlainFleet/index.ts
+++ b/emulator/createPlainFleet/index.ts
@@ -20,6 +20,7 @@
   readonly call: (address: string, attempt: string, done: (answer?: PlainResponse) => void) => void;
   /** Returns whether an address belongs to a plain endpoint. */
   readonly owns: (address: string) => boolean;
+  readonly listAddresses: () => readonly string[];
   /** Number of executions of each attempt. */
   readonly runs: ReadonlyMap<string, number>;
   /** Writes the registrations of all endpoints. */
@@ -105,6 +106,7 @@
     runs,
     register,
     owns: (address) => endpoints.has(address),
+    listAddresses: () => [...endpoints.keys()],
     setFailureShare: (count, share) => {
       [...endpoints.values()].slice(0, count).forEach((endpoint) => {
         endpoint.failureShare = share;
--- a/emulator/createVirtualNodes/index.ts
+++ b/emulator/createVirtualNodes/index.ts
@@ -65,7 +65,7 @@
 /** Options of {@link createVirtualNodes}. */
 export interface CreateVirtualNodesOptions extends Pick<
   CreateEndpointPortOptions,
-  'time' | 'engines' | 'plain' | 'findRequest'
+  'time' | 'engines' | 'plain' | 'limits' | 'findRequest'
 > {
   readonly site: VirtualSite;
   readonly time: VirtualTime;
--- a/emulator/decisionVariants/index.ts
+++ b/emulator/decisionVariants/index.ts
@@ -77,7 +77,11 @@
   'admit-all': { ...SITE_DECISIONS, choosePath: chooseIgnoringMemory },
   'run-anew': { ...SITE_DECISIONS, movesRuns: false },
   'ignore-era': SITE_DECISIONS,
+  'ignore-limits': SITE_DECISIONS,
 };
 
 /** Variants whose nodes do not know the era of a restored store. */
 export const ERA_IGNORING_VARIANTS: ReadonlySet<string> = new Set(['ignore-era']);
+
+/** Variants whose nodes do not know the rate limits of endpoints. */
+export const LIMIT_IGNORING_VARIANTS: ReadonlySet<string> = new Set(['ignore-limits']);
--- a/emulator/injectFaults/index.ts
+++ b/emulator/injectFaults/index.ts
@@ -7,6 +7,7 @@
 import type { PlainFleet } from '../createPlainFleet/index.js';
 import type { VirtualCallers } from '../createVirtualCallers/index.js';
 import { NODE_LEAVE_MILLISECONDS, type VirtualNode } from '../createVirtualNodes/index.js';
+import type { VirtualLimits } from '../createVirtualLimits/index.js';
 import type { VirtualOperator } from '../createVirtualOperator/index.js';
 import type { VirtualStore } from '../createVirtualStore/index.js';
 import type { VirtualTime } from '../createVirtualTime/index.js';
@@ -19,6 +20,7 @@
   readonly store: VirtualStore;
   readonly engines: EngineFleet;
   readonly plain: PlainFleet;
+  readonly limits: VirtualLimits;
   readonly callers: VirtualCallers;
   readonly nodes: readonly VirtualNode[];
   readonly operator: VirtualOperator;
@@ -116,6 +118,15 @@
       plain.setFailureShare(count, 0);
     });
   },
+  limitEndpoints: ({ engines, plain, limits, random }, fault) => {
+    const firsts = listLiveEngines(engines).filter(({ layers }) => layers?.from === 0);
+    const addresses = [
+      ...pickRandom(firsts, fault.engines, random).map(({ address }) => address),
+      ...plain.listAddresses().slice(0, fault.plain),
+    ];
+    for (const address of addresses)
+      limits.announce(address, fault.requestsPerSecond, fault.seconds * 1_000);
+  },
   lateOrders: ({ engines, time }, { share, seconds }) => {
     engines.setLateOrderShare(share);
     time.schedule(seconds * 1_000, () => {
--- a/emulator/playDay/index.ts
+++ b/emulator/playDay/index.ts
@@ -7,6 +7,7 @@
 import type { PortCounts } from '../createEndpointPort/index.js';
 import { createVirtualCallers, type CallerRecord } from '../createVirtualCallers/index.js';
 import { createVirtualNodes, type VirtualLogLine } from '../createVirtualNodes/index.js';
+import { createVirtualLimits } from '../createVirtualLimits/index.js';
 import { createVirtualOperator } from '../createVirtualOperator/index.js';
 import { createVirtualStore, type StoreCall } from '../createVirtualStore/index.js';
 import { createVirtualTime } from '../createVirtualTime/index.js';
@@ -37,13 +38,14 @@
   /**
    * Violated guarantees: missing, duplicate or reordered events; at-most-once requests executed twice;
    * executed requests whose refusal stated that they were not; processes that returned to an older configuration, and
-   * nodes that do not have the newest one at the end.
+   * nodes that do not have the newest one at the end; rate limits that were exceeded.
    */
   readonly broken: {
     readonly events: number;
     readonly ranTwice: number;
     readonly refusedThoughRun: number;
     readonly configuration: number;
+    readonly limits: number;
   };
   /** Virtual time of the first request, in milliseconds. */
   readonly firstAt: number;
@@ -61,6 +63,8 @@
   readonly decisions?: SiteDecisions;
   /** Whether the nodes do not know the era of a restored store; false by default. */
   readonly ignoresEra?: boolean;
+  /** Whether the nodes do not know the rate limits of endpoints; false by default. */
+  readonly ignoresLimits?: boolean;
 }
 
 /** Time after the last request in which requests may still complete. */
@@ -149,11 +153,13 @@
  * const { records } = await playDay({ site, day, seed: 1 });
  */
 export async function playDay(options: PlayDayOptions): Promise<DayResult> {
-  const { site, day, seed, decisions = SITE_DECISIONS, ignoresEra = false } = options;
+  const { site, day, seed, decisions = SITE_DECISIONS } = options;
+  const { ignoresEra = false, ignoresLimits = false } = options;
   const time = createVirtualTime();
   const store = createVirtualStore(time, { hidesEra: ignoresEra });
   const engines = createEngineFleet({ site, time, store, seed });
   const plain = createPlainFleet({ site, time, store, seed });
+  const limits = createVirtualLimits(time);
   const scaledSite = {
     ...site,
     requests: site.requests.map((requestClass) => ({
@@ -173,6 +179,7 @@
     store,
     engines,
     plain,
+    limits: ignoresLimits ? { ...limits, find: () => undefined } : limits,
     findRequest: callers.findRequest,
     decisions,
     retries: {
@@ -191,7 +198,8 @@
   time.schedule(firstAt, () => {
     callers.start(firstAt + milliseconds);
   });
-  const system = { site, time, store, engines, plain, callers, nodes: nodes.nodes, operator };
+  const fleets = { engines, plain, limits };
+  const system = { site, time, store, ...fleets, callers, nodes: nodes.nodes, operator };
   injectFaults(system, day, seed);
   await time.run(firstAt + milliseconds + TAIL_MILLISECONDS);
   for (const record of callers.records) record.outcome ??= 'failed';
@@ -217,6 +225,7 @@
           callers.refusedAttempts.has(attempt) && atMostOnceClasses.has(callers.findClass(attempt)),
       ).length,
       configuration: nodes.countConfigurationErrors(operator.getVersion()),
+      limits: limits.countExceeded(),
     },
     firstAt,
     milliseconds: milliseconds + TAIL_MILLISECONDS,
--- a/emulator/playDay/test.ts
+++ b/emulator/playDay/test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { DECISION_VARIANTS, ERA_IGNORING_VARIANTS } from '../decisionVariants/index.js';
+import {
+  DECISION_VARIANTS,
+  ERA_IGNORING_VARIANTS,
+  LIMIT_IGNORING_VARIANTS,
+} from '../decisionVariants/index.js';
 import { readSite, type InjectedFault, type VirtualDay } from '../readScenario/index.js';
 import { summarizeDay, type DayFigures } from '../summarizeDay/index.js';
 import { playDay } from './index.js';
@@ -15,11 +19,15 @@
   const day: VirtualDay = { name: 'short', seconds: 7, rate, troubles };
   const decisions = DECISION_VARIANTS[version];
   const ignoresEra = ERA_IGNORING_VARIANTS.has(version);
-  return summarizeDay(await playDay({ site: SITE, day, seed, decisions, ignoresEra }));
+  const ignoresLimits = LIMIT_IGNORING_VARIANTS.has(version);
+  return summarizeDay(
+    await playDay({ site: SITE, day, seed, decisions, ignoresEra, ignoresLimits }),
+  );
 }
 
 function assertNoViolation({ broken }: DayFigures): void {
-  assert.deepEqual(broken, { events: 0, ranTwice: 0, refusedThoughRun: 0, configuration: 0 });
+  const none = { events: 0, ranTwice: 0, refusedThoughRun: 0, configuration: 0, limits: 0 };
+  assert.deepEqual(broken, none);
 }
 
 test('the same seed gives the same figures, another seed different ones', async () => {
@@ -83,6 +91,27 @@
   assert.ok(broken.configuration > 0);
 });
 
+/** Some first endpoints of paths and two of three plain endpoints announce a rate limit. */
+const RATE_LIMITS: InjectedFault[] = [
+  { kind: 'limitEndpoints', at: 0, seconds: 7, engines: 2, plain: 2, requestsPerSecond: 1 },
+];
+
+test('rate limits of some endpoints are kept and at least 98 % of requests are served', async () => {
+  const figures = await play(RATE_LIMITS);
+  assertNoViolation(figures);
+  assert.ok(figures.all.served >= 0.98, String(figures.all.served));
+});
+
+test('rate limits are kept while all nodes are replaced by others that know nothing', async () => {
+  const figures = await play([...RATE_LIMITS, { kind: 'replaceNodes', at: 1, gapSeconds: 1 }]);
+  assertNoViolation(figures);
+});
+
+test('shows that nodes which ignore rate limits exceed them', async () => {
+  const { broken } = await play(RATE_LIMITS, { version: 'ignore-limits' });
+  assert.ok(broken.limits > 0);
+});
+
 test('layer orders that are carried out late leave at least 95 % of requests served', async () => {
   const figures = await play([
     { kind: 'lateOrders', at: 0, seconds: 7, share: 0.5 },
--- a/emulator/readScenario/index.ts
+++ b/emulator/readScenario/index.ts
@@ -95,6 +95,14 @@
     count: z.number(),
     share: z.number(),
   }),
+  /** Endpoints announce a rate limit: first endpoints of paths, and those of the plain service. */
+  z.object({
+    kind: z.literal('limitEndpoints'),
+    ...spanSchema,
+    engines: z.number(),
+    plain: z.number(),
+    requestsPerSecond: z.number(),
+  }),
   z.object({ kind: z.literal('lateOrders'), ...spanSchema, share: z.number() }),
   z.object({ kind: z.literal('storeAway'), ...spanSchema, share: z.number() }),
   /** The store is away for a time, and returns from a copy that was so old when it went away. */
--- a/soak/createRecord/index.ts
+++ b/soak/createRecord/index.ts
@@ -15,6 +15,7 @@
     attempts: [],
     sends: [],
     rests: [],
+    limits: [],
     crashes: [],
     disturbances: [],
     writes: [],
--- a/soak/createSoakEndpoint/index.ts
+++ b/soak/createSoakEndpoint/index.ts
@@ -43,6 +43,8 @@
   | 'leaving'
   /** Serves as usual; only its registration announces its shutdown. */
   | 'draining'
+  /** Responds, and announces a rate limit in its responses. */
+  | 'limited'
   /** Sends each response a second time. */
   | 'twice';
 
@@ -102,6 +104,8 @@
 const FAILURE_STEP_MILLISECONDS = 100;
 const HOP_CHECK_MILLISECONDS = 50;
 const BACKOFF_SECONDS = 2;
+/** Rate limit that an endpoint announces, in requests per second. */
+const LIMIT_PER_SECOND = 0.5;
 /** Number of events of a stream, or bytes of a buffered response, that are sent before the injected failure. */
 const LAST_INTACT_EVENT = 3;
 const ENDLESS_CHUNK = 'x'.repeat(16_384);
@@ -335,6 +339,14 @@
       ...(currentServer?.layers && { layers: currentServer.layers }),
     });
   };
+  const beginLimit = (): void => {
+    const limit = { endpoint: id, birth, requestsPerSecond: LIMIT_PER_SECOND };
+    record.limits.push({ ...limit, from: now(), until: Infinity });
+  };
+  const endLimit = (): void => {
+    const limit = record.limits.findLast(({ endpoint: limited }) => limited === id);
+    if (limit?.until === Infinity) limit.until = now();
+  };
   const crash = async (): Promise<void> => {
     const ending = currentServer;
     currentServer = undefined;
@@ -352,8 +364,12 @@
     },
     isServing: () => currentServer !== undefined,
     setMode: (next) => {
+      if (mode === 'limited') endLimit();
       mode = next;
-      if (currentServer) currentServer.isLeaving = next === 'leaving';
+      if (!currentServer) return;
+      currentServer.isLeaving = next === 'leaving';
+      currentServer.requestsPerSecond = next === 'limited' ? LIMIT_PER_SECOND : undefined;
+      if (next === 'limited') beginLimit();
     },
     crash,
     start: async () => {
@@ -378,8 +394,8 @@
           });
         },
       });
-      server.isLeaving = mode === 'leaving';
       currentServer = server;
+      endpoint.setMode(mode);
       link.retarget(server.address);
       register();
     },
--- a/soak/drawSchedule/index.ts
+++ b/soak/drawSchedule/index.ts
@@ -52,6 +52,8 @@
   restoreStore: { target: 'store', weight: 0 },
   drainEndpoint: { target: 'endpoint', weight: 0 },
   withdrawEndpoint: { target: 'endpoint', weight: 0 },
+  // Drawn by drawRateLimits only.
+  limitEndpoint: { target: 'endpoint', weight: 0 },
   // Drawn by drawOddEntries only.
   writeOddEntries: { target: 'store', weight: 0 },
   writeOddConfiguration: { target: 'configuration', weight: 0 },
--- a/soak/findViolations/index.ts
+++ b/soak/findViolations/index.ts
@@ -4,6 +4,7 @@
 import { checkResponses } from '../checkResponses/index.js';
 import { checkCrashingParts, checkHarmlessParts } from '../checkCrashingParts/index.js';
 import { checkCompletion } from '../checkCompletion/index.js';
+import { checkRateLimits } from '../checkRateLimits/index.js';
 import { checkLeaving } from '../checkLeaving/index.js';
 import { checkPaths } from '../checkPaths/index.js';
 import { checkDeaths } from '../checkDeaths/index.js';
@@ -29,6 +30,7 @@
   checkCompletion,
   checkPaths,
   checkBackoffs,
+  checkRateLimits,
   checkLeaving,
   checkDepartures,
   checkOddEntries,
--- a/soak/findViolations/test.ts
+++ b/soak/findViolations/test.ts
@@ -91,6 +91,7 @@
 }
 
 const FROZEN = { kind: 'freeze', target: 'node-0', from: 1_050, until: 1_060 };
+const LIMIT = { endpoint: 'engine-0', birth: 1, requestsPerSecond: 1, from: 1_000, until: 9_000 };
 const BACKOFF = { endpoint: 'engine-0', birth: 1, attempt: 'r1-1', at: 1_000, milliseconds: 2_000 };
 const LEAVING = { ...VALID_ATTEMPT, saysLeaving: true };
 const STOPPED = {
@@ -263,6 +264,11 @@
     'three requests during the backoff',
     record({ ...createLaterRequests(3, 700), rests: [BACKOFF] }),
   ],
+  [
+    'an endpoint with a rate limit gets no more than that from all nodes',
+    'twelve requests in four seconds',
+    record({ ...createLaterRequests(12, 3_100), limits: [LIMIT] }),
+  ],
   [
     'a leaving endpoint gets nothing from a node that knows',
     'request after the drain time',
@@ -448,6 +454,18 @@
     'requests after the end of the backoff',
     record({ ...createLaterRequests(9, 2_100), rests: [BACKOFF] }),
   ],
+  [
+    'eleven requests in four seconds to an endpoint with a rate limit of one a second',
+    record({ ...createLaterRequests(11, 3_100), limits: [LIMIT] }),
+  ],
+  [
+    'requests before the nodes have to know a rate limit',
+    record({ ...createLaterRequests(30, 2_000), limits: [LIMIT] }),
+  ],
+  [
+    'requests of a node that was frozen after the rate limit was announced',
+    record({ ...createLaterRequests(30, 3_100), limits: [LIMIT], disturbances: [FROZEN] }),
+  ],
   ['three requests with a part that crashed five endpoints', createCrashRecord(3, 3_100)],
   ['requests with such a part before the nodes have to know it', createCrashRecord(9, 1_000)],
   [
--- a/soak/runSoak/index.ts
+++ b/soak/runSoak/index.ts
@@ -18,6 +18,7 @@
 import { createNodes, type SoakNode } from '../createNodes/index.js';
 import { drawRestorations } from '../drawRestorations/index.js';
 import { createRecord } from '../createRecord/index.js';
+import { drawRateLimits } from '../drawRateLimits/index.js';
 import { drawOddEntries } from '../drawOddEntries/index.js';
 import { serveOddAddress, type OddAddress } from '../serveOddAddress/index.js';
 import { createSoakEndpoint, type SoakEndpoint } from '../createSoakEndpoint/index.js';
@@ -196,6 +197,7 @@
   return [
     ...drawSchedule({ seed, milliseconds, nodes, endpoints }),
     ...drawOddEntries({ seed, milliseconds, endpoints }),
+    ...drawRateLimits({ seed, milliseconds, endpoints }),
     ...restorations,
   ].sort((left, right) => left.at - right.at);
 }
--- a/soak/serveDefectiveNode/index.ts
+++ b/soak/serveDefectiveNode/index.ts
@@ -26,6 +26,7 @@
   | 'omitsLayers'
   | 'ignoresBackoff'
   | 'ignoresLeaving'
+  | 'ignoresLimit'
   | 'retriesTooOften'
   | 'forwardsCrashing';
 
@@ -125,12 +126,15 @@
   const follower = followed && createDefectiveFollower(followed.address, followed.defect);
   const backoffUntil = new Map<SoakEndpoint, number>();
   const leaving = new Set<SoakEndpoint>();
+  /** Time until which an endpoint with a rate limit gets nothing, in milliseconds. */
+  const limitedUntil = new Map<SoakEndpoint, number>();
   let picks = 0;
   const path = defect === 'omitsLayers' ? 'ENDPOINT=0-3' : 'ENDPOINT=0-4';
 
   const isAvoided = (endpoint: SoakEndpoint): boolean =>
     follower?.isAvailable(endpoint.id) === false ||
     (defect !== 'ignoresBackoff' && (backoffUntil.get(endpoint) ?? 0) > now()) ||
+    (defect !== 'ignoresLimit' && (limitedUntil.get(endpoint) ?? 0) > now()) ||
     (defect !== 'ignoresLeaving' && leaving.has(endpoint));
   /** Picks among the endpoint and the odd entries of its service, in turn. */
   const pickAddress = (endpoint: SoakEndpoint, service: string): string => {
@@ -142,6 +146,8 @@
     const backoffMilliseconds = Number(headers['retry-after'] ?? 0) * 1_000;
     if (status === 503) backoffUntil.set(endpoint, now() + backoffMilliseconds);
     if (headers['server-leaving'] === '1') leaving.add(endpoint);
+    const limit = Number(headers['server-limit'] ?? 0);
+    if (limit > 0) limitedUntil.set(endpoint, now() + 1_000 / limit);
   };
   const countSends = (method: string | undefined): number => {
     if (defect === 'retriesTooOften') return SENDS_PER_REQUEST;
--- a/soak/serveDefectiveNode/test.ts
+++ b/soak/serveDefectiveNode/test.ts
@@ -276,6 +276,10 @@
     { defect: 'ignoresLeaving', mode: 'leaving', milliseconds: LONG_RUN_MILLISECONDS },
     'a leaving endpoint gets nothing from a node that knows',
   ],
+  [
+    { defect: 'ignoresLimit', mode: 'limited', milliseconds: LONG_RUN_MILLISECONDS },
+    'an endpoint with a rate limit gets no more than that from all nodes',
+  ],
   [
     { defect: 'retriesTooOften', milliseconds: LONG_RUN_MILLISECONDS },
     'requests are repeated within the budget',
@@ -344,7 +348,7 @@
   assert.deepEqual(await findBrokenByFollower('none', disturbByOddEntries), []);
 });
 
-for (const mode of ['healthy', 'resting', 'leaving', 'full', 'breaksOff'] as const) {
+for (const mode of ['healthy', 'resting', 'leaving', 'full', 'breaksOff', 'limited'] as const) {
   test(`reports no violation for a node without a defect when endpoints are in mode ${mode}`, async () => {
     const broken = await findBrokenPromises({
       defect: 'none',
--- a/soak/types/index.ts
+++ b/soak/types/index.ts
@@ -83,6 +83,16 @@
   readonly milliseconds: number;
 }
 
+/** Rate limit that an endpoint announced in its responses. */
+export interface AnnouncedLimit {
+  readonly endpoint: string;
+  readonly birth: number;
+  readonly requestsPerSecond: number;
+  readonly from: number;
+  /** End of the limit; Infinity while it stands. */
+  until: number;
+}
+
 /** Injected fault. */
 export interface InjectedFault {
   readonly kind: string;
@@ -186,6 +196,7 @@
   readonly attempts: CallerAttempt[];
   readonly sends: EndpointSend[];
   readonly rests: RecordedBackoff[];
+  readonly limits: AnnouncedLimit[];
   readonly crashes: PartCrash[];
   readonly disturbances: InjectedFault[];
   readonly writes: ConfigurationWrite[];
