--- a/src/process/site/createPeerExchange/index.ts
+++ b/src/process/site/createPeerExchange/index.ts
@@ -206,6 +206,7 @@
   const lossReports = createLossReports({
     endpoints,
     prober,
+    logger,
     now,
     random,
     countGroup: () => peers.listGroup().length,
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -182,6 +182,14 @@
       reason,
     },
   ),
+  'endpoint-loss-reported': define('info', 'Another node reported an endpoint as lost.', {
+    endpoint,
+    peer,
+    action: z
+      .enum(['checked', 'left', 'marked'])
+      .describe('checked by its report; left to other nodes; marked as lost without a check'),
+    heardAge: number('milliseconds since the endpoint last answered this node; -1 when it has not'),
+  }),
   'endpoint-crashed': define(
     'warn',
     'An endpoint ended while requests of this node ran on it; those without an event may be the cause.',
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -2,7 +2,7 @@
  * Node of a site with its sockets: listeners, loops and shutdown.
  */
 import { createServer, type RequestListener, type Server } from 'node:http';
-import type { SiteProtocol } from '../../../types/relay/index.js';
+import type { EndpointPort, SiteProtocol } from '../../../types/relay/index.js';
 import type { NodeRecord } from '../../../types/site/index.js';
 import type { Store } from '../../../types/store/index.js';
 import { describeError } from '../../describeError/index.js';
@@ -54,6 +54,8 @@
   readonly queries: SiteQueries;
   readonly graceMilliseconds: number;
   readonly retries: RetryBounds;
+  /** Port to endpoints; over HTTP by default. */
+  readonly endpointPort?: EndpointPort;
   /** Output stream of log lines; standard output by default. */
   readonly logStream?: NodeJS.WritableStream;
 }
@@ -152,7 +154,7 @@
     seeds: options.seeds,
     clock,
     store,
-    endpointPort: createEndpointPort(protocol),
+    endpointPort: options.endpointPort ?? createEndpointPort(protocol),
     peerPort,
     logger,
     decoders: options.decoders,
--- a/tests/support/siteNodes/index.ts
+++ b/tests/support/siteNodes/index.ts
@@ -154,7 +154,7 @@
 export async function startNode(
   name: string,
   store: SiteStore,
-  changes: Partial<Pick<StartSiteNodeOptions, 'graceMilliseconds'>> = {},
+  changes: Partial<Pick<StartSiteNodeOptions, 'graceMilliseconds' | 'endpointPort' | 'node'>> = {},
 ): Promise<TestNode> {
   const [callers, readiness, directory, peers] = await Promise.all(
     Array.from({ length: 4 }, findFreeAddress),
