Announce losses that were found in doubt once they are confirmed

A node whose links are in doubt marked losses without a time, so that they were never announced when the doubt was refuted. They keep their time and are left out of messages meanwhile; a node that is cut off withdraws them.

--- a/src/process/relay/createEndpointProber/index.ts
+++ b/src/process/relay/createEndpointProber/index.ts
@@ -14,7 +14,7 @@
 export interface CreateEndpointProberOptions {
   readonly endpoints: EndpointTable;
   readonly endpointPort: Pick<EndpointControl, 'fetchReport'>;
-  readonly links: Pick<LinkMonitor, 'record' | 'check' | 'isSuspect'>;
+  readonly links: Pick<LinkMonitor, 'record' | 'check'>;
   readonly rateLimits: Pick<RateLimits, 'record'>;
   readonly logger: SiteLogger;
   readonly now: () => number;
@@ -80,8 +80,7 @@
     const endpoint = endpoints.find(id);
     if (!endpoint) return;
     const hasChanged = endpoints.markLost(endpoint, now(), LOST_MARK_MILLISECONDS);
-    // A node that is cut off itself must not spread what it finds.
-    if (!links.isSuspect()) endpoint.lossFoundAt = now();
+    endpoint.lossFoundAt = now();
     if (!hasChanged) return;
     logger.log('endpoint-lost', { endpoint: id, reason });
     onLost(id);
--- a/src/process/site/createLossReports/index.ts
+++ b/src/process/site/createLossReports/index.ts
@@ -11,7 +11,7 @@
 export interface CreateLossReportsOptions {
   readonly endpoints: Pick<EndpointTable, 'find'>;
   readonly prober: Pick<EndpointProber, 'probe'>;
-  readonly links: Pick<LinkMonitor, 'isSuspect' | 'readConnectedAge'>;
+  readonly links: Pick<LinkMonitor, 'isIsolated' | 'readConnectedAge'>;
   readonly logger: Pick<SiteLogger, 'log'>;
   readonly now: () => number;
   readonly random: () => number;
@@ -59,7 +59,7 @@
 
   const chooseAction = (endpoint: Endpoint, reporters: number): LossReportAction => {
     const { id } = endpoint.record;
-    if (links.isSuspect() || links.readConnectedAge(id) < OWN_EVIDENCE_MILLISECONDS)
+    if (links.isIsolated() || links.readConnectedAge(id) < OWN_EVIDENCE_MILLISECONDS)
       return 'ignored';
     const checkers = reporters === 1 ? FIRST_CHECKERS : LATER_CHECKERS;
     const share = checkers / Math.max(1, countGroup());
--- a/src/process/site/createPeerExchange/index.ts
+++ b/src/process/site/createPeerExchange/index.ts
@@ -3,6 +3,7 @@
  */
 import type { PartFacts } from '../../../types/breaker/index.js';
 import type { NodeRecord } from '../../../types/site/index.js';
+import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
 import { describeError } from '../../describeError/index.js';
 import { shuffleItems } from '../../shuffleItems/index.js';
 import type { EndpointProber } from '../../relay/createEndpointProber/index.js';
@@ -147,6 +148,11 @@
       ? [...facts]
       : shuffleItems(facts, random).slice(0, MAXIMUM_FACTS);
   const getRevision = (): number => Math.max(getFollower().getRevision(), reportedRevision);
+  /** Lists the losses that this node found, unless it may be cut off itself. */
+  const listLosses = (list: readonly Endpoint[]): string[] =>
+    links.isSuspect()
+      ? []
+      : list.filter(({ lossFoundAt }) => isAnnounced(lossFoundAt)).map(({ record }) => record.id);
   const createLocalState = (): LocalState => {
     const planner = getPlanner();
     const list = endpoints.list();
@@ -158,9 +164,7 @@
       isIsolated: links.isIsolated(),
       // In a large zone, the loads of a sample of the nodes are enough to estimate the load of all.
       loads: includesLoads ? pickFacts(listLoads()) : undefined,
-      lost: pickFacts(list.filter(({ lossFoundAt }) => isAnnounced(lossFoundAt))).map(
-        ({ record }) => record.id,
-      ),
+      lost: pickFacts(listLosses(list)),
       deregistered: pickFacts(listDeregistered()),
       leaving: pickFacts(list.filter(({ leavingSince }) => isAnnounced(leavingSince))).map(
         ({ record }) => [record.id, record.startedAt] as const,
--- a/src/process/site/createPeerExchange/test.ts
+++ b/src/process/site/createPeerExchange/test.ts
@@ -44,6 +44,8 @@
   /** Nodes that are cut off from endpoints, and ages of the nodes' last connections. */
   const isolated = new Set<string>();
   const connectedAges = new Map<string, number>();
+  /** Nodes that are not sure of their links. */
+  const suspects = new Set<string>();
   /** Nodes that do not reach the store, and store revisions, by node. */
   const away = new Set<string>();
   const revisions = new Map<string, number>();
@@ -107,7 +109,7 @@
       links: {
         ...SOUND_LINKS,
         isIsolated: () => isolated.has(name),
-        isSuspect: () => isolated.has(name),
+        isSuspect: () => isolated.has(name) || suspects.has(name),
         readConnectedAge: () => connectedAges.get(name) ?? Number.POSITIVE_INFINITY,
       },
       getRateLimits: () => NO_RATE_LIMITS,
@@ -133,6 +135,7 @@
   };
   return {
     isolated,
+    suspects,
     connectedAges,
     exchanges,
     deregistered,
@@ -283,6 +286,18 @@
   assert.deepEqual(checks, []);
 });
 
+test('a node announces no loss while its own links are in doubt, and those that remain once they are not', async () => {
+  const { checks, run, findEndpoint, suspects } = createCase(['a', 'b', 'c']);
+  await run(6);
+  suspects.add('a');
+  findLost(findEndpoint, ['a']);
+  await run(2);
+  assert.deepEqual(checks, []);
+  suspects.clear();
+  await run(2);
+  assert.deepEqual(checks.sort(), ['b checks i-1', 'c checks i-1']);
+});
+
 test('a connection of its own just now goes before the reports of other nodes', async () => {
   const names = ['a', 'b', 'c'];
   const { checks, run, findEndpoint, connectedAges } = createCase(names);
