--- a/emulator/createVirtualCallers/index.ts
+++ b/emulator/createVirtualCallers/index.ts
@@ -35,6 +35,8 @@
 export interface VirtualCallers {
   readonly records: CallerRecord[];
   readonly findRequest: (attempt: string) => VirtualRequest;
+  /** Returns what an attempt carries. */
+  readonly findMetadata: (attempt: string) => RequestMetadata;
   /** Returns the name of an attempt's request class. */
   readonly findClass: (attempt: string) => string;
   /** Attempts refused by a response that guarantees that they were not executed. */
@@ -114,6 +116,7 @@
   const random = createRandom(options.seed + 23);
   const records: CallerRecord[] = [];
   const requests = new Map<string, VirtualRequest & { readonly name: string }>();
+  const metadata = new Map<string, RequestMetadata>();
   const refusedAttempts = new Set<string>();
   const addressCache = new Map<string, { at: number; addresses: string[] }>();
   let rate = 1;
@@ -312,6 +315,7 @@
       },
     };
     const caller = createMetadata(request, attempt);
+    metadata.set(attempt, caller);
     afterDelay(() => {
       const url = `/${requestClass.name}/`;
       const admission = core.relay.admit({ host: 'desk', url, headerBytes: 0, caller });
@@ -365,6 +369,11 @@
     refusedAttempts,
     countEventErrors: () => eventErrors,
     findClass: (attempt) => requests.get(attempt)?.name ?? '',
+    findMetadata: (attempt) => {
+      const found = metadata.get(attempt);
+      if (!found) throw new Error(`no caller sent the attempt '${attempt}'`);
+      return found;
+    },
     findRequest: (attempt) => requests.get(attempt) ?? { attempt, promptTokens: 0, lastEvent: 0 },
     setRate: (factor) => {
       rate = factor;
--- a/emulator/createVirtualNodes/index.ts
+++ b/emulator/createVirtualNodes/index.ts
@@ -11,12 +11,14 @@
 import type { PeerPort } from '../../src/process/site/createPeerExchange/index.js';
 import type { SiteDecisions } from '../../src/process/site/siteDecisions/index.js';
 import type { LogEventName } from '../../src/process/site/logEvents/index.js';
+import type { RequestMetadata } from '../../src/types/relay/index.js';
 import type { EndpointRecord, NodeRecord, SiteConfiguration } from '../../src/types/site/index.js';
 import {
   createEndpointPort,
   type CreateEndpointPortOptions,
   type PortCounts,
 } from '../createEndpointPort/index.js';
+import { createNeighbourPort } from '../createNeighbourPort/index.js';
 import type { VirtualStore } from '../createVirtualStore/index.js';
 import type { VirtualTime } from '../createVirtualTime/index.js';
 import type { VirtualSite } from '../readScenario/index.js';
@@ -67,6 +69,8 @@
   CreateEndpointPortOptions,
   'time' | 'engines' | 'plain' | 'limits' | 'findRequest'
 > {
+  /** Returns what a caller sent with an attempt. */
+  readonly findMetadata: (attempt: string) => RequestMetadata;
   readonly site: VirtualSite;
   readonly time: VirtualTime;
   readonly store: VirtualStore;
@@ -168,6 +172,7 @@
         },
         store: store.connect(name),
         endpointPort: port,
+        neighbourPort: createNeighbourPort({ time, findCore, findMetadata: options.findMetadata }),
         peerPort: createPort(`peer:${name}`),
         logger: {
           log: (event, fields) => {
--- a/emulator/playDay/index.ts
+++ b/emulator/playDay/index.ts
@@ -181,6 +181,7 @@
     plain,
     limits: ignoresLimits ? { ...limits, find: () => undefined } : limits,
     findRequest: callers.findRequest,
+    findMetadata: callers.findMetadata,
     decisions,
     retries: {
       ratio: RETRY_RATIO,
--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -13,6 +13,7 @@
 import { isWellFormedRequest } from '../isWellFormedRequest/index.js';
 import { createBodyMemoryLimit } from '../createBodyMemoryLimit/index.js';
 import { createCallerResponse } from '../createCallerResponse/index.js';
+import type { HandedOverRequest } from '../createNeighbourPort/index.js';
 import type { Relay } from '../createRelay/index.js';
 import type { RelayMetrics } from '../createRelayMetrics/index.js';
 import { readBody, type BodyOutcome } from '../readBody/index.js';
@@ -30,6 +31,12 @@
 /** HTTP handler of callers' requests. */
 export interface CallerHandler {
   readonly handle: (incoming: IncomingMessage, response: ServerResponse) => void;
+  /** Handles a request that another node handed over. */
+  readonly handleHandedOver: (
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    handOver: HandedOverRequest,
+  ) => void;
   /** Returns the number of requests whose response has not been sent completely. */
   readonly countOpen: () => number;
   /** Logs and counts each request without a final response, before the process exits. */
@@ -41,6 +48,8 @@
   readonly attempt: string;
   readonly arrivedAt: number;
   readonly response: ServerResponse;
+  /** How another node handed the request over; undefined for a request of a caller. */
+  readonly handOver: HandedOverRequest | undefined;
   /** Whether the connection had an earlier request. */
   readonly isKept: boolean;
   /** Whether the request was read completely and passed to the relay. */
@@ -165,7 +174,9 @@
     }
     await relay.waitForStart(caller);
     if (isDisconnected()) return;
-    const { url = '/', method = 'GET', rawHeaders } = incoming;
+    const { url = '/', method = 'GET' } = incoming;
+    const { handOver } = openRequest;
+    const { rawHeaders } = handOver ?? incoming;
     const host = incoming.headers.host ?? '';
     const headerBytes = countHeaderBytes(incoming);
     const admission = relay.admit({ host, url, headerBytes, caller });
@@ -204,54 +215,65 @@
         forwarded,
         arrivedAt,
         response: callerResponse,
+        handOver,
       });
     } finally {
       reservation.release();
     }
   };
 
+  const handle = (
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    handOver?: HandedOverRequest,
+  ): void => {
+    const caller = headerTranslator.parseRequestHeaders(incoming.headers);
+    const { socket } = incoming;
+    const earlier = openResponses.get(socket);
+    openResponses.set(socket, response);
+    const openRequest: OpenRequest = {
+      attempt: caller.attempt,
+      arrivedAt: now(),
+      response,
+      handOver,
+      isKept: usedConnections.has(socket),
+      isPassedOn: false,
+      isRecorded: false,
+      cause: 'closed',
+    };
+    usedConnections.add(socket);
+    openRequests.add(openRequest);
+    const endRequest = (): void => {
+      socket.off('close', endRequest);
+      if (openResponses.get(socket) === response) openResponses.delete(socket);
+      if (openRequests.delete(openRequest)) recordEnd(openRequest, socket);
+    };
+    response.once('close', endRequest);
+    // A pipelined response that never got the connection is not closed with it.
+    socket.once('close', endRequest);
+    if (isLeaving()) response.setHeader('Connection', 'close');
+    serve(incoming, response, caller, openRequest, earlier).catch((error: unknown) => {
+      logger.log('request-crashed', { reason: describeError(error) });
+      // A complete response that is still being sent reaches its caller.
+      if (response.writableEnded) return;
+      const callerResponse = createCallerResponse(response, (cause) => {
+        openRequest.cause = cause;
+      });
+      if (response.headersSent) {
+        callerResponse.abort('crashed');
+        return;
+      }
+      // An endpoint may have executed the request, so that it must not be refused as not run.
+      const closes = !incoming.complete;
+      sendFailure(callerResponse, { code: 'endpointFailed', closes });
+    });
+  };
+
   return {
     handle: (incoming, response) => {
-      const caller = headerTranslator.parseRequestHeaders(incoming.headers);
-      const { socket } = incoming;
-      const earlier = openResponses.get(socket);
-      openResponses.set(socket, response);
-      const openRequest: OpenRequest = {
-        attempt: caller.attempt,
-        arrivedAt: now(),
-        response,
-        isKept: usedConnections.has(socket),
-        isPassedOn: false,
-        isRecorded: false,
-        cause: 'closed',
-      };
-      usedConnections.add(socket);
-      openRequests.add(openRequest);
-      const endRequest = (): void => {
-        socket.off('close', endRequest);
-        if (openResponses.get(socket) === response) openResponses.delete(socket);
-        if (openRequests.delete(openRequest)) recordEnd(openRequest, socket);
-      };
-      response.once('close', endRequest);
-      // A pipelined response that never got the connection is not closed with it.
-      socket.once('close', endRequest);
-      if (isLeaving()) response.setHeader('Connection', 'close');
-      serve(incoming, response, caller, openRequest, earlier).catch((error: unknown) => {
-        logger.log('request-crashed', { reason: describeError(error) });
-        // A complete response that is still being sent reaches its caller.
-        if (response.writableEnded) return;
-        const callerResponse = createCallerResponse(response, (cause) => {
-          openRequest.cause = cause;
-        });
-        if (response.headersSent) {
-          callerResponse.abort('crashed');
-          return;
-        }
-        // An endpoint may have executed the request, so that it must not be refused as not run.
-        const closes = !incoming.complete;
-        sendFailure(callerResponse, { code: 'endpointFailed', closes });
-      });
+      handle(incoming, response);
     },
+    handleHandedOver: handle,
     countOpen: () => openRequests.size,
     recordUnanswered: () => {
       for (const openRequest of openRequests) {
--- a/src/process/relay/createRelay/index.ts
+++ b/src/process/relay/createRelay/index.ts
@@ -16,6 +16,7 @@
   type LeavingPeriod,
   type RequestHead,
 } from '../admitRequest/index.js';
+import type { HandedOverRequest } from '../createNeighbourPort/index.js';
 import { computeTimeLimit } from '../computeTimeLimit/index.js';
 import { sendFailure } from '../sendFailure/index.js';
 import { createRequestLog } from '../createRequestLog/index.js';
@@ -43,6 +44,8 @@
   readonly forwarded: ForwardedRequest;
   readonly arrivedAt: number;
   readonly response: CallerResponse;
+  /** How another node handed the request over; undefined for a request of a caller. */
+  readonly handOver?: Pick<HandedOverRequest, 'isRepeat'> | undefined;
 }
 
 /** Relay of one node. */
@@ -66,6 +69,10 @@
 const NO_SERVICE_RETRY_SECONDS = 0.3;
 /** Maximum share of a request's time that it waits at a node that has just started. */
 const START_WAIT_SHARE = 0.5;
+/** `Retry-After` for a request that this node does not take over, in seconds; others may. */
+const HAND_OVER_RETRY_SECONDS = 0.2;
+/** Maximum number of requests of other nodes that a node relays at the same time. */
+const MAXIMUM_TAKEN_OVER = 256;
 /** Number of prompt parts that the log names. */
 const MAXIMUM_LOGGED_PARTS = 8;
 const DEFAULT_PRIORITY = 5;
@@ -96,7 +103,11 @@
  */
 export function createRelay(options: CreateRelayOptions): Relay {
   const { context, getCompiled, getLeaving, configurationGate, coverageGate } = options;
-  const { clock, metrics, logger, budget, random, stopSignal } = context;
+  const { clock, metrics, logger, budget, random, stopSignal, links } = context;
+  /** Requests of other nodes that this one relays now. */
+  let takenOver = 0;
+  /** Returns whether this node relays another request of other nodes: its own callers go first. */
+  const mayTakeOver = (): boolean => !links.isIsolated() && takenOver < MAXIMUM_TAKEN_OVER;
   return {
     waitForStart: ({ deadlineMilliseconds }) => {
       if (getLeaving()) return Promise.resolve();
@@ -113,8 +124,15 @@
       }
       return admission;
     },
-    run: async ({ admitted, caller, forwarded, arrivedAt, response }) => {
+    run: async ({ admitted, caller, forwarded, arrivedAt, response, handOver }) => {
+      const isHandedOver = handOver !== undefined;
       const { compiled, route, account } = admitted;
+      if (isHandedOver && !mayTakeOver()) {
+        metrics.count('handed_over', 'refused');
+        const retryAfterSeconds = HAND_OVER_RETRY_SECONDS;
+        sendFailure(response, { code: 'noEndpoint', retryAfterSeconds });
+        return;
+      }
       const service = compiled.findService(pickService(route.services, random) ?? '');
       if (!service) {
         metrics.count('refusals', 'noEndpoint');
@@ -135,7 +153,8 @@
         leftMilliseconds: Math.round(deadlineAt - clock.now()),
       });
       metrics.count('requests', route.kind);
-      budget.recordRequest(service.name, clock.now());
+      // The node that handed the request over has counted it.
+      if (!isHandedOver) budget.recordRequest(service.name, clock.now());
       if (route.kind === 'stream') {
         await coverageGate.wait((deadlineAt - clock.now()) * START_WAIT_SHARE);
       }
@@ -146,6 +165,7 @@
         sendFailure(response, { code: 'leaving', retryAfterSeconds: LEAVING_RETRY_SECONDS });
         return;
       }
+      if (isHandedOver) takenOver += 1;
       await HANDLERS[route.kind](context, {
         caller,
         forwarded,
@@ -154,9 +174,13 @@
         account: account?.name,
         priority: computePriority(route, account?.priority),
         arrivedAt,
+        isHandedOver,
+        isRepeat: handOver?.isRepeat ?? false,
         deadlineAt,
         response,
         log,
+      }).finally(() => {
+        if (isHandedOver) takenOver -= 1;
       });
       metrics.record(account?.name ?? '', route.kind, clock.now() - arrivedAt);
     },
--- a/src/process/relay/createRunCounter/index.ts
+++ b/src/process/relay/createRunCounter/index.ts
@@ -15,8 +15,12 @@
 export interface RunCounter {
   /** Counts a failed run; returns the number of failed runs. */
   readonly recordFailed: () => number;
+  /** Records that no further run may follow, as the attempts of the route may be used up. */
+  readonly recordExhausted: () => void;
   /** Counts a run that an endpoint refused without executing it. */
   readonly recordRefused: () => void;
+  /** Counts a run that reached no endpoint, so that the next one is no repeat. */
+  readonly recordNotSent: () => void;
   /** Records that a run may have begun at an endpoint. */
   readonly recordMayHaveRun: () => void;
   /** Returns whether a run may have begun at an endpoint. */
@@ -44,34 +48,49 @@
  * Creates the counter of a stream without runs.
  *
  * @param route - maximum attempts of the route, and whether its streams are resumable
+ * @param isRepeat - whether the node that handed the request over has sent it to an endpoint
  * @returns the run counter
  * @example
  * createRunCounter(route).mayRunAgain();
  */
 export function createRunCounter(
   route: Pick<SiteRoute, 'maximumAttempts' | 'isResumable'>,
+  isRepeat = false,
 ): RunCounter {
   let failed = 0;
   let refused = 0;
+  let notSent = 0;
   let mayHaveRun = false;
+  let isExhausted = false;
   return {
     recordFailed: () => {
       mayHaveRun = true;
       failed += 1;
       return failed;
     },
+    recordExhausted: () => {
+      isExhausted = true;
+    },
     recordRefused: () => {
       refused += 1;
     },
+    recordNotSent: () => {
+      notSent += 1;
+    },
     recordMayHaveRun: () => {
       mayHaveRun = true;
     },
     mayHaveRun: () => mayHaveRun,
-    isRepeat: () => failed + refused > 0,
-    isLastRun: () => failed + 1 >= route.maximumAttempts,
-    mayRunAgain: () => route.isResumable && failed < Math.max(MINIMUM_RUNS, route.maximumAttempts),
-    mayReplaceRun: (openRuns) => route.isResumable && failed + openRuns < route.maximumAttempts,
-    mayRetryRefused: () => refused <= MAXIMUM_REFUSED_RUNS,
-    count: (isRunning) => ({ sends: failed + (isRunning ? 1 : 0), refused }),
+    isRepeat: () => isRepeat || failed + refused > 0,
+    isLastRun: () => isExhausted || failed + 1 >= route.maximumAttempts,
+    mayRunAgain: () =>
+      !isExhausted && route.isResumable && failed < Math.max(MINIMUM_RUNS, route.maximumAttempts),
+    mayReplaceRun: (openRuns) =>
+      !isExhausted && route.isResumable && failed + openRuns < route.maximumAttempts,
+    mayRetryRefused: () => refused + notSent <= MAXIMUM_REFUSED_RUNS,
+    count: (isRunning) => ({
+      sends: failed + (isRunning ? 1 : 0),
+      refused: refused + notSent,
+    }),
   };
 }
--- a/src/process/relay/createRunCounter/test.ts
+++ b/src/process/relay/createRunCounter/test.ts
@@ -25,3 +25,19 @@
   counter.recordRefused();
   assert.ok(!counter.mayRetryRefused());
 });
+
+test('a run that reached no endpoint makes the next one no repeat, and counts towards the limit of refused ones', () => {
+  const counter = createRunCounter({ maximumAttempts: 2, isResumable: true });
+  for (let index = 0; index < 4; index += 1) counter.recordNotSent();
+  assert.ok(!counter.isRepeat());
+  assert.ok(!counter.mayRetryRefused());
+  assert.ok(createRunCounter({ maximumAttempts: 2, isResumable: true }, true).isRepeat());
+});
+
+test('allows no further run once the attempts may be used up elsewhere', () => {
+  const counter = createRunCounter({ maximumAttempts: 3, isResumable: true });
+  counter.recordExhausted();
+  assert.ok(!counter.mayRunAgain());
+  assert.ok(!counter.mayReplaceRun(1));
+  assert.ok(counter.isLastRun());
+});
--- a/src/process/relay/createStreamPaths/index.ts
+++ b/src/process/relay/createStreamPaths/index.ts
@@ -6,6 +6,7 @@
 import { computePermitWaitLimit } from '../../../request/computePermitWaitLimit/index.js';
 import type { EndpointRecord, PathHop } from '../../../types/site/index.js';
 import { acquirePermit } from '../acquirePermit/index.js';
+import type { ResponseHead } from '../../../types/relay/index.js';
 import { recordFailure } from '../recordFailure/index.js';
 import { selectPath } from '../selectPath/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
@@ -44,18 +45,25 @@
   readonly recordFailedRun: (first: PathHop, reason: string) => void;
   /** Records that a run did not reach its first endpoint. */
   readonly recordNotSent: (first: PathHop, reason: string) => void;
-  /** Records that an endpoint refused a run; returns its identifier if it is known. */
+  /** Records that an endpoint, or another node, refused a run; returns its identifier if it is known. */
   readonly recordRefusal: (
     hops: readonly PathHop[],
-    status: number,
-    failedAddress: string | undefined,
+    refusal: Pick<ResponseHead, 'status' | 'metadata'>,
   ) => string | undefined;
+  /** Returns the time after which another node that refused the request asks to retry, in milliseconds. */
+  readonly getNeighbourRetry: () => number | undefined;
   /** Records a complete run for each endpoint of its path. */
   readonly recordSuccess: (hops: readonly PathHop[]) => void;
   /** Returns the first hop whose endpoint is marked as lost. */
   readonly findLost: (hops: readonly PathHop[]) => PathHop | undefined;
 }
 
+/** Prefix of the identifier of a hop that is another node. */
+const NEIGHBOUR_HOP_PREFIX = 'node/';
+/** Maximum number of nodes that a request is handed over to, one after the other. */
+const MAXIMUM_HAND_OVERS = 2;
+/** Predicted times of a run through another node, which chooses the path. */
+const NEIGHBOUR_TIMES = { firstEventMilliseconds: 150, pauseMilliseconds: 75 } as const;
 /** Endpoints that are asked for a permit before one run; after that, paths begin only at others. */
 const MAXIMUM_DENIALS = 4;
 /** Time for which an endpoint that refused a run gets no requests, in milliseconds. */
@@ -71,7 +79,7 @@
  * createStreamPaths(context, request).select(size)?.hops;
  */
 export function createStreamPaths(context: RelayContext, request: RelayedRequest): StreamPaths {
-  const { clock, endpoints, permits, prober } = context;
+  const { clock, endpoints, neighbours, permits, prober } = context;
   /** Endpoints that refused a run of this stream or could not be reached. */
   const avoidedEndpoints = new Set<string>();
   /** Endpoints that have denied a permit since the last run. */
@@ -79,12 +87,41 @@
   /** First endpoint of the last run, if the run failed there. */
   let failedFirstEndpoint: string | undefined;
 
+  /** Records that another node did not answer the request; returns whether the hop is one. */
+  const recordNeighbour = ({ endpoint }: PathHop): boolean => {
+    if (!endpoint.startsWith(NEIGHBOUR_HOP_PREFIX)) return false;
+    triedNeighbours.add(endpoint.slice(NEIGHBOUR_HOP_PREFIX.length));
+    return true;
+  };
   const recordFirstHopFailure = (first: PathHop, reason: string): void => {
     const endpoint = endpoints.find(first.endpoint);
     if (endpoint) recordFailure(context, endpoint);
     void prober.probe(first.endpoint, reason);
   };
 
+  /** Nodes that the request was handed over to, and the time after which one of them asks to retry. */
+  const triedNeighbours = new Set<string>();
+  let neighbourRetryMilliseconds: number | undefined;
+  let hasFailedToConnect = false;
+  const selectNeighbour = (): ChosenPath | undefined => {
+    if (request.isHandedOver || triedNeighbours.size >= MAXIMUM_HAND_OVERS) return undefined;
+    const neighbour = neighbours.pick(triedNeighbours);
+    if (!neighbour) return undefined;
+    const range = { from: 0, to: request.service.model?.layers ?? 0 };
+    const { name, peerAddress: address } = neighbour;
+    const hop = { endpoint: `${NEIGHBOUR_HOP_PREFIX}${name}`, address, range };
+    return { hops: [hop], neighbour, ...NEIGHBOUR_TIMES };
+  };
+  /** Selects another node where this one is cut off; a path of its own, or another node where there is none. */
+  const selectOwnOrNeighbour = (
+    selectOwn: () => ChosenPath | undefined,
+  ): ChosenPath | undefined => {
+    const preferred = neighbours.arePreferred(hasFailedToConnect) ? selectNeighbour() : undefined;
+    const path = preferred ?? selectOwn();
+    if (path || denied.size > 0) return path;
+    return neighbours.mayReachMore(request.service.name) ? selectNeighbour() : undefined;
+  };
+
   const findLimit = ({ hops }: ChosenPath) => {
     const endpoint = endpoints.find(hops[0]?.endpoint ?? '')?.record;
     const limit = endpoint && permits.findLimit(endpoint);
@@ -94,7 +131,10 @@
     if (denied.has(record.id)) return false;
     return denied.size < MAXIMUM_DENIALS || !permits.findLimit(record);
   };
-  const selectWithoutEndpoints: StreamPaths['selectWithoutEndpoints'] = (excluded, size) =>
+  const selectOwnWithout = (
+    excluded: readonly string[],
+    size: TokenEstimate,
+  ): ChosenPath | undefined =>
     selectPath(context, request, {
       ...size,
       excluded: new Set([...avoidedEndpoints, ...excluded]),
@@ -124,15 +164,19 @@
     select: (size) => {
       const failedEndpoint = failedFirstEndpoint;
       failedFirstEndpoint = undefined;
-      const otherPath =
-        failedEndpoint === undefined ? undefined : selectWithoutEndpoints([failedEndpoint], size);
-      return (
-        otherPath ?? selectPath(context, request, { ...size, excluded: avoidedEndpoints, mayStart })
-      );
+      return selectOwnOrNeighbour(() => {
+        const otherPath =
+          failedEndpoint === undefined ? undefined : selectOwnWithout([failedEndpoint], size);
+        return otherPath ?? selectOwnWithout([], size);
+      });
     },
-    selectWithoutEndpoints,
+    selectWithoutEndpoints: (excluded, size) =>
+      selectOwnOrNeighbour(() => selectOwnWithout(excluded, size)),
+    // A node that is cut off cannot ask the first endpoint to move a run.
     selectWithFirstHop: (firstHop, size) =>
-      selectPath(context, request, { ...size, excluded: avoidedEndpoints, firstHop }),
+      neighbours.arePreferred(hasFailedToConnect)
+        ? undefined
+        : selectPath(context, request, { ...size, excluded: avoidedEndpoints, firstHop }),
     needsPermit: (path) => findLimit(path) !== undefined,
     acquirePermit: async (path, options) => {
       const limited = findLimit(path);
@@ -145,15 +189,24 @@
       return isGranted;
     },
     wasDenied: () => denied.size > 0,
+    getNeighbourRetry: () => neighbourRetryMilliseconds,
     recordFailedRun: (first, reason) => {
+      if (recordNeighbour(first)) return;
       recordFirstHopFailure(first, reason);
       failedFirstEndpoint = first.endpoint;
     },
     recordNotSent: (first, reason) => {
+      if (recordNeighbour(first)) return;
+      hasFailedToConnect = true;
       recordFirstHopFailure(first, reason);
       avoidedEndpoints.add(first.endpoint);
     },
-    recordRefusal: (hops, status, failedAddress) => {
+    recordRefusal: (hops, { status, metadata: { failedAddress, backoff } }) => {
+      const [first] = hops;
+      if (first && recordNeighbour(first)) {
+        if (backoff?.kind === 'timed') neighbourRetryMilliseconds = backoff.milliseconds;
+        return first.endpoint;
+      }
       const namedEndpoint =
         failedAddress === undefined ? undefined : endpoints.findByAddress(failedAddress);
       const refusingEndpoint = namedEndpoint ?? endpoints.find(hops[0]?.endpoint ?? '');
--- a/src/process/relay/openRequestRun/index.ts
+++ b/src/process/relay/openRequestRun/index.ts
@@ -1,7 +1,7 @@
 /**
  * Run of a request: the details that are forwarded to its first endpoint.
  */
-import type { EndpointCall } from '../../../types/relay/index.js';
+import type { EndpointCall, ForwardingDetails } from '../../../types/relay/index.js';
 import type { PathHop } from '../../../types/site/index.js';
 import { openStreamRun, type OpenStreamRunOptions } from '../openStreamRun/index.js';
 import { recordResponse } from '../recordResponse/index.js';
@@ -14,20 +14,47 @@
 > {
   readonly context: Pick<
     RelayContext,
-    'clock' | 'endpointPort' | 'endpoints' | 'links' | 'logger' | 'random' | 'rateLimits'
+    | 'clock'
+    | 'endpointPort'
+    | 'endpoints'
+    | 'links'
+    | 'logger'
+    | 'neighbours'
+    | 'random'
+    | 'rateLimits'
   >;
   readonly request: RelayedRequest;
   readonly first: PathHop;
   readonly path: readonly PathHop[];
+  /** Whether the first hop is another node, which chooses the path. */
+  readonly isNeighbour: boolean;
   /** Number of the last event that was forwarded to the caller. */
   readonly lastEventId: number;
   /** Whether this node has forwarded an event. */
   readonly hasBegun: boolean;
+  /** Whether a run of the request has reached an endpoint before. */
+  readonly isRepeat: boolean;
 }
 
 /** Priority of a run that continues a response which has begun. */
 export const CONTINUATION_PRIORITY = 0;
 
+/** Creates the details that are forwarded to the first endpoint of the path. */
+function createForwarding(
+  { request, first, path, lastEventId, hasBegun }: OpenRequestRunOptions,
+  now: number,
+): ForwardingDetails {
+  return {
+    address: first.address,
+    endpoint: first.endpoint,
+    account: request.account,
+    deadlineMilliseconds: request.deadlineAt - now,
+    priority: hasBegun ? CONTINUATION_PRIORITY : request.priority,
+    path,
+    lastEventId,
+  };
+}
+
 /**
  * Opens a run of a request.
  *
@@ -37,33 +64,35 @@
  * const run = openRequestRun(options);
  */
 export function openRequestRun(options: OpenRequestRunOptions): EndpointCall {
-  const { context, request, first, path, lastEventId, hasBegun } = options;
+  const { context, request, first, lastEventId, isNeighbour, isRepeat } = options;
   const { onEvent, onNonStreamResponse, onComplete, onFailed, onNotSent } = options;
-  const startedAt = context.clock.now();
+  const { clock, endpoints, links } = context;
+  const { attempt } = request.caller;
+  const startedAt = clock.now();
+  const common = { attempt, onEvent, onNonStreamResponse, onComplete, onFailed };
+  if (isNeighbour) {
+    const deadlineMilliseconds = request.deadlineAt - startedAt;
+    const { address } = first;
+    const details = { address, attempt, deadlineMilliseconds, lastEventId, isRepeat };
+    return openStreamRun({
+      ...common,
+      send: (handlers) => context.neighbours.send(request.forwarded, details, handlers),
+      // What the endpoint says of itself is for the node that sent it the request.
+      onMetadata: () => undefined,
+      onNotSent,
+    });
+  }
+  const forwarding = createForwarding(options, startedAt);
   return openStreamRun({
-    endpointPort: context.endpointPort,
-    forwarded: request.forwarded,
-    attempt: request.caller.attempt,
-    forwarding: {
-      address: first.address,
-      endpoint: first.endpoint,
-      account: request.account,
-      deadlineMilliseconds: request.deadlineAt - startedAt,
-      priority: hasBegun ? CONTINUATION_PRIORITY : request.priority,
-      path,
-      lastEventId,
-    },
+    ...common,
+    send: (handlers) => context.endpointPort.send(request.forwarded, forwarding, handlers),
     onMetadata: (metadata) => {
-      const endpoint = context.endpoints.find(first.endpoint);
+      const endpoint = endpoints.find(first.endpoint);
       if (endpoint) recordResponse(context, endpoint, metadata);
-      context.links.record(first.endpoint, true, startedAt);
+      links.record(first.endpoint, true, startedAt);
     },
-    onEvent,
-    onNonStreamResponse,
-    onComplete,
-    onFailed,
     onNotSent: (reason) => {
-      context.links.record(first.endpoint, false, startedAt);
+      links.record(first.endpoint, false, startedAt);
       onNotSent(reason);
     },
   });
--- a/src/process/relay/openStreamRun/index.ts
+++ b/src/process/relay/openStreamRun/index.ts
@@ -10,9 +10,7 @@
   ResponseHead,
   ResponseMetadata,
   EndpointCall,
-  EndpointPort,
-  ForwardedRequest,
-  ForwardingDetails,
+  EndpointCallHandlers,
   RawHeaders,
   ResponseEnd,
 } from '../../../types/relay/index.js';
@@ -26,9 +24,8 @@
 
 /** Options of {@link openStreamRun}. Only `onEvent` is called more than once. */
 export interface OpenStreamRunOptions {
-  readonly endpointPort: Pick<EndpointPort, 'send'>;
-  readonly forwarded: ForwardedRequest;
-  readonly forwarding: ForwardingDetails;
+  /** Sends the request; the callbacks are not called before it returns. */
+  readonly send: (handlers: EndpointCallHandlers) => EndpointCall;
   /** Identifier of the attempt that the response must belong to. */
   readonly attempt: string;
   /** Called with the metadata of every response. */
@@ -69,7 +66,7 @@
  * const run = openStreamRun(options);
  */
 export function openStreamRun(options: OpenStreamRunOptions): EndpointCall {
-  const { endpointPort, forwarded, forwarding, attempt } = options;
+  const { send, attempt } = options;
   const { onMetadata, onEvent, onNonStreamResponse, onComplete, onFailed, onNotSent } = options;
   const splitter = createEventSplitter();
   const bodyChunks: Buffer[] = [];
@@ -86,7 +83,7 @@
       onFailed('refusal without proof');
     else onNonStreamResponse({ head: received, body: Buffer.concat(bodyChunks) });
   };
-  return endpointPort.send(forwarded, forwarding, {
+  return send({
     onHead: (received) => {
       head = received;
       onMetadata(received.metadata);
--- a/src/process/relay/relayBuffered/index.ts
+++ b/src/process/relay/relayBuffered/index.ts
@@ -9,6 +9,9 @@
 import type { ResultCodeName } from '../../resultCodes/index.js';
 import { acquirePermit } from '../acquirePermit/index.js';
 import { sendFailure, sendBufferedResponse, type BufferedResponse } from '../sendFailure/index.js';
+import type { NodeRecord } from '../../../types/site/index.js';
+import { createBufferedProgress, type BufferedProgress } from '../createBufferedProgress/index.js';
+import { handOverBuffered } from '../handOverBuffered/index.js';
 import { recordFailure } from '../recordFailure/index.js';
 import type { BlockedRun, RunGate } from '../createRunGate/index.js';
 import type { AttemptOutcome } from '../runBufferedAttempt/index.js';
@@ -25,28 +28,16 @@
 /** Time for which an endpoint that accepts no connection gets no requests, in milliseconds. */
 const CONNECTION_FAILURE_AVOID_MILLISECONDS = 1_000;
 const FIRST_FAILURE_STATUS = 500;
+/** Maximum number of nodes that a request is handed over to, one after the other. */
+const MAXIMUM_HAND_OVERS = 2;
 
-/** Progress of the sends of one request. */
-interface Progress {
-  readonly tried: Set<string>;
-  /** Endpoints that have denied a permit. */
-  readonly denied: Set<string>;
-  sends: number;
-  refused: number;
-  failedConnections: number;
-  mayHaveRun: boolean;
-  timedOut: boolean;
-  /** Last failure response of an endpoint, which is forwarded when no send succeeds. */
-  fallback: BufferedResponse | undefined;
-  reason: string;
-  /** Time after which the caller of a blocked request may retry, in seconds. */
-  blockedSeconds: number | undefined;
-}
+/** What follows after a step: another one, nothing, or the final response to a request without an answer. */
+type Step = 'again' | 'ended' | 'exhausted';
 
 function pickEndpoint(
   context: RelayContext,
   request: RelayedRequest,
-  { tried, denied }: Progress,
+  { tried, denied }: BufferedProgress,
 ): Endpoint | undefined {
   const { endpoints, clock, permits, random, availabilityZone } = context;
   const now = clock.now();
@@ -73,7 +64,7 @@
 function listUntried(
   { endpoints, clock }: RelayContext,
   { service }: RelayedRequest,
-  { tried, denied }: Progress,
+  { tried, denied }: BufferedProgress,
 ): Endpoint[] {
   return endpoints
     .listUsable(service.name, clock.now())
@@ -84,7 +75,7 @@
 async function mayBeSent(
   context: RelayContext,
   request: RelayedRequest,
-  progress: Progress,
+  progress: BufferedProgress,
   { record }: Endpoint,
 ): Promise<boolean> {
   const { permits, clock } = context;
@@ -102,7 +93,11 @@
 }
 
 /** Returns whether another send could follow the next one. */
-function mayFollow(context: RelayContext, request: RelayedRequest, progress: Progress): boolean {
+function mayFollow(
+  context: RelayContext,
+  request: RelayedRequest,
+  progress: BufferedProgress,
+): boolean {
   const { clock, budget } = context;
   const { route, service } = request;
   const isLastAttempt = progress.sends + 1 >= route.maximumAttempts;
@@ -116,7 +111,7 @@
   request: RelayedRequest,
   endpoint: Endpoint,
   outcome: Exclude<AttemptOutcome, { readonly kind: 'answered' | 'disconnected' }>,
-  progress: Progress,
+  progress: BufferedProgress,
 ): void {
   const now = context.clock.now();
   progress.reason = outcome.reason;
@@ -171,7 +166,11 @@
   return Math.max(RETRY_AFTER_SECONDS, retryMilliseconds / MILLISECONDS_PER_SECOND);
 }
 
-function failRequest(context: RelayContext, request: RelayedRequest, progress: Progress): void {
+function failRequest(
+  context: RelayContext,
+  request: RelayedRequest,
+  progress: BufferedProgress,
+): void {
   const { mayHaveRun, timedOut, reason, sends, refused, blockedSeconds } = progress;
   const failure: ResultCodeName = timedOut ? 'outcomeUnknown' : 'endpointFailed';
   const refusal: ResultCodeName = blockedSeconds === undefined ? 'noEndpoint' : 'blocked';
@@ -186,14 +185,19 @@
     milliseconds: Math.round(context.clock.now() - request.arrivedAt),
   });
   request.log.end(true);
+  const refusedSeconds =
+    progress.retryMilliseconds === undefined
+      ? undefined
+      : progress.retryMilliseconds / MILLISECONDS_PER_SECOND;
   const retryAfter = !mayHaveRun && {
-    retryAfterSeconds: blockedSeconds ?? computeRetryAfterSeconds(context, request),
+    retryAfterSeconds:
+      blockedSeconds ?? refusedSeconds ?? computeRetryAfterSeconds(context, request),
   };
   sendFailure(request.response, { code, ...retryAfter });
 }
 
 /** Returns whether a request is blocked, and records the reason for its failure. */
-function isBlocked(blocked: BlockedRun | undefined, progress: Progress): boolean {
+function isBlocked(blocked: BlockedRun | undefined, progress: BufferedProgress): boolean {
   if (!blocked) return false;
   progress.reason = `part ${blocked.part} is blocked`;
   progress.blockedSeconds = blocked.retryAfterSeconds;
@@ -234,71 +238,129 @@
   request: RelayedRequest,
   gate: RunGate,
 ): Promise<void> {
+  const progress = createBufferedProgress();
+  let step: Step = 'again';
+  while (step === 'again') step = await takeStep(context, request, gate, progress);
+  if (step === 'ended') return;
+  if (progress.fallback) forwardResponse(context, request, progress.fallback, progress.sends);
+  else failRequest(context, request, progress);
+}
+
+/** Sends the request once more, to an endpoint or through another node. */
+function takeStep(
+  context: RelayContext,
+  request: RelayedRequest,
+  gate: RunGate,
+  progress: BufferedProgress,
+): Promise<Step> | Step {
+  const { clock, neighbours, stopSignal } = context;
+  const { route, service, deadlineAt } = request;
+  const isTimeUp = clock.now() >= deadlineAt || stopSignal.isRaised();
+  if (progress.sends >= route.maximumAttempts || isTimeUp) return 'exhausted';
+  // A blocked request must not take a permit that others need.
+  if (!gate.mayRun() && isBlocked(gate.admitRun(), progress)) return 'exhausted';
+  const preferred = neighbours.arePreferred(progress.failedConnections > 0)
+    ? pickNeighbour(context, request, progress)
+    : undefined;
+  if (preferred) return handOver(context, request, progress, preferred);
+  const mayConnect = progress.failedConnections < MAXIMUM_FAILED_CONNECTIONS;
+  const endpoint = mayConnect ? pickEndpoint(context, request, progress) : undefined;
+  if (endpoint) return sendToEndpoint(context, request, gate, progress, endpoint);
+  const last = neighbours.mayReachMore(service.name)
+    ? pickNeighbour(context, request, progress)
+    : undefined;
+  return last ? handOver(context, request, progress, last) : 'exhausted';
+}
+
+function pickNeighbour(
+  { neighbours }: RelayContext,
+  { isHandedOver }: RelayedRequest,
+  progress: BufferedProgress,
+): NodeRecord | undefined {
+  if (isHandedOver || progress.neighbours.size >= MAXIMUM_HAND_OVERS) return undefined;
+  return neighbours.pick(progress.neighbours);
+}
+
+async function handOver(
+  context: RelayContext,
+  request: RelayedRequest,
+  progress: BufferedProgress,
+  neighbour: NodeRecord,
+): Promise<Step> {
+  progress.neighbours.add(neighbour.name);
+  const { reason } = progress;
+  const isRepeat = progress.sends > 0;
+  const outcome = await handOverBuffered(context, request, { neighbour, isRepeat, reason });
+  if (outcome.kind === 'disconnected') {
+    endDisconnected(context, request);
+    return 'ended';
+  }
+  if (outcome.kind === 'answered') {
+    forwardResponse(context, request, outcome.response, progress.sends + 1);
+    return 'ended';
+  }
+  progress.reason = outcome.reason;
+  if (outcome.kind === 'notSent') return 'again';
+  if (outcome.kind === 'notRun') {
+    progress.refused += 1;
+    progress.retryMilliseconds = outcome.retryMilliseconds;
+    return 'again';
+  }
+  // The other node may have used all attempts that the route allows.
+  progress.mayHaveRun = true;
+  progress.timedOut = outcome.isTimeout === true;
+  return 'exhausted';
+}
+
+async function sendToEndpoint(
+  context: RelayContext,
+  request: RelayedRequest,
+  gate: RunGate,
+  progress: BufferedProgress,
+  endpoint: Endpoint,
+): Promise<Step> {
   const { endpoints, clock, budget, stopSignal } = context;
   const { route, service, deadlineAt } = request;
   const mayRepeat = route.kind === 'safe';
-  const progress: Progress = {
-    tried: new Set(),
-    denied: new Set(),
-    sends: 0,
-    refused: 0,
-    failedConnections: 0,
-    mayHaveRun: false,
-    timedOut: false,
-    fallback: undefined,
-    reason: 'no endpoint',
-    blockedSeconds: undefined,
-  };
-  while (
-    progress.sends < route.maximumAttempts &&
-    progress.failedConnections < MAXIMUM_FAILED_CONNECTIONS
-  ) {
-    if (clock.now() >= deadlineAt || stopSignal.isRaised()) break;
-    // A blocked request must not take a permit that others need.
-    if (!gate.mayRun() && isBlocked(gate.admitRun(), progress)) break;
-    const endpoint = pickEndpoint(context, request, progress);
-    if (!endpoint) break;
-    if (!(await mayBeSent(context, request, progress, endpoint))) {
-      progress.reason = 'rate limit';
-      progress.denied.add(endpoint.record.id);
-      continue;
-    }
-    const remainingMilliseconds = deadlineAt - clock.now();
-    if (remainingMilliseconds <= 0 || stopSignal.isRaised()) break;
-    if (!request.response.isOpen()) {
-      endDisconnected(context, request);
-      return;
-    }
-    if (isBlocked(gate.admitRun(), progress)) break;
-    if (progress.tried.size > 0 && !budget.take(service.name, clock.now())) break;
-    progress.tried.add(endpoint.record.id);
-    const isLast = !mayRepeat || !mayFollow(context, request, progress);
-    const timeoutMilliseconds = isLast
-      ? remainingMilliseconds
-      : remainingMilliseconds * ATTEMPT_TIME_SHARE;
-    const outcome = await sendOnce(context, request, gate, { endpoint, timeoutMilliseconds });
-    if (outcome.kind === 'disconnected') {
-      endDisconnected(context, request);
-      return;
-    }
-    if (outcome.kind !== 'answered') {
-      recordFailedSend(context, request, endpoint, outcome, progress);
-      if (progress.mayHaveRun && !mayRepeat) break;
-      continue;
-    }
-    progress.sends += 1;
-    const { response } = outcome;
-    if (response.status < FIRST_FAILURE_STATUS) {
-      // A failure does not show that the request is harmless.
-      gate.recordAnswer();
-      endpoints.recordSuccess(endpoint);
-      forwardResponse(context, request, response, progress.sends);
-      return;
-    }
-    progress.fallback = response;
-    progress.mayHaveRun = true;
-    if (!mayRepeat) break;
+  if (!(await mayBeSent(context, request, progress, endpoint))) {
+    progress.reason = 'rate limit';
+    progress.denied.add(endpoint.record.id);
+    return 'again';
   }
-  if (progress.fallback) forwardResponse(context, request, progress.fallback, progress.sends);
-  else failRequest(context, request, progress);
+  const remainingMilliseconds = deadlineAt - clock.now();
+  if (remainingMilliseconds <= 0 || stopSignal.isRaised()) return 'exhausted';
+  if (!request.response.isOpen()) {
+    endDisconnected(context, request);
+    return 'ended';
+  }
+  if (isBlocked(gate.admitRun(), progress)) return 'exhausted';
+  // An endpoint that accepted no connection got nothing.
+  const isRepeat = request.isRepeat || progress.sends > 0;
+  if (isRepeat && !budget.take(service.name, clock.now())) return 'exhausted';
+  progress.tried.add(endpoint.record.id);
+  const isLast = !mayRepeat || !mayFollow(context, request, progress);
+  const timeoutMilliseconds = isLast
+    ? remainingMilliseconds
+    : remainingMilliseconds * ATTEMPT_TIME_SHARE;
+  const outcome = await sendOnce(context, request, gate, { endpoint, timeoutMilliseconds });
+  if (outcome.kind === 'disconnected') {
+    endDisconnected(context, request);
+    return 'ended';
+  }
+  if (outcome.kind !== 'answered') {
+    recordFailedSend(context, request, endpoint, outcome, progress);
+    return progress.mayHaveRun && !mayRepeat ? 'exhausted' : 'again';
+  }
+  progress.sends += 1;
+  const { response } = outcome;
+  if (response.status < FIRST_FAILURE_STATUS) {
+    // A failure does not show that the request is harmless.
+    gate.recordAnswer();
+    endpoints.recordSuccess(endpoint);
+    forwardResponse(context, request, response, progress.sends);
+    return 'ended';
+  }
+  progress.fallback = response;
+  progress.mayHaveRun = true;
+  return mayRepeat ? 'again' : 'exhausted';
 }
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -53,7 +53,7 @@
 }
 
 function startStream(context: RelayContext, request: RelayedRequest, onDone: () => void): void {
-  const { clock, budget, endpoints, permits } = context;
+  const { clock, budget, endpoints, neighbours, permits } = context;
   const { route, service, caller, deadlineAt, log } = request;
   const paths = createStreamPaths(context, request);
   let state: RunState = 'idle';
@@ -65,7 +65,7 @@
   let checks = 0;
   /** Whether this node gave up the last run, while its endpoint had not ended it. */
   let isAbandoned = false;
-  const counter = createRunCounter(route);
+  const counter = createRunCounter(route, request.isRepeat);
   const gate = context.partGuard.createGate(request);
   let run = createRunRecord(context, request, gate);
   const stopBlockListener = gate.onBlocked(() => {
@@ -187,9 +187,9 @@
   }
 
   /** Ends the run that was to be replaced, after its endpoint refused it or was not reached. */
-  function endRefusedStandby(reason: string): void {
+  function endRefusedStandby(reason: string, count = counter.recordRefused): void {
     isAbandoned = false;
-    counter.recordRefused();
+    count();
     log.add('run-refused', { reason, path: formatHops(standby?.path.hops ?? []) });
     endStandby();
   }
@@ -242,18 +242,22 @@
         hasBegun,
         mayHaveRun: counter.mayHaveRun(),
         isTimeUp: false,
-        retryMilliseconds: findRetryTime({
-          endpoints: endpoints.list(),
-          service: service.name,
-          estimateWait: permits.estimateWait,
-          now: clock.now(),
-        }),
+        retryMilliseconds: paths.getNeighbourRetry() ?? findOwnRetryTime(),
         ...conditions,
       }),
     });
     finish();
   }
 
+  function findOwnRetryTime(): number | undefined {
+    return findRetryTime({
+      endpoints: endpoints.list(),
+      service: service.name,
+      estimateWait: permits.estimateWait,
+      now: clock.now(),
+    });
+  }
+
   function computeSize(): TokenEstimate {
     return estimateTokens({ caller, model: service.model, lastEventId: response.getLastEventId() });
   }
@@ -284,7 +288,8 @@
 
   function runOn(chosen: ChosenPath): void {
     const [first] = chosen.hops;
-    const blocked = gate.admitRun();
+    // Another node admits what it passes on itself.
+    const blocked = chosen.neighbour ? undefined : gate.admitRun();
     if (blocked) {
       failBlocked(blocked);
       return;
@@ -294,18 +299,25 @@
       return;
     }
     const isRepeat = standby !== undefined || counter.isRepeat();
-    if (isRepeat && !budget.take(service.name, clock.now())) {
+    // Another node takes a repeat from its own part of the budget.
+    if (isRepeat && !chosen.neighbour && !budget.take(service.name, clock.now())) {
       failRun('retry budget exhausted');
       return;
     }
     const { roomTokens } = computeSize();
     release = reserveMemory(context, service.model, chosen.hops, roomTokens);
     state = 'running';
-    openRun(first);
+    if (chosen.neighbour) logHandOver(chosen.neighbour.name);
+    openRun(chosen, first);
     watch.reset();
   }
 
-  function openRun(first: PathHop): void {
+  function logHandOver(peer: string): void {
+    context.metrics.count('handed_over', 'sent');
+    log.add('request-handed-over', { peer, reason: 'no endpoint reached' });
+  }
+
+  function openRun({ neighbour }: ChosenPath, first: PathHop): void {
     run = createRunRecord(context, request, gate);
     run.begin(first);
     const opened: EndpointCall = openRequestRun({
@@ -313,8 +325,10 @@
       request,
       first,
       path: listHops(),
+      isNeighbour: neighbour !== undefined,
       lastEventId: response.getLastEventId(),
       hasBegun: response.hasBegun(),
+      isRepeat: standby !== undefined || counter.isRepeat(),
       onEvent: (event, headers) => {
         if (standby?.call === opened) restoreStandby('events');
         if (call !== opened) return false;
@@ -338,7 +352,7 @@
           giveUpStandby(`status ${status}`);
           return;
         }
-        paths.recordRefusal(standby.path.hops, status, metadata.failedAddress);
+        paths.recordRefusal(standby.path.hops, received.head);
         endRefusedStandby(`status ${status}`);
       },
       onComplete: (end) => {
@@ -349,6 +363,8 @@
       onFailed: (reason) => {
         isAbandoned = false;
         paths.recordFailedRun(first, reason);
+        // The other node may have used all attempts that the route allows.
+        if (neighbour) counter.recordExhausted();
         if (standby?.call !== opened) {
           void recoverBroken(reason, 'report');
           return;
@@ -358,8 +374,8 @@
       },
       onNotSent: (reason) => {
         paths.recordNotSent(first, reason);
-        if (standby?.call === opened) endRefusedStandby(reason);
-        else retryRefused(reason);
+        if (standby?.call === opened) endRefusedStandby(reason, counter.recordNotSent);
+        else retryRefused(reason, counter.recordNotSent);
       },
     });
     call = opened;
@@ -390,11 +406,12 @@
   function handleNonStreamResponse({ head, body }: NonStreamResponse): void {
     const { status, metadata, headers } = head;
     if (metadata.isNotExecuted) {
-      const refusing = paths.recordRefusal(listHops(), status, metadata.failedAddress);
+      const refusing = paths.recordRefusal(listHops(), head);
       retryRefused(`status ${status} of ${refusing ?? 'an unknown endpoint'}`);
       return;
     }
     counter.recordMayHaveRun();
+    if (path?.neighbour) counter.recordExhausted();
     if (!response.hasBegun() && metadata.isFromEndpoint && counter.isLastRun()) {
       response.forwardFailure({ status, headers, body });
       finish();
@@ -404,9 +421,9 @@
   }
 
   /** Starts another run after one that an endpoint refused without executing it. */
-  function retryRefused(reason: string): void {
+  function retryRefused(reason: string, count = counter.recordRefused): void {
     endRun();
-    counter.recordRefused();
+    count();
     log.add('run-refused', { reason, path: formatHops(listHops()) });
     if (restoreStandby(reason)) return;
     if (!counter.mayRetryRefused() || deadlineAt <= clock.now()) fail(reason);
@@ -420,7 +437,8 @@
   /** Replaces an idle run; returns false, and the run continues, when nothing can replace it. */
   function replaceIdleRun(): boolean {
     const [first] = listHops();
-    if (state !== 'running') return false;
+    // Another node replaces its own silent runs.
+    if (state !== 'running' || path?.neighbour) return false;
     if (standby) return replaceIdleStandby(standby);
     const newPath = first && lostEndpoints.selectReplacement(first.endpoint);
     if (!newPath) return false;
@@ -443,8 +461,10 @@
   /** Returns whether another run may take over, where a number of runs are open. */
   function mayReplace(openRuns: number): boolean {
     const now = clock.now();
-    const hasTime = deadlineAt > now && budget.countLeft(service.name, now) >= 1;
-    return hasTime && counter.mayReplaceRun(openRuns) && gate.mayRun();
+    // Another node takes the repeat from its own part of the budget.
+    const hasBudget = neighbours.arePreferred(false) || budget.countLeft(service.name, now) >= 1;
+    const isPossible = deadlineAt > now && hasBudget && counter.mayReplaceRun(openRuns);
+    return isPossible && gate.mayRun();
   }
 
   /** Finds out whether a run whose endpoint seems lost may be followed by another one. */
--- a/src/process/relay/runBufferedAttempt/index.ts
+++ b/src/process/relay/runBufferedAttempt/index.ts
@@ -1,11 +1,15 @@
 /**
  * Single send of a request whose response is a complete body.
  */
-import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
 import { checkRefusal } from '../../../request/checkRefusal/index.js';
-import type { ResponseHead, EndpointCall, ResponseEnd } from '../../../types/relay/index.js';
+import type {
+  EndpointCall,
+  EndpointCallHandlers,
+  ResponseEnd,
+  ResponseHead,
+} from '../../../types/relay/index.js';
 import type { BufferedResponse } from '../sendFailure/index.js';
-import { isResponseTo, recordResponse } from '../recordResponse/index.js';
+import { isResponseTo } from '../recordResponse/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
 /** Outcome of a send. */
@@ -16,7 +20,12 @@
       readonly end: ResponseEnd;
     }
   | { readonly kind: 'notSent'; readonly reason: string }
-  | { readonly kind: 'notRun'; readonly reason: string }
+  | {
+      readonly kind: 'notRun';
+      readonly reason: string;
+      /** Time after which the request may be repeated, if the refusal names one. */
+      readonly retryMilliseconds?: number | undefined;
+    }
   | {
       readonly kind: 'unknown';
       readonly reason: string;
@@ -28,8 +37,9 @@
 
 /** Options of {@link runBufferedAttempt}. */
 export interface RunBufferedAttemptOptions {
-  readonly endpoint: Endpoint;
   readonly timeoutMilliseconds: number;
+  /** Opens the call; its callbacks are not called before it returns. */
+  readonly open: (handlers: EndpointCallHandlers) => EndpointCall;
 }
 
 /** Maximum size of a buffered response in bytes. */
@@ -71,30 +81,27 @@
 }
 
 /**
- * Sends a request to an endpoint once, and waits for the complete response.
+ * Sends a request once, and waits for the complete response.
  *
  * @param context - dependencies of the process
  * @param request - the request
- * @param options - the endpoint and the time limit in milliseconds
+ * @param options - the call to open, and the time limit in milliseconds
  * @returns the outcome
  * @example
- * await runBufferedAttempt(context, request, { endpoint, timeoutMilliseconds: 800 });
+ * await runBufferedAttempt(context, request, { open, timeoutMilliseconds: 800 });
  */
 export function runBufferedAttempt(
   context: RelayContext,
   request: RelayedRequest,
   options: RunBufferedAttemptOptions,
 ): Promise<AttemptOutcome> {
-  const { clock, endpointPort } = context;
-  const { endpoint, timeoutMilliseconds } = options;
-  const { record } = endpoint;
+  const { clock } = context;
+  const { open, timeoutMilliseconds } = options;
   return new Promise((resolve) => {
-    const startedAt = clock.now();
     const chunks: Buffer[] = [];
     const reservation = context.responseMemory.createReservation();
     let size = 0;
     let head: ResponseHead | undefined;
-    endpoint.localRequests += 1;
     let isDone = false;
     const finish = (outcome: AttemptOutcome): void => {
       if (isDone) return;
@@ -103,25 +110,18 @@
       removeStopCallback();
       call.abort();
       reservation.release();
-      endpoint.localRequests = Math.max(0, endpoint.localRequests - 1);
       resolve(outcome);
     };
-    const forwarding = {
-      address: record.address,
-      endpoint: record.id,
-      account: request.account,
-      deadlineMilliseconds: request.deadlineAt - startedAt,
-    };
-    const call: EndpointCall = endpointPort.send(request.forwarded, forwarding, {
+    const call = open({
       onHead: (received) => {
         head = received;
-        recordResponse(context, endpoint, received.metadata);
-        context.links.record(record.id, true, startedAt);
         const { status, metadata } = received;
         const { attempt } = request.caller;
         if (checkRefusal({ status, metadata, attempt }) !== 'refused') return;
         // The head is sufficient; the body may be slow.
-        finish({ kind: 'notRun', reason: `status ${status}` });
+        const { backoff } = metadata;
+        const retryMilliseconds = backoff?.kind === 'timed' ? backoff.milliseconds : undefined;
+        finish({ kind: 'notRun', reason: `status ${status}`, retryMilliseconds });
       },
       onData: (chunk) => {
         size += chunk.length;
@@ -140,10 +140,8 @@
         else finish(classifyResponse(head, request.caller.attempt, body, end));
       },
       onFailure: (state, reason) => {
-        if (state === 'notSent') {
-          context.links.record(record.id, false, startedAt);
-          finish({ kind: 'notSent', reason });
-        } else finish({ kind: 'unknown', reason, isConnectionLost: true });
+        if (state === 'notSent') finish({ kind: 'notSent', reason });
+        else finish({ kind: 'unknown', reason, isConnectionLost: true });
       },
     });
     const cancelTimer = clock.scheduleAfterReads(timeoutMilliseconds, () => {
--- a/src/process/relay/runBufferedAttempt/test.ts
+++ b/src/process/relay/runBufferedAttempt/test.ts
@@ -7,8 +7,6 @@
 import { test } from 'node:test';
 import { Worker } from 'node:worker_threads';
 import { createSiteProtocol } from '../../../../platform/createSiteProtocol/index.js';
-import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
-import { SOUND_LINKS } from '../../../../tests/support/site/index.js';
 import { createSystemClock } from '../../runtime/createSystemClock/index.js';
 import { createBodyMemoryLimit } from '../createBodyMemoryLimit/index.js';
 import { createEndpointPort } from '../createEndpointPort/index.js';
@@ -40,17 +38,9 @@
   while (performance.now() < until);
 }
 
-function createEndpoint(address: string): Endpoint {
-  return { record: { id: 'engine-0', address }, localRequests: 0 } as Endpoint;
-}
-
 function createContext(): RelayContext {
   return {
     clock: createSystemClock(),
-    endpointPort: createEndpointPort(createSiteProtocol()),
-    endpoints: { recordResponse: () => undefined, markLeaving: () => false },
-    links: SOUND_LINKS,
-    rateLimits: { record: () => undefined },
     stopSignal: createStopSignal(assert.ifError),
     responseMemory: createBodyMemoryLimit(1_000_000),
   } as unknown as RelayContext;
@@ -77,8 +67,15 @@
     const worker = new Worker(SERVER, { eval: true });
     context.after(() => worker.terminate());
     const [port] = (await once(worker, 'message')) as [number];
-    const attempted = runBufferedAttempt(createContext(), createRequest(), {
-      endpoint: createEndpoint(`127.0.0.1:${port}`),
+    const request = createRequest();
+    const forwarding = {
+      address: `127.0.0.1:${port}`,
+      endpoint: 'engine-0',
+      deadlineMilliseconds: TIMEOUT_MILLISECONDS,
+    };
+    const endpointPort = createEndpointPort(createSiteProtocol());
+    const attempted = runBufferedAttempt(createContext(), request, {
+      open: (handlers) => endpointPort.send(request.forwarded, forwarding, handlers),
       timeoutMilliseconds: TIMEOUT_MILLISECONDS,
     });
     await once(worker, 'message');
--- a/src/process/relay/sendOnce/index.ts
+++ b/src/process/relay/sendOnce/index.ts
@@ -2,13 +2,62 @@
  * Single send of a request whose response is a complete body, and the check of an endpoint that ended.
  */
 import type { RunGate } from '../createRunGate/index.js';
-import {
-  runBufferedAttempt,
-  type AttemptOutcome,
-  type RunBufferedAttemptOptions,
-} from '../runBufferedAttempt/index.js';
+import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
+import type { EndpointCall, EndpointCallHandlers } from '../../../types/relay/index.js';
+import { recordResponse } from '../recordResponse/index.js';
+import { runBufferedAttempt, type AttemptOutcome } from '../runBufferedAttempt/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
+/** Options of {@link sendOnce}. */
+export interface SendOnceOptions {
+  readonly endpoint: Endpoint;
+  readonly timeoutMilliseconds: number;
+}
+
+/** Opens the call to an endpoint; what its response says of the endpoint is recorded. */
+function openCall(
+  context: RelayContext,
+  request: RelayedRequest,
+  endpoint: Endpoint,
+  handlers: EndpointCallHandlers,
+): EndpointCall {
+  const { clock, endpointPort, links } = context;
+  const { id, address } = endpoint.record;
+  const startedAt = clock.now();
+  const forwarding = {
+    address,
+    endpoint: id,
+    account: request.account,
+    deadlineMilliseconds: request.deadlineAt - startedAt,
+  };
+  return endpointPort.send(request.forwarded, forwarding, {
+    ...handlers,
+    onHead: (head) => {
+      recordResponse(context, endpoint, head.metadata);
+      links.record(id, true, startedAt);
+      handlers.onHead(head);
+    },
+    onFailure: (state, reason) => {
+      if (state === 'notSent') links.record(id, false, startedAt);
+      handlers.onFailure(state, reason);
+    },
+  });
+}
+
+async function runAttempt(
+  context: RelayContext,
+  request: RelayedRequest,
+  { endpoint, timeoutMilliseconds }: SendOnceOptions,
+): Promise<AttemptOutcome> {
+  endpoint.localRequests += 1;
+  const outcome = await runBufferedAttempt(context, request, {
+    timeoutMilliseconds,
+    open: (handlers) => openCall(context, request, endpoint, handlers),
+  });
+  endpoint.localRequests = Math.max(0, endpoint.localRequests - 1);
+  return outcome;
+}
+
 /**
  * Sends a request to an endpoint once.
  *
@@ -27,11 +76,11 @@
   context: RelayContext,
   request: RelayedRequest,
   gate: RunGate,
-  options: RunBufferedAttemptOptions,
+  options: SendOnceOptions,
 ): Promise<AttemptOutcome> {
   const { id: endpoint, startedAt } = options.endpoint.record;
   const sentAt = context.clock.now();
-  const outcome = await runBufferedAttempt(context, request, options);
+  const outcome = await runAttempt(context, request, options);
   const isLost = outcome.kind === 'unknown' && outcome.isConnectionLost === true;
   const isEndedByConnection = outcome.kind === 'answered' && outcome.end === 'connection';
   if (!isLost && !isEndedByConnection) return outcome;
--- a/src/process/relay/types/index.ts
+++ b/src/process/relay/types/index.ts
@@ -23,6 +23,7 @@
 import type { StopSignal } from '../createStopSignal/index.js';
 import type { PartGuard } from '../createPartGuard/index.js';
 import type { RelayMetrics } from '../createRelayMetrics/index.js';
+import type { Neighbours } from '../createNeighbours/index.js';
 import type { RequestLog } from '../createRequestLog/index.js';
 
 /** Dependencies of the process that a relayed request uses. */
@@ -38,6 +39,8 @@
   readonly random: () => number;
   readonly prober: EndpointProber;
   readonly links: Pick<LinkMonitor, 'record' | 'isIsolated' | 'isSuspect'>;
+  /** Other nodes that requests may be handed over to. */
+  readonly neighbours: Neighbours;
   /** Rate limits that endpoints announced, and the permits to send them requests. */
   readonly rateLimits: Pick<RateLimits, 'record'>;
   readonly permits: Pick<Permits, 'findLimit' | 'estimateWait' | 'acquire'>;
@@ -67,6 +70,10 @@
   readonly account: string | undefined;
   readonly priority: number;
   readonly arrivedAt: number;
+  /** Whether another node handed it over, so that this node must not do so. */
+  readonly isHandedOver: boolean;
+  /** Whether that node has sent it to an endpoint, so that this node repeats it. */
+  readonly isRepeat: boolean;
   /** Time at which the caller must have its final response, in milliseconds. */
   readonly deadlineAt: number;
   readonly response: CallerResponse;
--- a/src/process/relay/watchLostEndpoints/index.ts
+++ b/src/process/relay/watchLostEndpoints/index.ts
@@ -12,7 +12,7 @@
 
 /** Options of {@link watchLostEndpoints}. */
 export interface WatchLostEndpointsOptions {
-  readonly context: Pick<RelayContext, 'clock' | 'budget' | 'decisions' | 'onLost'>;
+  readonly context: Pick<RelayContext, 'clock' | 'decisions' | 'onLost'>;
   readonly request: Pick<RelayedRequest, 'service' | 'log'>;
   readonly paths: Pick<StreamPaths, 'selectWithFirstHop' | 'selectWithoutEndpoints' | 'findLost'>;
   /** Returns the path of the current run; undefined when there is none. */
@@ -25,7 +25,7 @@
   readonly hasBegun: () => boolean;
   /** Returns whether the run has received nothing for longer than is usual. */
   readonly isSilent: () => boolean;
-  /** Returns whether another run may take over from the current one. */
+  /** Returns whether time, attempts and the retry budget allow another run to take over from the current one. */
   readonly mayReplace: () => boolean;
   readonly computeSize: () => TokenEstimate;
   /**
@@ -69,7 +69,7 @@
   const { context, request, paths, getPath, isRunning, isEstablished, isSilent, hasBegun } =
     options;
   const { mayReplace, computeSize, checkSuspect, onMove, onReplace } = options;
-  const { clock, budget, decisions } = context;
+  const { clock, decisions } = context;
   let cancelRecheck: (() => void) | undefined;
   let rechecks = 0;
   /** Path whose run was logged as kept, so that each is logged once. */
@@ -91,7 +91,7 @@
     request.log.add('run-kept', { reason, path: formatHops(path.hops) });
   };
   const selectReplacement = (endpoint: string): ChosenPath | undefined => {
-    if (!mayReplace() || budget.countLeft(request.service.name, clock.now()) < 1) return undefined;
+    if (!mayReplace()) return undefined;
     const first = hasBegun() ? getPath()?.hops[0]?.endpoint : undefined;
     // An endpoint does not tell two runs of one request apart.
     const excluded = first === undefined ? [endpoint] : [endpoint, first];
--- a/src/process/relay/watchLostEndpoints/test.ts
+++ b/src/process/relay/watchLostEndpoints/test.ts
@@ -68,7 +68,6 @@
           };
         },
       },
-      budget: { countLeft: () => stream.retriesLeft },
       decisions: { movesRuns: true },
       onLost: (callback: (endpoint: string) => void) => {
         listener = callback;
@@ -94,7 +93,7 @@
     isEstablished: () => stream.isEstablished,
     isSilent: () => stream.isSilent,
     hasBegun: () => true,
-    mayReplace: () => true,
+    mayReplace: () => stream.retriesLeft >= 1,
     computeSize: () => SIZE,
     checkSuspect: () => {
       stream.outcomes.push('suspect');
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -4,7 +4,7 @@
 import { createZoneLinkMonitor } from '../../../request/createZoneLinkMonitor/index.js';
 import { createServiceRetryBudget } from '../../../request/createServiceRetryBudget/index.js';
 import type { Clock } from '../../../types/clock/index.js';
-import type { EndpointPort } from '../../../types/relay/index.js';
+import type { EndpointPort, NeighbourPort } from '../../../types/relay/index.js';
 import type { NodeRecord } from '../../../types/site/index.js';
 import type { Store } from '../../../types/store/index.js';
 import { describeError } from '../../describeError/index.js';
@@ -14,6 +14,7 @@
 import type { LeavingPeriod } from '../../relay/admitRequest/index.js';
 import { createBodyMemoryLimit } from '../../relay/createBodyMemoryLimit/index.js';
 import { createLinkMonitor } from '../../relay/createLinkMonitor/index.js';
+import { createNeighbours } from '../../relay/createNeighbours/index.js';
 import { createEndpointProber } from '../../relay/createEndpointProber/index.js';
 import { createRelay, type Relay } from '../../relay/createRelay/index.js';
 import { createStartGate } from '../../relay/createStartGate/index.js';
@@ -79,6 +80,7 @@
   readonly clock: Clock;
   readonly store: Store;
   readonly endpointPort: EndpointPort;
+  readonly neighbourPort: NeighbourPort;
   readonly peerPort: PeerPort;
   readonly logger: SiteLogger;
   readonly decoders: SiteDecoders;
@@ -344,6 +346,15 @@
     peerPort: options.peerPort,
     listAlive: exchange.peers.listAlive,
   });
+  const neighbours = createNeighbours({
+    availabilityZone: self.availabilityZone,
+    endpoints: state.endpoints,
+    links,
+    port: options.neighbourPort,
+    listConnected: exchange.peers.listConnected,
+    now,
+    random,
+  });
   const context: RelayContext = {
     availabilityZone: self.availabilityZone,
     endpoints: state.endpoints,
@@ -353,6 +364,7 @@
     metrics,
     prober,
     links,
+    neighbours,
     rateLimits,
     permits,
     crashes,
--- a/src/process/site/createSiteServers/index.ts
+++ b/src/process/site/createSiteServers/index.ts
@@ -5,6 +5,8 @@
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '../../../types/site/index.js';
 import type { LifeCycle } from '../../createLifeCycle/index.js';
+import type { CallerHandler } from '../../relay/createCallerHandler/index.js';
+import { readHandedOver } from '../../relay/createNeighbourPort/index.js';
 import { parseJson } from '../../parseJson/index.js';
 import {
   createParserErrorResponder,
@@ -85,12 +87,22 @@
  * Creates the server that receives requests of other nodes.
  *
  * @param handleRequest - returns the reply, or undefined when the request is invalid
+ * @param handleHandedOver - handles a request of a caller that another node handed over
  * @returns the server, which does not listen yet
  * @example
- * createPeerServer(exchange.handleRequest);
+ * createPeerServer(exchange.handleRequest, callerHandler.handleHandedOver);
  */
-export function createPeerServer(handleRequest: (value: unknown) => unknown): Server {
-  return createServer((incoming, response) => {
+export function createPeerServer(
+  handleRequest: (value: unknown) => unknown,
+  handleHandedOver: CallerHandler['handleHandedOver'],
+): Server {
+  const limits = { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true };
+  return createServer(limits, (incoming, response) => {
+    const handedOver = readHandedOver(incoming);
+    if (handedOver) {
+      handleHandedOver(incoming, response, handedOver);
+      return;
+    }
     const chunks: Buffer[] = [];
     let size = 0;
     incoming.on('data', (chunk: Buffer) => {
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -354,6 +354,11 @@
     loadAge: number('milliseconds since its last load report'),
     candidates: number('endpoints that were considered'),
   }),
+  'request-handed-over': define(
+    'warn',
+    'A request was handed over to another node, as this one does not reach the endpoints it needs.',
+    { request, peer, reason },
+  ),
   'permit-granted': define(
     'info',
     'A request may be sent to an endpoint with a rate limit.',
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -10,6 +10,7 @@
 import type { LeavingPeriod } from '../../relay/admitRequest/index.js';
 import { createCallerHandler } from '../../relay/createCallerHandler/index.js';
 import { createEndpointPort } from '../../relay/createEndpointPort/index.js';
+import { createNeighbourPort } from '../../relay/createNeighbourPort/index.js';
 import { createSystemClock } from '../../runtime/createSystemClock/index.js';
 import { runLoop } from '../../runtime/runLoop/index.js';
 import { createPeerPort } from '../createPeerPort/index.js';
@@ -155,6 +156,7 @@
     clock,
     store,
     endpointPort: options.endpointPort ?? createEndpointPort(protocol),
+    neighbourPort: createNeighbourPort({ node, translator: protocol }),
     peerPort,
     logger,
     decoders: options.decoders,
@@ -191,7 +193,7 @@
   const recordLoopFailure = (loop: string, error: unknown): void => {
     logger.log('loop-failed', { loop, reason: describeError(error) });
   };
-  const peerServer = createPeerServer(exchange.handleRequest);
+  const peerServer = createPeerServer(exchange.handleRequest, handler.handleHandedOver);
   await startListeners(
     lifeCycle,
     [
--- a/src/request/choosePath/index.ts
+++ b/src/request/choosePath/index.ts
@@ -1,7 +1,13 @@
 /**
  * Choice of the path of a request: the endpoints in order, each with a range of layers to run.
  */
-import type { AcceleratorKind, LayeredModel, LayerRange, PathHop } from '../../types/site/index.js';
+import type {
+  AcceleratorKind,
+  LayeredModel,
+  LayerRange,
+  NodeRecord,
+  PathHop,
+} from '../../types/site/index.js';
 import { computePassTime } from '../computePassTime/index.js';
 import { computeZoneLinkTime } from '../computeZoneLinkTime/index.js';
 import { computePrefillTime } from '../computePrefillTime/index.js';
@@ -52,6 +58,8 @@
   readonly firstEventMilliseconds: number;
   /** Predicted time between events, in milliseconds. */
   readonly pauseMilliseconds: number;
+  /** Node that chooses the path in place of this one; its only hop is that node. */
+  readonly neighbour?: NodeRecord;
 }
 
 /** Time that one hop adds to each event in addition to its computing time, in milliseconds. */
--- a/src/types/relay/index.ts
+++ b/src/types/relay/index.ts
@@ -40,6 +40,19 @@
   readonly bodyBytes?: number | undefined;
 }
 
+/** Details of a request that a node hands over to a neighbour: another node, which relays it. */
+export interface HandOverDetails {
+  /** Address of the neighbour for other nodes. */
+  readonly address: string;
+  /** Identifier of the attempt; empty when the caller sent none. */
+  readonly attempt: string;
+  readonly deadlineMilliseconds: number;
+  /** Number of the last event that was forwarded to the caller. */
+  readonly lastEventId?: number | undefined;
+  /** Whether the request has reached an endpoint before, so that sending it again takes from the retry budget. */
+  readonly isRepeat: boolean;
+}
+
 /** Metadata that the headers of an endpoint's response carry. */
 export interface ResponseMetadata {
   readonly attempt?: string | undefined;
@@ -92,6 +105,12 @@
     callerHeaders: RawHeaders,
     forwarding: ForwardingDetails,
   ) => string[];
+  /** Builds the headers of a request that is handed over, with those that the neighbour reads from a caller. */
+  readonly buildHandOverHeaders: (
+    callerHeaders: RawHeaders,
+    details: HandOverDetails,
+    bodyBytes: number | undefined,
+  ) => string[];
   readonly parseResponseHeaders: (
     status: number,
     headers: NodeJS.Dict<string | string[]>,
@@ -165,6 +184,16 @@
   ) => EndpointCall;
 }
 
+/** Port to the nodes that a request may be handed over to. */
+export interface NeighbourPort {
+  /** Hands a request over; a refusal of the neighbour counts as one of an endpoint. */
+  readonly send: (
+    request: ForwardedRequest,
+    details: HandOverDetails,
+    handlers: EndpointCallHandlers,
+  ) => EndpointCall;
+}
+
 /**
  * Why a response is aborted: a stream whose endpoint ended it, a stream whose run the node gave up, or an
  * internal error.
