Let nodes that reach endpoints plan, and send callers to them first

Evidence: the test fails without the change (no other node plans within 10 s). Change: nodes that are known to be cut off do not plan and are not named to callers, unless all are.

--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -106,6 +106,8 @@
   readonly follower: StoreFollower;
   readonly planner: Planner;
   readonly registration: NodeRegistration;
+  /** Lists the live nodes that are not known to be cut off from endpoints; all live ones if there is none. */
+  readonly listReaching: () => readonly NodeRecord[];
   /** Ends the open requests with a final response, before the process exits. */
   readonly endRequests: () => void;
   /** Returns the current state as the node knows it, for operators. */
@@ -301,18 +303,21 @@
       applyItem(key, value?.toString('utf8'), origin);
     },
   });
-  const listAlive = (): string[] =>
-    exchange.peers
-      .listAlive()
-      .filter(({ isLeaving }) => !isLeaving)
-      .map(({ name }) => name);
+  const listReaching = (): readonly NodeRecord[] => {
+    const { listConnected, listAlive: listLive, getSelf } = exchange.peers;
+    const reaching = links.isIsolated() ? listConnected() : [getSelf(), ...listConnected()];
+    return reaching.length > 0 ? reaching : listLive();
+  };
   const planner: Planner = createPlanner({
     self: self.name,
     state,
     endpointPort,
     logger,
     now,
-    listAlive,
+    listAlive: () =>
+      listReaching()
+        .filter(({ isLeaving }) => !isLeaving)
+        .map(({ name }) => name),
     prober,
     planPlacement: decisions.planPlacement,
   });
@@ -391,6 +396,7 @@
     follower,
     planner,
     registration,
+    listReaching,
     endRequests: () => {
       stopSignal.raise();
       configurationGate.open();
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -187,7 +187,8 @@
     '/v1/histograms': () => JSON.stringify(metrics.listHistograms()),
   });
   const directoryServer = createServer((incoming, response) => {
-    queries.createAddressHandler(exchange.peers.listAlive(), core.random)(incoming, response);
+    // Callers of a node that is cut off from endpoints are better served by the others directly.
+    queries.createAddressHandler(core.listReaching(), core.random)(incoming, response);
   });
   lifeCycle.own({ name: 'store connections', close: store.close });
   const recordLoopFailure = (loop: string, error: unknown): void => {
--- a/tests/cutNodes.test.ts
+++ b/tests/cutNodes.test.ts
@@ -264,3 +264,20 @@
     }
   assert.equal(countLines(first, 'request-handed-over'), handedOver);
 });
+
+test('callers are not sent to a node that reaches no endpoint, and another one plans in its place', async () => {
+  const isPlanning = (node: CuttableNode): boolean =>
+    countLines(node, 'planner-begins') > countLines(node, 'planner-ends');
+  const planner = nodes.find(isPlanning);
+  assert.ok(planner);
+  planner.links.begin('refuse');
+  await sendRequests(planner, CONTACT_MILLISECONDS);
+  const others = nodes.filter((node) => node !== planner);
+  await waitFor('another node plans', () => !isPlanning(planner) && others.some(isPlanning));
+  for (const { node } of nodes) {
+    const { directory: address } = node;
+    const { body } = await sendCallerRequest({ address, path: '/resolve?name=a&zone=mission' });
+    const { addresses } = JSON.parse(body) as { addresses: string[] };
+    assert.deepEqual(addresses.sort(), others.map((other) => other.node.callers).sort());
+  }
+});
