Show truncated answers that a node takes for whole after it stood still

Cause: an engine crashes while a node stands still, and is back at its address under a new id before the node goes on. For a plain answer without a length and without chunks, the node only checks whether anything listens at the address, and takes the part that it has for the whole body.

--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -8,9 +8,10 @@
 import http from 'node:http';
 
 const settings = JSON.parse(process.argv[2]);
-const { id, host, born, pieces, gapMilliseconds, framed, layers } = settings;
+const { id, host, pieces, gapMilliseconds, framed, layers } = settings;
 const say = (message) => process.send?.({ id, ...message });
 
+let { born } = settings;
 let held = layers;
 let orders = layers ? 1 : 0;
 let active = 0;
@@ -116,7 +117,14 @@
   });
 });
 server.keepAliveTimeout = 5_000;
-server.listen(0, host, () =>
-  say({ kind: 'listening', address: `${host}:${server.address().port}` }),
-);
+const listen = () =>
+  server.listen(settings.port ?? 0, host, () =>
+    say({ kind: 'listening', address: `${host}:${server.address().port}` }),
+  );
+if (settings.waits)
+  process.once('message', (message) => {
+    ({ born } = message);
+    listen();
+  });
+else listen();
 process.on('disconnect', () => process.exit(0));
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -28,7 +28,7 @@
   for (;;) {
     if (await condition()) return;
     if (Date.now() > until) throw new CannotRun(`waited in vain: ${what}`);
-    await sleep(50);
+    await sleep(10);
   }
 }
 
@@ -178,8 +178,8 @@
 
   /** Starts an engine and registers it; it writes its entry about every 1.2 s, as the store shows it. */
   const startEngine = async (id, options = {}) => {
-    const { service = 'booking-desk', zone = 'abbotsford', ...rest } = options;
-    const born = Date.now();
+    const { service = 'booking-desk', zone = 'abbotsford', gate, ...rest } = options;
+    let born = Date.now();
     const isModel = service === 'fit-assistant';
     const layers = isModel ? { from: 0, to: LAYERS } : undefined;
     const settings = {
@@ -191,6 +191,7 @@
       framed: true,
       type: isModel ? 'a100' : undefined,
       layers,
+      waits: gate !== undefined,
       ...rest,
     };
     const child = fork(join(ROOT, 'review/lib/engine.mjs'), [JSON.stringify(settings)], {
@@ -207,6 +208,12 @@
       messages.push(message);
       for (const listener of [...listeners]) listener(message);
     });
+    // The process is there already; the engine starts when the gate opens.
+    if (gate) {
+      await gate;
+      born = Date.now();
+      child.send({ born });
+    }
     await waitFor(`${id} listens`, () => engine.address !== '');
     let sequence = 0;
     engine.write = () => {
