Show the truncated bookings of review/2 with one disruption

Cause: a cut behind which an engine crashes and starts again shows the same fault without a node that stands still; and two nodes of a script could be given a port that something else took before they listened.

--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -10,7 +10,6 @@
   openSync,
 } from 'node:fs';
 import http from 'node:http';
-import net from 'node:net';
 import { tmpdir } from 'node:os';
 import { dirname, join, resolve } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -32,16 +31,9 @@
   }
 }
 
-function findFreePort(host) {
-  return new Promise((done, fail) => {
-    const server = net.createServer();
-    server.once('error', fail);
-    server.listen(0, host, () => {
-      const { port } = server.address();
-      server.close(() => done(port));
-    });
-  });
-}
+/** Ports of all nodes, as in the pages; each node has a loopback address of its own. */
+const PORTS = { front: 8227, readiness: 8220, control: 8229, directory: 8224, inner: 7340 };
+const NETWORK = `127.${64 + ((process.pid >> 8) & 0x3f)}.${process.pid & 0xff}`;
 
 /** Reads the command of the deploy file, as the platform does. */
 function readCommand() {
@@ -178,7 +170,7 @@
 
   /** Starts an engine and registers it; it writes its entry about every 1.2 s, as the store shows it. */
   const startEngine = async (id, options = {}) => {
-    const { service = 'booking-desk', zone = 'abbotsford', gate, ...rest } = options;
+    const { service = 'booking-desk', zone = 'abbotsford', gate, link, ...rest } = options;
     let born = Date.now();
     const isModel = service === 'fit-assistant';
     const layers = isModel ? { from: 0, to: LAYERS } : undefined;
@@ -215,6 +207,11 @@
       child.send({ born });
     }
     await waitFor(`${id} listens`, () => engine.address !== '');
+    // Behind a link, the entry names the address of the link.
+    if (link) {
+      link.setTarget(Number(engine.address.split(':')[1]));
+      engine.address = link.address;
+    }
     let sequence = 0;
     engine.write = () => {
       sequence += 1;
@@ -260,21 +257,12 @@
   };
 
   const command = readCommand();
+  let nodeCount = 0;
   /** Starts a node with the command of the deploy file. */
   const startNode = async (name, options = {}) => {
-    const {
-      ip = '127.0.0.1',
-      zone = 'abbotsford',
-      seeds = [],
-      storeAddress = store.address,
-    } = options;
-    const ports = options.ports ?? {
-      front: await findFreePort(ip),
-      readiness: await findFreePort(ip),
-      control: await findFreePort(ip),
-      directory: await findFreePort(ip),
-      inner: await findFreePort(ip),
-    };
+    nodeCount += 1;
+    const { zone = 'abbotsford', seeds = [], storeAddress = store.address } = options;
+    const { ip = `${NETWORK}.${9 + nodeCount}`, ports = PORTS } = options;
     const settingsFile = join(folder, `${name}.json`);
     writeFileSync(
       settingsFile,
