Show streams that end as complete as their engine crashes without an entry

Cause: an engine that is cut off from the store serves on after its entry has expired. When it crashes then, the node does not look for it, and ends its streams without a length and without chunks as complete.

--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -69,6 +69,9 @@
   ttl_max_s: 5,
 };
 
+/** Time between two writes of an engine to its entry. */
+export const BEAT_MILLISECONDS = 1_200;
+
 export const HOST = 'desk.example';
 export const KEY = 'key-of-kiosk';
 const LAYERS = 8;
@@ -235,13 +238,19 @@
     };
     const beat = setInterval(() => {
       if (engine.isAlive && engine.isRegistered) engine.write();
-    }, 1_200);
+    }, BEAT_MILLISECONDS);
     beat.unref();
     engine.setState = (state) => {
       engine.state = state;
       engine.write();
       record(`engine ${id} writes ${state}; the store has accepted it`);
     };
+    /** The engine no longer reaches the store, which removes its entry after three heartbeat intervals. */
+    engine.cutFromStore = () => {
+      engine.isRegistered = false;
+      record(`engine ${id} is cut off from the store`);
+      setTimeout(engine.leaveStore, 3 * BEAT_MILLISECONDS).unref();
+    };
     engine.leaveStore = () => {
       engine.isRegistered = false;
       store.remove(`servers/${id}`);
