Compress configurations in replies between nodes

Cause: a configuration of 1,600 routes is a reply of 0.4 MB or more. The nodes that got it from the store serve 28 others each over links of 14 Mbit/s; replies that share such a link take longer than their timeout of 600 ms, are dropped and requested again, so that hardly any arrives. Change: the requesting node states that it accepts compression, and gets the configuration as gzip, compressed once a version. Nodes of earlier versions get and send plain text as before.

--- a/src/process/site/createPeerExchange/index.ts
+++ b/src/process/site/createPeerExchange/index.ts
@@ -30,6 +30,7 @@
 import type { SiteState } from '../createSiteState/index.js';
 import type { StoreFollower } from '../createStoreFollower/index.js';
 import type { Planner } from '../createPlanner/index.js';
+import { createConfigurationCodec } from '../createConfigurationCodec/index.js';
 import { createLayerRelay } from '../createLayerRelay/index.js';
 import { createLossReports } from '../createLossReports/index.js';
 import { createRemoteLoads } from '../createRemoteLoads/index.js';
@@ -121,6 +122,7 @@
   const { self, state, prober, links, logger, now, random, getFollower, getPlanner } = options;
   const { peerPort, onDeregistered, onChanges, getParts, getRateLimits, getPermits } = options;
   const { endpoints } = state;
+  const codec = createConfigurationCodec();
   const deregisteredAt = new Map<string, number>();
   /**
    * Store revision of the registry as peers reported it while this node could not reach the store.
@@ -173,6 +175,22 @@
       slowdowns: pickFacts(planner.listSlowdowns()),
     };
   };
+  const applyReplyConfiguration = (reply: PeerReply): void => {
+    const { configuration, compressedConfiguration: compressed } = reply;
+    const text = compressed === undefined ? configuration : codec.decompress(compressed);
+    if (text !== undefined) state.applyConfiguration(text, 'peer');
+    else if (compressed !== undefined)
+      logger.log('configuration-unreadable', { source: 'peer', bytes: compressed.length });
+  };
+  const listConfiguration = (
+    request: PeerRequest,
+  ): Pick<PeerReply, 'configuration' | 'compressedConfiguration'> => {
+    const text = state.getConfigurationText();
+    if (text === undefined || request.version >= state.getVersion()) return {};
+    return request.acceptsCompression
+      ? { compressedConfiguration: codec.compress(text) }
+      : { configuration: text };
+  };
   const applyEntries = ({ entries, revision }: PeerReply): void => {
     if (!entries || getFollower().isReachable() || revision <= reportedRevision) return;
     reportedRevision = revision;
@@ -225,7 +243,7 @@
     if (!parsed.success) return;
     const reply = parsed.data;
     peers.addNodes(reply.nodes);
-    if (reply.configuration !== undefined) state.applyConfiguration(reply.configuration, 'peer');
+    applyReplyConfiguration(reply);
     applyEntries(reply);
     if (reply.rateLimits) {
       const facts = reply.rateLimits.map(({ endpoint, startedAt, requestsPerSecond, age }) => ({
@@ -248,6 +266,7 @@
         version: state.getVersion(),
         revision: getRevision(),
         isReachable: getFollower().isReachable(),
+        acceptsCompression: true,
       };
       void peerPort.sendRequest(address, request).then((reply) => {
         guard(address, () => {
@@ -318,12 +337,11 @@
   const createReply = (request: PeerRequest): PeerReply => {
     peers.addNodes([request.node]);
     const revision = getRevision();
-    const isBehind = request.version < state.getVersion();
     const needsEntries = !request.isReachable && request.revision < revision;
     return {
       nodes: peers.listAlive(),
       revision,
-      ...(isBehind && { configuration: state.getConfigurationText() }),
+      ...listConfiguration(request),
       ...(needsEntries && { entries: state.listRegistryEntries() }),
       parts: encodePartFacts(getParts().list(), now()),
       rateLimits: getRateLimits()
--- a/src/process/site/createPeerExchange/test.ts
+++ b/src/process/site/createPeerExchange/test.ts
@@ -1,154 +1,14 @@
 import assert from 'node:assert/strict';
+import { createHash } from 'node:crypto';
 import { test } from 'node:test';
 import { encode } from '@msgpack/msgpack';
-import {
-  createEndpointRecord,
-  NO_PERMITS,
-  NO_RATE_LIMITS,
-  NOOP_LOGGER,
-  SOUND_LINKS,
-} from '../../../../tests/support/site/index.js';
-import { createRandom } from '../../createRandom/index.js';
-import { parseJson } from '../../parseJson/index.js';
-import type { SiteConfiguration } from '../../../types/site/index.js';
 import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
-import { createSiteState } from '../createSiteState/index.js';
-import { createPeerExchange, type PeerExchange } from './index.js';
-
-const CONFIGURATION = {
-  version: 7,
-  routes: [],
-  services: [],
-  limits: {
-    headerBytes: 1_000,
-    bodyBytes: 1_000,
-    headerTimeoutMilliseconds: 1_000,
-    idleTimeoutMilliseconds: 1_000,
-  },
-};
-
-const ROUND = 300;
-
-/**
- * Creates nodes of one availability zone that all know endpoint `i-1` and exchange updates in
- * rounds.
- */
-function createCase(names: readonly string[]) {
-  const clock = { time: 10_000 };
-  const now = (): number => clock.time;
-  const exchanges = new Map<string, PeerExchange>();
-  const deregistered: string[] = [];
-  const forwarded: string[] = [];
-  const checks: string[] = [];
-  const requests: string[] = [];
-  /** Nodes that are cut off from endpoints, and ages of the nodes' last connections. */
-  const isolated = new Set<string>();
-  const connectedAges = new Map<string, number>();
-  /** Nodes that are not sure of their links. */
-  const suspects = new Set<string>();
-  /** Nodes that do not reach the store, and store revisions, by node. */
-  const away = new Set<string>();
-  const revisions = new Map<string, number>();
-  const states = new Map(
-    names.map((name) => {
-      const state = createSiteState({
-        decoders: {
-          decodeConfiguration: (value) => value as SiteConfiguration | undefined,
-          decodeEndpoint: (id) => createEndpointRecord({ id }),
-        },
-        logger: NOOP_LOGGER,
-        now,
-        parse: parseJson,
-        onConfiguration: () => undefined,
-      });
-      state.applyEndpoint('i-1', 'any', 'store');
-      return [name, state];
-    }),
-  );
-  names.forEach((name, index) => {
-    const state = states.get(name);
-    assert.ok(state);
-    const self = {
-      name,
-      availabilityZone: 'mission',
-      callerAddress: name,
-      peerAddress: name,
-      incarnation: 1,
-      isLeaving: false,
-    };
-    const exchange = createPeerExchange({
-      self,
-      seeds: names.filter((other) => other !== name),
-      state,
-      prober: {
-        probe: (endpoint) => {
-          checks.push(`${name} checks ${endpoint}`);
-          return Promise.resolve(true);
-        },
-        probePath: () => undefined,
-        refreshReport: () => Promise.resolve(undefined),
-        reportLost: () => undefined,
-      },
-      logger: NOOP_LOGGER,
-      peerPort: {
-        send: (address, message) => exchanges.get(address)?.receive(message, name),
-        sendRequest: (address, request) => {
-          requests.push(`${name} sends a request to ${address}`);
-          const reply = exchanges.get(address)?.handleRequest(JSON.parse(JSON.stringify(request)));
-          return Promise.resolve(JSON.parse(JSON.stringify(reply)));
-        },
-      },
-      onChanges: (changes) => forwarded.push(`${name}: ${changes.from} up to ${changes.revision}`),
-      now,
-      random: createRandom(index + 1),
-      getFollower: () => ({
-        getRevision: () => revisions.get(name) ?? 1,
-        isReachable: () => !away.has(name),
-      }),
-      getPlanner: () => ({ listLayerUpdates: () => [], listSlowdowns: () => [] }),
-      links: {
-        ...SOUND_LINKS,
-        isIsolated: () => isolated.has(name),
-        isSuspect: () => isolated.has(name) || suspects.has(name),
-        readConnectedAge: () => connectedAges.get(name) ?? Number.POSITIVE_INFINITY,
-      },
-      getRateLimits: () => NO_RATE_LIMITS,
-      getPermits: () => NO_PERMITS,
-      getParts: () => ({
-        list: () => ({ reports: [], successes: [], trials: [] }),
-        receive: () => undefined,
-      }),
-      onDeregistered: (endpoint) => deregistered.push(`${name}: ${endpoint}`),
-    });
-    exchanges.set(name, exchange);
-  });
-  const run = async (rounds: number): Promise<void> => {
-    for (let round = 0; round < rounds; round += 1) {
-      clock.time += ROUND;
-      for (const exchange of exchanges.values()) await exchange.step();
-    }
-  };
-  const findEndpoint = (name: string) => {
-    const endpoint = states.get(name)?.endpoints.find('i-1');
-    assert.ok(endpoint);
-    return endpoint;
-  };
-  return {
-    isolated,
-    suspects,
-    connectedAges,
-    exchanges,
-    deregistered,
-    forwarded,
-    checks,
-    requests,
-    away,
-    revisions,
-    states,
-    run,
-    findEndpoint,
-  };
-}
+import { peerReplySchema } from '../peerMessages/index.js';
+import {
+  CONFIGURATION,
+  createPeerExchanges as createCase,
+  ROUND,
+} from '../../../../tests/support/peerExchanges/index.js';
 
 test('reports the load that a node puts on an endpoint to the other nodes', async () => {
   const { run, findEndpoint } = createCase(['a', 'b', 'c']);
@@ -194,6 +54,47 @@
   for (const state of states.values()) assert.equal(state.getVersion(), 7);
 });
 
+/**
+ * Guards against a configuration of many routes that reaches no node in time: replies that share the link of the few
+ * nodes that have it take longer than their timeout, and each is requested again.
+ */
+test('a large configuration reaches 30 nodes with slow links within 3 s', async () => {
+  const names = Array.from({ length: 30 }, (_, index) => `n${index}`);
+  const { states, run } = createCase(names, { linkMegabitsPerSecond: 14 });
+  const routes = Array.from({ length: 1_600 }, (_, index) => ({
+    name: `r-${createHash('md5').update(`${index}`).digest('base64url').slice(0, 7)}`,
+    host: 'desk.example',
+    prefix: `/${createHash('md5').update(`/${index}`).digest('hex').slice(0, 7)}/`,
+    timeout_ms: 20_000,
+    slo_ms: 501,
+    priority: 1,
+    service: 'assistant',
+    max_attempts: 2,
+    public: false,
+    resumable: true,
+    itl_target_ms: 250,
+    route_type: 'streaming',
+  }));
+  await run(20);
+  const text = JSON.stringify({ ...CONFIGURATION, routes });
+  for (const name of names.slice(0, 2)) states.get(name)?.applyConfiguration(text, 'store');
+  await run(10);
+  const missing = names.filter((name) => states.get(name)?.getVersion() !== 7);
+  assert.deepEqual(missing, []);
+});
+
+test('a node of an earlier version gets a configuration that is not compressed', async () => {
+  const { exchanges, states, run } = createCase(['a', 'b']);
+  await run(3);
+  const text = JSON.stringify(CONFIGURATION);
+  states.get('a')?.applyConfiguration(text, 'store');
+  const node = exchanges.get('b')?.peers.getSelf();
+  const request = { node, version: 0, revision: 1, isReachable: true };
+  const reply = peerReplySchema.parse(exchanges.get('a')?.handleRequest(request));
+  assert.equal(reply.configuration, text);
+  assert.equal(reply.compressedConfiguration, undefined);
+});
+
 test('a node without access to the store gets the registry from a node that reaches it', async () => {
   const { states, away, revisions, run } = createCase(['a', 'b']);
   await run(3);
--- a/src/process/site/peerMessages/index.ts
+++ b/src/process/site/peerMessages/index.ts
@@ -88,6 +88,8 @@
   /** Store revision that the requesting node has seen, and whether it can reach the store. */
   revision: z.number(),
   isReachable: z.boolean(),
+  /** Whether the reply may contain a compressed configuration; absent from nodes of earlier versions. */
+  acceptsCompression: z.boolean().optional(),
 });
 
 /** Request for data that is too long for messages. */
@@ -108,6 +110,8 @@
   nodes: z.array(nodeSchema),
   /** Active configuration, where it is newer than that of the requesting node. */
   configuration: z.string().optional(),
+  /** The same, compressed, where the requesting node accepts that. */
+  compressedConfiguration: z.string().optional(),
   revision: z.number(),
   /** Registry entries by identifier, where the requesting node cannot read them itself. */
   entries: z.array(z.tuple([z.string(), z.string()])).optional(),
