--- a/src/process/runtime/callJson/index.ts
+++ b/src/process/runtime/callJson/index.ts
@@ -12,7 +12,13 @@
   readonly method: string;
   readonly path: string;
   readonly body?: unknown;
+  /** Time limit of the call, or, with `maximumMilliseconds`, of a call without any progress. */
   readonly timeoutMilliseconds: number;
+  /**
+   * Time limit of a call whose response goes on arriving; `timeoutMilliseconds` by default. A long response takes its
+   * time on a slow link, and a repeated call would transfer it again from its beginning.
+   */
+  readonly maximumMilliseconds?: number;
   readonly agent?: Agent | false;
   readonly headers?: Readonly<Record<string, string>>;
   /** Maximum size of the response body, in bytes. */
@@ -37,17 +43,19 @@
  *
  * Never rejects: the result of a failed call says whether the call can have been executed.
  *
- * @param options - address, request, and timeout in milliseconds
+ * @param options - address, request, and time limits in milliseconds
  * @returns the result
  * @example
  * await callJson({ address: '127.0.0.1:80', method: 'GET', path: '/', timeoutMilliseconds: 500 });
  */
 export function callJson(options: CallJsonOptions): Promise<JsonResult> {
   const { address, method, path, body, timeoutMilliseconds, agent = false, headers } = options;
-  const { maximumResponseBytes = MAXIMUM_RESPONSE_BYTES } = options;
+  const { maximumResponseBytes = MAXIMUM_RESPONSE_BYTES, maximumMilliseconds = 0 } = options;
   const text = body === undefined ? undefined : JSON.stringify(body);
   return new Promise((resolve) => {
+    const startedAt = performance.now();
     let isConnected = false;
+    let size = 0;
     const started = startRequest(address, {
       method,
       path,
@@ -72,10 +80,18 @@
     const fail = (reason: string): void => {
       finish({ kind: isConnected ? 'unknown' : 'notSent', reason });
     };
-    const cancelLimit = startTimeLimit(timeoutMilliseconds, () => {
-      fail(`timeout after ${timeoutMilliseconds} ms`);
-      outgoing.destroy();
-    });
+    const startLimit = (): (() => void) => {
+      const sizeBefore = size;
+      return startTimeLimit(timeoutMilliseconds, () => {
+        if (size > sizeBefore && performance.now() - startedAt < maximumMilliseconds) {
+          cancelLimit = startLimit();
+          return;
+        }
+        fail(`timeout after ${timeoutMilliseconds} ms`);
+        outgoing.destroy();
+      });
+    };
+    let cancelLimit = startLimit();
     outgoing.on('socket', (socket) => {
       if (!socket.connecting) {
         // A reused connection is connected already; a listener on it would never be removed.
@@ -91,7 +107,6 @@
     });
     outgoing.on('response', (response) => {
       const chunks: Buffer[] = [];
-      let size = 0;
       response.on('data', (chunk: Buffer) => {
         size += chunk.length;
         if (size <= maximumResponseBytes) chunks.push(chunk);
--- a/src/process/runtime/callJson/test.ts
+++ b/src/process/runtime/callJson/test.ts
@@ -49,3 +49,44 @@
   assert.equal((await callJson({ ...common, address: '127.0.0.1:99999' })).kind, 'notSent');
   assert.equal((await callJson({ ...common, address: '127.0.0.1:80', headers })).kind, 'notSent');
 });
+
+/** Sends a part of a response every 20 ms, up to a number of parts. */
+async function serveSlowly(parts: number) {
+  const server = createServer((_, response) => {
+    let sent = 0;
+    response.write('"');
+    const timer = setInterval(() => {
+      sent += 1;
+      if (sent < parts) response.write('a');
+      else response.end('"');
+    }, 20);
+    response.on('close', () => {
+      clearInterval(timer);
+    });
+  });
+  const address = await listenOnLoopback(server);
+  const close = (): void => {
+    server.closeAllConnections();
+    server.close();
+  };
+  return { address, close };
+}
+
+/** Guards against a long response that a slow link never delivers, as each call begins it anew. */
+test('a response that goes on arriving is awaited beyond the time limit', async () => {
+  const { address, close } = await serveSlowly(30);
+  const call = { address, method: 'GET', path: '/', timeoutMilliseconds: 200 };
+  const impatient = await callJson(call);
+  const patient = await callJson({ ...call, maximumMilliseconds: 60_000 });
+  close();
+  assert.deepEqual(impatient, { kind: 'unknown', reason: 'timeout after 200 ms' });
+  assert.equal(patient.kind, 'answered');
+});
+
+test('a response that never ends is given up at its maximum time', async () => {
+  const { address, close } = await serveSlowly(Number.POSITIVE_INFINITY);
+  const limits = { timeoutMilliseconds: 200, maximumMilliseconds: 500 };
+  const result = await callJson({ address, method: 'GET', path: '/', ...limits });
+  close();
+  assert.deepEqual(result, { kind: 'unknown', reason: 'timeout after 200 ms' });
+});
--- a/src/process/site/createPeerPort/index.ts
+++ b/src/process/site/createPeerPort/index.ts
@@ -19,6 +19,8 @@
 }
 
 const TIMEOUT_MILLISECONDS = 600;
+/** Time limit of a request whose reply goes on arriving. */
+const MAXIMUM_REQUEST_MILLISECONDS = 2_000;
 const IP_VERSION = 4;
 
 function bind(socket: Socket, address: string): Promise<void> {
@@ -72,7 +74,11 @@
     },
     sendRequest: async (to, request) => {
       const call = { address: to, method: 'POST', path: '/news', body: request, agent };
-      const result = await callJson({ ...call, timeoutMilliseconds: TIMEOUT_MILLISECONDS });
+      const result = await callJson({
+        ...call,
+        timeoutMilliseconds: TIMEOUT_MILLISECONDS,
+        maximumMilliseconds: MAXIMUM_REQUEST_MILLISECONDS,
+      });
       return result.kind === 'answered' ? result.value : undefined;
     },
   };
