Move streams off lost endpoints as soon as they are silent

Cause: a stream whose path lost an endpoint was checked again 200 ms after the loss became known, and moved only after a silence of four times its predicted pause. Its new endpoints then read all tokens, so that most such streams paused for 0.4 s or more. Change: the stream is checked again at the time at which it is silent enough, and is moved after a silence of twice its predicted pause, at least 60 ms. Runs that cannot be moved are replaced after the same silence as before.

--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -112,7 +112,7 @@
     isRunning: () => state === 'running' && !standby,
     isEstablished: () => run.isEstablished(),
     hasBegun: response.hasBegun,
-    isSilent: watch.isSilent,
+    getTimeToSilence: watch.getTimeToSilence,
     mayReplace: () => mayReplace(1),
     computeSize,
     checkSuspect,
--- a/src/process/relay/watchLostEndpoints/index.ts
+++ b/src/process/relay/watchLostEndpoints/index.ts
@@ -8,6 +8,7 @@
 import type { TokenEstimate } from '../../../request/estimateTokens/index.js';
 import type { StreamPaths } from '../createStreamPaths/index.js';
 import { formatHops } from '../formatHops/index.js';
+import type { SilenceReaction, StreamWatch } from '../watchStream/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
 /** Options of {@link watchLostEndpoints}. */
@@ -23,8 +24,8 @@
   readonly isEstablished: () => boolean;
   /** Returns whether an event was forwarded, so that the run stays open until another one delivers an event. */
   readonly hasBegun: () => boolean;
-  /** Returns whether the run has received nothing for longer than is usual. */
-  readonly isSilent: () => boolean;
+  /** Returns the time until the run is silent enough for a reaction, in milliseconds; 0 or less when it is. */
+  readonly getTimeToSilence: StreamWatch['getTimeToSilence'];
   /** Returns whether time, attempts and the retry budget allow another run to take over from the current one. */
   readonly mayReplace: () => boolean;
   readonly computeSize: () => TokenEstimate;
@@ -55,6 +56,7 @@
 /** Time after which a path with a lost endpoint is checked again, in milliseconds; it doubles each time. */
 const FIRST_RECHECK_MILLISECONDS = 200;
 const MAXIMUM_RECHECK_MILLISECONDS = 1_600;
+const MINIMUM_RECHECK_MILLISECONDS = 20;
 
 /**
  * Watches the path of a stream for lost endpoints.
@@ -66,23 +68,27 @@
  * lostEndpoints.check();
  */
 export function watchLostEndpoints(options: WatchLostEndpointsOptions): LostEndpointWatch {
-  const { context, request, paths, getPath, isRunning, isEstablished, isSilent, hasBegun } =
-    options;
-  const { mayReplace, computeSize, checkSuspect, onMove, onReplace } = options;
+  const { context, request, paths, getPath, isRunning, isEstablished, hasBegun } = options;
+  const { getTimeToSilence, mayReplace, computeSize, checkSuspect, onMove, onReplace } = options;
   const { clock, decisions } = context;
   let cancelRecheck: (() => void) | undefined;
   let rechecks = 0;
   /** Path whose run was logged as kept, so that each is logged once. */
   let keptPath: ChosenPath | undefined;
 
-  const recheckLater = (): void => {
+  const recheckAfter = (milliseconds: number): void => {
     cancelRecheck?.();
-    const pause = Math.min(
-      MAXIMUM_RECHECK_MILLISECONDS,
-      FIRST_RECHECK_MILLISECONDS * 2 ** rechecks,
-    );
+    cancelRecheck = clock.schedule(milliseconds, check);
+  };
+  const recheckLater = (): void => {
+    const pause = FIRST_RECHECK_MILLISECONDS * 2 ** rechecks;
     rechecks += 1;
-    cancelRecheck = clock.schedule(pause, check);
+    recheckAfter(Math.min(MAXIMUM_RECHECK_MILLISECONDS, pause));
+  };
+  const isSilent = (reaction: SilenceReaction): boolean => getTimeToSilence(reaction) <= 0;
+  /** Checks the path again at the time at which the run is silent, unless it receives data before. */
+  const recheckWhenSilent = (reaction: SilenceReaction): void => {
+    recheckAfter(Math.max(MINIMUM_RECHECK_MILLISECONDS, getTimeToSilence(reaction)));
   };
   const logKept = (reason: string): void => {
     const path = getPath();
@@ -110,8 +116,8 @@
     const path = getPath();
     const mayRepeat = await checkSuspect();
     if (!isRunning() || getPath() !== path) return;
-    if (!isSilent()) {
-      recheckLater();
+    if (!isSilent('replace')) {
+      recheckWhenSilent('replace');
       return;
     }
     if (mayRepeat) replaceEndpoint(lost, 'endpoint lost');
@@ -120,18 +126,20 @@
   const findLost = (): string | undefined => paths.findLost(getPath()?.hops ?? [])?.endpoint;
   const avoid = (lost: string): void => {
     const firstHop = getPath()?.hops[0];
-    if (!isSilent()) {
-      recheckLater();
+    const mayMove = decisions.movesRuns && firstHop?.endpoint !== lost;
+    const reaction = mayMove ? 'move' : 'replace';
+    if (!isSilent(reaction)) {
+      recheckWhenSilent(reaction);
       return;
     }
     if (firstHop?.endpoint === lost && !isEstablished()) {
       void replaceSuspect(lost);
       return;
     }
-    const mayMove = decisions.movesRuns && firstHop?.endpoint !== lost;
     const movedPath = mayMove ? paths.selectWithFirstHop(firstHop, computeSize()) : undefined;
     if (movedPath) onMove(movedPath);
-    else replaceEndpoint(lost, 'endpoint lost');
+    else if (isSilent('replace')) replaceEndpoint(lost, 'endpoint lost');
+    else recheckWhenSilent('replace');
   };
   function check(): void {
     const lost = isRunning() ? findLost() : undefined;
@@ -150,7 +158,7 @@
     recheckLater,
     replace: (reason) => {
       const lost = findLost();
-      if (lost !== undefined && isSilent()) {
+      if (lost !== undefined && isSilent('replace')) {
         replaceEndpoint(lost, reason);
         return;
       }
--- a/src/process/relay/watchLostEndpoints/test.ts
+++ b/src/process/relay/watchLostEndpoints/test.ts
@@ -5,8 +5,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { ChosenPath } from '../../../request/choosePath/index.js';
+import type { SilenceReaction } from '../watchStream/index.js';
 import { watchLostEndpoints, type WatchLostEndpointsOptions } from './index.js';
 
+const TIME_TO_REPLACE = 90;
 const SIZE = { promptTokens: 10, answerTokens: 0, roomTokens: 20 };
 
 function createPath(...endpoints: string[]): ChosenPath {
@@ -20,6 +22,8 @@
 
 interface Stream {
   isSilent: boolean;
+  /** Time until a run that is not silent may be moved, in milliseconds. */
+  timeToMove: number;
   isEstablished: boolean;
   retriesLeft: number;
   mayRepeat: boolean;
@@ -27,6 +31,8 @@
   movedPath: ChosenPath | undefined;
   otherPath: ChosenPath | undefined;
   readonly outcomes: string[];
+  /** Times after which the path is checked again, in milliseconds. */
+  readonly pauses: number[];
   readonly reportLost: (endpoint: string) => void;
   /** Runs the timers that are due next. */
   readonly elapse: () => void;
@@ -39,6 +45,7 @@
   const path = createPath('a', 'b');
   const stream: Stream = {
     isSilent: true,
+    timeToMove: 40,
     isEstablished: true,
     retriesLeft: 1,
     mayRepeat: false,
@@ -46,6 +53,7 @@
     movedPath: undefined,
     otherPath: undefined,
     outcomes: [],
+    pauses: [],
     reportLost: (endpoint) => {
       stream.lost.push(endpoint);
       listener(endpoint);
@@ -61,7 +69,8 @@
     context: {
       clock: {
         now: () => 0,
-        schedule: (_: number, action: () => void) => {
+        schedule: (pause: number, action: () => void) => {
+          stream.pauses.push(pause);
           timers.push(action);
           return () => {
             timers = timers.filter((timer) => timer !== action);
@@ -91,7 +100,10 @@
     getPath: () => path,
     isRunning: () => true,
     isEstablished: () => stream.isEstablished,
-    isSilent: () => stream.isSilent,
+    getTimeToSilence: (reaction: SilenceReaction) => {
+      if (stream.isSilent) return 0;
+      return reaction === 'move' ? stream.timeToMove : TIME_TO_REPLACE;
+    },
     hasBegun: () => true,
     mayReplace: () => stream.retriesLeft >= 1,
     computeSize: () => SIZE,
@@ -211,3 +223,22 @@
   stream.elapse();
   assert.deepEqual(stream.outcomes, ['replace']);
 });
+
+/** Guards against streams that pause for longer than callers accept, as a lost endpoint is checked too late again. */
+test('checks a run again at the time at which it may be moved, and then moves it', () => {
+  const stream = watchStream({ isSilent: false, movedPath: MOVED, otherPath: OTHER });
+  stream.reportLost('b');
+  assert.deepEqual(stream.pauses, [40]);
+  stream.timeToMove = 0;
+  stream.elapse();
+  assert.deepEqual(stream.outcomes, ['move']);
+});
+
+test('replaces a run that cannot be moved only after a longer silence', () => {
+  const stream = watchStream({ isSilent: false, timeToMove: 0, otherPath: OTHER });
+  stream.reportLost('b');
+  assert.deepEqual([stream.outcomes, stream.pauses], [[], [TIME_TO_REPLACE]]);
+  stream.isSilent = true;
+  stream.elapse();
+  assert.deepEqual(stream.outcomes, ['replace']);
+});
--- a/src/process/relay/watchStream/index.ts
+++ b/src/process/relay/watchStream/index.ts
@@ -24,10 +24,16 @@
   readonly onDisconnect: () => void;
 }
 
+/** What a node does with a silent run whose path has a lost endpoint. */
+export type SilenceReaction = 'move' | 'replace';
+
 /** Watch of one stream. */
 export interface StreamWatch extends IdleStreamWatch {
-  /** Returns whether the run has received nothing for longer than is usual. */
-  readonly isSilent: () => boolean;
+  /**
+   * Returns the time until the run has received nothing for so long that it is moved to another path or replaced by
+   * another run, in milliseconds; 0 or less when it has.
+   */
+  readonly getTimeToSilence: (reaction: SilenceReaction) => number;
   /** Ends the watch; it cannot be started again. */
   readonly close: () => void;
 }
@@ -63,7 +69,10 @@
     reset: idleWatch.reset,
     stop: idleWatch.stop,
     getIdleMilliseconds: idleWatch.getIdleMilliseconds,
-    isSilent: () => idleWatch.getIdleMilliseconds() >= getProbeLimit(),
+    getTimeToSilence: (reaction) => {
+      const { probe, move } = computeIdleLimit(getPath(), hasBegun());
+      return (reaction === 'move' ? move : probe) - idleWatch.getIdleMilliseconds();
+    },
     close: () => {
       idleWatch.stop();
       cancelDeadline();
--- a/src/request/computeIdleLimit/index.ts
+++ b/src/request/computeIdleLimit/index.ts
@@ -7,14 +7,33 @@
 export interface IdleLimits {
   /** Time after which the endpoints of the path are probed. */
   readonly probe: number;
+  /** Time after which a run is moved off an endpoint of its path that is already known as lost. */
+  readonly move: number;
   /** Time after which the run is replaced if possible, although no endpoint is known to be unreachable. */
   readonly replace: number;
 }
 
 /** Limits before the first event, in milliseconds, and the factor on its predicted time. */
-const FIRST_EVENT_LIMITS = { minimum: 200, maximum: 450, factor: 3, replace: 1_500 } as const;
-/** Limits between events, in milliseconds, and the factor on the predicted time between them. */
-const BETWEEN_EVENTS_LIMITS = { minimum: 110, maximum: 300, factor: 4, replace: 1_700 } as const;
+const FIRST_EVENT_LIMITS = {
+  minimum: 200,
+  maximum: 450,
+  factor: 3,
+  moveMinimum: 200,
+  moveFactor: 3,
+  replace: 1_500,
+} as const;
+/**
+ * Limits between events, in milliseconds, and the factors on the predicted time between them. A run is moved sooner
+ * than its endpoints are probed, since the new endpoints have to read its tokens before the caller notices the pause.
+ */
+const BETWEEN_EVENTS_LIMITS = {
+  minimum: 110,
+  maximum: 300,
+  factor: 4,
+  moveMinimum: 60,
+  moveFactor: 2,
+  replace: 1_700,
+} as const;
 
 /**
  * Computes the idle time limits from the predicted times of the path.
@@ -26,9 +45,12 @@
  * computeIdleLimit(path, true).replace;
  */
 export function computeIdleLimit(path: ChosenPath | undefined, hasBegun: boolean): IdleLimits {
-  const { minimum, maximum, factor, replace } = hasBegun
-    ? BETWEEN_EVENTS_LIMITS
-    : FIRST_EVENT_LIMITS;
-  const predicted = hasBegun ? path?.pauseMilliseconds : path?.firstEventMilliseconds;
-  return { probe: Math.min(maximum, Math.max(minimum, (predicted ?? 0) * factor)), replace };
+  const limits = hasBegun ? BETWEEN_EVENTS_LIMITS : FIRST_EVENT_LIMITS;
+  const { minimum, maximum, factor, moveMinimum, moveFactor, replace } = limits;
+  const predicted = (hasBegun ? path?.pauseMilliseconds : path?.firstEventMilliseconds) ?? 0;
+  return {
+    probe: Math.min(maximum, Math.max(minimum, predicted * factor)),
+    move: Math.min(maximum, Math.max(moveMinimum, predicted * moveFactor)),
+    replace,
+  };
 }
--- a/src/request/computeIdleLimit/test.ts
+++ b/src/request/computeIdleLimit/test.ts
@@ -24,3 +24,11 @@
     assert.ok(slow.probe < slow.replace);
   }
 });
+
+test('moves a run between events no later than its endpoints are probed', () => {
+  for (const predicted of [0, 10, 40, 100, 10_000]) {
+    const { move, probe } = computeIdleLimit(createPath(predicted), true);
+    assert.ok(move <= probe);
+    assert.ok(move > Math.min(predicted, 200));
+  }
+});
