--- a/src/process/relay/createRelay/index.ts
+++ b/src/process/relay/createRelay/index.ts
@@ -1,13 +1,14 @@
 /**
  * Relay of one node: admits requests and forwards them according to the kind of their route.
  */
+import { computePriority } from '../../../request/computePriority/index.js';
 import type { CompiledSiteConfiguration } from '../../../version/compileSiteConfiguration/index.js';
 import type {
   RequestMetadata,
   CallerResponse,
   ForwardedRequest,
 } from '../../../types/relay/index.js';
-import type { RequestKind, ServiceShare, SiteRoute } from '../../../types/site/index.js';
+import type { RequestKind, ServiceShare } from '../../../types/site/index.js';
 import {
   admitRequest,
   type Admission,
@@ -75,8 +76,6 @@
 const MAXIMUM_TAKEN_OVER = 256;
 /** Number of prompt parts that the log names. */
 const MAXIMUM_LOGGED_PARTS = 8;
-const DEFAULT_PRIORITY = 5;
-const MAXIMUM_PRIORITY = 9;
 
 function pickService(shares: readonly ServiceShare[], random: () => number): string | undefined {
   const total = shares.reduce((sum, { weight }) => sum + weight, 0);
@@ -88,11 +87,6 @@
   return shares.at(-1)?.service;
 }
 
-function computePriority(route: SiteRoute, accountPriority: number | undefined): number {
-  const priority = accountPriority ?? route.priority;
-  return Math.min(MAXIMUM_PRIORITY, Number.isFinite(priority) ? 1 + priority : DEFAULT_PRIORITY);
-}
-
 /**
  * Creates the relay.
  *
@@ -172,7 +166,7 @@
         route,
         service,
         account: account?.name,
-        priority: computePriority(route, account?.priority),
+        priority: computePriority(route.priority, account?.priority),
         arrivedAt,
         isHandedOver,
         isRepeat: handOver?.isRepeat ?? false,
