--- a/src/process/site/peerMessageCodec/index.ts
+++ b/src/process/site/peerMessageCodec/index.ts
@@ -8,6 +8,8 @@
 import { decodeUpdate } from '../decodeUpdate/index.js';
 import type { EncodedPartFacts } from '../partFactsCodec/index.js';
 import {
+  DEMAND_KIND,
+  demandMessageSchema,
   FORMAT_VERSION,
   ISOLATED_FLAG,
   MAXIMUM_BYTES,
@@ -212,6 +214,7 @@
   [RATE_LIMITS_KIND]: decodeNumbers('rateLimits', rateLimitsMessageSchema),
   [PERMIT_REQUEST_KIND]: decodeNumbers('permitRequest', permitRequestMessageSchema),
   [PERMIT_REPLY_KIND]: decodeNumbers('permitReply', permitReplyMessageSchema),
+  [DEMAND_KIND]: decodeNumbers('demand', demandMessageSchema),
 };
 
 /**
--- a/src/process/site/peerMessageFormat/index.ts
+++ b/src/process/site/peerMessageFormat/index.ts
@@ -11,7 +11,7 @@
   | { readonly kind: 'changes'; readonly changes: StoreChanges }
   | { readonly kind: 'parts'; readonly facts: EncodedPartFacts }
   | {
-      readonly kind: 'rateLimits' | 'permitRequest' | 'permitReply';
+      readonly kind: 'rateLimits' | 'permitRequest' | 'permitReply' | 'demand';
       readonly numbers: readonly number[];
     }
   /** The sender is unknown, so that the age of the message cannot be determined. */
@@ -39,6 +39,7 @@
 export const RATE_LIMITS_KIND = 4;
 export const PERMIT_REQUEST_KIND = 5;
 export const PERMIT_REPLY_KIND = 6;
+export const DEMAND_KIND = 7;
 /** Factor of slowdowns on the wire, where they are integers. */
 export const SLOWDOWN_SCALE = 100;
 /** Unit of memory on the wire, in token-layers. */
@@ -99,10 +100,11 @@
 
 const numbersOf = <Kind extends number>(kind: Kind) =>
   z.tuple([z.literal(FORMAT_VERSION), z.literal(kind), counts]);
-/** Schemas of rate limits, of requests for permits and of their replies, which consist of numbers. */
+/** Schemas of rate limits, of requests for permits, of their replies and of demand, which consist of numbers. */
 export const rateLimitsMessageSchema = numbersOf(RATE_LIMITS_KIND);
 export const permitRequestMessageSchema = numbersOf(PERMIT_REQUEST_KIND);
 export const permitReplyMessageSchema = numbersOf(PERMIT_REPLY_KIND);
+export const demandMessageSchema = numbersOf(DEMAND_KIND);
 
 /** Flags of an update. */
 export const WANTS_REPLY_FLAG = 1;
