Limit less urgent streams to their share of slots and memory

Cause: a burst of the least urgent streams fills what more urgent ones need a moment later. Change: choosePath scales the slots and the memory that a request may fill by its priority's share, except for runs that continue a stream whose response has begun. The relay records the demand where a request is admitted, and what it holds where memory is reserved. Only services with a layered model and several priorities take part. A counter names requests without a path while their share was below 1.

--- a/src/process/relay/createRelay/index.ts
+++ b/src/process/relay/createRelay/index.ts
@@ -1,6 +1,7 @@
 /**
  * Relay of one node: admits requests and forwards them according to the kind of their route.
  */
+import { estimateTokens } from '../../../request/estimateTokens/index.js';
 import { computePriority } from '../../../request/computePriority/index.js';
 import type { CompiledSiteConfiguration } from '../../../version/compileSiteConfiguration/index.js';
 import type {
@@ -8,7 +9,7 @@
   CallerResponse,
   ForwardedRequest,
 } from '../../../types/relay/index.js';
-import type { RequestKind, ServiceShare } from '../../../types/site/index.js';
+import type { RequestKind, ServiceShare, SiteService } from '../../../types/site/index.js';
 import {
   admitRequest,
   type Admission,
@@ -87,6 +88,17 @@
   return shares.at(-1)?.service;
 }
 
+/** Records the demand of a stream, whether it will be served or not. */
+function recordDemand(
+  { admission }: Pick<RelayContext, 'admission'>,
+  { name, model }: SiteService,
+  { caller, priority }: Pick<RelayedRequest, 'caller' | 'priority'>,
+): void {
+  if (!model) return;
+  const { roomTokens } = estimateTokens({ caller, model, lastEventId: caller.lastEventId });
+  admission.record(name, { priority, tokenLayers: roomTokens * model.layers });
+}
+
 /**
  * Creates the relay.
  *
@@ -147,8 +159,12 @@
         leftMilliseconds: Math.round(deadlineAt - clock.now()),
       });
       metrics.count('requests', route.kind);
+      const priority = computePriority(route.priority, account?.priority);
       // The node that handed the request over has counted it.
-      if (!isHandedOver) budget.recordRequest(service.name, clock.now());
+      if (!isHandedOver) {
+        budget.recordRequest(service.name, clock.now());
+        if (route.kind === 'stream') recordDemand(context, service, { caller, priority });
+      }
       if (route.kind === 'stream') {
         await coverageGate.wait((deadlineAt - clock.now()) * START_WAIT_SHARE);
       }
@@ -166,7 +182,7 @@
         route,
         service,
         account: account?.name,
-        priority: computePriority(route.priority, account?.priority),
+        priority,
         arrivedAt,
         isHandedOver,
         isRepeat: handOver?.isRepeat ?? false,
--- a/src/process/relay/createStreamPaths/index.ts
+++ b/src/process/relay/createStreamPaths/index.ts
@@ -74,11 +74,16 @@
  *
  * @param context - dependencies of the process
  * @param request - the request
+ * @param hasBegun - returns whether the response has begun, so that runs continue it
  * @returns the path selection
  * @example
  * createStreamPaths(context, request).select(size)?.hops;
  */
-export function createStreamPaths(context: RelayContext, request: RelayedRequest): StreamPaths {
+export function createStreamPaths(
+  context: RelayContext,
+  request: RelayedRequest,
+  hasBegun: () => boolean = () => false,
+): StreamPaths {
   const { clock, endpoints, neighbours, permits, prober } = context;
   /** Endpoints that refused a run of this stream or could not be reached. */
   const avoidedEndpoints = new Set<string>();
@@ -139,6 +144,7 @@
       ...size,
       excluded: new Set([...avoidedEndpoints, ...excluded]),
       mayStart,
+      isContinuation: hasBegun(),
     });
   /** Computes how long a run may wait for a path's first endpoint: no longer than until another path responds. */
   const computeWaitLimit = (
@@ -152,6 +158,7 @@
       ...size,
       excluded: avoidedEndpoints,
       mayStart: (record) => record.id !== endpoint.id && mayStart(record),
+      isContinuation: hasBegun(),
     });
     if (!other) return limit;
     // The predicted time of a path includes the wait that is expected at its first endpoint.
@@ -176,7 +183,12 @@
     selectWithFirstHop: (firstHop, size) =>
       neighbours.arePreferred(hasFailedToConnect)
         ? undefined
-        : selectPath(context, request, { ...size, excluded: avoidedEndpoints, firstHop }),
+        : selectPath(context, request, {
+            ...size,
+            excluded: avoidedEndpoints,
+            firstHop,
+            isContinuation: hasBegun(),
+          }),
     needsPermit: (path) => findLimit(path) !== undefined,
     acquirePermit: async (path, options) => {
       const limited = findLimit(path);
--- a/src/process/relay/moveStream/index.ts
+++ b/src/process/relay/moveStream/index.ts
@@ -41,7 +41,7 @@
   request: RelayedRequest,
   { path, newPath, size }: StreamMove,
 ): Promise<MovedStream> {
-  const releaseNew = reserveMemory(context, request.service.model, newPath, size.roomTokens);
+  const releaseNew = reserveMemory(context, request, newPath, size.roomTokens);
   const outcome = await context.endpointPort.movePath(request.caller.attempt, newPath);
   return {
     outcome,
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -55,7 +55,7 @@
 function startStream(context: RelayContext, request: RelayedRequest, onDone: () => void): void {
   const { clock, budget, endpoints, neighbours, permits } = context;
   const { route, service, caller, deadlineAt, log } = request;
-  const paths = createStreamPaths(context, request);
+  const paths = createStreamPaths(context, request, hasBegun);
   let state: RunState = 'idle';
   let call: EndpointCall | undefined;
   let path: ChosenPath | undefined;
@@ -126,6 +126,11 @@
     return path?.hops ?? [];
   }
 
+  /** Returns whether runs continue a response that has begun, here or at the node that handed the request over. */
+  function hasBegun(): boolean {
+    return response.hasBegun() || (request.isHandedOver && caller.lastEventId > 0);
+  }
+
   /** Begins to look into the end of a run; returns whether nothing else has happened since. */
   function beginCheck(): () => boolean {
     state = 'checking';
@@ -305,7 +310,7 @@
       return;
     }
     const { roomTokens } = computeSize();
-    release = reserveMemory(context, service.model, chosen.hops, roomTokens);
+    release = reserveMemory(context, request, chosen.hops, roomTokens);
     state = 'running';
     if (chosen.neighbour) logHandOver(chosen.neighbour.name);
     openRun(chosen, first);
--- a/src/process/relay/selectPath/index.ts
+++ b/src/process/relay/selectPath/index.ts
@@ -58,6 +58,8 @@
   readonly firstHop?: PathHop | undefined;
   /** Returns whether a path may begin at an endpoint; all may by default. */
   readonly mayStart?: (endpoint: EndpointRecord) => boolean;
+  /** Whether the run continues a stream whose response has begun, so that no share limits it; false by default. */
+  readonly isContinuation?: boolean;
 }
 
 /**
@@ -106,7 +108,7 @@
   context: RelayContext,
   request: RelayedRequest,
   candidates: readonly PathCandidate[],
-  roomTokens: number,
+  { roomTokens, fillableShare }: { readonly roomTokens: number; readonly fillableShare: number },
   path: ChosenPath | undefined,
 ): void {
   const { model } = request.service;
@@ -129,6 +131,7 @@
   const tightest = findLeastFreeMemory(sections);
   request.log.add('path-missing', {
     ...common,
+    ...(fillableShare < 1 && { fillableShare }),
     uncovered: formatRanges(uncovered.map(({ range }) => range)),
     tightest: tightest ? `${formatRanges([tightest.range])}: ${tightest.tokens ?? 0}` : '',
   });
@@ -153,6 +156,9 @@
   const { model } = request.service;
   if (!model) return undefined;
   const { firstHop, promptTokens, answerTokens, roomTokens, excluded, mayStart } = options;
+  const { isContinuation = false } = options;
+  const { name } = request.service;
+  const fillableShare = isContinuation ? 1 : context.admission.findShare(name, request.priority);
   const candidates = listCandidates(context, request.service, excluded, mayStart);
   const firstZone = firstHop && endpoints.find(firstHop.endpoint)?.record.availabilityZone;
   const startZone = firstZone ?? availabilityZone;
@@ -165,6 +171,7 @@
       answerTokens,
       random,
       nodes: context.countNodes(),
+      fillableShare,
       estimateZoneLinkWait: (from, to) =>
         context.zoneLinks.estimateWait(from, to, context.clock.now()),
       ...(firstHop && { firstHop: { hop: firstHop, availabilityZone: startZone } }),
@@ -177,7 +184,9 @@
   const localPath = triesLocalFirst ? choose(localCandidates) : undefined;
   const path =
     localPath && isWithinTarget(localPath, request.route) ? localPath : choose(candidates);
-  logChoice(context, request, candidates, roomTokens, path);
+  if (!path && fillableShare < 1)
+    context.metrics.count('share_refusals', `${name}/${request.priority}`);
+  logChoice(context, request, candidates, { roomTokens, fillableShare }, path);
   return path;
 }
 
@@ -200,19 +209,20 @@
  * Reserves memory for a request on each hop of a path.
  *
  * @param context - dependencies of the process
- * @param model - the model, if the service has one
+ * @param request - the request
  * @param hops - the path
  * @param tokens - maximum number of tokens of the request
  * @returns a function that releases the memory; further calls have no effect
  * @example
- * const release = reserveMemory(context, model, path.hops, 900);
+ * const release = reserveMemory(context, request, path.hops, 900);
  */
 export function reserveMemory(
   context: RelayContext,
-  model: LayeredModel | undefined,
+  { service, priority }: Pick<RelayedRequest, 'service' | 'priority'>,
   hops: readonly PathHop[],
   tokens: number,
 ): () => void {
+  const { name, model } = service;
   if (model) recordTransfers(context, model, hops, tokens);
   const reserved = hops.flatMap(({ endpoint: id, range }) => {
     const endpoint = context.endpoints.find(id);
@@ -222,10 +232,14 @@
     endpoint.localRequests += 1;
     endpoint.localTokenLayers += tokenLayers;
   }
+  const tokenLayers = reserved.reduce((sum, reservation) => sum + reservation.tokenLayers, 0);
+  const endHold =
+    reserved.length > 0 ? context.admission.hold(name, { priority, tokenLayers }) : undefined;
   let isReleased = false;
   return () => {
     if (isReleased) return;
     isReleased = true;
+    endHold?.();
     for (const { endpoint, tokenLayers } of reserved) {
       endpoint.localRequests = Math.max(0, endpoint.localRequests - 1);
       endpoint.localTokenLayers = Math.max(0, endpoint.localTokenLayers - tokenLayers);
--- a/src/process/relay/selectPath/test.ts
+++ b/src/process/relay/selectPath/test.ts
@@ -3,6 +3,7 @@
 import {
   FAST_ACCELERATOR,
   LAYERED_MODEL,
+  NO_ADMISSION,
   NO_PERMITS,
   createEndpointRecord,
   createRoute,
@@ -38,6 +39,7 @@
     countNodes: () => 195,
     countNodesWithoutLoad: () => 0,
     permits: NO_PERMITS,
+    admission: NO_ADMISSION,
     readLoadAge: () => 0,
     zoneLinks: { estimateWait: () => 0, recordTransfer: () => undefined },
     decisions: {
@@ -60,7 +62,7 @@
   } as unknown as RelayedRequest;
   const select = (): string[] =>
     (selectPath(context, request, SIZE)?.hops ?? []).map(({ endpoint }) => endpoint);
-  return { endpoints, searched: candidateCounts, select };
+  return { context, request, endpoints, searched: candidateCounts, select };
 }
 
 function fill(endpoint: { localRequests: number } | undefined, requests: number): void {
@@ -104,3 +106,19 @@
   const ids: PathCandidate['id'][] = select();
   assert.deepEqual(ids, ['mission-0', 'abbotsford-1']);
 });
+
+test('a run that continues a stream is not limited by the share of its priority, and a first run is', () => {
+  const { context, request, endpoints } = createCase();
+  for (const endpoint of endpoints.list()) endpoint.remoteRequests = 40;
+  const counted: string[] = [];
+  const limited = {
+    ...context,
+    admission: { ...NO_ADMISSION, findShare: () => 0.3 },
+    metrics: { count: (name: string, label: string) => counted.push(`${name} ${label}`) },
+  } as unknown as RelayContext;
+  const lessUrgent = { ...request, priority: 3 };
+  assert.equal(selectPath(limited, lessUrgent, SIZE), undefined);
+  assert.deepEqual(counted, ['share_refusals assistant/3']);
+  assert.ok(selectPath(limited, lessUrgent, { ...SIZE, isContinuation: true }));
+  assert.ok(selectPath(context, lessUrgent, SIZE));
+});
--- a/src/process/relay/types/index.ts
+++ b/src/process/relay/types/index.ts
@@ -17,6 +17,7 @@
 import type { CrashRecorder } from '../createCrashRecorder/index.js';
 import type { EndpointProber } from '../createEndpointProber/index.js';
 import type { LinkMonitor } from '../createLinkMonitor/index.js';
+import type { AdmissionExchange } from '../../site/createAdmissionExchange/index.js';
 import type { Permits } from '../../site/createPermits/index.js';
 import type { RateLimits } from '../../site/createRateLimits/index.js';
 import type { SiteDecisions } from '../../site/siteDecisions/index.js';
@@ -44,6 +45,8 @@
   /** Rate limits that endpoints announced, and the permits to send them requests. */
   readonly rateLimits: Pick<RateLimits, 'record'>;
   readonly permits: Pick<Permits, 'findLimit' | 'estimateWait' | 'acquire'>;
+  /** Shares of capacity that requests may fill, by priority. */
+  readonly admission: Pick<AdmissionExchange, 'findShare' | 'record' | 'hold' | 'listShares'>;
   readonly crashes: CrashRecorder;
   readonly partGuard: PartGuard;
   readonly decisions: Pick<SiteDecisions, 'choosePath' | 'movesRuns' | 'prefersLocalZone'>;
--- a/src/process/site/createPeerExchange/index.ts
+++ b/src/process/site/createPeerExchange/index.ts
@@ -9,6 +9,7 @@
 import type { EndpointProber } from '../../relay/createEndpointProber/index.js';
 import type { LinkMonitor } from '../../relay/createLinkMonitor/index.js';
 import { recordLeaving } from '../../relay/recordResponse/index.js';
+import type { AdmissionExchange } from '../createAdmissionExchange/index.js';
 import { createPeerRequests } from '../createPeerRequests/index.js';
 import { createPeers, type Peers } from '../createPeers/index.js';
 import { decodeMessage, encodeStoreChanges, encodeUpdate } from '../peerMessageCodec/index.js';
@@ -67,6 +68,7 @@
   };
   readonly getRateLimits: () => Pick<RateLimits, 'list' | 'receive'>;
   readonly getPermits: () => Pick<Permits, 'handleRequest' | 'handleReply'>;
+  readonly getAdmission: () => Pick<AdmissionExchange, 'receive'>;
 }
 
 /** Exchange of updates between one node and its peers. */
@@ -119,7 +121,8 @@
  */
 export function createPeerExchange(options: CreatePeerExchangeOptions): PeerExchange {
   const { self, state, prober, links, logger, now, random, getFollower, getPlanner } = options;
-  const { peerPort, onDeregistered, onChanges, getParts, getRateLimits, getPermits } = options;
+  const { peerPort, onDeregistered, onChanges, getParts, getRateLimits, getPermits, getAdmission } =
+    options;
   const { endpoints } = state;
   const deregisteredAt = new Map<string, number>();
   /**
@@ -302,6 +305,7 @@
       if (request) getPermits().handleRequest(request, address);
     } else if (message.kind === 'permitReply')
       getPermits().handleReply(decodePermitReply(message.numbers));
+    else if (message.kind === 'demand') getAdmission().receive(message.numbers);
     else if (message.kind === 'unknownSender') requests.request(`sender ${address}`, address);
     else unreadable += 1;
   };
--- a/src/process/site/createPeerExchange/test.ts
+++ b/src/process/site/createPeerExchange/test.ts
@@ -3,6 +3,7 @@
 import { encode } from '@msgpack/msgpack';
 import {
   createEndpointRecord,
+  NO_ADMISSION,
   NO_PERMITS,
   NO_RATE_LIMITS,
   NOOP_LOGGER,
@@ -114,6 +115,7 @@
       },
       getRateLimits: () => NO_RATE_LIMITS,
       getPermits: () => NO_PERMITS,
+      getAdmission: () => NO_ADMISSION,
       getParts: () => ({
         list: () => ({ reports: [], successes: [], trials: [] }),
         receive: () => undefined,
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -44,15 +44,7 @@
   type NodeRegistration,
 } from '../createNodeRegistration/index.js';
 import { createCrashProtection } from '../createCrashProtection/index.js';
-import { createPermits } from '../createPermits/index.js';
-import { createRateLimits } from '../createRateLimits/index.js';
-import { encodeNumbersMessage, tagEndpoint } from '../peerMessageCodec/index.js';
-import {
-  PERMIT_REPLY_KIND,
-  PERMIT_REQUEST_KIND,
-  RATE_LIMITS_KIND,
-} from '../peerMessageFormat/index.js';
-import { encodePermitReply, encodePermitRequest, encodeRateLimits } from '../permitCodec/index.js';
+import { createRequestLimits } from '../createRequestLimits/index.js';
 import { createPlanner, type Planner } from '../createPlanner/index.js';
 import { splitChanges } from '../splitChanges/index.js';
 import { SITE_DECISIONS, type SiteDecisions } from '../siteDecisions/index.js';
@@ -179,31 +171,16 @@
       void exchange.step();
     },
   });
-  const rateLimits = createRateLimits({
+  const { rateLimits, permits, admission } = createRequestLimits({
     self,
     clock,
     random,
     logger,
-    listAlive: () => exchange.peers.listAlive(),
-    send: (address, facts) => {
-      const numbers = encodeRateLimits(facts, now(), tagEndpoint);
-      options.peerPort.send(address, encodeNumbersMessage(RATE_LIMITS_KIND, numbers));
-    },
-  });
-  const permits = createPermits({
-    self: self.name,
-    clock,
-    rateLimits,
-    listAlive: () => exchange.peers.listAlive(),
-    countKnown: () => exchange.peers.countKnown(),
-    sendRequest: (address, request) => {
-      const numbers = encodePermitRequest(request, now(), tagEndpoint);
-      options.peerPort.send(address, encodeNumbersMessage(PERMIT_REQUEST_KIND, numbers));
-    },
-    sendReply: (address, reply) => {
-      const numbers = encodePermitReply(reply);
-      options.peerPort.send(address, encodeNumbersMessage(PERMIT_REPLY_KIND, numbers));
-    },
+    endpoints: state.endpoints,
+    peerPort: options.peerPort,
+    getPeers: () => exchange.peers,
+    getCompiled: state.getCompiled,
+    computeShares: decisions.computeAdmissionShares,
   });
   const links = createLinkMonitor({
     endpoints: state.endpoints,
@@ -245,6 +222,7 @@
     getPlanner: () => planner,
     getRateLimits: () => rateLimits,
     getPermits: () => permits,
+    getAdmission: () => admission,
     getParts: () => ({
       list: () => ({
         ...partGuard.breakers.listFacts(now()),
@@ -372,6 +350,7 @@
     neighbours,
     rateLimits,
     permits,
+    admission,
     crashes,
     partGuard,
     decisions,
@@ -410,6 +389,7 @@
         state.applyHeldEntries();
         partExchange.step();
         rateLimits.step();
+        admission.step();
         links.step();
         return exchange.step();
       },
--- a/src/process/site/siteDecisions/index.ts
+++ b/src/process/site/siteDecisions/index.ts
@@ -1,6 +1,7 @@
 /**
  * Decision functions of a node, which can be replaced to compare versions of them.
  */
+import { computeAdmissionShares } from '../../../request/computeAdmissionShares/index.js';
 import { choosePath } from '../../../request/choosePath/index.js';
 import { planPlacement } from '../../../version/planPlacement/index.js';
 
@@ -8,6 +9,7 @@
 export interface SiteDecisions {
   readonly planPlacement: typeof planPlacement;
   readonly choosePath: typeof choosePath;
+  readonly computeAdmissionShares: typeof computeAdmissionShares;
   /**
    * Whether streams are moved off a lost endpoint that is not the first of the path, rather than
    * restarted.
@@ -24,6 +26,7 @@
 export const SITE_DECISIONS: SiteDecisions = {
   planPlacement,
   choosePath,
+  computeAdmissionShares,
   movesRuns: true,
   prefersLocalZone: true,
 };
--- a/src/request/choosePath/index.ts
+++ b/src/request/choosePath/index.ts
@@ -47,6 +47,8 @@
   readonly estimateZoneLinkWait?: (from: string, to: string) => number;
   /** Number of nodes that choose paths over the same endpoints. */
   readonly nodes?: number;
+  /** Share of the slots and of the memory for requests that this request may fill; 1 by default. */
+  readonly fillableShare?: number;
   /** Returns numbers from 0 to 1, which vary the costs so that nodes choose differently. */
   readonly random: () => number;
 }
@@ -139,8 +141,9 @@
 
 /** Computes the costs of all candidates, each with its own random part, so that nodes choose differently. */
 function priceCandidates(options: ChoosePathOptions, events: number): PricedCandidate[] {
-  const { model, candidates, promptTokens, answerTokens, random, nodes = 1 } = options;
-  const memoryShare = computeUsedShare(USED_MEMORY_SHARE, nodes);
+  const { model, candidates, promptTokens, answerTokens, random } = options;
+  const { nodes = 1, fillableShare = 1 } = options;
+  const memoryShare = computeUsedShare(USED_MEMORY_SHARE, nodes) * fillableShare;
   const tokens = promptTokens + answerTokens;
   // The more nodes choose by the same figures, the more their choices have to be spread.
   const jitter = Math.min(JITTER.maximum, JITTER.minimum + JITTER.perNode * nodes);
@@ -188,12 +191,12 @@
  */
 export function choosePath(options: ChoosePathOptions): ChosenPath | undefined {
   const { model, availabilityZone, promptTokens, answerTokens, firstHop, nodes = 1 } = options;
-  const { estimateZoneLinkWait = () => 0 } = options;
+  const { estimateZoneLinkWait = () => 0, fillableShare = 1 } = options;
   const events = 1 + answerTokens / model.stride;
   const zoneLinkTime = computeZoneLinkTime(model, promptTokens);
   const boundaries = listBoundaries(options);
   const priced = priceCandidates(options, events);
-  const slots = model.slots * computeUsedShare(USED_SLOTS_SHARE, nodes);
+  const slots = model.slots * computeUsedShare(USED_SLOTS_SHARE, nodes) * fillableShare;
   const states = new Map<number, Map<string, PartialPath>>();
   const startZone = firstHop?.availabilityZone ?? availabilityZone;
   states.set(
--- a/src/request/choosePath/test.ts
+++ b/src/request/choosePath/test.ts
@@ -219,3 +219,26 @@
   assert.ok(countSecondChoices(78) > countSecondChoices(6));
   assert.ok(countSecondChoices(78) > 40);
 });
+
+test('a share limits the slots and the memory that a request may fill, and leaves the rest to others', () => {
+  const choose = (changes: Partial<PathCandidate>, fillableShare?: number) =>
+    choosePath({
+      model: LAYERED_MODEL,
+      candidates: [createPathCandidate('1', 0, 80, { kind: FAST_ACCELERATOR, ...changes })],
+      availabilityZone: 'mission',
+      promptTokens: 700,
+      answerTokens: 200,
+      random: () => 0,
+      ...(fillableShare !== undefined && { fillableShare }),
+    });
+  // An accelerator of this size hosts all layers only of a smaller model.
+  const kind = { ...FAST_ACCELERATOR, memoryMegabytes: 200_000 };
+  const half = computeFreeMemory(LAYERED_MODEL, kind.memoryMegabytes, 80) / 2;
+  const loads = [{ requests: LAYERED_MODEL.slots / 2 }, { usedTokenLayers: half }];
+  for (const load of loads) {
+    assert.ok(choose({ kind, ...load }));
+    assert.ok(choose({ kind, ...load }, 1));
+    assert.ok(choose({ kind, ...load }, 0.8));
+    assert.equal(choose({ kind, ...load }, 0.45), undefined);
+  }
+});
--- a/tests/support/site/index.ts
+++ b/tests/support/site/index.ts
@@ -2,6 +2,7 @@
  * Sample records, routes and endpoints of a small site for tests.
  */
 import type { LinkMonitor } from '../../../src/process/relay/createLinkMonitor/index.js';
+import type { AdmissionExchange } from '../../../src/process/site/createAdmissionExchange/index.js';
 import type { Permits } from '../../../src/process/site/createPermits/index.js';
 import type { RateLimits } from '../../../src/process/site/createRateLimits/index.js';
 import type { SiteLogger } from '../../../src/process/site/createSiteLogger/index.js';
@@ -156,6 +157,16 @@
   handleReply: () => undefined,
 };
 
+/** Admission of a site whose services have one priority each. */
+export const NO_ADMISSION: AdmissionExchange = {
+  findShare: () => 1,
+  record: () => undefined,
+  hold: () => () => undefined,
+  receive: () => undefined,
+  step: () => undefined,
+  listShares: () => [],
+};
+
 /** Logger that discards all lines. */
 export const NOOP_LOGGER: SiteLogger = {
   log: () => undefined,
