--- a/src/process/relay/createRelay/index.ts
+++ b/src/process/relay/createRelay/index.ts
@@ -1,13 +1,15 @@
 /**
  * Relay of one node: admits requests and forwards them according to the kind of their route.
  */
+import { estimateTokens } from '../../../request/estimateTokens/index.js';
+import { computePriority } from '../../../request/computePriority/index.js';
 import type { CompiledSiteConfiguration } from '../../../version/compileSiteConfiguration/index.js';
 import type {
   RequestMetadata,
   CallerResponse,
   ForwardedRequest,
 } from '../../../types/relay/index.js';
-import type { RequestKind, ServiceShare, SiteRoute } from '../../../types/site/index.js';
+import type { RequestKind, ServiceShare, SiteService } from '../../../types/site/index.js';
 import {
   admitRequest,
   type Admission,
@@ -75,8 +77,6 @@
 const MAXIMUM_TAKEN_OVER = 256;
 /** Number of prompt parts that the log names. */
 const MAXIMUM_LOGGED_PARTS = 8;
-const DEFAULT_PRIORITY = 5;
-const MAXIMUM_PRIORITY = 9;
 
 function pickService(shares: readonly ServiceShare[], random: () => number): string | undefined {
   const total = shares.reduce((sum, { weight }) => sum + weight, 0);
@@ -88,9 +88,15 @@
   return shares.at(-1)?.service;
 }
 
-function computePriority(route: SiteRoute, accountPriority: number | undefined): number {
-  const priority = accountPriority ?? route.priority;
-  return Math.min(MAXIMUM_PRIORITY, Number.isFinite(priority) ? 1 + priority : DEFAULT_PRIORITY);
+/** Records the demand of a stream, whether it will be served or not. */
+function recordDemand(
+  { admission }: Pick<RelayContext, 'admission'>,
+  { name, model }: SiteService,
+  { caller, priority }: Pick<RelayedRequest, 'caller' | 'priority'>,
+): void {
+  if (!model) return;
+  const { roomTokens } = estimateTokens({ caller, model, lastEventId: caller.lastEventId });
+  admission.record(name, { priority, tokenLayers: roomTokens * model.layers });
 }
 
 /**
@@ -153,8 +159,12 @@
         leftMilliseconds: Math.round(deadlineAt - clock.now()),
       });
       metrics.count('requests', route.kind);
+      const priority = computePriority(route.priority, account?.priority);
       // The node that handed the request over has counted it.
-      if (!isHandedOver) budget.recordRequest(service.name, clock.now());
+      if (!isHandedOver) {
+        budget.recordRequest(service.name, clock.now());
+        if (route.kind === 'stream') recordDemand(context, service, { caller, priority });
+      }
       if (route.kind === 'stream') {
         await coverageGate.wait((deadlineAt - clock.now()) * START_WAIT_SHARE);
       }
@@ -172,7 +182,7 @@
         route,
         service,
         account: account?.name,
-        priority: computePriority(route, account?.priority),
+        priority,
         arrivedAt,
         isHandedOver,
         isRepeat: handOver?.isRepeat ?? false,
