--- a/tests/support/peerExchanges/index.ts
+++ b/tests/support/peerExchanges/index.ts
@@ -14,6 +14,7 @@
 import type { SiteConfiguration } from '../../../src/types/site/index.js';
 import {
   createEndpointRecord,
+  NO_ADMISSION,
   NO_PERMITS,
   NO_RATE_LIMITS,
   NOOP_LOGGER,
@@ -176,6 +177,7 @@
       },
       getRateLimits: () => NO_RATE_LIMITS,
       getPermits: () => NO_PERMITS,
+      getAdmission: () => NO_ADMISSION,
       getParts: () => ({
         list: () => ({ reports: [], successes: [], trials: [] }),
         receive: () => undefined,
