--- a/src/process/site/createPeerExchange/index.ts
+++ b/src/process/site/createPeerExchange/index.ts
@@ -10,15 +10,15 @@
 import type { LinkMonitor } from '../../relay/createLinkMonitor/index.js';
 import { recordLeaving } from '../../relay/recordResponse/index.js';
 import type { AdmissionExchange } from '../createAdmissionExchange/index.js';
+import { createPeerReplies } from '../createPeerReplies/index.js';
 import { createPeerRequests } from '../createPeerRequests/index.js';
 import { createPeers, type Peers } from '../createPeers/index.js';
 import { decodeMessage, encodeStoreChanges, encodeUpdate } from '../peerMessageCodec/index.js';
 import type { Permits } from '../createPermits/index.js';
 import type { RateLimits } from '../createRateLimits/index.js';
 import { decodePermitReply, decodePermitRequest, decodeRateLimits } from '../permitCodec/index.js';
-import { decodePartFacts, encodePartFacts } from '../partFactsCodec/index.js';
+import { decodePartFacts } from '../partFactsCodec/index.js';
 import {
-  peerReplySchema,
   peerRequestSchema,
   type EndpointLoadUpdate,
   type LocalState,
@@ -31,7 +31,6 @@
 import type { SiteState } from '../createSiteState/index.js';
 import type { StoreFollower } from '../createStoreFollower/index.js';
 import type { Planner } from '../createPlanner/index.js';
-import { createConfigurationCodec } from '../createConfigurationCodec/index.js';
 import { createLayerRelay } from '../createLayerRelay/index.js';
 import { createLossReports } from '../createLossReports/index.js';
 import { createRemoteLoads } from '../createRemoteLoads/index.js';
@@ -125,12 +124,7 @@
   const { peerPort, onDeregistered, onChanges, getParts, getRateLimits, getPermits, getAdmission } =
     options;
   const { endpoints } = state;
-  const codec = createConfigurationCodec();
   const deregisteredAt = new Map<string, number>();
-  /**
-   * Store revision of the registry as peers reported it while this node could not reach the store.
-   */
-  let reportedRevision = 0;
   let unreadable = 0;
   /** Whether this node may have missed facts about parts: since its start, or while it was cut off. */
   let needsParts = true;
@@ -152,7 +146,6 @@
     facts.length <= MAXIMUM_FACTS
       ? [...facts]
       : shuffleItems(facts, random).slice(0, MAXIMUM_FACTS);
-  const getRevision = (): number => Math.max(getFollower().getRevision(), reportedRevision);
   /** Lists the losses that this node found, unless it may be cut off itself. */
   const listLosses = (list: readonly Endpoint[]): string[] =>
     links.isSuspect()
@@ -164,7 +157,7 @@
     const includesLoads = !peers.isLargeZone() || random() < LARGE_ZONE_LOADS_SHARE;
     return {
       version: state.getVersion(),
-      revision: getRevision(),
+      revision: replies.getRevision(),
       isReachable: getFollower().isReachable(),
       isIsolated: links.isIsolated(),
       // In a large zone, the loads of a sample of the nodes are enough to estimate the load of all.
@@ -178,31 +171,6 @@
       slowdowns: pickFacts(planner.listSlowdowns()),
     };
   };
-  const applyReplyConfiguration = (reply: PeerReply): void => {
-    const { configuration, compressedConfiguration: compressed } = reply;
-    const text = compressed === undefined ? configuration : codec.decompress(compressed);
-    if (text !== undefined) state.applyConfiguration(text, 'peer');
-    else if (compressed !== undefined)
-      logger.log('configuration-unreadable', { source: 'peer', bytes: compressed.length });
-  };
-  const listConfiguration = (
-    request: PeerRequest,
-  ): Pick<PeerReply, 'configuration' | 'compressedConfiguration'> => {
-    const text = state.getConfigurationText();
-    if (text === undefined || request.version >= state.getVersion()) return {};
-    return request.acceptsCompression
-      ? { compressedConfiguration: codec.compress(text) }
-      : { configuration: text };
-  };
-  const applyEntries = ({ entries, revision }: PeerReply): void => {
-    if (!entries || getFollower().isReachable() || revision <= reportedRevision) return;
-    reportedRevision = revision;
-    const present = new Set(entries.map(([id]) => id));
-    for (const [id, text] of entries) state.applyEndpoint(id, text, 'peer');
-    for (const [id] of state.listRegistryEntries()) {
-      if (!present.has(id)) state.applyEndpoint(id, undefined, 'peer');
-    }
-  };
   const applyLeaving = (leaving: PeerUpdate['leaving']): void => {
     for (const [id, startedAt] of leaving) {
       const endpoint = endpoints.find(id);
@@ -230,6 +198,15 @@
       logger.log(event, { peer: node.name, incarnation: node.incarnation });
     },
   });
+  const replies = createPeerReplies({
+    peers,
+    state,
+    logger,
+    now,
+    getFollower,
+    getParts,
+    getRateLimits,
+  });
   const layerRelay = createLayerRelay({ endpoints, now });
   const remoteLoads = createRemoteLoads({ self, endpoints, listAlive: peers.listAlive, now });
   const lossReports = createLossReports({
@@ -241,39 +218,12 @@
     random,
     countGroup: () => peers.listGroup().length,
   });
-  const applyReply = (value: unknown): void => {
-    const parsed = peerReplySchema.safeParse(value);
-    if (!parsed.success) return;
-    const reply = parsed.data;
-    peers.addNodes(reply.nodes);
-    applyReplyConfiguration(reply);
-    applyEntries(reply);
-    if (reply.rateLimits) {
-      const facts = reply.rateLimits.map(({ endpoint, startedAt, requestsPerSecond, age }) => ({
-        endpoint,
-        startedAt,
-        requestsPerSecond,
-        heardAt: now() - age,
-      }));
-      getRateLimits().receive(facts);
-    }
-    if (!reply.parts) return;
-    needsParts = false;
-    getParts().receive(decodePartFacts(reply.parts, now()));
-  };
   const requests = createPeerRequests({
     now,
     send: (address) => {
-      const request = {
-        node: peers.getSelf(),
-        version: state.getVersion(),
-        revision: getRevision(),
-        isReachable: getFollower().isReachable(),
-        acceptsCompression: true,
-      };
-      void peerPort.sendRequest(address, request).then((reply) => {
+      void peerPort.sendRequest(address, replies.createRequest()).then((reply) => {
         guard(address, () => {
-          applyReply(reply);
+          if (replies.apply(reply)?.hasParts) needsParts = false;
         });
       });
     },
@@ -282,22 +232,23 @@
     if (needsParts) requests.requestRarely('parts', address);
     if (update.version > state.getVersion()) requests.request('configuration', address);
     const needsEntries = !getFollower().isReachable() && update.isReachable;
-    if (needsEntries && update.revision > getRevision()) requests.request('entries', address);
+    if (needsEntries && update.revision > replies.getRevision())
+      requests.request('entries', address);
     if (update.nodesKnown > peers.countAlive()) requests.requestRarely('nodes', address);
   };
   /** Messages of this round, which are the same for all receivers. */
   let encoded: EncodedRound | undefined;
   const encodeRound = (): EncodedRound => {
     const message = peers.createMessage(createLocalState(), true);
-    const replies = encodeUpdate({ ...message, wantsReply: false });
-    const round = { at: now(), updates: encodeUpdate(message), replies };
+    const updates = encodeUpdate(message);
+    const round = { at: now(), updates, replies: encodeUpdate({ ...message, wantsReply: false }) };
     encoded = round;
     return round;
   };
   const sendReply = (address: string): void => {
     const isFresh = encoded && now() - encoded.at < ROUND_MILLISECONDS;
-    const { replies } = encoded && isFresh ? encoded : encodeRound();
-    peerPort.send(address, replies);
+    const round = encoded && isFresh ? encoded : encodeRound();
+    peerPort.send(address, round.replies);
   };
   const handleUpdate = (update: PeerUpdate, address: string): void => {
     if (!peers.applyUpdate(update)) return;
@@ -338,22 +289,6 @@
     }
   };
 
-  const createReply = (request: PeerRequest): PeerReply => {
-    peers.addNodes([request.node]);
-    const revision = getRevision();
-    const needsEntries = !request.isReachable && request.revision < revision;
-    return {
-      nodes: peers.listAlive(),
-      revision,
-      ...listConfiguration(request),
-      ...(needsEntries && { entries: state.listRegistryEntries() }),
-      parts: encodePartFacts(getParts().list(), now()),
-      rateLimits: getRateLimits()
-        .list()
-        .map(({ heardAt, ...limit }) => ({ ...limit, age: Math.max(0, now() - heardAt) })),
-    };
-  };
-
   return {
     peers,
     step: () => {
@@ -376,7 +311,7 @@
       const parsed = peerRequestSchema.safeParse(value);
       if (!parsed.success) return undefined;
       const request = parsed.data;
-      return guard(request.node.peerAddress, () => createReply(request));
+      return guard(request.node.peerAddress, () => replies.create(request));
     },
     forwardChanges: (changes) => {
       const bytes = encodeStoreChanges(changes, self.incarnation);
