Remove the import cycle around the types of the relay

Cause: createCrashRecorder, createEndpointProber, createPartGuard, recordResponse and types imported each other. recordResponse picked its dependencies from RelayContext, and createPartGuard its request from RelayedRequest.

Change: both modules state the interfaces that they need. No behaviour changes.

--- a/src/process/relay/createPartGuard/index.ts
+++ b/src/process/relay/createPartGuard/index.ts
@@ -11,10 +11,12 @@
 import { listRequestParts } from '../../../request/listRequestParts/index.js';
 import type { PartFacts } from '../../../types/breaker/index.js';
 import type { Clock } from '../../../types/clock/index.js';
+import type { ForwardedRequest, RequestMetadata } from '../../../types/relay/index.js';
+import type { SiteService } from '../../../types/site/index.js';
 import type { SiteLogger } from '../../site/createSiteLogger/index.js';
 import type { RelayMetrics } from '../createRelayMetrics/index.js';
+import type { RequestLog } from '../createRequestLog/index.js';
 import { createRunGate, type RunGate } from '../createRunGate/index.js';
-import type { RelayedRequest } from '../types/index.js';
 
 /** Options of {@link createPartGuard}. */
 export interface CreatePartGuardOptions {
@@ -26,12 +28,19 @@
   readonly announce: (facts: Partial<PartFacts>) => void;
 }
 
+/** Request whose runs a gate admits. */
+export interface GuardedRequest {
+  readonly caller: RequestMetadata;
+  readonly forwarded: ForwardedRequest;
+  readonly service: SiteService;
+  readonly account: string | undefined;
+  readonly log: RequestLog;
+}
+
 /** Guard of one node. */
 export interface PartGuard {
   readonly breakers: PartBreakers;
-  readonly createGate: (
-    request: Pick<RelayedRequest, 'service' | 'account' | 'forwarded' | 'caller' | 'log'>,
-  ) => RunGate;
+  readonly createGate: (request: GuardedRequest) => RunGate;
 }
 
 /**
--- a/src/process/relay/recordResponse/index.ts
+++ b/src/process/relay/recordResponse/index.ts
@@ -2,9 +2,10 @@
  * State of an endpoint as it reports it in the headers of its responses.
  */
 import type { Endpoint, EndpointTable } from '../../../connection/createEndpointTable/index.js';
+import type { Clock } from '../../../types/clock/index.js';
 import type { ResponseMetadata, BackoffRequest } from '../../../types/relay/index.js';
+import type { RateLimits } from '../../site/createRateLimits/index.js';
 import type { SiteLogger } from '../../site/createSiteLogger/index.js';
-import type { RelayContext } from '../types/index.js';
 
 /** Options of {@link recordLeaving}. */
 export interface RecordLeavingOptions {
@@ -45,10 +46,15 @@
   return metadata.attempt === undefined || metadata.attempt === attempt;
 }
 
-type RecordingContext = Pick<
-  RelayContext,
-  'endpoints' | 'clock' | 'logger' | 'random' | 'rateLimits'
->;
+/** Dependencies of {@link recordResponse}. */
+export interface RecordResponseContext {
+  readonly endpoints: Pick<EndpointTable, 'backOff' | 'findByAddress' | 'markLeaving'>;
+  readonly clock: Pick<Clock, 'now'>;
+  readonly logger: SiteLogger;
+  /** Returns a random number from 0 to 1. */
+  readonly random: () => number;
+  readonly rateLimits: Pick<RateLimits, 'record'>;
+}
 
 /** Backoff when the requested time cannot be parsed, in milliseconds. */
 const DEFAULT_BACKOFF_MILLISECONDS = 1_000;
@@ -56,7 +62,7 @@
 const BACKOFF_JITTER_SHARE = 0.1;
 
 function recordBackoff(
-  context: RecordingContext,
+  context: RecordResponseContext,
   endpoint: Endpoint,
   backoff: BackoffRequest,
 ): void {
@@ -85,7 +91,7 @@
  * recordResponse(context, endpoint, head.metadata);
  */
 export function recordResponse(
-  context: RecordingContext,
+  context: RecordResponseContext,
   endpoint: Endpoint,
   metadata: ResponseMetadata,
 ): void {
