Test truncated responses of endpoints that drain, expire or are replaced

Cause: a draining endpoint and one without an entry are not checked after the end of a connection, and a listener at the address counts as the endpoint, so that a truncated response is sent as complete.

Change: one test for each of the three cases. The stand-in of an endpoint answers health requests with its id, reports its start, and can listen on a given port; endpoints of the soak report the start of their registration.

--- a/soak/createSoakEndpoint/index.ts
+++ b/soak/createSoakEndpoint/index.ts
@@ -376,6 +376,7 @@
       birth += 1;
       const server = await serveSiteEndpoint({
         id,
+        startedAt: START_NUMBER_OFFSET + birth,
         // Registers the layers, because nodes that start later learn them only from the registry.
         onLayersChanged: () => {
           if (isRegistered) register();
--- a/standins/serveSiteEndpoint/index.ts
+++ b/standins/serveSiteEndpoint/index.ts
@@ -28,6 +28,10 @@
   readonly handle: EndpointHandler;
   /** Called when the endpoint has carried out an order to load layers. */
   readonly onLayersChanged?: () => void;
+  /** Unix time of its start as it reports it, in milliseconds; that of registerEndpoint by default. */
+  readonly startedAt?: number;
+  /** Port on loopback; a free one by default. */
+  readonly port?: number;
 }
 
 /** Running endpoint. */
@@ -35,6 +39,8 @@
   readonly id: string;
   readonly address: string;
   readonly received: ReceivedRequest[];
+  /** Number of health requests that it received. */
+  healthRequests: number;
   /** Orders that it received. */
   readonly orders: unknown[];
   layers: { from: number; to: number } | undefined;
@@ -59,6 +65,12 @@
   readonly crash: () => Promise<void>;
 }
 
+/** Start of an endpoint whose options state none, in milliseconds. */
+const DEFAULT_STARTED_AT = 1_000;
+const HEALTH_PATH = '/healthz';
+/** Paths that the endpoint itself answers, whatever handles its requests. */
+const OWN_PATHS: ReadonlySet<string | undefined> = new Set(['/report', HEALTH_PATH]);
+
 interface Order {
   readonly op: string;
   readonly from: number;
@@ -127,10 +139,17 @@
       sequence: endpoint.orders.length,
       busy: false,
       layers: endpoint.layers && { ...endpoint.layers, version: 1 },
+      born: options.startedAt ?? DEFAULT_STARTED_AT,
       pace: endpoint.slowdown,
       stalled: endpoint.stalledAddresses.map((address) => ({ id: 'any', address })),
     });
   };
+  const sendHealth = ({ headers }: IncomingMessage, response: ServerResponse): void => {
+    endpoint.healthRequests += 1;
+    const expected = headers['expect-instance'];
+    response.setHeader('Instance-Id', endpoint.id);
+    respondJson(response, expected === undefined || expected === endpoint.id ? 200 : 421, {});
+  };
   const handleRequest = (
     incoming: IncomingMessage,
     response: ServerResponse,
@@ -152,7 +171,7 @@
   const server = createServer((incoming, response) => {
     if (endpoint.requestsPerSecond !== undefined)
       response.setHeader('Server-Limit', String(endpoint.requestsPerSecond));
-    if (endpoint.handleBeforeBody && incoming.url !== '/report') {
+    if (endpoint.handleBeforeBody && !OWN_PATHS.has(incoming.url)) {
       const { method = '', url = '', headers } = incoming;
       const request: ReceivedRequest = { method, url, headers, body: '', wasAborted: false };
       endpoint.handleBeforeBody(request, response, endpoint);
@@ -165,15 +184,17 @@
         };
         if (endpoint.reportDelayMilliseconds === 0) respond();
         else setTimeout(respond, endpoint.reportDelayMilliseconds);
-      } else if (incoming.url === '/order') applyOrder(body, response);
+      } else if (incoming.url === HEALTH_PATH) sendHealth(incoming, response);
+      else if (incoming.url === '/order') applyOrder(body, response);
       else handleRequest(incoming, response, body);
     });
   });
-  const address = await listenOnLoopback(server);
+  const address = await listenOnLoopback(server, { port: options.port ?? 0 });
   const endpoint: SiteEndpoint = {
     id: options.id,
     address,
     received: [],
+    healthRequests: 0,
     orders: [],
     layers: undefined,
     handle: options.handle,
--- a/tests/unframedResponses.test.ts
+++ b/tests/unframedResponses.test.ts
@@ -5,6 +5,9 @@
 import assert from 'node:assert/strict';
 import { after, before, beforeEach, test } from 'node:test';
 import type { Socket } from 'node:net';
+import { createSiteProtocol } from '../platform/createSiteProtocol/index.js';
+import { createEndpointPort } from '../src/process/relay/createEndpointPort/index.js';
+import type { EndpointPort } from '../src/types/relay/index.js';
 import {
   createEndpointHeaders,
   serveSiteEndpoint,
@@ -13,6 +16,7 @@
   type SiteEndpoint,
 } from '../standins/serveSiteEndpoint/index.js';
 import type { SiteStore } from '../standins/serveSiteStore/index.js';
+import { createLinkCut } from './support/cutEndpointPort/index.js';
 import {
   COMPLETE_STREAM,
   createPlatformConfiguration,
@@ -33,10 +37,30 @@
 
 const ALL_LAYERS = { from: 0, to: 4 };
 
+/** Links of the node to the endpoints. */
+const links = createLinkCut();
+
 let store: SiteStore;
 let node: TestNode;
 let endpoints: SiteEndpoint[] = [];
 let responses = 0;
+/** Number of heads of responses that the node has read. */
+let heads = 0;
+
+/** Counts the heads that a port delivers. */
+function countHeads(port: EndpointPort): EndpointPort {
+  return {
+    ...port,
+    send: (request, forwarding, handlers) =>
+      port.send(request, forwarding, {
+        ...handlers,
+        onHead: (head) => {
+          heads += 1;
+          handlers.onHead(head);
+        },
+      }),
+  };
+}
 
 function formatHead(request: ReceivedRequest, type: string): string {
   const headers = { ...createEndpointHeaders(request), 'Content-Type': type, Connection: 'close' };
@@ -53,7 +77,7 @@
 /** Sends text without framing in the first response, and responds as a healthy endpoint after that. */
 function respondUnframed(
   format: (request: ReceivedRequest) => string,
-  end: (socket: Socket, endpoint: SiteEndpoint) => void,
+  end: (socket: Socket, endpoint: SiteEndpoint) => void | Promise<void>,
   healthy: EndpointHandler,
 ): EndpointHandler {
   return (request, response, endpoint) => {
@@ -62,7 +86,7 @@
     if (responses > 1 || !socket) healthy(request, response, endpoint);
     else
       socket.write(format(request), () => {
-        end(socket, endpoint);
+        void end(socket, endpoint);
       });
   };
 }
@@ -80,6 +104,7 @@
   for (const { id } of endpoints) store.remove(`servers/${id}`);
   await Promise.all(endpoints.map((endpoint) => endpoint.crash()));
   responses = 0;
+  heads = 0;
   const prefix = performance.now().toFixed(0);
   endpoints = await Promise.all(
     ['model-1', 'model-2', 'plain-1', 'plain-2'].map((name) =>
@@ -108,13 +133,16 @@
 
 before(async () => {
   store = await startStore();
-  node = await startNode('node-1', store);
+  node = await startNode('node-1', store, {
+    endpointPort: links.wrap(countHeads(createEndpointPort(createSiteProtocol()))),
+  });
   store.put('op/config', createPlatformConfiguration(1));
   await waitUntilReady(node);
 });
 
 beforeEach(() => {
   responses = 0;
+  heads = 0;
 });
 
 after(async () => {
@@ -123,6 +151,39 @@
   await Promise.all(endpoints.map((endpoint) => endpoint.crash()));
 });
 
+function waitForLog(event: string, endpoint: SiteEndpoint): Promise<void> {
+  return waitFor(`${event} of ${endpoint.id}`, () =>
+    node.logs.some((line) => line.includes(`"${event}"`) && line.includes(`"${endpoint.id}"`)),
+  );
+}
+
+/** Ends the endpoint in the middle of a response, after its registration has changed. */
+const crashAfter =
+  (event: string, change: (endpoint: SiteEndpoint) => void) =>
+  async (socket: Socket, endpoint: SiteEndpoint): Promise<void> => {
+    change(endpoint);
+    await waitForLog(event, endpoint);
+    crash(socket, endpoint);
+  };
+
+/** Ends the endpoint behind a cut of the node's links, and starts another one at its address. */
+const replaceBehindCut =
+  (createId: (id: string) => string) =>
+  async (socket: Socket, endpoint: SiteEndpoint): Promise<void> => {
+    await waitFor('the node reads the head', () => heads > 0);
+    links.begin('hang', (address) => address === endpoint.address);
+    socket.end();
+    await endpoint.crash();
+    const successor = await serveSiteEndpoint({
+      id: createId(endpoint.id),
+      handle: respondCompletely,
+      startedAt: 2_000,
+      port: Number(endpoint.address.split(':')[1]),
+    });
+    endpoints.push(successor);
+    links.end();
+  };
+
 const formatStream =
   (last: number, rest = '') =>
   (request: ReceivedRequest) =>
@@ -165,3 +226,34 @@
   const booking = await requestPlain('/book/x', 'POST');
   assert.deepEqual([booking.status, responses], [502, 1]);
 });
+
+/** Guards against the belief that an endpoint which drains ends only after its responses. */
+test('a stream without framing whose draining engine ends goes on at another endpoint', async () => {
+  const drain = crashAfter('endpoint-draining', (endpoint) => {
+    registerEndpoint(store, endpoint, MODEL_SERVICE, { state: 'draining', layers: ALL_LAYERS });
+  });
+  await replaceEndpoints(respondUnframed(formatStream(2), drain, streamCompletely));
+  const { body, isComplete } = await requestStream();
+  assert.deepEqual([body, isComplete, responses], [COMPLETE_STREAM, true, 2]);
+});
+
+/** Guards against the belief that an endpoint without an entry has left after its responses. */
+test('a stream without framing whose engine crashes after its entry expired goes on at another endpoint', async () => {
+  const expire = crashAfter('endpoint-gone', ({ id }) => {
+    store.remove(`servers/${id}`);
+  });
+  await replaceEndpoints(respondUnframed(formatStream(2), expire, streamCompletely));
+  const { body, isComplete } = await requestStream();
+  assert.deepEqual([body, isComplete, responses], [COMPLETE_STREAM, true, 2]);
+});
+
+/** Guards against any listener at the address as proof that the endpoint did not end. */
+test('a body without framing is not complete when another endpoint listens at the address', async () => {
+  const replace = replaceBehindCut((id) => `${id}-successor`);
+  await replaceEndpoints(respondUnframed(formatBody, replace, respondCompletely));
+  const booking = await requestPlain('/book/x', 'POST');
+  assert.deepEqual([booking.status, responses], [502, 1]);
+  await replaceEndpoints(respondUnframed(formatBody, replace, respondCompletely));
+  const lookUp = await requestPlain('/look/x');
+  assert.match(lookUp.body, /^done by plain/);
+});
