Prove that a response without framing is complete

Cause: a response that ended with its connection counted as complete unless its endpoint was found to have crashed. Endpoints that drain or have no entry were not checked at all, and plain endpoints only by a connection to their address, so that a process that took over the address passed for the one that had answered.

Change: such a response is complete only with proof that the incarnation which answered outlived its end. For streams, proveStreamEnd requests the report at the address of the run and compares the start; the prober's fetchReportAt does not depend on the endpoint table. For buffered responses, openWitness opens a second connection when the head arrives, and proveBufferedEnd sends the health request on it after the end (requestInstance). The end of a run is confirmed by createRunRecord, no longer in relayStream. A response of a neighbour without framing has no proof. Responses that end with their head (204, 304, HEAD) need none.

--- a/src/process/relay/createCrashRecorder/index.ts
+++ b/src/process/relay/createCrashRecorder/index.ts
@@ -30,6 +30,8 @@
   readonly reason: string;
   /** How to find out whether the endpoint has crashed. */
   readonly check: CrashCheck;
+  /** Whether the endpoint was found to run after the connection was lost; undefined where that is to be checked. */
+  readonly isRunning?: boolean | undefined;
 }
 
 /** Check of an endpoint: by its report, or, where it has none, by a connection. */
@@ -152,7 +154,7 @@
     recordBrokenRun: async (run) => {
       const address = findPresent(run.endpoint)?.record.address;
       if (address === undefined) return NO_CRASH;
-      if (await isResponding(run, address)) {
+      if (run.isRunning ?? (await isResponding(run, address))) {
         const restarted = findPresent(run.endpoint);
         if (!restarted || restarted.record.startedAt === run.startedAt) return NO_CRASH;
       }
--- a/src/process/relay/createEndpointPort/index.ts
+++ b/src/process/relay/createEndpointPort/index.ts
@@ -4,6 +4,7 @@
 import type { EndpointPort, SiteProtocol } from '../../../types/relay/index.js';
 import { checkListening } from '../checkListening/index.js';
 import { openEndpointCall } from '../openEndpointCall/index.js';
+import { openWitness } from '../openWitness/index.js';
 
 /**
  * Creates the port to endpoints over HTTP.
@@ -14,7 +15,7 @@
  * createEndpointPort(createSiteProtocol()).send(request, forwarding, handlers);
  */
 export function createEndpointPort(protocol: SiteProtocol): EndpointPort {
-  const { fetchReport, sendOrder, movePath } = protocol;
+  const { fetchReport, sendOrder, movePath, requestInstance } = protocol;
   return {
     fetchReport,
     sendOrder,
@@ -27,6 +28,10 @@
         method,
         url,
         body,
+        openWitness:
+          forwarding.healthPath === undefined
+            ? undefined
+            : () => openWitness({ address: forwarding.address, requestInstance }),
         headers: protocol.buildRequestHeaders(rawHeaders, {
           ...forwarding,
           bodyBytes: body?.length,
--- a/src/process/relay/createEndpointProber/index.ts
+++ b/src/process/relay/createEndpointProber/index.ts
@@ -32,6 +32,15 @@
   readonly probe: (endpoint: string, reason: string, notBefore?: number) => Promise<boolean>;
   /** Probes the endpoints of an idle path: the first one at first, all of them in later rounds. */
   readonly probePath: (endpoints: readonly string[], round: number) => void;
+  /**
+   * Fetches the report at the address that an endpoint had; undefined when there is none within a time in
+   * milliseconds. The report is applied where the endpoint is known at that address.
+   */
+  readonly fetchReportAt: (
+    endpoint: string,
+    address: string,
+    options: { readonly reason: string; readonly timeoutMilliseconds: number },
+  ) => Promise<EndpointReport | undefined>;
   /** Fetches and applies the report of an endpoint; undefined when there is none. */
   readonly refreshReport: (endpoint: Endpoint) => Promise<EndpointReport | undefined>;
   /** Marks an endpoint as lost without a probe. */
@@ -110,18 +119,35 @@
       if (stalled) reportLost(stalled.record.id, `stalls ${record.id}`);
     }
   };
-  const refreshReport = async (endpoint: Endpoint): Promise<EndpointReport | undefined> => {
-    const { id, address } = endpoint.record;
-    const startedAt = now();
-    const report = await endpointPort.fetchReport(address);
-    if (endpoints.find(id) !== endpoint) return undefined;
+  const recordFetched = (
+    endpoint: Endpoint,
+    report: EndpointReport | undefined,
+    startedAt: number,
+  ): void => {
+    const { id } = endpoint.record;
     if (!report) {
       void links.check(id, startedAt);
-      return undefined;
+      return;
     }
     links.record(id, true, startedAt);
     recordFound(endpoint);
     applyReport(endpoint, report);
+  };
+  const refreshReport = async (endpoint: Endpoint): Promise<EndpointReport | undefined> => {
+    const { id, address } = endpoint.record;
+    const startedAt = now();
+    const report = await endpointPort.fetchReport(address);
+    if (endpoints.find(id) !== endpoint) return undefined;
+    recordFetched(endpoint, report, startedAt);
+    return report;
+  };
+  const fetchReportAt: EndpointProber['fetchReportAt'] = async (id, address, options) => {
+    const startedAt = now();
+    const report = await endpointPort.fetchReport(address, options.timeoutMilliseconds);
+    const endpoint = endpoints.find(id);
+    if (endpoint?.record.address !== address) return report;
+    recordFetched(endpoint, report, startedAt);
+    if (!report) reportLost(id, options.reason);
     return report;
   };
   const runProbe = async (endpoint: Endpoint, reason: string): Promise<boolean> => {
@@ -146,5 +172,5 @@
     const probed = round <= FIRST_HOP_ROUNDS ? path.slice(0, 1) : path;
     for (const id of probed) if (probeLimit.take()) void probe(id, 'silence');
   };
-  return { probe, probePath, refreshReport, reportLost };
+  return { probe, probePath, fetchReportAt, refreshReport, reportLost };
 }
--- a/src/process/relay/createRunRecord/index.ts
+++ b/src/process/relay/createRunRecord/index.ts
@@ -1,9 +1,11 @@
 /**
  * Record of the current run of a stream: how far it has come, and what its end shows about the request.
  */
+import type { ResponseEnd } from '../../../types/relay/index.js';
 import type { PathHop } from '../../../types/site/index.js';
 import { ESTABLISHED_EVENTS, type CrashCheck } from '../createCrashRecorder/index.js';
 import type { RunGate } from '../createRunGate/index.js';
+import { proveStreamEnd } from '../proveStreamEnd/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
 /** Record of the current run. */
@@ -17,8 +19,16 @@
   readonly isEstablished: () => boolean;
   /** Records that the run lost its first endpoint; resolves to whether that has crashed. */
   readonly recordBroken: (reason: string, check: CrashCheck) => Promise<boolean>;
+  /**
+   * Resolves to whether a response that ended is proved to be complete, on the path that the run took last; records
+   * the run as broken where it is not.
+   */
+  readonly confirmEnd: (end: ResponseEnd, hops: readonly PathHop[]) => Promise<boolean>;
 }
 
+/** Reason for the failure of a run whose response may be incomplete. */
+export const UNPROVEN_END = 'connection ended';
+
 /**
  * Creates the record of a stream without runs.
  *
@@ -30,17 +40,42 @@
  * createRunRecord(context, request, gate).begin(first);
  */
 export function createRunRecord(
-  { clock, endpoints, crashes }: Pick<RelayContext, 'clock' | 'endpoints' | 'crashes'>,
+  {
+    clock,
+    endpoints,
+    crashes,
+    prober,
+  }: Pick<RelayContext, 'clock' | 'endpoints' | 'crashes' | 'prober'>,
   { caller }: Pick<RelayedRequest, 'caller'>,
   gate: Pick<RunGate, 'listParts' | 'recordAnswer' | 'recordCrash'>,
 ): RunRecord {
   let endpoint = '';
+  let address = '';
   let startedAt = 0;
   let sentAt = 0;
   let events = 0;
+  const recordBroken = async (
+    reason: string,
+    check: CrashCheck,
+    isRunning?: boolean,
+  ): Promise<boolean> => {
+    const { report, hasCrashed } = await crashes.recordBrokenRun({
+      endpoint,
+      startedAt,
+      attempt: caller.attempt,
+      parts: gate.listParts(),
+      sentAt,
+      events,
+      reason,
+      check,
+      isRunning,
+    });
+    if (report) gate.recordCrash(report);
+    return hasCrashed;
+  };
   return {
     begin: (first) => {
-      endpoint = first.endpoint;
+      ({ endpoint, address } = first);
       startedAt = endpoints.find(endpoint)?.record.startedAt ?? 0;
       sentAt = clock.now();
       events = 0;
@@ -53,21 +88,13 @@
       if (events < ESTABLISHED_EVENTS) gate.recordAnswer();
     },
     isEstablished: () => events >= ESTABLISHED_EVENTS,
-    recordBroken: async (reason, check) => {
-      const { attempt } = caller;
-      const parts = gate.listParts();
-      const { report, hasCrashed } = await crashes.recordBrokenRun({
-        endpoint,
-        startedAt,
-        attempt,
-        parts,
-        sentAt,
-        events,
-        reason,
-        check,
-      });
-      if (report) gate.recordCrash(report);
-      return hasCrashed;
+    recordBroken: (reason, check) => recordBroken(reason, check),
+    confirmEnd: async (end, hops) => {
+      if (end === 'framing') return true;
+      const run = { endpoint, address, startedAt, hops };
+      const { isComplete, isRunning } = await proveStreamEnd(prober, run, UNPROVEN_END);
+      if (!isComplete) await recordBroken(UNPROVEN_END, 'report', isRunning);
+      return isComplete;
     },
   };
 }
--- a/src/process/relay/handOverBuffered/index.ts
+++ b/src/process/relay/handOverBuffered/index.ts
@@ -20,11 +20,12 @@
  * @param context - dependencies of the process
  * @param request - the request
  * @param options - the other node and the reason
- * @returns the outcome; a refusal of the other node means that the request was not executed
+ * @returns the outcome; a refusal of the other node means that the request was not executed, and a response that only
+ * its connection ended may be incomplete
  * @example
  * await handOverBuffered(context, request, { neighbour, reason: 'links lost' });
  */
-export function handOverBuffered(
+export async function handOverBuffered(
   context: RelayContext,
   request: RelayedRequest,
   { neighbour, isRepeat, reason }: HandOverBufferedOptions,
@@ -33,7 +34,7 @@
   const { attempt } = request.caller;
   context.metrics.count('handed_over', 'sent');
   request.log.add('request-handed-over', { peer: neighbour.name, reason });
-  return runBufferedAttempt(context, request, {
+  const outcome = await runBufferedAttempt(context, request, {
     timeoutMilliseconds: deadlineMilliseconds,
     open: (handlers) =>
       context.neighbours.send(
@@ -42,4 +43,6 @@
         handlers,
       ),
   });
+  const isUnproven = outcome.kind === 'answered' && outcome.end === 'connection';
+  return isUnproven ? { kind: 'unknown', reason: 'connection ended' } : outcome;
 }
--- a/src/process/relay/openEndpointCall/index.ts
+++ b/src/process/relay/openEndpointCall/index.ts
@@ -6,7 +6,12 @@
  */
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import type { EndpointCall, EndpointCallHandlers, SendState } from '../../../types/relay/index.js';
+import type {
+  EndpointCall,
+  EndpointCallHandlers,
+  EndpointWitness,
+  SendState,
+} from '../../../types/relay/index.js';
 import { startRequest } from '../../runtime/startRequest/index.js';
 import { startTimeLimit } from '../../runtime/startTimeLimit/index.js';
 
@@ -18,6 +23,8 @@
   readonly url: string;
   readonly headers: string[];
   readonly body: Buffer | undefined;
+  /** Opens the witness of a response without framing when its head has arrived. */
+  readonly openWitness?: (() => EndpointWitness) | undefined;
 }
 
 /** Line break that is written to detect a reset; servers ignore it before a request. */
@@ -35,8 +42,12 @@
 /** Final statuses below this one cannot be sent to callers: 101, and those that HTTP does not define. */
 const FIRST_FINAL_STATUS = 200;
 
+/** Statuses of responses that end with their head. */
+const HEAD_ONLY_STATUSES: ReadonlySet<number | undefined> = new Set([204, 304]);
+
 /** Returns whether only the end of the connection marks the end of a response. */
-function isEndedByConnection({ headers }: IncomingMessage): boolean {
+function isEndedByConnection({ headers, statusCode }: IncomingMessage, method: string): boolean {
+  if (method === 'HEAD' || HEAD_ONLY_STATUSES.has(statusCode)) return false;
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 }
 
@@ -81,6 +92,7 @@
   let isDone = false;
   let state: SendState = 'notSent';
   let response: IncomingMessage | undefined;
+  let witness: EndpointWitness | undefined;
   let resetProbe: Promise<boolean> = Promise.resolve(false);
   const started = startRequest(address, {
     method,
@@ -99,11 +111,12 @@
   const fail = (reason: string): void => {
     if (!finish()) return;
     outgoing.destroy();
+    witness?.close();
     onFailure(state, reason);
   };
   const endAfterProbe = async (): Promise<void> => {
     if (await resetProbe) fail('connection reset');
-    else if (finish()) onEnd('connection');
+    else if (finish()) onEnd('connection', witness);
   };
   let bytesWithoutBody = 0;
   /**
@@ -114,6 +127,8 @@
     bytesWithoutBody += bytes;
     if (bytesWithoutBody > MAXIMUM_BYTES_WITHOUT_BODY) fail('too many bytes without body data');
   };
+  const mayEndWithoutProof = (incoming: IncomingMessage): boolean =>
+    !isDone && isEndedByConnection(incoming, method);
   let interimResponses = 0;
   const countInterimResponse = (): void => {
     interimResponses += 1;
@@ -132,7 +147,9 @@
       countBytes(chunk.length);
     });
     socket.prependOnceListener('end', () => {
-      if (response && isEndedByConnection(response)) resetProbe = probeReset(socket);
+      if (!response || !isEndedByConnection(response, method)) return;
+      witness?.recordResponseEnd();
+      resetProbe = probeReset(socket);
     });
   });
   outgoing.on('information', countInterimResponse);
@@ -153,6 +170,8 @@
       return;
     }
     onResponse(incoming);
+    // The head may have ended the call, as that of a refusal does.
+    if (mayEndWithoutProof(incoming)) witness = options.openWitness?.();
     incoming.on('data', (chunk: Buffer) => {
       bytesWithoutBody = 0;
       if (!isDone) onData(chunk);
@@ -162,7 +181,7 @@
     });
     incoming.on('end', () => {
       if (!incoming.complete) fail('response incomplete');
-      else if (isEndedByConnection(incoming)) void endAfterProbe();
+      else if (isEndedByConnection(incoming, method)) void endAfterProbe();
       else if (finish()) onEnd('framing');
     });
     incoming.on('close', () => {
@@ -172,7 +191,9 @@
   outgoing.end(body);
   return {
     abort: () => {
-      if (finish()) outgoing.destroy();
+      if (!finish()) return;
+      outgoing.destroy();
+      witness?.close();
     },
     pause: () => {
       response?.pause();
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -13,7 +13,7 @@
 import type { CrashCheck } from '../createCrashRecorder/index.js';
 import type { BlockedRun } from '../createRunGate/index.js';
 import { createRunCounter } from '../createRunCounter/index.js';
-import { createRunRecord, type RunRecord } from '../createRunRecord/index.js';
+import { createRunRecord, UNPROVEN_END, type RunRecord } from '../createRunRecord/index.js';
 import { createStreamResponse } from '../createStreamResponse/index.js';
 import { createStreamPaths } from '../createStreamPaths/index.js';
 import { decideStreamFailure, type StreamFailureConditions } from '../decideStreamFailure/index.js';
@@ -196,17 +196,16 @@
 
   /** Goes on after the run that was to be replaced has ended its response. */
   async function completeStandby(kept: OpenRun, end: ResponseEnd): Promise<void> {
-    const hasCrashed =
-      end === 'connection' && (await kept.record.recordBroken('connection ended', 'report'));
-    if (standby === kept && hasCrashed) {
+    const isComplete = await kept.record.confirmEnd(end, kept.path.hops);
+    if (standby === kept && !isComplete) {
       isAbandoned = false;
-      giveUpStandby('connection ended');
+      giveUpStandby(UNPROVEN_END);
       return;
     }
     if (standby === kept) restoreStandby('complete');
     if (call !== kept.call) return;
-    if (hasCrashed) recover('connection ended');
-    else endComplete();
+    if (isComplete) endComplete();
+    else recover(UNPROVEN_END);
   }
 
   function finish(): void {
@@ -381,15 +380,17 @@
     call = opened;
   }
 
-  /** Ends a response that only its connection ended, unless the crash of the endpoint did that. */
+  /** Ends a response that only its connection ended, once it is proved to be complete. */
   async function endWithConnection(): Promise<void> {
     const isUnchanged = beginCheck();
     endRun();
     counter.recordMayHaveRun();
-    const hasCrashed = await run.recordBroken('connection ended', 'report');
+    // The other node may have used all attempts that the route allows.
+    if (path?.neighbour) counter.recordExhausted();
+    const isComplete = await run.confirmEnd('connection', listHops());
     if (!isUnchanged()) return;
-    if (hasCrashed) recover('connection ended');
-    else endComplete();
+    if (isComplete) endComplete();
+    else recover(UNPROVEN_END);
   }
 
   function endComplete(): void {
--- a/src/process/relay/runBufferedAttempt/index.ts
+++ b/src/process/relay/runBufferedAttempt/index.ts
@@ -5,6 +5,7 @@
 import type {
   EndpointCall,
   EndpointCallHandlers,
+  EndpointWitness,
   ResponseEnd,
   ResponseHead,
 } from '../../../types/relay/index.js';
@@ -18,6 +19,8 @@
       readonly kind: 'answered';
       readonly response: BufferedResponse;
       readonly end: ResponseEnd;
+      /** Witness of a response that ended with its connection; whoever receives it closes it. */
+      readonly witness?: EndpointWitness | undefined;
     }
   | { readonly kind: 'notSent'; readonly reason: string }
   | {
@@ -112,6 +115,13 @@
       reservation.release();
       resolve(outcome);
     };
+    const classifyEnd = (body: Buffer, end: ResponseEnd): AttemptOutcome => {
+      const { method } = request.forwarded;
+      if (!head) return { kind: 'unknown', reason: 'no response' };
+      if (hasMissingBody({ ...head, body }, end, method))
+        return { kind: 'unknown', reason: 'response without a body', isConnectionLost: true };
+      return classifyResponse(head, request.caller.attempt, body, end);
+    };
     const call = open({
       onHead: (received) => {
         head = received;
@@ -131,13 +141,11 @@
           finish({ kind: 'unknown', reason: 'no memory for the response' });
         else chunks.push(chunk);
       },
-      onEnd: (end) => {
-        const body = Buffer.concat(chunks);
-        const { method } = request.forwarded;
-        if (!head) finish({ kind: 'unknown', reason: 'no response' });
-        else if (hasMissingBody({ ...head, body }, end, method))
-          finish({ kind: 'unknown', reason: 'response without a body', isConnectionLost: true });
-        else finish(classifyResponse(head, request.caller.attempt, body, end));
+      onEnd: (end, witness) => {
+        const outcome = classifyEnd(Buffer.concat(chunks), end);
+        const hasTaker = !isDone && outcome.kind === 'answered';
+        finish(hasTaker ? { ...outcome, witness } : outcome);
+        if (!hasTaker) witness?.close();
       },
       onFailure: (state, reason) => {
         if (state === 'notSent') finish({ kind: 'notSent', reason });
--- a/src/process/relay/sendOnce/index.ts
+++ b/src/process/relay/sendOnce/index.ts
@@ -4,6 +4,7 @@
 import type { RunGate } from '../createRunGate/index.js';
 import type { Endpoint } from '../../../connection/createEndpointTable/index.js';
 import type { EndpointCall, EndpointCallHandlers } from '../../../types/relay/index.js';
+import { proveBufferedEnd } from '../proveBufferedEnd/index.js';
 import { recordResponse } from '../recordResponse/index.js';
 import { runBufferedAttempt, type AttemptOutcome } from '../runBufferedAttempt/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
@@ -14,6 +15,9 @@
   readonly timeoutMilliseconds: number;
 }
 
+/** Minimum share of the remaining time in which a response without framing is proved to be complete. */
+const PROOF_TIME_SHARE = 0.5;
+
 /** Opens the call to an endpoint; what its response says of the endpoint is recorded. */
 function openCall(
   context: RelayContext,
@@ -29,6 +33,7 @@
     endpoint: id,
     account: request.account,
     deadlineMilliseconds: request.deadlineAt - startedAt,
+    healthPath: request.service.healthPath,
   };
   return endpointPort.send(request.forwarded, forwarding, {
     ...handlers,
@@ -61,8 +66,8 @@
 /**
  * Sends a request to an endpoint once.
  *
- * Where the connection ended, finds out whether the endpoint crashed: then a response that only its
- * connection ended may be incomplete.
+ * A response that only its connection ended counts as complete when the endpoint is shown to have outlived the end.
+ * Where it is not, and where the connection was lost, finds out whether the endpoint crashed.
  *
  * @param context - dependencies of the process
  * @param request - the request
@@ -78,14 +83,29 @@
   gate: RunGate,
   options: SendOnceOptions,
 ): Promise<AttemptOutcome> {
-  const { id: endpoint, startedAt } = options.endpoint.record;
+  const sentTo = options.endpoint.record;
+  const { id: endpoint, startedAt } = sentTo;
   const sentAt = context.clock.now();
   const outcome = await runAttempt(context, request, options);
   const isLost = outcome.kind === 'unknown' && outcome.isConnectionLost === true;
   const isEndedByConnection = outcome.kind === 'answered' && outcome.end === 'connection';
   if (!isLost && !isEndedByConnection) return outcome;
+  const now = context.clock.now();
+  // The response is at hand, so that the proof gets as much time as another send would.
+  const timeoutMilliseconds = Math.max(
+    sentAt + options.timeoutMilliseconds - now,
+    (request.deadlineAt - now) * PROOF_TIME_SHARE,
+  );
+  const finding = isEndedByConnection
+    ? await proveBufferedEnd(context, request, {
+        witness: outcome.witness,
+        sentTo,
+        timeoutMilliseconds,
+      })
+    : 'unknown';
+  if (finding === 'outlived') return outcome;
   const reason = outcome.kind === 'unknown' ? outcome.reason : 'connection ended';
-  const { report, hasCrashed } = await context.crashes.recordBrokenRun({
+  const { report } = await context.crashes.recordBrokenRun({
     endpoint,
     startedAt,
     attempt: request.caller.attempt,
@@ -94,7 +114,8 @@
     events: 0,
     reason,
     check: 'connection',
+    isRunning: finding === 'ended' ? false : undefined,
   });
   if (report) gate.recordCrash(report);
-  return hasCrashed && isEndedByConnection ? { kind: 'unknown', reason } : outcome;
+  return isEndedByConnection ? { kind: 'unknown', reason } : outcome;
 }
--- a/src/process/site/createPeerExchange/test.ts
+++ b/src/process/site/createPeerExchange/test.ts
@@ -86,6 +86,7 @@
           return Promise.resolve(true);
         },
         probePath: () => undefined,
+        fetchReportAt: () => Promise.resolve(undefined),
         refreshReport: () => Promise.resolve(undefined),
         reportLost: () => undefined,
       },
--- a/src/types/relay/index.ts
+++ b/src/types/relay/index.ts
@@ -1,6 +1,7 @@
 /**
  * Ports of the relay to callers and endpoints, independent of a site's protocol.
  */
+import type { Socket } from 'node:net';
 import type { EndpointReport, LayerRange, PathHop } from '../site/index.js';
 
 /** Flat list of alternating header names and values, in the original order and letter case. */
@@ -38,6 +39,11 @@
   readonly lastEventId?: number | undefined;
   /** Length of the body in bytes; undefined when there is no body. */
   readonly bodyBytes?: number | undefined;
+  /**
+   * Path of the endpoint's health requests, where one is to prove that a response without framing is complete;
+   * undefined where nothing is to be asked that way.
+   */
+  readonly healthPath?: string | undefined;
 }
 
 /** Details of a request that a node hands over to a neighbour: another node, which relays it. */
@@ -121,15 +127,51 @@
 
 /** Control calls to endpoints. */
 export interface EndpointControl {
-  /** Fetches the report of an endpoint; undefined when there is no valid reply. */
-  readonly fetchReport: (address: string) => Promise<EndpointReport | undefined>;
+  /** Fetches the report of an endpoint; undefined when there is no valid reply within a time in milliseconds. */
+  readonly fetchReport: (
+    address: string,
+    timeoutMilliseconds?: number,
+  ) => Promise<EndpointReport | undefined>;
   readonly sendOrder: (order: LayerOrder) => Promise<OrderOutcome>;
   /** Migrates a running request to another path with the same first hop. */
   readonly movePath: (attempt: string, path: readonly PathHop[]) => Promise<OrderOutcome>;
 }
 
+/** Health request to an endpoint. */
+export interface InstanceQuery {
+  /** Identifier of the endpoint that is expected to answer. */
+  readonly endpoint: string;
+  readonly address: string;
+  readonly healthPath: string;
+  readonly timeoutMilliseconds: number;
+}
+
+/** Who answered a health request: the expected endpoint, another one, or a process that names no endpoint. */
+export type InstanceAnswer = 'same' | 'other' | 'unnamed';
+
+/** Health requests of a site. */
+export interface InstanceProtocol {
+  /** Sends a health request on a connection; undefined when no answer arrives in time. */
+  readonly requestInstance: (
+    connection: Socket,
+    query: InstanceQuery,
+  ) => Promise<InstanceAnswer | undefined>;
+}
+
+/** Whether the process that sent a response outlived its end. */
+export type WitnessFinding = 'outlived' | 'ended' | 'unknown';
+
+/** Second connection to an endpoint, opened when the head of a response without framing has arrived. */
+export interface EndpointWitness {
+  /** Records that the connection of the response has ended. */
+  readonly recordResponseEnd: () => void;
+  /** Asks the endpoint after the end of the response, once; closes the connection. */
+  readonly confirm: (query: InstanceQuery) => Promise<WitnessFinding>;
+  readonly close: () => void;
+}
+
 /** Protocol between nodes and the callers and endpoints of a site. */
-export interface SiteProtocol extends HeaderTranslator, EndpointControl {}
+export interface SiteProtocol extends HeaderTranslator, EndpointControl, InstanceProtocol {}
 
 /** Caller's request as it is forwarded, unchanged. */
 export interface ForwardedRequest {
@@ -160,8 +202,11 @@
 export interface EndpointCallHandlers {
   readonly onHead: (head: ResponseHead) => void;
   readonly onData: (chunk: Buffer) => void;
-  /** Called when the response is complete, as far as its framing tells. */
-  readonly onEnd: (end: ResponseEnd) => void;
+  /**
+   * Called when the response is complete, as far as its framing tells; with a witness where the end is that of
+   * the connection and a health path was given.
+   */
+  readonly onEnd: (end: ResponseEnd, witness?: EndpointWitness) => void;
   readonly onFailure: (state: SendState, reason: string) => void;
 }
 
--- a/standins/serveSiteEndpoint/index.ts
+++ b/standins/serveSiteEndpoint/index.ts
@@ -39,6 +39,8 @@
   readonly id: string;
   readonly address: string;
   readonly received: ReceivedRequest[];
+  /** Number of connections that it accepted. */
+  connections: number;
   /** Number of health requests that it received. */
   healthRequests: number;
   /** Orders that it received. */
@@ -189,11 +191,15 @@
       else handleRequest(incoming, response, body);
     });
   });
+  server.on('connection', () => {
+    endpoint.connections += 1;
+  });
   const address = await listenOnLoopback(server, { port: options.port ?? 0 });
   const endpoint: SiteEndpoint = {
     id: options.id,
     address,
     received: [],
+    connections: 0,
     healthRequests: 0,
     orders: [],
     layers: undefined,
--- a/tests/support/cutEndpointPort/index.ts
+++ b/tests/support/cutEndpointPort/index.ts
@@ -78,10 +78,10 @@
           handlers.onData(chunk);
         });
       },
-      onEnd: (how) => {
+      onEnd: (how, witness) => {
         deliver(() => {
           end();
-          handlers.onEnd(how);
+          handlers.onEnd(how, witness);
         });
       },
       onFailure: (state, reason) => {
@@ -141,7 +141,8 @@
         );
       },
       isListening: (address) => callUnlessCut(address, false, () => port.isListening(address)),
-      fetchReport: (address) => callUnlessCut(address, undefined, () => port.fetchReport(address)),
+      fetchReport: (address, limit) =>
+        callUnlessCut(address, undefined, () => port.fetchReport(address, limit)),
       sendOrder: (order) => callUnlessCut(order.address, 'refused', () => port.sendOrder(order)),
       movePath: (attempt, path) =>
         callUnlessCut(path[0]?.address ?? '', 'unknown', () => port.movePath(attempt, path)),
--- a/tests/unframedResponses.test.ts
+++ b/tests/unframedResponses.test.ts
@@ -171,6 +171,7 @@
   (createId: (id: string) => string) =>
   async (socket: Socket, endpoint: SiteEndpoint): Promise<void> => {
     await waitFor('the node reads the head', () => heads > 0);
+    await waitFor('the node opens a second connection', () => endpoint.connections > 1);
     links.begin('hang', (address) => address === endpoint.address);
     socket.end();
     await endpoint.crash();
@@ -257,3 +258,26 @@
   const lookUp = await requestPlain('/look/x');
   assert.match(lookUp.body, /^done by plain/);
 });
+
+/** Guards against an id as proof, which an endpoint may keep when it restarts. */
+test('a body without framing is not complete when its endpoint restarts under its id', async () => {
+  await replaceEndpoints(
+    respondUnframed(
+      formatBody,
+      replaceBehindCut((id) => id),
+      respondCompletely,
+    ),
+  );
+  const booking = await requestPlain('/book/x', 'POST');
+  assert.deepEqual([booking.status, responses], [502, 1]);
+});
+
+test('a response that ends with its head needs no proof', async () => {
+  await replaceEndpoints((request, response) => {
+    response.writeHead(204, createEndpointHeaders(request));
+    response.end();
+  });
+  const { status } = await requestPlain('/book/x', 'POST');
+  const healthRequests = endpoints.map((endpoint) => endpoint.healthRequests);
+  assert.deepEqual([status, healthRequests], [204, [0, 0, 0, 0]]);
+});
