--- a/tests/support/peerExchanges/index.ts
+++ b/tests/support/peerExchanges/index.ts
@@ -150,6 +150,7 @@
         },
         probePath: () => undefined,
         refreshReport: () => Promise.resolve(undefined),
+        fetchReportAt: () => Promise.resolve(undefined),
         reportLost: () => undefined,
       },
       logger: NOOP_LOGGER,
