Show the shares by priority to operators

Cause: operators have to see why less urgent streams are refused while slots are free. Measured: tests of src/process/site and of path selection pass (169).

--- a/src/process/relay/selectPath/index.ts
+++ b/src/process/relay/selectPath/index.ts
@@ -19,6 +19,8 @@
 import { formatHops } from '../formatHops/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
+/** Digits of shares in log lines. */
+const SHARE_DIGITS = 3;
 /** Time for which an endpoint's report of its memory is used, in milliseconds. */
 const REPORT_VALID_MILLISECONDS = 600;
 
@@ -131,7 +133,7 @@
   const tightest = findLeastFreeMemory(sections);
   request.log.add('path-missing', {
     ...common,
-    ...(fillableShare < 1 && { fillableShare }),
+    ...(fillableShare < 1 && { fillableShare: Number(fillableShare.toFixed(SHARE_DIGITS)) }),
     uncovered: formatRanges(uncovered.map(({ range }) => range)),
     tightest: tightest ? `${formatRanges([tightest.range])}: ${tightest.tokens ?? 0}` : '',
   });
--- a/src/process/site/createRequestLimits/index.ts
+++ b/src/process/site/createRequestLimits/index.ts
@@ -51,6 +51,13 @@
   readonly admission: AdmissionExchange;
 }
 
+const SHARE_DIGITS = 3;
+
+/** Rounds a share for the log. */
+function roundShare(share: number): number {
+  return Number(share.toFixed(SHARE_DIGITS));
+}
+
 /** Creates a function that lists the priorities of the services whose requests run on paths and differ in priority. */
 function createServiceList(
   getCompiled: CreateRequestLimitsOptions['getCompiled'],
@@ -135,7 +142,15 @@
     send: (address, numbers) => {
       send(address, DEMAND_KIND, numbers);
     },
-    onChange: () => undefined,
+    onChange: ({ service, priority, before, share, requestsPerSecond }) => {
+      logger.log('admission-share', {
+        service,
+        priority,
+        before: roundShare(before),
+        share: roundShare(share),
+        requestsPerSecond: Math.round(requestsPerSecond),
+      });
+    },
   });
   return { rateLimits, permits, admission };
 }
--- a/src/process/site/describeSite/index.ts
+++ b/src/process/site/describeSite/index.ts
@@ -65,6 +65,13 @@
   retryMilliseconds: z.number(),
 });
 
+const shareStatusSchema = z.object({
+  service: z.string(),
+  priority: z.number(),
+  /** Share of slots and memory that requests of the priority may fill. */
+  share: z.number(),
+});
+
 /** Schema of {@link SiteStatus}. */
 export const siteStatusSchema = z.object({
   node: z.string(),
@@ -81,6 +88,8 @@
   endpoints: z.array(endpointStatusSchema),
   services: z.array(serviceStatusSchema),
   room: z.array(freeMemoryStatusSchema),
+  /** Shares of services whose requests differ in priority; absent from nodes of earlier versions. */
+  shares: z.array(shareStatusSchema).optional(),
   /** Absent from nodes of earlier versions. */
   blockedParts: z.array(blockedPartStatusSchema).optional(),
 });
@@ -175,6 +184,7 @@
       retriesLeft: context.budget.countLeft(name, now),
     })),
     room: services.flatMap((service) => listFreeMemory(context, service)),
+    shares: context.admission.listShares(),
     blockedParts: context.partGuard.breakers
       .listBlocked()
       .map(({ part, state: { crashes, retryAt }, reports }) => ({
--- a/src/process/site/formatGauges/index.ts
+++ b/src/process/site/formatGauges/index.ts
@@ -63,6 +63,9 @@
         ),
       ),
     ]),
+    ...(status.shares ?? []).map(({ service, priority, share }) =>
+      gauge('admission_share', { service, priority: String(priority) }, share),
+    ),
     ...room.map(({ service, layers, tokens }) => gauge('room_tokens', { service, layers }, tokens)),
   ];
   return `${lines.join('\n')}\n`;
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -249,6 +249,17 @@
     endpoint,
     source: announcedIn,
   }),
+  'admission-share': define(
+    'info',
+    'The share of slots and memory that requests of a priority may fill changed by more than a tenth.',
+    {
+      service: text('name of the service'),
+      priority: number('priority of the requests; 1 is the most urgent'),
+      before: number('share when it was logged last; 1 is everything'),
+      share: number('share now'),
+      requestsPerSecond: number('demand of all nodes for the service, as this node estimates it'),
+    },
+  ),
   'endpoint-rest-unreadable': define(
     'warn',
     'An endpoint requested no traffic, but the duration cannot be parsed.',
@@ -346,6 +357,12 @@
     candidates: number('endpoints that were considered'),
     uncovered: text('layers that no usable endpoint hosts'),
     tightest: text('layers with the least free memory, and the tokens that fit there'),
+    fillableShare: z
+      .number()
+      .optional()
+      .describe(
+        'share of slots and memory that its priority may fill; absent when that is everything',
+      ),
   }),
   'endpoint-chosen': define('info', 'An endpoint was chosen for a buffered response.', {
     request,
