--- a/emulator/createChooser/index.ts
+++ b/emulator/createChooser/index.ts
@@ -86,11 +86,17 @@
     countNodesWithoutLoad: remoteLoads.countNodesWithoutLoad,
     readLoadAge: remoteLoads.readAge,
     permits: { estimateWait: () => 0 },
+    admission: { findShare: () => 1, hold: () => () => undefined },
     zoneLinks: createZoneLinkMonitor({ countSendingNodes: () => zoneNodes.length }),
     decisions,
   } as unknown as RelayContext;
   const service = { name: 'assistant', healthPath: HEALTH_PATH, maximumConnections: 1_000, model };
-  const request = { service, route, log: { add: () => undefined } } as unknown as RelayedRequest;
+  const request = {
+    service,
+    route,
+    priority: route.priority,
+    log: { add: () => undefined },
+  } as unknown as RelayedRequest;
   const listLoads = (): EndpointLoadUpdate[] =>
     endpoints
       .list()
@@ -100,7 +106,7 @@
     self,
     endpoints,
     select: (size, excluded) => selectPath(context, request, { ...size, excluded }),
-    reserve: (path, roomTokens) => reserveMemory(context, model, path.hops, roomTokens),
+    reserve: (path, roomTokens) => reserveMemory(context, request, path.hops, roomTokens),
     startRound: () => {
       remoteLoads.apply();
       const hasLoads = !peers.isLargeZone() || random() < LARGE_ZONE_LOADS_SHARE;
