Bound what caller connections make a process hold

Cause: the parser emits an object for each chunk of a body and runs through up to 2,600 requests of one read, nothing counted requests and unread responses, and connections could take every descriptor. Change: guardConnections limits the connections of both listeners: their number in total and from one address, pipelined requests (limitPipelining passes reads on in slices that end with a head, and keeps the rest while 4 requests are open), memory by createMemoryAccount, and responses that nobody reads for 30 s. createBodyBuffer copies the pieces of a body into growing blocks, and limits their number. deriveCallerLimits derives the limits from the memory and the descriptors of the process. The processor time of ordinary requests has not been measured.

--- a/src/process/relay/createCallerHandler/index.ts
+++ b/src/process/relay/createCallerHandler/index.ts
@@ -6,6 +6,7 @@
 import type { AbortCause, HeaderTranslator, RequestMetadata } from '../../../types/relay/index.js';
 import { describeError } from '../../describeError/index.js';
 import { waitForPendingReads } from '../../runtime/waitForPendingReads/index.js';
+import type { ConnectionGuard } from '../../runtime/guardConnections/index.js';
 import type { ResultCodeName } from '../../resultCodes/index.js';
 import type { SiteLogger } from '../../site/createSiteLogger/index.js';
 import type { AdmissionRefusal } from '../admitRequest/index.js';
@@ -26,6 +27,10 @@
   readonly metrics: Pick<RelayMetrics, 'count'>;
   readonly now: () => number;
   readonly isLeaving: () => boolean;
+  /** Guard of the callers' connections; without it, only the bodies of all requests together are limited. */
+  readonly guard?: Pick<ConnectionGuard, 'reserveBody' | 'assignAccount'> | undefined;
+  /** Maximum number of pieces in which a body may arrive; not limited by default. */
+  readonly maximumBodyChunks?: number;
 }
 
 /** HTTP handler of callers' requests. */
@@ -72,6 +77,7 @@
   Record<Exclude<BodyOutcome['kind'], 'complete' | 'disconnected'>, Omit<AdmissionRefusal, 'kind'>>
 > = {
   tooLarge: { code: 'bodyTooLarge' },
+  tooManyChunks: { code: 'bodyTooLarge' },
   timeout: { code: 'bodyTimeout' },
   noMemory: { code: 'overloaded', retryAfterSeconds: NO_MEMORY_RETRY_SECONDS },
 };
@@ -112,7 +118,8 @@
  * createServer(createCallerHandler(options).handle);
  */
 export function createCallerHandler(options: CreateCallerHandlerOptions): CallerHandler {
-  const { relay, headerTranslator, logger, metrics, now, isLeaving } = options;
+  const { relay, headerTranslator, logger, metrics, now, isLeaving, guard } = options;
+  const { maximumBodyChunks = Infinity } = options;
   const bodyMemory = createBodyMemoryLimit(MAXIMUM_BODY_BYTES);
   const openRequests = new Set<OpenRequest>();
 
@@ -185,12 +192,24 @@
       return;
     }
     const { limits } = admission.compiled.configuration;
+    const { account } = admission;
+    if (account && guard && !guard.assignAccount(incoming.socket, account.name)) {
+      metrics.count('refusals', 'overloaded');
+      logger.log('request-refused', { request: caller.attempt, code: 'overloaded' });
+      refuse('overloaded', NO_MEMORY_RETRY_SECONDS);
+      return;
+    }
     const reservation = bodyMemory.createReservation();
+    const held = guard?.reserveBody(incoming.socket);
     try {
       const outcome = await readBody(incoming, {
         maximumBytes: limits.bodyBytes,
+        maximumChunks: maximumBodyChunks,
         timeoutMilliseconds: limits.headerTimeoutMilliseconds,
-        memory: reservation,
+        memory: {
+          add: (bytes) => (held?.add(bytes) ?? true) && reservation.add(bytes),
+        },
+        ...(held && { onProgress: held.recordProgress }),
       });
       if (outcome.kind === 'disconnected' || isDisconnected()) return;
       if (outcome.kind !== 'complete') {
@@ -219,6 +238,7 @@
       });
     } finally {
       reservation.release();
+      held?.release();
     }
   };
 
--- a/src/process/relay/readBody/index.ts
+++ b/src/process/relay/readBody/index.ts
@@ -2,12 +2,15 @@
  * Reader of the body of a caller's request.
  */
 import type { IncomingMessage } from 'node:http';
+import { createBodyBuffer } from '../../runtime/createBodyBuffer/index.js';
 import type { MemoryReservation } from '../createBodyMemoryLimit/index.js';
 
 /** Outcome of reading a body. */
 export type BodyOutcome =
   | { readonly kind: 'complete'; readonly body: Buffer | undefined }
   | { readonly kind: 'tooLarge' }
+  /** The body arrived in more pieces than allowed. */
+  | { readonly kind: 'tooManyChunks' }
   /** The memory limit of all bodies is reached. */
   | { readonly kind: 'noMemory' }
   | { readonly kind: 'timeout' }
@@ -16,7 +19,11 @@
 /** Options of {@link readBody}. */
 export interface ReadBodyOptions {
   readonly maximumBytes: number;
+  /** Maximum number of pieces in which the body may arrive. */
+  readonly maximumChunks: number;
   readonly timeoutMilliseconds: number;
+  /** Called when bytes arrived. */
+  readonly onProgress?: () => void;
   readonly memory: Pick<MemoryReservation, 'add'>;
 }
 
@@ -24,28 +31,29 @@
  * Reads a complete body.
  *
  * @param incoming - the caller's request
- * @param options - maximum size in bytes, time limit in milliseconds and the memory reservation
+ * @param options - maximum size in bytes and in pieces, time limit in milliseconds and the memory reservation
  * @returns the body, which is undefined when the request has none, or why it was not read
  * @example
- * await readBody(incoming, { maximumBytes: 4_194_304, timeoutMilliseconds: 3_000, memory });
+ * await readBody(incoming, { maximumBytes, maximumChunks, timeoutMilliseconds: 3_000, memory });
  */
 export function readBody(
   incoming: IncomingMessage,
   options: ReadBodyOptions,
 ): Promise<BodyOutcome> {
-  const { maximumBytes, timeoutMilliseconds, memory } = options;
+  const { maximumBytes, maximumChunks, timeoutMilliseconds, memory, onProgress } = options;
   const { headers } = incoming;
   const length = Number(headers['content-length'] ?? 0);
   const hasBody =
     headers['transfer-encoding'] !== undefined || headers['content-length'] !== undefined;
   if (length > maximumBytes) return Promise.resolve({ kind: 'tooLarge' });
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const buffer = createBodyBuffer({ maximumBytes, maximumChunks, reserve: memory.add });
     let isDone = false;
     const finish = (outcome: BodyOutcome): void => {
+      if (isDone) return;
       isDone = true;
       clearTimeout(timer);
+      buffer.clear();
       resolve(outcome);
     };
     const timer = setTimeout(() => {
@@ -54,13 +62,12 @@
     incoming.on('data', (chunk: Buffer) => {
       // Bytes after the outcome must not reserve memory again, which nothing would release.
       if (isDone) return;
-      size += chunk.length;
-      if (size > maximumBytes) finish({ kind: 'tooLarge' });
-      else if (!memory.add(chunk.length)) finish({ kind: 'noMemory' });
-      else chunks.push(chunk);
+      onProgress?.();
+      const refusal = buffer.append(chunk);
+      if (refusal) finish({ kind: refusal });
     });
     incoming.on('end', () => {
-      finish({ kind: 'complete', body: hasBody ? Buffer.concat(chunks) : undefined });
+      finish({ kind: 'complete', body: hasBody ? buffer.join() : undefined });
     });
     incoming.on('error', () => {
       finish({ kind: 'disconnected' });
--- a/src/process/relay/readBody/test.ts
+++ b/src/process/relay/readBody/test.ts
@@ -10,7 +10,7 @@
   const memory = limit.createReservation();
   const incoming = new IncomingMessage(new Socket());
   incoming.headers['transfer-encoding'] = 'chunked';
-  const options = { maximumBytes: 1_000, timeoutMilliseconds: 10, memory };
+  const options = { maximumBytes: 1_000, maximumChunks: 100, timeoutMilliseconds: 10, memory };
   assert.equal((await readBody(incoming, options)).kind, 'timeout');
   memory.release();
   incoming.push(Buffer.alloc(600));
--- a/src/process/runtime/createResponder/index.ts
+++ b/src/process/runtime/createResponder/index.ts
@@ -6,7 +6,9 @@
 import { formatError } from '../../../request/createErrorResponse/index.js';
 import { RESULT_CODES, type ResultCodeName } from '../../resultCodes/index.js';
 import type { NodeEffect, NodeEvent } from '../../../types/node/index.js';
+import type { ConnectionGuard } from '../guardConnections/index.js';
 import { readBody } from '../listenHttp/index.js';
+import { refuseOverloaded } from '../refuseOverloaded/index.js';
 
 /** Effects that respond to a request. */
 export type ResponseEffect = Extract<
@@ -25,6 +27,8 @@
   /** Feeds an event; returns false when the node cannot accept it now. */
   readonly feed: (event: CallerEvent) => boolean;
   readonly maximumBodyBytes: number;
+  /** Maximum number of pieces in which a body may arrive; not limited by default. */
+  readonly maximumBodyChunks?: number;
   /** Builds the event of a request whose body has been received. */
   readonly createEvent: (
     identifier: string,
@@ -37,7 +41,11 @@
 
 /** Forwards requests to the node and responses to callers. */
 export interface Responder {
-  readonly handleRequest: (request: http.IncomingMessage, response: http.ServerResponse) => void;
+  readonly handleRequest: (
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    guard?: ConnectionGuard,
+  ) => void;
   readonly handleEffect: (effect: ResponseEffect) => void;
   readonly count: () => number;
 }
@@ -140,18 +148,23 @@
   };
 
   return {
-    handleRequest: (request, response) => {
+    handleRequest: (request, response, guard) => {
       sequence += 1;
       const identifier = identify(`request-${sequence.toString(36)}`);
       readBody({
         request,
         maximumBytes: options.maximumBodyBytes,
+        maximumChunks: options.maximumBodyChunks ?? Infinity,
+        memory: guard?.reserveBody(request.socket),
         onBody: (body) => {
           startRequest(identifier, request, response, body);
         },
         onTooLarge: () => {
           writeError(response, 'bodyTooLarge');
         },
+        onNoMemory: () => {
+          refuseOverloaded(response);
+        },
       });
     },
     handleEffect: (effect) => {
--- a/src/process/runtime/listenHttp/index.ts
+++ b/src/process/runtime/listenHttp/index.ts
@@ -4,10 +4,19 @@
 import { readFileSync } from 'node:fs';
 import http from 'node:http';
 import https from 'node:https';
+import type { ConnectionLimits } from '../../../connection/deriveCallerLimits/index.js';
 import { MAXIMUM_HEADER_BYTES } from '../../../constants/index.js';
 import type { ListenerSettings, TlsSettings } from '../../settings/settingsSchema/index.js';
 import type { LifeCycle } from '../../createLifeCycle/index.js';
 import { createParserErrorResponder } from '../createParserErrorResponder/index.js';
+import { createBodyBuffer, type BodyBufferRefusal } from '../createBodyBuffer/index.js';
+import {
+  guardConnections,
+  type BodyReservation,
+  type ConnectionGuard,
+  type GuardEvent,
+} from '../guardConnections/index.js';
+import { refuseOverloaded } from '../refuseOverloaded/index.js';
 import { watchFiles } from '../watchFiles/index.js';
 
 /** Options of {@link listenHttp}. */
@@ -17,15 +26,29 @@
   readonly lifeCycle: LifeCycle;
   /** Time for a request's headers and body to arrive, in milliseconds. */
   readonly requestTimeoutMilliseconds: number;
-  readonly onRequest: (request: http.IncomingMessage, response: http.ServerResponse) => void;
+  readonly onRequest: (
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    guard: ConnectionGuard | undefined,
+  ) => void;
+  /** Limits of the connections; only the size and time of a request are limited without them. */
+  readonly limits?: ConnectionLimits;
+  /** Called when a connection is closed, or a request refused, because of {@link limits}. */
+  readonly onLimit?: (event: GuardEvent) => void;
 }
 
 /** Options of {@link readBody}. */
 export interface ReadBodyOptions {
   readonly request: http.IncomingMessage;
   readonly maximumBytes: number;
+  /** Maximum number of pieces in which the body may arrive; not limited by default. */
+  readonly maximumChunks?: number;
+  /** Memory that the body is counted in, which is released when its text has been read. */
+  readonly memory?: BodyReservation | undefined;
   readonly onBody: (body: string) => void;
   readonly onTooLarge: () => void;
+  /** Called when there is no memory for the body. */
+  readonly onNoMemory?: () => void;
 }
 
 /** Error of a listener that cannot bind its address. */
@@ -49,8 +72,14 @@
   };
 }
 
-function createServer(options: ListenHttpOptions): http.Server {
-  const { listener, requestTimeoutMilliseconds, onRequest } = options;
+function createServer(
+  options: Pick<
+    ListenHttpOptions,
+    'name' | 'listener' | 'lifeCycle' | 'requestTimeoutMilliseconds'
+  >,
+  onRequest: http.RequestListener,
+): http.Server {
+  const { listener, requestTimeoutMilliseconds } = options;
   const limits = {
     maxHeaderSize: MAXIMUM_HEADER_BYTES,
     requestTimeout: requestTimeoutMilliseconds,
@@ -68,6 +97,18 @@
   return server;
 }
 
+function guardServer(
+  server: http.Server,
+  options: ListenHttpOptions & Required<Pick<ListenHttpOptions, 'limits'>>,
+): ConnectionGuard {
+  const { name, listener, limits, lifeCycle, onLimit = () => undefined } = options;
+  const connectionEvent = listener.tls ? 'secureConnection' : 'connection';
+  const now = (): number => performance.now();
+  const guard = guardConnections(server, { limits, connectionEvent, now, onLimit });
+  lifeCycle.own({ name: `${name}-guard`, close: guard.close });
+  return guard;
+}
+
 /**
  * Listens for HTTP requests.
  *
@@ -77,14 +118,14 @@
  * await listenHttp({ name: 'callers', listener, lifeCycle, requestTimeoutMilliseconds, onRequest });
  */
 export async function listenHttp(options: ListenHttpOptions): Promise<number> {
-  const { name, listener, lifeCycle } = options;
+  const { name, listener, lifeCycle, limits } = options;
   const parserErrors = createParserErrorResponder();
-  const server = createServer({
-    ...options,
-    onRequest: (request, response) => {
-      if (parserErrors.admit(request, response)) options.onRequest(request, response);
-    },
+  const server = createServer(options, (request, response) => {
+    if (!parserErrors.admit(request, response)) return;
+    if (guard && !guard.admit(request, response)) refuseOverloaded(response);
+    else options.onRequest(request, response, guard);
   });
+  const guard = limits && guardServer(server, { ...options, limits });
   server.on('clientError', parserErrors.respond);
   await new Promise<void>((resolve, reject) => {
     server.once('error', (error) => {
@@ -115,15 +156,34 @@
  * readBody({ request, maximumBytes: 1_048_576, onBody, onTooLarge });
  */
 export function readBody(options: ReadBodyOptions): void {
-  const { request, maximumBytes } = options;
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const { request, maximumBytes, maximumChunks = Infinity, memory } = options;
+  const { onNoMemory = options.onTooLarge } = options;
+  const reserve = (bytes: number): boolean => memory?.add(bytes) ?? true;
+  const buffer = createBodyBuffer({ maximumBytes, maximumChunks, reserve });
+  const onRefusal: Readonly<Record<BodyBufferRefusal, () => void>> = {
+    tooLarge: options.onTooLarge,
+    tooManyChunks: options.onTooLarge,
+    noMemory: onNoMemory,
+  };
+  let isRefused = false;
+  const release = (): void => {
+    buffer.clear();
+    memory?.release();
+  };
   request.on('data', (chunk: Buffer) => {
-    size += chunk.length;
-    if (size <= maximumBytes) chunks.push(chunk);
-    else if (size - chunk.length <= maximumBytes) options.onTooLarge();
+    if (isRefused) return;
+    memory?.recordProgress();
+    const refusal = buffer.append(chunk);
+    if (!refusal) return;
+    isRefused = true;
+    release();
+    onRefusal[refusal]();
   });
   request.on('end', () => {
-    if (size <= maximumBytes) options.onBody(Buffer.concat(chunks).toString('utf8'));
+    if (isRefused) return;
+    const body = buffer.join().toString('utf8');
+    release();
+    options.onBody(body);
   });
+  request.on('close', release);
 }
--- a/src/process/runtime/openListeners/index.ts
+++ b/src/process/runtime/openListeners/index.ts
@@ -2,12 +2,14 @@
  * Listeners of a node for peers, operators and callers.
  */
 import type http from 'node:http';
+import type { ConnectionLimits } from '../../../connection/deriveCallerLimits/index.js';
 import { formatError } from '../../../request/createErrorResponse/index.js';
 import { equalsInConstantTime, readBearerKey } from '../../../request/authorizeCaller/index.js';
 import type { Histograms } from '../../createHistograms/index.js';
 import type { LifeCycle } from '../../createLifeCycle/index.js';
 import type { LoadedSettings } from '../../settings/readSettings/index.js';
 import type { Driver } from '../createDriver/index.js';
+import type { GuardEvent } from '../guardConnections/index.js';
 import { listenHttp } from '../listenHttp/index.js';
 import type { Responder } from '../createResponder/index.js';
 import { servePeers } from '../servePeers/index.js';
@@ -20,6 +22,10 @@
   readonly operators: Responder;
   readonly histograms: Histograms;
   readonly offer: Driver['offer'];
+  /** Limits of the callers' connections. */
+  readonly limits: ConnectionLimits;
+  /** Called when a connection of a caller is closed, or its request refused, because of {@link limits}. */
+  readonly onLimit: (event: GuardEvent) => void;
 }
 
 /** Bound ports of the listeners. */
@@ -93,9 +99,11 @@
       listener: settings.callers,
       lifeCycle,
       requestTimeoutMilliseconds: settings.callers.bodyTimeoutMilliseconds,
-      onRequest: (request, response) => {
+      limits: parts.limits,
+      onLimit: parts.onLimit,
+      onRequest: (request, response, guard) => {
         if (request.url === '/metrics') handleOperatorRequest(request, response);
-        else parts.callers.handleRequest(request, response);
+        else parts.callers.handleRequest(request, response, guard);
       },
     });
     return { callers, operators, peers };
--- a/src/process/runtime/startNode/index.ts
+++ b/src/process/runtime/startNode/index.ts
@@ -3,6 +3,7 @@
  */
 import { randomBytes } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
+import { deriveCallerLimits } from '../../../connection/deriveCallerLimits/index.js';
 import { createHistograms, type Histograms } from '../../createHistograms/index.js';
 import { createLifeCycle, type LifeCycle } from '../../createLifeCycle/index.js';
 import { createLogger } from '../../createLogger/index.js';
@@ -18,6 +19,7 @@
 import { openListeners } from '../openListeners/index.js';
 import { createEngineRuns } from '../createEngineRuns/index.js';
 import { createPeerLinks } from '../createPeerLinks/index.js';
+import { readProcessResources } from '../readProcessResources/index.js';
 import { createCallerEvent, createResponder } from '../createResponder/index.js';
 
 /** A running node. */
@@ -85,9 +87,11 @@
   });
 
   const offer: Driver['offer'] = (event) => drivers[0]?.offer(event) ?? false;
+  const limits = deriveCallerLimits(readProcessResources());
   const callers = createResponder({
     feed: offer,
     maximumBodyBytes: settings.callers.maximumBodyBytes,
+    maximumBodyChunks: limits.bodyChunks,
     createEvent: createCallerEvent,
   });
   const operators = createResponder({
@@ -123,7 +127,18 @@
       histograms.count('peer_messages_dropped');
     },
   });
-  const ports = await openListeners({ options, lifeCycle, callers, operators, histograms, offer });
+  const ports = await openListeners({
+    options,
+    lifeCycle,
+    callers,
+    operators,
+    histograms,
+    offer,
+    limits,
+    onLimit: ({ cause }) => {
+      histograms.count(`caller_limits_${cause}`);
+    },
+  });
   const callerAddress = getAdvertisedAddress(settings.callers, ports.callers);
   const peerAddress = getAdvertisedAddress(settings.peers, ports.peers);
   const operatorAddress = getAdvertisedAddress(settings.operators, ports.operators);
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -2,6 +2,10 @@
  * Node of a site with its sockets: listeners, loops and shutdown.
  */
 import { createServer, type RequestListener, type Server } from 'node:http';
+import {
+  deriveCallerLimits,
+  type ConnectionLimits,
+} from '../../../connection/deriveCallerLimits/index.js';
 import type { EndpointPort, SiteProtocol } from '../../../types/relay/index.js';
 import type { NodeRecord } from '../../../types/site/index.js';
 import type { Store } from '../../../types/store/index.js';
@@ -12,6 +16,9 @@
 import { createEndpointPort } from '../../relay/createEndpointPort/index.js';
 import { createNeighbourPort } from '../../relay/createNeighbourPort/index.js';
 import { createSystemClock } from '../../runtime/createSystemClock/index.js';
+import { guardConnections } from '../../runtime/guardConnections/index.js';
+import { readProcessResources } from '../../runtime/readProcessResources/index.js';
+import { refuseOverloaded } from '../../runtime/refuseOverloaded/index.js';
 import { runLoop } from '../../runtime/runLoop/index.js';
 import { createPeerPort } from '../createPeerPort/index.js';
 import { createSiteLogger } from '../createSiteLogger/index.js';
@@ -55,6 +62,8 @@
   readonly queries: SiteQueries;
   readonly graceMilliseconds: number;
   readonly retries: RetryBounds;
+  /** Limits of the callers' connections; derived from the memory and descriptors of the process by default. */
+  readonly callerLimits?: ConnectionLimits;
   /** Port to endpoints; over HTTP by default. */
   readonly endpointPort?: EndpointPort;
   /** Output stream of log lines; standard output by default. */
@@ -132,14 +141,24 @@
   const logger = createSiteLogger({ node, availabilityZone, now, stream: options.logStream });
   const lifeCycle = createLifeCycle();
   let leaving: LeavingPeriod | undefined;
+  const limits = options.callerLimits ?? deriveCallerLimits(readProcessResources());
   const callerServer = createCallerServer(
     (incoming, response) => {
-      handler.handle(incoming, response);
+      if (guard.admit(incoming, response)) handler.handle(incoming, response);
+      else refuseOverloaded(response);
     },
     (cause) => {
       metrics.count('closed_connections', cause);
     },
   );
+  const guard = guardConnections(callerServer, {
+    limits,
+    now,
+    onLimit: ({ cause }) => {
+      metrics.count('caller_limits', cause);
+    },
+  });
+  lifeCycle.own({ name: 'guard of callers', close: guard.close });
   const peerPort = await createPeerPort({
     address: self.peerAddress,
     lifeCycle,
@@ -176,6 +195,8 @@
     metrics,
     now,
     isLeaving,
+    guard,
+    maximumBodyChunks: limits.bodyChunks,
   });
   const isReady = (): boolean => state.getCompiled() !== undefined && !isLeaving();
   const readinessServer = createReadinessServer(queries, isReady, {
--- a/tests/callerLimits.process.test.ts
+++ b/tests/callerLimits.process.test.ts
@@ -204,7 +204,7 @@
 for (const [subject, start] of Object.entries(SUBJECTS)) {
   for (const [kind, { start: startKind, leavesRoom }] of Object.entries(CALLER_KINDS)) {
     const title = `${subject} survives ${kind}, and answers an ordinary request`;
-    test(title, { todo: 'KNOWN-RED.txt' }, async (context) => {
+    test(title, async (context) => {
       const { process: server, callers: target, isAnswering } = await start(context);
       const callers = startKind(target);
       context.after(callers.close);
