Play bursts by priority in the emulator, with and without shares

Cause: whether whole nodes serve the most urgent streams after a burst of the least urgent ones was not measured.

--- a/emulator/createVirtualCallers/index.ts
+++ b/emulator/createVirtualCallers/index.ts
@@ -17,6 +17,7 @@
 /** A request with its outcome. */
 export interface CallerRecord {
   readonly requestClass: string;
+  readonly priority: number;
   readonly account: string;
   readonly availabilityZone: string;
   readonly promptTokens: number;
@@ -43,8 +44,8 @@
   readonly refusedAttempts: ReadonlySet<string>;
   /** Sends requests until a moment of virtual time, in milliseconds. */
   readonly start: (until: number) => void;
-  /** Sets the factor on the request rate. */
-  readonly setRate: (factor: number) => void;
+  /** Sets the factor on the request rate, of the requests with a priority or of all. */
+  readonly setRate: (factor: number, priority?: number) => void;
   /** Returns the number of missing, duplicate and reordered events. */
   readonly countEventErrors: () => number;
 }
@@ -119,7 +120,8 @@
   const metadata = new Map<string, RequestMetadata>();
   const refusedAttempts = new Set<string>();
   const addressCache = new Map<string, { at: number; addresses: string[] }>();
-  let rate = 1;
+  /** Factor on the request rate, by request class. */
+  const rates = new Map<string, number>();
   let attempts = 0;
   let eventErrors = 0;
 
@@ -338,6 +340,7 @@
     const answerTokens = events * site.model.stride;
     const record: CallerRecord = {
       requestClass: requestClass.name,
+      priority: requestClass.priority,
       account: drawAccount(),
       availabilityZone,
       promptTokens: prompt,
@@ -375,14 +378,17 @@
       return found;
     },
     findRequest: (attempt) => requests.get(attempt) ?? { attempt, promptTokens: 0, lastEvent: 0 },
-    setRate: (factor) => {
-      rate = factor;
+    setRate: (factor, priority) => {
+      for (const requestClass of site.requests)
+        if (priority === undefined || requestClass.priority === priority)
+          rates.set(requestClass.name, factor);
     },
     start: (until) => {
       const perZone = 1 / site.availabilityZones.length;
       for (const requestClass of site.requests) {
         for (const zone of site.availabilityZones) {
           const next = (): void => {
+            const rate = rates.get(requestClass.name) ?? 1;
             const pause =
               (-Math.log(1 - random()) * 1_000) / (requestClass.perSecond * perZone * rate);
             if (time.now() + pause > until) return;
--- a/emulator/decisionVariants/index.ts
+++ b/emulator/decisionVariants/index.ts
@@ -69,6 +69,10 @@
     candidates: options.candidates.map((candidate) => ({ ...candidate, usedTokenLayers: 0 })),
   });
 
+/** Lets the requests of every priority fill the whole capacity. */
+const shareNothing: SiteDecisions['computeAdmissionShares'] = ({ demand }) =>
+  new Map(demand.priorities.map(({ priority }) => [priority, 1]));
+
 /** Variants of the decisions by name; `product` is the router's own. */
 export const DECISION_VARIANTS: Readonly<Record<string, SiteDecisions>> = {
   product: SITE_DECISIONS,
@@ -76,6 +80,7 @@
   'any-path': { ...SITE_DECISIONS, choosePath: chooseAnyPath, prefersLocalZone: false },
   'admit-all': { ...SITE_DECISIONS, choosePath: chooseIgnoringMemory },
   'run-anew': { ...SITE_DECISIONS, movesRuns: false },
+  'no-shares': { ...SITE_DECISIONS, computeAdmissionShares: shareNothing },
   'ignore-era': SITE_DECISIONS,
   'ignore-limits': SITE_DECISIONS,
   'no-neighbours': SITE_DECISIONS,
--- a/emulator/injectFaults/index.ts
+++ b/emulator/injectFaults/index.ts
@@ -78,10 +78,10 @@
 }
 
 const HANDLERS: Handlers = {
-  burst: ({ callers, time }, { factor, seconds }) => {
-    callers.setRate(factor);
+  burst: ({ callers, time }, { factor, priority, seconds }) => {
+    callers.setRate(factor, priority);
     time.schedule(seconds * 1_000, () => {
-      callers.setRate(1);
+      callers.setRate(1, priority);
     });
   },
   crashEngines: (system, { count, seconds, isDark }) => {
--- a/emulator/playDay/test.ts
+++ b/emulator/playDay/test.ts
@@ -144,3 +144,31 @@
   const figures = await play([], { version: 'any-path' });
   assert.ok(figures.all.inTime < 0.5 * figures.all.asked);
 });
+
+test('serves the most urgent streams after a burst of the least urgent ones, and shows that they are refused without shares', async () => {
+  const site = readSite('examples/emulator/strathbrae-priorities.json');
+  const day: VirtualDay = {
+    name: 'short',
+    seconds: 12,
+    rate: 2,
+    troubles: [
+      { kind: 'burst', at: 2, seconds: 5, factor: 2.3, priority: 2 },
+      { kind: 'burst', at: 7, seconds: 5, factor: 1.7, priority: 0 },
+    ],
+  };
+  /** Plays the day; returns the served shares by priority in the second burst. */
+  const playVersion = async (version: string): Promise<number[]> => {
+    const decisions = DECISION_VARIANTS[version];
+    const result = await playDay({ site, day, seed: 1, decisions });
+    assertNoViolation(summarizeDay(result));
+    const records = result.records.filter(({ at }) => at >= result.firstAt + 7_000);
+    const { priorities } = summarizeDay({ ...result, records });
+    return [0, 1, 2].map((priority) => priorities[priority]?.served ?? 0);
+  };
+  const served = await playVersion('product');
+  const servedWithout = await playVersion('no-shares');
+  const [first = 0, second = 0, third = 0] = served;
+  const figures = `${served.join(', ')}; without shares ${servedWithout.join(', ')}`;
+  assert.ok(first >= second - 0.05 && second >= third - 0.05, figures);
+  assert.ok(first >= 0.9 && first > (servedWithout[0] ?? 1) + 0.1, figures);
+});
--- a/emulator/readScenario/index.ts
+++ b/emulator/readScenario/index.ts
@@ -74,7 +74,13 @@
 const spanSchema = { at: z.number(), seconds: z.number() };
 
 const faultSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('burst'), ...spanSchema, factor: z.number() }),
+  /** More requests, of one priority or of all. */
+  z.object({
+    kind: z.literal('burst'),
+    ...spanSchema,
+    factor: z.number(),
+    priority: z.number().optional(),
+  }),
   z.object({
     kind: z.literal('crashEngines'),
     ...spanSchema,
--- a/emulator/summarizeDay/index.ts
+++ b/emulator/summarizeDay/index.ts
@@ -24,6 +24,8 @@
 export interface DayFigures {
   readonly all: RequestFigures;
   readonly classes: Readonly<Record<string, RequestFigures>>;
+  /** Figures of the streams by priority. */
+  readonly priorities: Readonly<Record<string, RequestFigures>>;
   /** Served shares: of the largest tenth of prompts, of the account with the fewest streams, of all. */
   readonly fairness: {
     readonly largestTenth: number;
@@ -186,6 +188,10 @@
   const { records, engineCounts, portCounts, storeCalls, gaps, peerBytes, nodes } = result;
   const seconds = (result.firstAt + result.milliseconds) / 1_000;
   const classes = groupBy(records, ({ requestClass }) => requestClass);
+  const priorities = groupBy(
+    records.filter(({ promptTokens }) => promptTokens > 0),
+    ({ priority }) => String(priority),
+  );
   const failed = records.filter((record) => !isServed(record));
   const gapMilliseconds = gaps.map(({ milliseconds }) => milliseconds);
   const predictions = comparePredictions(result);
@@ -199,6 +205,9 @@
     classes: Object.fromEntries(
       [...classes].map(([name, group]) => [name, summarizeRequests(group)]),
     ),
+    priorities: Object.fromEntries(
+      [...priorities].map(([name, group]) => [name, summarizeRequests(group)]),
+    ),
     fairness: summarizeFairness(records),
     firstAgainstPredicted: predictions.first,
     pauseAgainstPredicted: predictions.pause,
