Let endpoints of the soak end in the middle of responses without framing

Cause: no run of the soak had a response whose end only its connection marks.

Change: endpoints send responses without framing for a time and then crash, drain, lose their entry or restart under their id (drawUnframedEnds, from draws of its own). checkUnframedEnds compares what endpoints did not finish with what callers took for complete. The defect trustsConnectionEnd is a node without the proof.

--- a/soak/createFaultInjector/index.ts
+++ b/soak/createFaultInjector/index.ts
@@ -37,6 +37,10 @@
 
 /** Time for which the registry still lists an endpoint that has exited. */
 const DEREGISTRATION_DELAY_MILLISECONDS = 1_500;
+/** Time from the change of an entry to the end of its endpoint: less than a stream lasts. */
+const DEPARTURE_NOTICE_MILLISECONDS = 200;
+/** Time for which an endpoint is down that restarts at once. */
+const RESTART_MILLISECONDS = 20;
 const BURST_CHANGES = 6;
 const BURST_PAUSE_MILLISECONDS = 120;
 const STORE_DELAY_MILLISECONDS = 300;
@@ -171,6 +175,36 @@
   };
 }
 
+/**
+ * Lets an endpoint send responses without framing, changes its entry, and ends it in the middle of them. The fault
+ * counts as the given kind, whose checks know what such an endpoint may do.
+ */
+function endUnframed(
+  kind: 'crash' | 'leaving',
+  depart: (context: FaultContext, endpoint: SoakEndpoint) => void,
+  downMilliseconds = DEREGISTRATION_DELAY_MILLISECONDS,
+): Handler {
+  return (context, scheduled) => {
+    const endpoint = findEndpoint(context, scheduled);
+    const recordedFault = { kind, target: endpoint.id };
+    return recordFaultDuring(context.record, context.now, recordedFault, async () => {
+      endpoint.setUnframed(true);
+      await sleep(scheduled.milliseconds);
+      depart(context, endpoint);
+      await sleep(DEPARTURE_NOTICE_MILLISECONDS);
+      await endpoint.crash();
+      await sleep(downMilliseconds);
+      endpoint.setUnframed(false);
+      endpoint.setMode('healthy');
+      await endpoint.start();
+    });
+  };
+}
+
+function recordDeparture({ operator }: FaultContext, endpoint: SoakEndpoint): void {
+  if (!operator.isStoreAway()) endpoint.recordDeparture();
+}
+
 /** Lets an endpoint of another service respond on the address of an endpoint. */
 const replaceEndpoint: Handler = (context, scheduled) => {
   const endpoint = findEndpoint(context, scheduled);
@@ -257,6 +291,17 @@
   leaveEndpoint,
   doubleEndpointAnswers: injectEndpointMode('twice'),
   limitEndpoint: injectEndpointMode('limited'),
+  crashUnframed: endUnframed('crash', () => undefined),
+  drainUnframed: endUnframed('leaving', (context, endpoint) => {
+    endpoint.setMode('draining');
+    endpoint.register();
+    recordDeparture(context, endpoint);
+  }),
+  expireUnframed: endUnframed('leaving', (context, endpoint) => {
+    endpoint.unregister();
+    recordDeparture(context, endpoint);
+  }),
+  restartUnframed: endUnframed('crash', () => undefined, RESTART_MILLISECONDS),
   slowStore: injectStoreFault({ kind: 'delay', milliseconds: STORE_DELAY_MILLISECONDS }),
   downStore: injectStoreFault({ kind: 'down' }),
   losingStore: injectStoreFault({ kind: 'dropReply', probability: 0.5 }),
@@ -323,6 +368,10 @@
   leaveEndpoint: 'endpoint',
   doubleEndpointAnswers: 'endpoint',
   limitEndpoint: 'endpoint',
+  crashUnframed: 'endpoint',
+  drainUnframed: 'endpoint',
+  expireUnframed: 'endpoint',
+  restartUnframed: 'endpoint',
   slowStore: 'store',
   downStore: 'store',
   losingStore: 'store',
--- a/soak/createRecord/index.ts
+++ b/soak/createRecord/index.ts
@@ -17,6 +17,7 @@
     rests: [],
     limits: [],
     crashes: [],
+    unfinished: [],
     disturbances: [],
     writes: [],
     versions: [],
--- a/soak/createSoakEndpoint/index.ts
+++ b/soak/createSoakEndpoint/index.ts
@@ -74,6 +74,8 @@
   readonly useLink: (link: LinkProxy) => SoakEndpoint;
   readonly isServing: () => boolean;
   readonly setMode: (mode: EndpointMode) => void;
+  /** Sets whether its next sound responses have neither a length nor chunks. */
+  readonly setUnframed: (isUnframed: boolean) => void;
   /** Ends the endpoint immediately; its entry stays in the registry until it is unregistered. */
   readonly crash: () => Promise<void>;
   readonly start: () => Promise<void>;
@@ -121,6 +123,12 @@
   return readPath(move?.path ?? readHeader(request, 'hop-count'));
 }
 
+/** Splits a body into pieces, between which the endpoint may end. */
+function splitBody(body: string): string[] {
+  const middle = Math.ceil(body.length / 2);
+  return [body.slice(0, middle), body.slice(middle)];
+}
+
 function writeEndlessly(response: ServerResponse): void {
   let written = 0;
   const writeUntilFull = (): void => {
@@ -162,6 +170,7 @@
   const ownLink = await createProxy(undefined);
   let link = ownLink;
   let mode: EndpointMode = 'healthy';
+  let isUnframed = false;
   let birth = 0;
   /** Whether the endpoint's last own write was a registration. */
   let isRegistered = false;
@@ -241,6 +250,29 @@
       });
     },
   };
+  /** Sends pieces without framing; records the response when its connection ends before the last one. */
+  const sendUnframed = async (
+    context: RequestContext,
+    type: string,
+    pieces: readonly string[],
+  ): Promise<void> => {
+    const { request, response, requestId } = context;
+    const { socket } = response;
+    if (!socket) return;
+    const headers = { ...createEndpointHeaders(request), 'Served-By': id, 'Content-Type': type };
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+    socket.write(`HTTP/1.1 200 OK\r\nConnection: close\r\n${lines.join('')}\r\n`);
+    for (const piece of pieces) {
+      await waitForPath(context);
+      if (socket.destroyed) {
+        record.unfinished.push({ request: requestId, endpoint: id, at: now() });
+        return;
+      }
+      socket.write(piece);
+      await sleep(EVENT_MILLISECONDS);
+    }
+    socket.end();
+  };
   /** Crashes the endpoint as it begins to answer a request with a crashing part. */
   const crashOnPart = async ({ response }: RequestContext, part: string): Promise<void> => {
     await sleep(EVENT_MILLISECONDS);
@@ -263,6 +295,12 @@
       await crashOnPart(context, crashingPart);
       return;
     }
+    if (isUnframed && initialMode === 'healthy') {
+      const numbers = Array.from({ length: events - previousEvent }, (_, index) => index + 1);
+      const pieces = numbers.map((number) => formatEvent(requestId, previousEvent + number));
+      await sendUnframed(context, 'text/event-stream', pieces);
+      return;
+    }
     startResponse(context, { 'Content-Type': 'text/event-stream' });
     for (let number = previousEvent + 1; number <= events; number += 1) {
       const fail =
@@ -285,6 +323,10 @@
     await sleep(initialMode === 'slow' ? SLOW_EVENT_MILLISECONDS : EVENT_MILLISECONDS);
     if (initialMode === 'stalled' || response.destroyed) return;
     if (initialMode === 'twice') sendDuplicate(context);
+    if (isUnframed && initialMode === 'healthy') {
+      await sendUnframed(context, 'text/plain', splitBody(body));
+      return;
+    }
     if (initialMode === 'endless') {
       startResponse(context, {});
       writeEndlessly(response);
@@ -371,6 +413,9 @@
       currentServer.requestsPerSecond = next === 'limited' ? LIMIT_PER_SECOND : undefined;
       if (next === 'limited') beginLimit();
     },
+    setUnframed: (next) => {
+      isUnframed = next;
+    },
     crash,
     start: async () => {
       birth += 1;
--- a/soak/drawSchedule/index.ts
+++ b/soak/drawSchedule/index.ts
@@ -54,6 +54,11 @@
   withdrawEndpoint: { target: 'endpoint', weight: 0 },
   // Drawn by drawRateLimits only.
   limitEndpoint: { target: 'endpoint', weight: 0 },
+  // Drawn by drawUnframedEnds only.
+  crashUnframed: { target: 'endpoint', weight: 0 },
+  drainUnframed: { target: 'endpoint', weight: 0 },
+  expireUnframed: { target: 'endpoint', weight: 0 },
+  restartUnframed: { target: 'endpoint', weight: 0 },
   // Drawn by drawOddEntries only.
   writeOddEntries: { target: 'store', weight: 0 },
   writeOddConfiguration: { target: 'configuration', weight: 0 },
--- a/soak/findViolations/index.ts
+++ b/soak/findViolations/index.ts
@@ -19,12 +19,14 @@
 import { checkDepartures } from '../checkDepartures/index.js';
 import { checkRegistrations } from '../checkRegistrations/index.js';
 import { checkReturn } from '../checkReturn/index.js';
+import { checkUnframedEnds } from '../checkUnframedEnds/index.js';
 import { checkVersions } from '../checkVersions/index.js';
 import type { Check, SoakBounds, SoakRecord, Violation } from '../types/index.js';
 
 /** The checks, in the order in which they are printed. */
 export const CHECKS: readonly Check[] = [
   checkResponses,
+  checkUnframedEnds,
   checkBookings,
   checkRefusals,
   checkCompletion,
--- a/soak/findViolations/test.ts
+++ b/soak/findViolations/test.ts
@@ -93,6 +93,7 @@
 const FROZEN = { kind: 'freeze', target: 'node-0', from: 1_050, until: 1_060 };
 const LIMIT = { endpoint: 'engine-0', birth: 1, requestsPerSecond: 1, from: 1_000, until: 9_000 };
 const BACKOFF = { endpoint: 'engine-0', birth: 1, attempt: 'r1-1', at: 1_000, milliseconds: 2_000 };
+const UNFINISHED = { request: 'r1', endpoint: 'engine-0', at: 1_050 };
 const LEAVING = { ...VALID_ATTEMPT, saysLeaving: true };
 const STOPPED = {
   node: 'node-0',
@@ -194,6 +195,19 @@
     'resumed stream that starts again at the first event',
     createStreamRecord(COMPLETE_STREAM, { lastEvent: 1 }),
   ],
+  [
+    'an answer that its endpoint did not finish does not look whole',
+    'part of a body without framing in a response that ended normally',
+    record({ attempts: [{ ...VALID_ATTEMPT, body: 'done' }], unfinished: [UNFINISHED] }),
+  ],
+  [
+    'an answer that its endpoint did not finish does not look whole',
+    'part of a stream without framing in a response that ended normally',
+    record({
+      attempts: [{ ...STREAM, body: EVENTS[0] ?? '' }],
+      unfinished: [UNFINISHED],
+    }),
+  ],
   [
     'a booking runs once at most, and once where it is answered',
     'two runs of one booking',
@@ -440,6 +454,10 @@
 const VALID_RECORDS: readonly (readonly [string, SoakRecord])[] = [
   ['answered booking', record()],
   ['complete stream', createStreamRecord(COMPLETE_STREAM)],
+  [
+    'stream that another endpoint continued after its endpoint had ended',
+    record({ attempts: [{ ...STREAM, body: COMPLETE_STREAM }], unfinished: [UNFINISHED] }),
+  ],
   [
     'interrupted stream with a part of its events',
     createStreamRecord('id: 1\nda', { outcome: 'cut' }),
--- a/soak/runSoak/index.ts
+++ b/soak/runSoak/index.ts
@@ -19,6 +19,7 @@
 import { drawRestorations } from '../drawRestorations/index.js';
 import { createRecord } from '../createRecord/index.js';
 import { drawRateLimits } from '../drawRateLimits/index.js';
+import { drawUnframedEnds } from '../drawUnframedEnds/index.js';
 import { drawOddEntries } from '../drawOddEntries/index.js';
 import { serveOddAddress, type OddAddress } from '../serveOddAddress/index.js';
 import { createSoakEndpoint, type SoakEndpoint } from '../createSoakEndpoint/index.js';
@@ -198,6 +199,7 @@
     ...drawSchedule({ seed, milliseconds, nodes, endpoints }),
     ...drawOddEntries({ seed, milliseconds, endpoints }),
     ...drawRateLimits({ seed, milliseconds, endpoints }),
+    ...drawUnframedEnds({ seed, milliseconds, endpoints }),
     ...restorations,
   ].sort((left, right) => left.at - right.at);
 }
--- a/soak/serveDefectiveNode/index.ts
+++ b/soak/serveDefectiveNode/index.ts
@@ -20,6 +20,7 @@
   | 'duplicatesEvent'
   | 'mergesEvents'
   | 'endsEarly'
+  | 'trustsConnectionEnd'
   | 'runsTwice'
   | 'refusesAfterRun'
   | 'neverResponds'
@@ -55,6 +56,8 @@
 
 const SENDS_PER_REQUEST = 4;
 const FAILED_STATUS = 502;
+/** Path at which an endpoint names itself. */
+const HEALTH_PATH = '/healthz';
 const VERSION_PATH_PREFIX = '/version-';
 const EVENT_SEPARATOR = '\n\n';
 
@@ -74,6 +77,27 @@
   return !path.startsWith(findVersionPath(follower.getVersion()));
 }
 
+/** Returns whether a response has neither a length nor chunks. */
+function isUnframed({ headers }: Pick<EndpointResponse, 'headers'>): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
+/** Resolves to whether an endpoint answers a health request. */
+async function isRunning(address: string): Promise<boolean> {
+  const [host, port] = address.split(':');
+  return new Promise((resolve) => {
+    const outgoing = request({ host, port: Number(port), path: HEALTH_PATH, agent: false });
+    outgoing.on('response', (response) => {
+      response.resume();
+      resolve(response.statusCode === 200);
+    });
+    outgoing.on('error', () => {
+      resolve(false);
+    });
+    outgoing.end();
+  });
+}
+
 function send(address: string, incoming: IncomingMessage, path: string): Promise<EndpointResponse> {
   const [host, port] = address.split(':');
   return new Promise((resolve) => {
@@ -172,6 +196,11 @@
     const [endpointResponse] = responses;
     if (!endpointResponse || defect === 'neverResponds') return;
     recordResponse(endpoint, endpointResponse);
+    const needsProof = defect !== 'trustsConnectionEnd' && isUnframed(endpointResponse);
+    if (needsProof && !(await isRunning(address))) {
+      response.writeHead(FAILED_STATUS).end();
+      return;
+    }
     if (defect === 'refusesAfterRun') {
       response.writeHead(503).end();
       return;
--- a/soak/serveDefectiveNode/test.ts
+++ b/soak/serveDefectiveNode/test.ts
@@ -64,6 +64,8 @@
 const ODD_CONFIGURATION_CHOICE = 7.5 / 17;
 /** Time for which an endpoint is down after a crash. */
 const CRASHED_MILLISECONDS = 60;
+/** Time for which an endpoint runs before it crashes in the middle of its responses. */
+const CRASH_PAUSE_MILLISECONDS = 150;
 
 interface PlantedDefect {
   readonly defect: Defect;
@@ -72,6 +74,8 @@
   readonly milliseconds?: number;
   /** Share of streams that crash the endpoint. */
   readonly crashingShare?: number;
+  /** Whether endpoints send responses without framing, and crash in the middle of them. */
+  readonly endsUnframed?: boolean;
 }
 
 /** Components of a run with a node that follows a store. */
@@ -196,7 +200,13 @@
 
 /** Runs callers against a defective node and returns the promises that the checks report as broken. */
 async function findBrokenPromises(
-  { defect, mode = 'healthy', milliseconds, crashingShare = 0 }: PlantedDefect,
+  {
+    defect,
+    mode = 'healthy',
+    milliseconds,
+    crashingShare = 0,
+    endsUnframed = false,
+  }: PlantedDefect,
   expected?: string,
 ): Promise<string[]> {
   const record = createRecord();
@@ -223,6 +233,7 @@
       },
     });
     endpoint.setMode(mode);
+    endpoint.setUnframed(endsUnframed);
     await endpoint.start();
     return endpoint;
   };
@@ -244,13 +255,26 @@
   const listBroken = (): string[] => [
     ...new Set(findViolations(record, BOUNDS).map(({ promise }) => promise)),
   ];
+  let isOver = false;
+  const crashInTurn = async (): Promise<void> => {
+    while (endsUnframed && !isOver) {
+      for (const endpoint of [plain, model]) {
+        await sleep(CRASH_PAUSE_MILLISECONDS);
+        await endpoint.crash();
+        await sleep(CRASHED_MILLISECONDS);
+        await endpoint.start();
+      }
+    }
+  };
+  const crashes = crashInTurn();
   const slowRunEnd = now() + SLOW_RUN_MILLISECONDS;
   callers.start();
   await sleep(milliseconds ?? RUN_MILLISECONDS);
   // On a busy machine, the requests that show the defect take longer.
   const isUndetected = (): boolean => expected !== undefined && !listBroken().includes(expected);
   while (isUndetected() && now() < slowRunEnd) await sleep(RUN_MILLISECONDS);
-  await callers.stop();
+  isOver = true;
+  await Promise.all([callers.stop(), crashes]);
   await sleep(2 * CRASHED_MILLISECONDS);
   await node.close();
   await Promise.all([plain.close(), model.close(), store.close()]);
@@ -264,6 +288,10 @@
   [{ defect: 'duplicatesEvent' }, INTACT_RESPONSE_PROMISE],
   [{ defect: 'mergesEvents' }, INTACT_RESPONSE_PROMISE],
   [{ defect: 'endsEarly' }, INTACT_RESPONSE_PROMISE],
+  [
+    { defect: 'trustsConnectionEnd', endsUnframed: true },
+    'an answer that its endpoint did not finish does not look whole',
+  ],
   [{ defect: 'runsTwice' }, 'a booking runs once at most, and once where it is answered'],
   [{ defect: 'refusesAfterRun' }, 'a refused request has not run and never does'],
   [{ defect: 'neverResponds' }, 'every request ends'],
@@ -297,6 +325,15 @@
   });
 }
 
+test('reports no violation for a node that asks endpoints after responses without framing', async () => {
+  const broken = await findBrokenPromises({
+    defect: 'none',
+    endsUnframed: true,
+    milliseconds: LONG_RUN_MILLISECONDS,
+  });
+  assert.deepEqual(broken, []);
+});
+
 const CONFIGURATION_PROMISE = 'an accepted configuration is in force in time and never goes back';
 const FOLLOWER_DEFECTS: readonly (readonly [FollowerDefect, string])[] = [
   ['trustsRevisions', CONFIGURATION_PROMISE],
--- a/soak/types/index.ts
+++ b/soak/types/index.ts
@@ -67,6 +67,13 @@
   readonly at: number;
 }
 
+/** Response without framing whose connection ended before its endpoint had sent all of it. */
+export interface UnfinishedResponse {
+  readonly request: string;
+  readonly endpoint: string;
+  readonly at: number;
+}
+
 /** Range of layers: from inclusive, to exclusive. */
 export interface LayerSpan {
   readonly from: number;
@@ -198,6 +205,7 @@
   readonly rests: RecordedBackoff[];
   readonly limits: AnnouncedLimit[];
   readonly crashes: PartCrash[];
+  readonly unfinished: UnfinishedResponse[];
   readonly disturbances: InjectedFault[];
   readonly writes: ConfigurationWrite[];
   readonly versions: VersionObservation[];
