Let engines of the emulator end streams without framing

Cause: the emulator reset the connections of a crashed engine, so that a node could not mistake the crash for the end of a stream.

Variant trust-ends: nodes that take this end for that of the stream.

--- a/emulator/createEndpointPort/index.ts
+++ b/emulator/createEndpointPort/index.ts
@@ -8,8 +8,10 @@
   EndpointPort,
   ForwardedRequest,
   ForwardingDetails,
+  ResponseEnd,
 } from '../../src/types/relay/index.js';
 import type { EngineFleet } from '../createEngineFleet/index.js';
+import type { VirtualEngine } from '../createEngineFleet/types.js';
 import type { PlainFleet } from '../createPlainFleet/index.js';
 import type { VirtualLimits } from '../createVirtualLimits/index.js';
 import type { VirtualTime } from '../createVirtualTime/index.js';
@@ -22,6 +24,18 @@
   readonly lastEvent: number;
 }
 
+/**
+ * How streams end: by their framing, or with their connection; `trusted` where the node takes that end for framing.
+ */
+export type StreamEndKind = 'framed' | 'unframed' | 'trusted';
+
+/** Ends that the node observes. */
+const RESPONSE_ENDS: Readonly<Record<StreamEndKind, ResponseEnd>> = {
+  framed: 'framing',
+  unframed: 'connection',
+  trusted: 'framing',
+};
+
 /** Options of {@link createEndpointPort}. */
 export interface CreateEndpointPortOptions {
   readonly time: VirtualTime;
@@ -34,6 +48,8 @@
   readonly isAlive: () => boolean;
   /** Returns how the node's links are cut now; undefined while they are sound. */
   readonly getCut: () => LinkCut | undefined;
+  /** How streams end. */
+  readonly streamEnd: StreamEndKind;
   /** Availability zone of the node. */
   readonly availabilityZone: string;
   /** Delay to endpoints in other availability zones, in milliseconds. */
@@ -131,6 +147,9 @@
     const receivedEvent = forwarding.lastEventId ?? 0;
     let cancel: (() => void) | undefined;
     let hasHead = false;
+    /** Returns whether the connection of a broken stream ends as that of a complete one does. */
+    const looksEnded = (failedEngine: VirtualEngine | undefined): boolean =>
+      options.streamEnd !== 'framed' && hasHead && failedEngine === engine;
     const afterDelay = (action: () => void): void => {
       time.schedule(delay, () => {
         if (isOpen()) action();
@@ -168,9 +187,9 @@
         },
         onEnd: (end, failedEngine) => {
           if (end === 'notRun') refuse(failedEngine?.address);
-          else if (end === 'whole') {
+          else if (end === 'whole' || looksEnded(failedEngine)) {
             afterDelay(() => {
-              handlers.onEnd('framing');
+              handlers.onEnd(RESPONSE_ENDS[options.streamEnd]);
             });
           } else {
             afterDelay(() => {
--- a/emulator/createVirtualNodes/index.ts
+++ b/emulator/createVirtualNodes/index.ts
@@ -70,7 +70,7 @@
 /** Options of {@link createVirtualNodes}. */
 export interface CreateVirtualNodesOptions extends Pick<
   CreateEndpointPortOptions,
-  'time' | 'engines' | 'plain' | 'limits' | 'findRequest'
+  'time' | 'engines' | 'plain' | 'limits' | 'findRequest' | 'streamEnd'
 > {
   /** Returns what a caller sent with an attempt. */
   readonly findMetadata: (attempt: string) => RequestMetadata;
--- a/emulator/decisionVariants/index.ts
+++ b/emulator/decisionVariants/index.ts
@@ -79,6 +79,7 @@
   'ignore-era': SITE_DECISIONS,
   'ignore-limits': SITE_DECISIONS,
   'no-neighbours': SITE_DECISIONS,
+  'trust-ends': SITE_DECISIONS,
 };
 
 /** What the nodes of a variant lack, beside its decisions. */
@@ -89,6 +90,8 @@
   readonly ignoresLimits?: boolean;
   /** Whether they may hand requests over to each other. */
   readonly hasNeighbours?: boolean;
+  /** Whether they take a response without framing for complete when its connection ends. */
+  readonly trustsEnds?: boolean;
 }
 
 /** Variants whose nodes lack something, by name. */
@@ -96,4 +99,5 @@
   'ignore-era': { ignoresEra: true },
   'ignore-limits': { ignoresLimits: true },
   'no-neighbours': { hasNeighbours: false },
+  'trust-ends': { trustsEnds: true },
 };
--- a/emulator/playDay/index.ts
+++ b/emulator/playDay/index.ts
@@ -67,6 +67,8 @@
   readonly ignoresLimits?: boolean;
   /** Whether nodes may hand requests over to each other; true by default. */
   readonly hasNeighbours?: boolean;
+  /** Whether nodes take a stream without framing for complete when its connection ends; false by default. */
+  readonly trustsEnds?: boolean;
 }
 
 /** Time after the last request in which requests may still complete. */
@@ -157,6 +159,7 @@
 export async function playDay(options: PlayDayOptions): Promise<DayResult> {
   const { site, day, seed, decisions = SITE_DECISIONS } = options;
   const { ignoresEra = false, ignoresLimits = false, hasNeighbours = true } = options;
+  const framedEnd = options.trustsEnds === true ? 'trusted' : 'unframed';
   const time = createVirtualTime();
   const store = createVirtualStore(time, { hidesEra: ignoresEra });
   const engines = createEngineFleet({ site, time, store, seed });
@@ -185,6 +188,7 @@
     findRequest: callers.findRequest,
     findMetadata: callers.findMetadata,
     hasNeighbours,
+    streamEnd: day.isUnframed === true ? framedEnd : 'framed',
     decisions,
     retries: {
       ratio: RETRY_RATIO,
--- a/emulator/playDay/test.ts
+++ b/emulator/playDay/test.ts
@@ -9,10 +9,10 @@
 
 async function play(
   troubles: InjectedFault[],
-  changes: { seed?: number; rate?: number; version?: string } = {},
+  changes: { seed?: number; rate?: number; version?: string; isUnframed?: boolean } = {},
 ): Promise<DayFigures> {
-  const { seed = 1, rate = 1, version = 'product' } = changes;
-  const day: VirtualDay = { name: 'short', seconds: 7, rate, troubles };
+  const { seed = 1, rate = 1, version = 'product', isUnframed = false } = changes;
+  const day: VirtualDay = { name: 'short', seconds: 7, rate, isUnframed, troubles };
   const decisions = DECISION_VARIANTS[version];
   return summarizeDay(
     await playDay({ site: SITE, day, seed, decisions, ...VARIANT_LACKS[version] }),
@@ -56,6 +56,34 @@
   assert.equal(figures.all.served, 1);
 });
 
+/** Engines crash with an ordinary end of their connections, and others drain; with this seed, streams begin at them. */
+const ENDING_ENGINES: InjectedFault[] = [
+  { kind: 'crashEngines', at: 1, seconds: 3, count: 4, isDark: false },
+  { kind: 'drainEngines', at: 3.5, seconds: 3, count: 4 },
+];
+const ENDING_SEED = 3;
+
+test('streams without framing are complete on a day without faults', async () => {
+  const figures = await play([], { isUnframed: true });
+  assertNoViolation(figures);
+  assert.equal(figures.all.served, 1);
+});
+
+test('streams without framing whose engines end violate no guarantee and at least 95 % of requests are served', async () => {
+  const figures = await play(ENDING_ENGINES, { seed: ENDING_SEED, isUnframed: true });
+  assertNoViolation(figures);
+  assert.ok(figures.all.served >= 0.95, String(figures.all.served));
+});
+
+test('shows that nodes which trust the end of a connection complete truncated streams', async () => {
+  const { broken } = await play(ENDING_ENGINES, {
+    seed: ENDING_SEED,
+    isUnframed: true,
+    version: 'trust-ends',
+  });
+  assert.ok(broken.events > 0);
+});
+
 test('the loss of all nodes and an unreachable store violate no guarantee', async () => {
   const figures = await play([
     { kind: 'storeAway', at: 1, seconds: 2, share: 1 },
--- a/emulator/readScenario/index.ts
+++ b/emulator/readScenario/index.ts
@@ -124,6 +124,8 @@
   seconds: z.number(),
   /** Factor on the site's request rate. */
   rate: z.number().default(1),
+  /** Whether streams have neither a length nor chunks, and end with their connection; not by default. */
+  isUnframed: z.boolean().optional(),
   troubles: z.array(faultSchema),
 });
 
