Make the limits of caller connections settings

Cause: the limits were derived from the process alone; the platform states the memory and descriptors of a VM.

--- a/src/process/runtime/startNode/index.ts
+++ b/src/process/runtime/startNode/index.ts
@@ -87,7 +87,7 @@
   });
 
   const offer: Driver['offer'] = (event) => drivers[0]?.offer(event) ?? false;
-  const limits = deriveCallerLimits(readProcessResources());
+  const limits = deriveCallerLimits(readProcessResources(), settings.callers.limits);
   const callers = createResponder({
     feed: offer,
     maximumBodyBytes: settings.callers.maximumBodyBytes,
--- a/src/process/settings/readSettings/test.ts
+++ b/src/process/settings/readSettings/test.ts
@@ -48,3 +48,23 @@
     }
   }
 });
+
+test('limits of caller connections are optional, and an invalid one is reported with its path', () => {
+  const key = { environment: 'SETTINGS_TEST_KEY' };
+  const settings = (limits: object): object => ({
+    node: { name: 'node-1', vm: 'entry-1', availabilityZone: 'abbotsford' },
+    callers: { port: 0, limits },
+    operators: { port: 0, key },
+    peers: { port: 0, key },
+    platform: { address: '127.0.0.1:1' },
+  });
+  assert.ok(checkSettings(settings({ connections: 7 })).isOk);
+  for (const limits of [{ connections: 0 }, { connections: 1.5 }, { connections: 'many' }]) {
+    const result = checkSettings(settings(limits));
+    assert.ok(result.isErr);
+    assert.deepEqual(
+      result.error.map(({ path }) => path),
+      ['callers.limits.connections'],
+    );
+  }
+});
--- a/src/process/settings/settingsSchema/index.ts
+++ b/src/process/settings/settingsSchema/index.ts
@@ -34,6 +34,20 @@
   allowPlaintextBeyondLoopback: z.boolean().default(false),
 };
 
+const limitSchema = z.number().int().positive().optional();
+
+/** Limits of caller connections that replace those derived from the memory and descriptors of the process. */
+const connectionLimitsSchema = z.strictObject({
+  memoryBytes: limitSchema,
+  connectionBytes: limitSchema,
+  connections: limitSchema,
+  connectionsPerAddress: limitSchema,
+  pipelinedRequests: limitSchema,
+  bodyChunks: limitSchema,
+  unreadMilliseconds: limitSchema,
+  stallMilliseconds: limitSchema,
+});
+
 /** The settings of one node. */
 export const settingsSchema = z.strictObject({
   node: z.strictObject({ name: nameSchema, vm: nameSchema, availabilityZone: nameSchema }),
@@ -41,6 +55,7 @@
     ...listenerShape,
     bodyTimeoutMilliseconds: z.number().int().positive().default(BODY_TIMEOUT_MILLISECONDS),
     maximumBodyBytes: z.number().int().positive().default(MAXIMUM_BODY_BYTES),
+    limits: connectionLimitsSchema.prefault({}),
   }),
   operators: z.strictObject({ ...listenerShape, key: secretSchema }),
   peers: z.strictObject({
