Spread the choices of a path where the known loads are too old

Cause: nodes that choose the cheapest path by loads that are half a second old fill the same engines at the same moment.

Change: `listSpreadServices` lists services whose accelerators differ in step time by a factor of 8 or that have several priorities. For these, where several nodes are live, the random part of a hop's cost is up to three times the cost. All other services choose as before. `marjoramcleat_refused_arrivals` counts the runs that an endpoint refused, by service.

--- a/src/process/relay/createStreamPaths/index.ts
+++ b/src/process/relay/createStreamPaths/index.ts
@@ -212,6 +212,7 @@
       const refusingEndpoint = namedEndpoint ?? endpoints.find(hops[0]?.endpoint ?? '');
       if (!refusingEndpoint) return undefined;
       const { id } = refusingEndpoint.record;
+      context.metrics.count('refused_arrivals', request.service.name);
       avoidedEndpoints.add(id);
       void prober.probe(id, `status ${status}`);
       endpoints.avoid(refusingEndpoint, clock.now(), REFUSAL_AVOID_MILLISECONDS);
--- a/src/process/relay/selectPath/index.ts
+++ b/src/process/relay/selectPath/index.ts
@@ -37,6 +37,12 @@
 /** Share of a route's latency limits up to which a path within the local zone is used directly. */
 const TARGET_SHARE = 0.5;
 
+/**
+ * Relative size of the random part of a hop's cost where nodes spread their choices. With a part as large as the cost,
+ * most nodes still choose the endpoint that looks best by loads that are half a second old, and overload it.
+ */
+const SPREAD_COST_SPREAD = 3;
+
 /** Returns whether a path is fast enough that remote zones need not be considered. */
 function isWithinTarget(path: ChosenPath, route: SiteRoute): boolean {
   return (
@@ -150,8 +156,9 @@
   options: SelectPathOptions,
 ): ChosenPath | undefined {
   const { endpoints, random, availabilityZone } = context;
-  const { model } = request.service;
+  const { model, spreadsChoices = false } = request.service;
   if (!model) return undefined;
+  const nodes = context.countNodes();
   const { firstHop, promptTokens, answerTokens, roomTokens, excluded, mayStart } = options;
   const candidates = listCandidates(context, request.service, excluded, mayStart);
   const firstZone = firstHop && endpoints.find(firstHop.endpoint)?.record.availabilityZone;
@@ -164,7 +171,8 @@
       promptTokens,
       answerTokens,
       random,
-      nodes: context.countNodes(),
+      nodes,
+      ...(spreadsChoices && nodes > 1 && { costSpread: SPREAD_COST_SPREAD }),
       estimateZoneLinkWait: (from, to) =>
         context.zoneLinks.estimateWait(from, to, context.clock.now()),
       ...(firstHop && { firstHop: { hop: firstHop, availabilityZone: startZone } }),
--- a/src/request/choosePath/index.ts
+++ b/src/request/choosePath/index.ts
@@ -47,6 +47,8 @@
   readonly estimateZoneLinkWait?: (from: string, to: string) => number;
   /** Number of nodes that choose paths over the same endpoints. */
   readonly nodes?: number;
+  /** Relative size of the random part of a hop's cost; by default, it grows with the number of nodes. */
+  readonly costSpread?: number | undefined;
   /** Returns numbers from 0 to 1, which vary the costs so that nodes choose differently. */
   readonly random: () => number;
 }
@@ -95,6 +97,11 @@
   );
 }
 
+/** Computes the relative size of the random part of costs: the more nodes choose by the same figures, the larger. */
+function computeCostSpread(nodes: number): number {
+  return Math.min(JITTER.maximum, JITTER.minimum + JITTER.perNode * nodes);
+}
+
 /** A candidate with the cost of a hop through it, which grows with the number of layers. */
 interface PricedCandidate {
   readonly candidate: PathCandidate;
@@ -145,13 +152,12 @@
 /** Computes the costs of all candidates, each with its own random part, so that nodes choose differently. */
 function priceCandidates(options: ChoosePathOptions, events: number): PricedCandidate[] {
   const { model, candidates, promptTokens, answerTokens, random, nodes = 1 } = options;
+  const { costSpread = computeCostSpread(nodes) } = options;
   const memoryShare = computeUsedShare(USED_MEMORY_SHARE, nodes);
   const tokens = promptTokens + answerTokens;
-  // The more nodes choose by the same figures, the more their choices have to be spread.
-  const jitter = Math.min(JITTER.maximum, JITTER.minimum + JITTER.perNode * nodes);
   return candidates.map((candidate) => {
     const { kind, range, requests, usedTokenLayers, slowdown } = candidate;
-    const factor = 1 + jitter * random();
+    const factor = 1 + costSpread * random();
     const scale = slowdown / model.layers;
     const pass = computePassTime(model, kind, requests) * scale;
     const firstPerLayer =
--- a/src/types/site/index.ts
+++ b/src/types/site/index.ts
@@ -73,6 +73,8 @@
   readonly healthPath: string;
   readonly maximumConnections: number;
   readonly model?: LayeredModel | undefined;
+  /** Whether nodes spread their choices of a path; false by default, set when a configuration is compiled. */
+  readonly spreadsChoices?: boolean;
 }
 
 /** Limits on callers' requests. */
--- a/src/version/compileSiteConfiguration/index.ts
+++ b/src/version/compileSiteConfiguration/index.ts
@@ -7,6 +7,7 @@
   SiteRoute,
   SiteService,
 } from '../../types/site/index.js';
+import { listSpreadServices } from '../listSpreadServices/index.js';
 
 /** Compiled form of one version of the site configuration. */
 export interface CompiledSiteConfiguration {
@@ -45,7 +46,13 @@
   for (const account of configuration.accounts ?? []) {
     for (const key of account.keys) accounts.set(key, account);
   }
-  const services = new Map(configuration.services.map((service) => [service.name, service]));
+  const spreadServices = listSpreadServices(configuration);
+  const services = new Map(
+    configuration.services.map((service) => [
+      service.name,
+      spreadServices.has(service.name) ? { ...service, spreadsChoices: true } : service,
+    ]),
+  );
   return {
     configuration,
     findRoute: (host, path) =>
