--- a/src/request/choosePath/index.ts
+++ b/src/request/choosePath/index.ts
@@ -49,6 +49,8 @@
   readonly nodes?: number;
   /** Share of the slots and of the memory for requests that this request may fill; 1 by default. */
   readonly fillableShare?: number;
+  /** Relative size of the random part of a hop's cost; by default, it grows with the number of nodes. */
+  readonly costSpread?: number | undefined;
   /** Returns numbers from 0 to 1, which vary the costs so that nodes choose differently. */
   readonly random: () => number;
 }
@@ -97,6 +99,11 @@
   );
 }
 
+/** Computes the relative size of the random part of costs: the more nodes choose by the same figures, the larger. */
+function computeCostSpread(nodes: number): number {
+  return Math.min(JITTER.maximum, JITTER.minimum + JITTER.perNode * nodes);
+}
+
 /** A candidate with the cost of a hop through it, which grows with the number of layers. */
 interface PricedCandidate {
   readonly candidate: PathCandidate;
@@ -147,14 +154,12 @@
 /** Computes the costs of all candidates, each with its own random part, so that nodes choose differently. */
 function priceCandidates(options: ChoosePathOptions, events: number): PricedCandidate[] {
   const { model, candidates, promptTokens, answerTokens, random } = options;
-  const { nodes = 1, fillableShare = 1 } = options;
+  const { nodes = 1, fillableShare = 1, costSpread = computeCostSpread(nodes) } = options;
   const memoryShare = computeUsedShare(USED_MEMORY_SHARE, nodes) * fillableShare;
   const tokens = promptTokens + answerTokens;
-  // The more nodes choose by the same figures, the more their choices have to be spread.
-  const jitter = Math.min(JITTER.maximum, JITTER.minimum + JITTER.perNode * nodes);
   return candidates.map((candidate) => {
     const { kind, range, requests, usedTokenLayers, slowdown } = candidate;
-    const factor = 1 + jitter * random();
+    const factor = 1 + costSpread * random();
     const scale = slowdown / model.layers;
     const pass = computePassTime(model, kind, requests) * scale;
     const firstPerLayer =
