--- a/src/request/createWaitingRoom/index.ts
+++ b/src/request/createWaitingRoom/index.ts
@@ -2,7 +2,12 @@
  * Bounded room of requests that wait for capacity, in order of priority and fair between client accounts.
  */
 import { createFairQueue, type QueuedItem } from '../createFairQueue/index.js';
-import { computeRoom, type RoomFacts, type RoomSize } from '../forecastRoom/index.js';
+import {
+  hasRoomWithin,
+  type RoomFacts,
+  type RoomRate,
+  type RoomSize,
+} from '../forecastRoom/index.js';
 import {
   addReturns,
   forecastTurn,
@@ -30,6 +35,9 @@
   readonly deadlineAt: number;
 }
 
+/** Request that arrives. */
+export type ArrivingRequest = Pick<WaitingRequest, 'priority' | 'tokens' | 'returnKey'>;
+
 /** Answer to a request that asks for a place. */
 export type RoomAnswer =
   | { readonly kind: 'run' }
@@ -57,6 +65,13 @@
   readonly reservedMilliseconds?: number;
 }
 
+/** Recent requests of one priority, exponentially decayed. */
+interface Demand {
+  readonly requests: number;
+  readonly tokens: number;
+  readonly at: number;
+}
+
 /** Room of waiting requests of one service. */
 export interface WaitingRoom<Request extends WaitingRequest> {
   /** Asks for a place; other requests may lose theirs, which `removeLate` returns. */
@@ -71,8 +86,11 @@
   readonly clear: () => Request[];
   /** Returns whether a new request of a priority has to wait behind others. */
   readonly isBefore: (priority: number) => boolean;
-  /** Returns the announced time of a caller's return when it is due, and forgets it. */
-  readonly takeReturn: (returnKey: string, now: number) => number | undefined;
+  /**
+   * Records that a request arrived, whether it needs a place or not. Returns the announced time where it is a return
+   * that is due.
+   */
+  readonly recordArrival: (request: ArrivingRequest, now: number) => number | undefined;
   readonly size: () => number;
   /** Lists the waiting requests in the order in which they are served. */
   readonly list: () => Request[];
@@ -94,6 +112,8 @@
 const MAXIMUM_RETURNS = 512;
 /** A caller's next attempt arrives with its timer and its round trip late, rarely by more than this. */
 const RESERVED_MILLISECONDS = 500;
+/** Time over which recent demand is counted, in milliseconds: about as long as a stream runs. */
+const DEMAND_MILLISECONDS = 2_000;
 /** An attempt up to this long before the announced time counts as on time, as `Retry-After` is rounded to 10 ms. */
 const EARLY_MILLISECONDS = 20;
 /** Share of the remaining deadline after which the caller no longer benefits from waiting. */
@@ -143,6 +163,25 @@
   /** Requests that lost their place to a more urgent one. */
   let displaced: RemovedRequest<Request>[] = [];
 
+  const demands = new Map<number, Demand>();
+  const readDemand = (priority: number, now: number): RoomSize => {
+    const { requests, tokens, at } = demands.get(priority) ?? { requests: 0, tokens: 0, at: now };
+    const factor = Math.exp((at - now) / DEMAND_MILLISECONDS);
+    return { requests: requests * factor, tokens: tokens * factor };
+  };
+  /** Computes the rate of requests that are more urgent than a priority. */
+  const computeArriving = (priority: number, now: number): RoomRate => {
+    let arriving = { requests: 0, tokens: 0 };
+    for (const other of demands.keys()) {
+      if (other >= priority) continue;
+      const { requests, tokens } = readDemand(other, now);
+      arriving = {
+        requests: arriving.requests + requests / DEMAND_MILLISECONDS,
+        tokens: arriving.tokens + tokens / DEMAND_MILLISECONDS,
+      };
+    }
+    return arriving;
+  };
   const forgetOldReturns = (now: number): void => {
     returns = returns.filter(({ at }) => at + reservedMilliseconds > now);
   };
@@ -151,7 +190,8 @@
     const level = computeLevel(priority, false);
     const before = queue.measureBefore(account, level);
     const needed = { requests: before.items + 1, tokens: before.cost + tokens };
-    const delay = scheduleReturn({ facts, needed, level, returns, now });
+    const arriving = computeArriving(priority, now);
+    const delay = scheduleReturn({ facts, needed, level, returns, arriving, now });
     if (returns.length < maximumReturns) {
       returns.push({ key, level: computeLevel(priority, true), at: now + delay, tokens });
     }
@@ -179,18 +219,16 @@
   };
   /** Returns whether an item has capacity while its caller benefits, after the given requests. */
   const isInTime = (
-    { latestAt, level }: QueuedRequest<Request>,
+    { latestAt, level, request }: QueuedRequest<Request>,
     needed: RoomSize,
     facts: RoomFacts,
     now: number,
   ): boolean => {
     const remaining = latestAt - now;
-    const turn = { needed, level, returns, now };
+    const arriving = computeArriving(request.priority, now);
+    const turn = { needed, level, returns, now, arriving };
     // The capacity at one time costs less than a forecast, which searches for the time.
-    const room = computeRoom(facts, remaining);
-    const wanted = addReturns(turn, remaining);
-    const isEnough = room.requests >= wanted.requests && room.tokens >= wanted.tokens;
-    if (isEnough && facts.permitWaitMilliseconds <= remaining) return true;
+    if (hasRoomWithin(facts, addReturns(turn, remaining), remaining, arriving)) return true;
     return forecastTurn({ ...turn, facts }) <= remaining;
   };
 
@@ -202,7 +240,9 @@
       const { id, account: flow, tokens } = request;
       const before = queue.measureBefore(flow, level);
       const needed = { requests: before.items + 1, tokens: before.cost + tokens };
-      const expectedMilliseconds = forecastTurn({ facts, needed, level, returns, now });
+      const arriving = computeArriving(request.priority, now);
+      const turn = { facts, needed, level, returns, arriving, now };
+      const expectedMilliseconds = forecastTurn(turn);
       if (before.items === 0 && expectedMilliseconds === 0) return { kind: 'run' };
       const latestAt = computeLatest(request, isLoadKnown(), now);
       const item = { id, flow, weight: 1, cost: tokens, level, request, latestAt };
@@ -255,7 +295,10 @@
       return [...displaced.splice(0).map(({ request }) => request), ...requests];
     },
     isBefore: (priority) => queue.measureBefore('', computeLevel(priority, false)).items > 0,
-    takeReturn: (returnKey, now) => {
+    recordArrival: ({ priority, tokens, returnKey }, now) => {
+      const demand = readDemand(priority, now);
+      const total = { requests: demand.requests + 1, tokens: demand.tokens + tokens };
+      demands.set(priority, { ...total, at: now });
       forgetOldReturns(now);
       const position = returns.findIndex(
         ({ key, at }) => key === returnKey && at - EARLY_MILLISECONDS <= now,
--- a/src/request/createWaitingRoom/test.ts
+++ b/src/request/createWaitingRoom/test.ts
@@ -129,12 +129,12 @@
   const answer = room.offer({ ...request, objectiveMilliseconds: 50 }, 0);
   assert.ok(answer.kind === 'refuse');
   const at = answer.retryAfterMilliseconds;
-  assert.equal(room.takeReturn('a', at - 60), undefined);
-  assert.equal(room.takeReturn('b', at), undefined);
-  assert.equal(room.takeReturn('a', at + 100), at);
-  assert.equal(room.takeReturn('a', at + 100), undefined);
+  assert.equal(room.recordArrival(createRequest('a'), at - 60), undefined);
+  assert.equal(room.recordArrival(createRequest('b'), at), undefined);
+  assert.equal(room.recordArrival(createRequest('a'), at + 100), at);
+  assert.equal(room.recordArrival(createRequest('a'), at + 100), undefined);
   room.offer({ ...request, objectiveMilliseconds: 50 }, 0);
-  assert.equal(room.takeReturn('a', at + 900), undefined);
+  assert.equal(room.recordArrival(createRequest('a'), at + 900), undefined);
 });
 
 test('keeps bounds, order and an answer for each request in any play', () => {
--- a/src/request/forecastRoom/index.ts
+++ b/src/request/forecastRoom/index.ts
@@ -36,6 +36,9 @@
   readonly permitWaitMilliseconds: number;
 }
 
+/** Rate of requests, per millisecond. */
+export type RoomRate = RoomSize;
+
 /** Longest time that a forecast looks ahead, in milliseconds; longer than the deadline of a stream. */
 export const FORECAST_LIMIT_MILLISECONDS = 30_000;
 /** Precision of a forecast, in milliseconds. */
@@ -83,20 +86,46 @@
   };
 }
 
+const NO_RATE: RoomRate = { requests: 0, tokens: 0 };
+
+/**
+ * Returns whether a node has capacity for a number of requests within a time.
+ *
+ * @param facts - what the node knows
+ * @param needed - the requests that are served first, together with the one that is asked about
+ * @param milliseconds - the time from now, in milliseconds
+ * @param arriving - rate of later requests that are served before it; none by default
+ * @returns whether the capacity is enough
+ * @example
+ * hasRoomWithin(facts, { requests: 3, tokens: 2_400 }, 500); // true
+ */
+export function hasRoomWithin(
+  facts: RoomFacts,
+  needed: RoomSize,
+  milliseconds: number,
+  arriving = NO_RATE,
+): boolean {
+  if (milliseconds < facts.permitWaitMilliseconds) return false;
+  const room = computeRoom(facts, milliseconds);
+  return (
+    room.requests >= needed.requests + arriving.requests * milliseconds &&
+    room.tokens >= needed.tokens + arriving.tokens * milliseconds
+  );
+}
+
 /**
  * Forecasts the time until a node has capacity for a number of requests.
  *
  * @param facts - what the node knows
  * @param needed - the requests that are served first, together with the one that is asked about
+ * @param arriving - rate of later requests that are served before it; none by default
  * @returns the time from now in milliseconds; infinite where it is not within the limit of forecasts
  * @example
  * forecastRoom(facts, { requests: 3, tokens: 2_400 }); // 480
  */
-export function forecastRoom(facts: RoomFacts, needed: RoomSize): number {
-  const isEnough = (milliseconds: number): boolean => {
-    const room = computeRoom(facts, milliseconds);
-    return room.requests >= needed.requests && room.tokens >= needed.tokens;
-  };
+export function forecastRoom(facts: RoomFacts, needed: RoomSize, arriving = NO_RATE): number {
+  const isEnough = (milliseconds: number): boolean =>
+    hasRoomWithin(facts, needed, milliseconds, arriving);
   const earliest = Math.max(0, facts.permitWaitMilliseconds);
   if (isEnough(earliest)) return earliest;
   if (earliest >= FORECAST_LIMIT_MILLISECONDS || !isEnough(FORECAST_LIMIT_MILLISECONDS)) {
--- a/src/request/scheduleReturn/index.ts
+++ b/src/request/scheduleReturn/index.ts
@@ -1,7 +1,12 @@
 /**
  * `Retry-After` times that are spread over the capacity that becomes free.
  */
-import { forecastRoom, type RoomFacts, type RoomSize } from '../forecastRoom/index.js';
+import {
+  forecastRoom,
+  type RoomFacts,
+  type RoomRate,
+  type RoomSize,
+} from '../forecastRoom/index.js';
 
 /** Caller that was told when to return. Times are in milliseconds. */
 export interface AnnouncedReturn {
@@ -24,6 +29,8 @@
   readonly level: number;
   /** Returns that were announced and have not taken place. */
   readonly returns: readonly AnnouncedReturn[];
+  /** Rate of more urgent requests that are expected to arrive; none by default. */
+  readonly arriving?: RoomRate;
   readonly now: number;
 }
 
@@ -69,10 +76,10 @@
  * forecastTurn({ facts, needed: { requests: 2, tokens: 1_800 }, level: 2, returns: [], now: 0 }); // 240
  */
 export function forecastTurn(options: ForecastTurnOptions): number {
-  const { facts, needed } = options;
+  const { facts, needed, arriving } = options;
   let counted = needed;
   for (;;) {
-    const turn = forecastRoom(facts, counted);
+    const turn = forecastRoom(facts, counted, arriving);
     // A later time may include further returns, which make it later again.
     const next = addReturns(options, turn);
     if (next.requests === counted.requests) return turn;
