Let streams wait for a path where a service has several priorities

Cause: a stream without a path is refused at once with 0.5 s, whatever its priority. Change: createWaitingRooms holds the rooms of a node, createStreamPlace the place and the reservation of one stream. relayStream waits where it finds no path, or where others wait before it, and nothing of the request may have run. The rooms are read again when a run of the node ends and in each round of messages. decideStreamFailure announces the forecast where there is one. Services with one priority have no room and are refused as before. Log events, gauges and the notes for operators are not part of this change. Measured: the tests of createWaitingRooms (7) and decideStreamFailure, and of the files siteNode, endpointFailures, rateLimits, brokenStreams, doubledRuns and leaving in tests/ pass. No end-to-end test of a stream that waits yet; the emulator and the soak were not run.

--- a/src/process/relay/createStreamPaths/index.ts
+++ b/src/process/relay/createStreamPaths/index.ts
@@ -4,6 +4,7 @@
 import type { ChosenPath } from '../../../request/choosePath/index.js';
 import type { TokenEstimate } from '../../../request/estimateTokens/index.js';
 import { computePermitWaitLimit } from '../../../request/computePermitWaitLimit/index.js';
+import { findRetryTime } from '../../../request/findRetryTime/index.js';
 import type { EndpointRecord, PathHop } from '../../../types/site/index.js';
 import { acquirePermit } from '../acquirePermit/index.js';
 import type { ResponseHead } from '../../../types/relay/index.js';
@@ -50,8 +51,11 @@
     hops: readonly PathHop[],
     refusal: Pick<ResponseHead, 'status' | 'metadata'>,
   ) => string | undefined;
-  /** Returns the time after which another node that refused the request asks to retry, in milliseconds. */
-  readonly getNeighbourRetry: () => number | undefined;
+  /**
+   * Finds the time after which another node that refused the request, or an endpoint that asked for fewer requests,
+   * accepts one, in milliseconds; undefined when there is none.
+   */
+  readonly findRetryTime: () => number | undefined;
   /** Records a complete run for each endpoint of its path. */
   readonly recordSuccess: (hops: readonly PathHop[]) => void;
   /** Returns the first hop whose endpoint is marked as lost. */
@@ -189,7 +193,14 @@
       return isGranted;
     },
     wasDenied: () => denied.size > 0,
-    getNeighbourRetry: () => neighbourRetryMilliseconds,
+    findRetryTime: () =>
+      neighbourRetryMilliseconds ??
+      findRetryTime({
+        endpoints: endpoints.list(),
+        service: request.service.name,
+        estimateWait: permits.estimateWait,
+        now: clock.now(),
+      }),
     recordFailedRun: (first, reason) => {
       if (recordNeighbour(first)) return;
       recordFirstHopFailure(first, reason);
--- a/src/process/relay/decideStreamFailure/index.ts
+++ b/src/process/relay/decideStreamFailure/index.ts
@@ -14,6 +14,8 @@
   readonly isTimeUp: boolean;
   /** Milliseconds until an endpoint that asked for fewer requests accepts one; undefined when there is none. */
   readonly retryMilliseconds?: number | undefined;
+  /** Forecast of the milliseconds until the request has capacity; undefined without a forecast. */
+  readonly forecastMilliseconds?: number | undefined;
   /** Time after which the caller of a blocked request may retry; undefined when it is not blocked. */
   readonly blockedSeconds?: number | undefined;
 }
@@ -24,7 +26,7 @@
   readonly retryAfterSeconds?: number;
 }
 
-/** `Retry-After` when no path has enough free memory, in seconds. */
+/** `Retry-After` when no path has enough free memory and there is no forecast, in seconds. */
 const NO_MEMORY_RETRY_SECONDS = 0.5;
 
 /**
@@ -44,11 +46,13 @@
     return { code: 'blocked', retryAfterSeconds: conditions.blockedSeconds };
   }
   if (!conditions.mayHaveRun) {
-    const retrySeconds = (conditions.retryMilliseconds ?? 0) / MILLISECONDS_PER_SECOND;
-    return {
-      code: 'overloaded',
-      retryAfterSeconds: Math.max(NO_MEMORY_RETRY_SECONDS, retrySeconds),
-    };
+    const { forecastMilliseconds, retryMilliseconds = 0 } = conditions;
+    const forecastSeconds =
+      forecastMilliseconds === undefined
+        ? NO_MEMORY_RETRY_SECONDS
+        : forecastMilliseconds / MILLISECONDS_PER_SECOND;
+    const retrySeconds = retryMilliseconds / MILLISECONDS_PER_SECOND;
+    return { code: 'overloaded', retryAfterSeconds: Math.max(forecastSeconds, retrySeconds) };
   }
   return { code: conditions.isTimeUp ? 'outcomeUnknown' : 'endpointFailed' };
 }
--- a/src/process/relay/decideStreamFailure/test.ts
+++ b/src/process/relay/decideStreamFailure/test.ts
@@ -19,3 +19,14 @@
   assert.equal(decideStreamFailure({ ...conditions, isTimeUp: true }).code, 'outcomeUnknown');
   assert.equal(decideStreamFailure({ ...conditions, isTimeUp: false }).code, 'endpointFailed');
 });
+
+test('announces the forecast, unless an endpoint asked for more time', () => {
+  const conditions = { hasBegun: false, mayHaveRun: false, isTimeUp: false };
+  const announce = (forecastMilliseconds?: number, retryMilliseconds?: number) =>
+    decideStreamFailure({ ...conditions, forecastMilliseconds, retryMilliseconds })
+      .retryAfterSeconds;
+  assert.equal(announce(), 0.5);
+  assert.equal(announce(200), 0.2);
+  assert.equal(announce(3_200), 3.2);
+  assert.equal(announce(200, 1_500), 1.5);
+});
--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -5,9 +5,7 @@
  * response continues: on a path with the same first endpoint if only later endpoints were lost,
  * otherwise in a new run after the last forwarded event.
  */
-import { estimateTokens, type TokenEstimate } from '../../../request/estimateTokens/index.js';
 import type { ChosenPath } from '../../../request/choosePath/index.js';
-import { findRetryTime } from '../../../request/findRetryTime/index.js';
 import type { EndpointCall, ResponseEnd } from '../../../types/relay/index.js';
 import type { PathHop } from '../../../types/site/index.js';
 import type { CrashCheck } from '../createCrashRecorder/index.js';
@@ -15,13 +13,13 @@
 import { createRunCounter } from '../createRunCounter/index.js';
 import { createRunRecord, type RunRecord } from '../createRunRecord/index.js';
 import { createStreamResponse } from '../createStreamResponse/index.js';
+import { createStreamPlace } from '../createStreamPlace/index.js';
 import { createStreamPaths } from '../createStreamPaths/index.js';
 import { decideStreamFailure, type StreamFailureConditions } from '../decideStreamFailure/index.js';
 import { formatHops } from '../formatHops/index.js';
 import { moveStream } from '../moveStream/index.js';
 import { CONTINUATION_PRIORITY, openRequestRun } from '../openRequestRun/index.js';
 import type { NonStreamResponse } from '../openStreamRun/index.js';
-import { reserveMemory } from '../selectPath/index.js';
 import { watchLostEndpoints } from '../watchLostEndpoints/index.js';
 import { watchStream } from '../watchStream/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
@@ -29,6 +27,8 @@
 /** State of a stream; `checking` while the end of a run is looked into before the next one. */
 type RunState = 'idle' | 'running' | 'checking' | 'moving' | 'done';
 
+const NO_PATH = 'no path with enough free memory';
+
 /** Open run of a stream. */
 interface OpenRun {
   readonly call: EndpointCall;
@@ -53,8 +53,8 @@
 }
 
 function startStream(context: RelayContext, request: RelayedRequest, onDone: () => void): void {
-  const { clock, budget, endpoints, neighbours, permits } = context;
-  const { route, service, caller, deadlineAt, log } = request;
+  const { clock, budget, neighbours } = context;
+  const { route, service, deadlineAt, log } = request;
   const paths = createStreamPaths(context, request);
   let state: RunState = 'idle';
   let call: EndpointCall | undefined;
@@ -104,6 +104,8 @@
       finish();
     },
   });
+  const place = createStreamPlace({ context, request, paths, response, counter });
+  const { computeSize } = place;
   const lostEndpoints = watchLostEndpoints({
     context,
     request,
@@ -214,6 +216,7 @@
     endRun();
     endStandby();
     watch.close();
+    place.end();
     lostEndpoints.close();
     stopBlockListener();
     gate.end();
@@ -242,26 +245,13 @@
         hasBegun,
         mayHaveRun: counter.mayHaveRun(),
         isTimeUp: false,
-        retryMilliseconds: paths.getNeighbourRetry() ?? findOwnRetryTime(),
+        retryMilliseconds: paths.findRetryTime(),
         ...conditions,
       }),
     });
     finish();
   }
 
-  function findOwnRetryTime(): number | undefined {
-    return findRetryTime({
-      endpoints: endpoints.list(),
-      service: service.name,
-      estimateWait: permits.estimateWait,
-      now: clock.now(),
-    });
-  }
-
-  function computeSize(): TokenEstimate {
-    return estimateTokens({ caller, model: service.model, lastEventId: response.getLastEventId() });
-  }
-
   /** Selects the path of the next run, and starts it when its first endpoint may get a request. */
   function startRun(chosen?: ChosenPath): void {
     const blocked = gate.mayRun() ? undefined : gate.admitRun();
@@ -269,12 +259,21 @@
       failBlocked(blocked);
       return;
     }
-    path = chosen ?? paths.select(computeSize());
-    if (!path) failRun(paths.wasDenied() ? 'rate limit' : 'no path with enough free memory');
+    path = chosen ?? place.select();
+    if (!path && place.mayWait()) void waitForPath();
+    else if (!path) failRun(paths.wasDenied() ? 'rate limit' : NO_PATH);
     else if (paths.needsPermit(path)) void startPermittedRun(path);
     else runOn(path);
   }
 
+  async function waitForPath(): Promise<void> {
+    const isUnchanged = beginCheck();
+    const found = await place.wait();
+    if (!isUnchanged()) return;
+    if ('hops' in found) startRun(found);
+    else fail(NO_PATH, { forecastMilliseconds: found.retryAfterMilliseconds });
+  }
+
   async function startPermittedRun(chosen: ChosenPath): Promise<void> {
     const isUnchanged = beginCheck();
     const mayStart = await paths.acquirePermit(chosen, {
@@ -304,8 +303,7 @@
       failRun('retry budget exhausted');
       return;
     }
-    const { roomTokens } = computeSize();
-    release = reserveMemory(context, service.model, chosen.hops, roomTokens);
+    release = place.reserve(chosen);
     state = 'running';
     if (chosen.neighbour) logHandOver(chosen.neighbour.name);
     openRun(chosen, first);
--- a/src/process/relay/types/index.ts
+++ b/src/process/relay/types/index.ts
@@ -24,6 +24,7 @@
 import type { PartGuard } from '../createPartGuard/index.js';
 import type { RelayMetrics } from '../createRelayMetrics/index.js';
 import type { Neighbours } from '../createNeighbours/index.js';
+import type { WaitingRooms } from '../createWaitingRooms/index.js';
 import type { RequestLog } from '../createRequestLog/index.js';
 
 /** Dependencies of the process that a relayed request uses. */
@@ -53,6 +54,8 @@
   readonly zoneLinks: ZoneLinkMonitor;
   /** Limit on the memory of all responses that are buffered at the same time. */
   readonly responseMemory: BodyMemoryLimit;
+  /** Requests that wait for a path, of services whose requests have different priorities. */
+  readonly waitingRooms: WaitingRooms;
   /** Returns the number of live nodes, including this one. */
   readonly countNodes: () => number;
   /** Returns the milliseconds since the last load report of another node. */
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -3,6 +3,7 @@
  */
 import { createZoneLinkMonitor } from '../../../request/createZoneLinkMonitor/index.js';
 import { createServiceRetryBudget } from '../../../request/createServiceRetryBudget/index.js';
+import { listPriorities } from '../../../version/listPriorities/index.js';
 import type { Clock } from '../../../types/clock/index.js';
 import type { EndpointPort, NeighbourPort } from '../../../types/relay/index.js';
 import type { NodeRecord } from '../../../types/site/index.js';
@@ -17,6 +18,7 @@
 import { createNeighbours } from '../../relay/createNeighbours/index.js';
 import { createEndpointProber } from '../../relay/createEndpointProber/index.js';
 import { createRelay, type Relay } from '../../relay/createRelay/index.js';
+import { createWaitingRooms } from '../../relay/createWaitingRooms/index.js';
 import { createStartGate } from '../../relay/createStartGate/index.js';
 import { createStopSignal } from '../../relay/createStopSignal/index.js';
 import { createRelayMetrics, type RelayMetrics } from '../../relay/createRelayMetrics/index.js';
@@ -166,12 +168,14 @@
       listServices: () => state.getCompiled()?.configuration.services ?? [],
     });
   };
+  let priorities: ReadonlyMap<string, readonly number[]> = new Map();
   const state = createSiteState({
     decoders,
     logger,
     now,
     parse: parseJson,
     onConfiguration: (compiled) => {
+      priorities = listPriorities(compiled.configuration);
       onConfiguration(compiled);
       startServing();
       follower.clearPendingRead();
@@ -360,6 +364,16 @@
     now,
     random,
   });
+  const waitingRooms = createWaitingRooms({
+    clock,
+    endpoints: state.endpoints,
+    metrics,
+    permits,
+    stopSignal,
+    countNodes: exchange.peers.countAlive,
+    readLoadAge: exchange.readLoadAge,
+    getPriorities: () => priorities,
+  });
   const context: RelayContext = {
     availabilityZone: self.availabilityZone,
     endpoints: state.endpoints,
@@ -374,6 +388,7 @@
     permits,
     crashes,
     partGuard,
+    waitingRooms,
     decisions,
     clock,
     random,
@@ -411,6 +426,7 @@
         partExchange.step();
         rateLimits.step();
         links.step();
+        waitingRooms.step();
         return exchange.step();
       },
       planner: planner.step,
