--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -3,6 +3,7 @@
  */
 import { createZoneLinkMonitor } from '../../../request/createZoneLinkMonitor/index.js';
 import { createServiceRetryBudget } from '../../../request/createServiceRetryBudget/index.js';
+import { listPriorities } from '../../../version/listPriorities/index.js';
 import type { Clock } from '../../../types/clock/index.js';
 import type { EndpointPort, NeighbourPort } from '../../../types/relay/index.js';
 import type { NodeRecord } from '../../../types/site/index.js';
@@ -17,6 +18,7 @@
 import { createNeighbours } from '../../relay/createNeighbours/index.js';
 import { createEndpointProber } from '../../relay/createEndpointProber/index.js';
 import { createRelay, type Relay } from '../../relay/createRelay/index.js';
+import { createWaitingRooms } from '../../relay/createWaitingRooms/index.js';
 import { createStartGate } from '../../relay/createStartGate/index.js';
 import { createStopSignal } from '../../relay/createStopSignal/index.js';
 import { createRelayMetrics, type RelayMetrics } from '../../relay/createRelayMetrics/index.js';
@@ -158,12 +160,14 @@
       listServices: () => state.getCompiled()?.configuration.services ?? [],
     });
   };
+  let priorities: ReadonlyMap<string, readonly number[]> = new Map();
   const state = createSiteState({
     decoders,
     logger,
     now,
     parse: parseJson,
     onConfiguration: (compiled) => {
+      priorities = listPriorities(compiled.configuration);
       onConfiguration(compiled);
       startServing();
       follower.clearPendingRead();
@@ -338,6 +342,16 @@
     now,
     random,
   });
+  const waitingRooms = createWaitingRooms({
+    clock,
+    endpoints: state.endpoints,
+    metrics,
+    permits,
+    stopSignal,
+    countNodes: exchange.peers.countAlive,
+    readLoadAge: exchange.readLoadAge,
+    getPriorities: () => priorities,
+  });
   const context: RelayContext = {
     availabilityZone: self.availabilityZone,
     endpoints: state.endpoints,
@@ -353,6 +367,7 @@
     admission,
     crashes,
     partGuard,
+    waitingRooms,
     decisions,
     clock,
     random,
@@ -391,6 +406,7 @@
         rateLimits.step();
         admission.step();
         links.step();
+        waitingRooms.step();
         return exchange.step();
       },
       planner: planner.step,
