--- a/emulator/decisionVariants/index.ts
+++ b/emulator/decisionVariants/index.ts
@@ -69,6 +69,10 @@
     candidates: options.candidates.map((candidate) => ({ ...candidate, usedTokenLayers: 0 })),
   });
 
+/** Lets the requests of every priority fill the whole capacity. */
+const shareNothing: SiteDecisions['computeAdmissionShares'] = ({ demand }) =>
+  new Map(demand.priorities.map(({ priority }) => [priority, 1]));
+
 /** Variants of the decisions by name; `product` is the router's own. */
 export const DECISION_VARIANTS: Readonly<Record<string, SiteDecisions>> = {
   product: SITE_DECISIONS,
@@ -76,9 +80,11 @@
   'any-path': { ...SITE_DECISIONS, choosePath: chooseAnyPath, prefersLocalZone: false },
   'admit-all': { ...SITE_DECISIONS, choosePath: chooseIgnoringMemory },
   'run-anew': { ...SITE_DECISIONS, movesRuns: false },
+  'no-shares': { ...SITE_DECISIONS, computeAdmissionShares: shareNothing },
   'ignore-era': SITE_DECISIONS,
   'ignore-limits': SITE_DECISIONS,
   'no-neighbours': SITE_DECISIONS,
+  'trust-ends': SITE_DECISIONS,
 };
 
 /** What the nodes of a variant lack, beside its decisions. */
@@ -89,6 +95,8 @@
   readonly ignoresLimits?: boolean;
   /** Whether they may hand requests over to each other. */
   readonly hasNeighbours?: boolean;
+  /** Whether they take a response without framing for complete when its connection ends. */
+  readonly trustsEnds?: boolean;
 }
 
 /** Variants whose nodes lack something, by name. */
@@ -96,4 +104,5 @@
   'ignore-era': { ignoresEra: true },
   'ignore-limits': { ignoresLimits: true },
   'no-neighbours': { hasNeighbours: false },
+  'trust-ends': { trustsEnds: true },
 };
--- a/emulator/readScenario/index.ts
+++ b/emulator/readScenario/index.ts
@@ -74,7 +74,13 @@
 const spanSchema = { at: z.number(), seconds: z.number() };
 
 const faultSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('burst'), ...spanSchema, factor: z.number() }),
+  /** More requests, of one priority or of all. */
+  z.object({
+    kind: z.literal('burst'),
+    ...spanSchema,
+    factor: z.number(),
+    priority: z.number().optional(),
+  }),
   z.object({
     kind: z.literal('crashEngines'),
     ...spanSchema,
@@ -124,6 +130,8 @@
   seconds: z.number(),
   /** Factor on the site's request rate. */
   rate: z.number().default(1),
+  /** Whether streams have neither a length nor chunks, and end with their connection; not by default. */
+  isUnframed: z.boolean().optional(),
   troubles: z.array(faultSchema),
 });
 
--- a/src/process/relay/createStreamPaths/index.ts
+++ b/src/process/relay/createStreamPaths/index.ts
@@ -4,6 +4,7 @@
 import type { ChosenPath } from '../../../request/choosePath/index.js';
 import type { TokenEstimate } from '../../../request/estimateTokens/index.js';
 import { computePermitWaitLimit } from '../../../request/computePermitWaitLimit/index.js';
+import { findRetryTime } from '../../../request/findRetryTime/index.js';
 import type { EndpointRecord, PathHop } from '../../../types/site/index.js';
 import { acquirePermit } from '../acquirePermit/index.js';
 import type { ResponseHead } from '../../../types/relay/index.js';
@@ -50,8 +51,11 @@
     hops: readonly PathHop[],
     refusal: Pick<ResponseHead, 'status' | 'metadata'>,
   ) => string | undefined;
-  /** Returns the time after which another node that refused the request asks to retry, in milliseconds. */
-  readonly getNeighbourRetry: () => number | undefined;
+  /**
+   * Finds the time after which another node that refused the request, or an endpoint that asked for fewer requests,
+   * accepts one, in milliseconds; undefined when there is none.
+   */
+  readonly findRetryTime: () => number | undefined;
   /** Records a complete run for each endpoint of its path. */
   readonly recordSuccess: (hops: readonly PathHop[]) => void;
   /** Returns the first hop whose endpoint is marked as lost. */
@@ -74,11 +78,16 @@
  *
  * @param context - dependencies of the process
  * @param request - the request
+ * @param hasBegun - returns whether the response has begun, so that runs continue it
  * @returns the path selection
  * @example
  * createStreamPaths(context, request).select(size)?.hops;
  */
-export function createStreamPaths(context: RelayContext, request: RelayedRequest): StreamPaths {
+export function createStreamPaths(
+  context: RelayContext,
+  request: RelayedRequest,
+  hasBegun: () => boolean = () => false,
+): StreamPaths {
   const { clock, endpoints, neighbours, permits, prober } = context;
   /** Endpoints that refused a run of this stream or could not be reached. */
   const avoidedEndpoints = new Set<string>();
@@ -139,6 +148,7 @@
       ...size,
       excluded: new Set([...avoidedEndpoints, ...excluded]),
       mayStart,
+      isContinuation: hasBegun(),
     });
   /** Computes how long a run may wait for a path's first endpoint: no longer than until another path responds. */
   const computeWaitLimit = (
@@ -152,6 +162,7 @@
       ...size,
       excluded: avoidedEndpoints,
       mayStart: (record) => record.id !== endpoint.id && mayStart(record),
+      isContinuation: hasBegun(),
     });
     if (!other) return limit;
     // The predicted time of a path includes the wait that is expected at its first endpoint.
@@ -176,7 +187,12 @@
     selectWithFirstHop: (firstHop, size) =>
       neighbours.arePreferred(hasFailedToConnect)
         ? undefined
-        : selectPath(context, request, { ...size, excluded: avoidedEndpoints, firstHop }),
+        : selectPath(context, request, {
+            ...size,
+            excluded: avoidedEndpoints,
+            firstHop,
+            isContinuation: hasBegun(),
+          }),
     needsPermit: (path) => findLimit(path) !== undefined,
     acquirePermit: async (path, options) => {
       const limited = findLimit(path);
@@ -189,7 +205,14 @@
       return isGranted;
     },
     wasDenied: () => denied.size > 0,
-    getNeighbourRetry: () => neighbourRetryMilliseconds,
+    findRetryTime: () =>
+      neighbourRetryMilliseconds ??
+      findRetryTime({
+        endpoints: endpoints.list(),
+        service: request.service.name,
+        estimateWait: permits.estimateWait,
+        now: clock.now(),
+      }),
     recordFailedRun: (first, reason) => {
       if (recordNeighbour(first)) return;
       recordFirstHopFailure(first, reason);
@@ -212,6 +235,7 @@
       const refusingEndpoint = namedEndpoint ?? endpoints.find(hops[0]?.endpoint ?? '');
       if (!refusingEndpoint) return undefined;
       const { id } = refusingEndpoint.record;
+      context.metrics.count('refused_arrivals', request.service.name);
       avoidedEndpoints.add(id);
       void prober.probe(id, `status ${status}`);
       endpoints.avoid(refusingEndpoint, clock.now(), REFUSAL_AVOID_MILLISECONDS);
--- a/src/process/relay/selectPath/index.ts
+++ b/src/process/relay/selectPath/index.ts
@@ -19,6 +19,8 @@
 import { formatHops } from '../formatHops/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
 
+/** Digits of shares in log lines. */
+const SHARE_DIGITS = 3;
 /** Time for which an endpoint's report of its memory is used, in milliseconds. */
 const REPORT_VALID_MILLISECONDS = 600;
 
@@ -37,6 +39,12 @@
 /** Share of a route's latency limits up to which a path within the local zone is used directly. */
 const TARGET_SHARE = 0.5;
 
+/**
+ * Relative size of the random part of a hop's cost where nodes spread their choices. With a part as large as the cost,
+ * most nodes still choose the endpoint that looks best by loads that are half a second old, and overload it.
+ */
+const SPREAD_COST_SPREAD = 3;
+
 /** Returns whether a path is fast enough that remote zones need not be considered. */
 function isWithinTarget(path: ChosenPath, route: SiteRoute): boolean {
   return (
@@ -58,6 +66,8 @@
   readonly firstHop?: PathHop | undefined;
   /** Returns whether a path may begin at an endpoint; all may by default. */
   readonly mayStart?: (endpoint: EndpointRecord) => boolean;
+  /** Whether the run continues a stream whose response has begun, so that no share limits it; false by default. */
+  readonly isContinuation?: boolean;
 }
 
 /**
@@ -106,7 +116,7 @@
   context: RelayContext,
   request: RelayedRequest,
   candidates: readonly PathCandidate[],
-  roomTokens: number,
+  { roomTokens, fillableShare }: { readonly roomTokens: number; readonly fillableShare: number },
   path: ChosenPath | undefined,
 ): void {
   const { model } = request.service;
@@ -129,6 +139,7 @@
   const tightest = findLeastFreeMemory(sections);
   request.log.add('path-missing', {
     ...common,
+    ...(fillableShare < 1 && { fillableShare: Number(fillableShare.toFixed(SHARE_DIGITS)) }),
     uncovered: formatRanges(uncovered.map(({ range }) => range)),
     tightest: tightest ? `${formatRanges([tightest.range])}: ${tightest.tokens ?? 0}` : '',
   });
@@ -150,9 +161,13 @@
   options: SelectPathOptions,
 ): ChosenPath | undefined {
   const { endpoints, random, availabilityZone } = context;
-  const { model } = request.service;
+  const { model, spreadsChoices = false } = request.service;
   if (!model) return undefined;
+  const nodes = context.countNodes();
   const { firstHop, promptTokens, answerTokens, roomTokens, excluded, mayStart } = options;
+  const { isContinuation = false } = options;
+  const { name } = request.service;
+  const fillableShare = isContinuation ? 1 : context.admission.findShare(name, request.priority);
   const candidates = listCandidates(context, request.service, excluded, mayStart);
   const firstZone = firstHop && endpoints.find(firstHop.endpoint)?.record.availabilityZone;
   const startZone = firstZone ?? availabilityZone;
@@ -164,7 +179,9 @@
       promptTokens,
       answerTokens,
       random,
-      nodes: context.countNodes(),
+      nodes,
+      fillableShare,
+      ...(spreadsChoices && nodes > 1 && { costSpread: SPREAD_COST_SPREAD }),
       estimateZoneLinkWait: (from, to) =>
         context.zoneLinks.estimateWait(from, to, context.clock.now()),
       ...(firstHop && { firstHop: { hop: firstHop, availabilityZone: startZone } }),
@@ -177,7 +194,9 @@
   const localPath = triesLocalFirst ? choose(localCandidates) : undefined;
   const path =
     localPath && isWithinTarget(localPath, request.route) ? localPath : choose(candidates);
-  logChoice(context, request, candidates, roomTokens, path);
+  if (!path && fillableShare < 1)
+    context.metrics.count('share_refusals', `${name}/${request.priority}`);
+  logChoice(context, request, candidates, { roomTokens, fillableShare }, path);
   return path;
 }
 
@@ -200,19 +219,20 @@
  * Reserves memory for a request on each hop of a path.
  *
  * @param context - dependencies of the process
- * @param model - the model, if the service has one
+ * @param request - the request
  * @param hops - the path
  * @param tokens - maximum number of tokens of the request
  * @returns a function that releases the memory; further calls have no effect
  * @example
- * const release = reserveMemory(context, model, path.hops, 900);
+ * const release = reserveMemory(context, request, path.hops, 900);
  */
 export function reserveMemory(
   context: RelayContext,
-  model: LayeredModel | undefined,
+  { service, priority }: Pick<RelayedRequest, 'service' | 'priority'>,
   hops: readonly PathHop[],
   tokens: number,
 ): () => void {
+  const { name, model } = service;
   if (model) recordTransfers(context, model, hops, tokens);
   const reserved = hops.flatMap(({ endpoint: id, range }) => {
     const endpoint = context.endpoints.find(id);
@@ -222,10 +242,14 @@
     endpoint.localRequests += 1;
     endpoint.localTokenLayers += tokenLayers;
   }
+  const tokenLayers = reserved.reduce((sum, reservation) => sum + reservation.tokenLayers, 0);
+  const endHold =
+    reserved.length > 0 ? context.admission.hold(name, { priority, tokenLayers }) : undefined;
   let isReleased = false;
   return () => {
     if (isReleased) return;
     isReleased = true;
+    endHold?.();
     for (const { endpoint, tokenLayers } of reserved) {
       endpoint.localRequests = Math.max(0, endpoint.localRequests - 1);
       endpoint.localTokenLayers = Math.max(0, endpoint.localTokenLayers - tokenLayers);
--- a/src/process/relay/types/index.ts
+++ b/src/process/relay/types/index.ts
@@ -17,6 +17,7 @@
 import type { CrashRecorder } from '../createCrashRecorder/index.js';
 import type { EndpointProber } from '../createEndpointProber/index.js';
 import type { LinkMonitor } from '../createLinkMonitor/index.js';
+import type { AdmissionExchange } from '../../site/createAdmissionExchange/index.js';
 import type { Permits } from '../../site/createPermits/index.js';
 import type { RateLimits } from '../../site/createRateLimits/index.js';
 import type { SiteDecisions } from '../../site/siteDecisions/index.js';
@@ -24,6 +25,7 @@
 import type { PartGuard } from '../createPartGuard/index.js';
 import type { RelayMetrics } from '../createRelayMetrics/index.js';
 import type { Neighbours } from '../createNeighbours/index.js';
+import type { WaitingRooms } from '../createWaitingRooms/index.js';
 import type { RequestLog } from '../createRequestLog/index.js';
 
 /** Dependencies of the process that a relayed request uses. */
@@ -44,6 +46,8 @@
   /** Rate limits that endpoints announced, and the permits to send them requests. */
   readonly rateLimits: Pick<RateLimits, 'record'>;
   readonly permits: Pick<Permits, 'findLimit' | 'estimateWait' | 'acquire'>;
+  /** Shares of capacity that requests may fill, by priority. */
+  readonly admission: Pick<AdmissionExchange, 'findShare' | 'record' | 'hold' | 'listShares'>;
   readonly crashes: CrashRecorder;
   readonly partGuard: PartGuard;
   readonly decisions: Pick<SiteDecisions, 'choosePath' | 'movesRuns' | 'prefersLocalZone'>;
@@ -53,6 +57,8 @@
   readonly zoneLinks: ZoneLinkMonitor;
   /** Limit on the memory of all responses that are buffered at the same time. */
   readonly responseMemory: BodyMemoryLimit;
+  /** Requests that wait for a path, of services whose requests have different priorities. */
+  readonly waitingRooms: WaitingRooms;
   /** Returns the number of live nodes, including this one. */
   readonly countNodes: () => number;
   /** Returns the milliseconds since the last load report of another node. */
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -3,6 +3,7 @@
  */
 import { createZoneLinkMonitor } from '../../../request/createZoneLinkMonitor/index.js';
 import { createServiceRetryBudget } from '../../../request/createServiceRetryBudget/index.js';
+import { listPriorities } from '../../../version/listPriorities/index.js';
 import type { Clock } from '../../../types/clock/index.js';
 import type { EndpointPort, NeighbourPort } from '../../../types/relay/index.js';
 import type { NodeRecord } from '../../../types/site/index.js';
@@ -17,6 +18,7 @@
 import { createNeighbours } from '../../relay/createNeighbours/index.js';
 import { createEndpointProber } from '../../relay/createEndpointProber/index.js';
 import { createRelay, type Relay } from '../../relay/createRelay/index.js';
+import { createWaitingRooms } from '../../relay/createWaitingRooms/index.js';
 import { createStartGate } from '../../relay/createStartGate/index.js';
 import { createStopSignal } from '../../relay/createStopSignal/index.js';
 import { createRelayMetrics, type RelayMetrics } from '../../relay/createRelayMetrics/index.js';
@@ -44,15 +46,7 @@
   type NodeRegistration,
 } from '../createNodeRegistration/index.js';
 import { createCrashProtection } from '../createCrashProtection/index.js';
-import { createPermits } from '../createPermits/index.js';
-import { createRateLimits } from '../createRateLimits/index.js';
-import { encodeNumbersMessage, tagEndpoint } from '../peerMessageCodec/index.js';
-import {
-  PERMIT_REPLY_KIND,
-  PERMIT_REQUEST_KIND,
-  RATE_LIMITS_KIND,
-} from '../peerMessageFormat/index.js';
-import { encodePermitReply, encodePermitRequest, encodeRateLimits } from '../permitCodec/index.js';
+import { createRequestLimits } from '../createRequestLimits/index.js';
 import { createPlanner, type Planner } from '../createPlanner/index.js';
 import { splitChanges } from '../splitChanges/index.js';
 import { SITE_DECISIONS, type SiteDecisions } from '../siteDecisions/index.js';
@@ -166,12 +160,14 @@
       listServices: () => state.getCompiled()?.configuration.services ?? [],
     });
   };
+  let priorities: ReadonlyMap<string, readonly number[]> = new Map();
   const state = createSiteState({
     decoders,
     logger,
     now,
     parse: parseJson,
     onConfiguration: (compiled) => {
+      priorities = listPriorities(compiled.configuration);
       onConfiguration(compiled);
       startServing();
       follower.clearPendingRead();
@@ -179,31 +175,16 @@
       void exchange.step();
     },
   });
-  const rateLimits = createRateLimits({
+  const { rateLimits, permits, admission } = createRequestLimits({
     self,
     clock,
     random,
     logger,
-    listAlive: () => exchange.peers.listAlive(),
-    send: (address, facts) => {
-      const numbers = encodeRateLimits(facts, now(), tagEndpoint);
-      options.peerPort.send(address, encodeNumbersMessage(RATE_LIMITS_KIND, numbers));
-    },
-  });
-  const permits = createPermits({
-    self: self.name,
-    clock,
-    rateLimits,
-    listAlive: () => exchange.peers.listAlive(),
-    countKnown: () => exchange.peers.countKnown(),
-    sendRequest: (address, request) => {
-      const numbers = encodePermitRequest(request, now(), tagEndpoint);
-      options.peerPort.send(address, encodeNumbersMessage(PERMIT_REQUEST_KIND, numbers));
-    },
-    sendReply: (address, reply) => {
-      const numbers = encodePermitReply(reply);
-      options.peerPort.send(address, encodeNumbersMessage(PERMIT_REPLY_KIND, numbers));
-    },
+    endpoints: state.endpoints,
+    peerPort: options.peerPort,
+    getPeers: () => exchange.peers,
+    getCompiled: state.getCompiled,
+    computeShares: decisions.computeAdmissionShares,
   });
   const links = createLinkMonitor({
     endpoints: state.endpoints,
@@ -245,6 +226,7 @@
     getPlanner: () => planner,
     getRateLimits: () => rateLimits,
     getPermits: () => permits,
+    getAdmission: () => admission,
     getParts: () => ({
       list: () => ({
         ...partGuard.breakers.listFacts(now()),
@@ -360,6 +342,16 @@
     now,
     random,
   });
+  const waitingRooms = createWaitingRooms({
+    clock,
+    endpoints: state.endpoints,
+    metrics,
+    permits,
+    stopSignal,
+    countNodes: exchange.peers.countAlive,
+    readLoadAge: exchange.readLoadAge,
+    getPriorities: () => priorities,
+  });
   const context: RelayContext = {
     availabilityZone: self.availabilityZone,
     endpoints: state.endpoints,
@@ -372,8 +364,10 @@
     neighbours,
     rateLimits,
     permits,
+    admission,
     crashes,
     partGuard,
+    waitingRooms,
     decisions,
     clock,
     random,
@@ -410,7 +404,9 @@
         state.applyHeldEntries();
         partExchange.step();
         rateLimits.step();
+        admission.step();
         links.step();
+        waitingRooms.step();
         return exchange.step();
       },
       planner: planner.step,
