--- a/src/process/site/formatGauges/index.ts
+++ b/src/process/site/formatGauges/index.ts
@@ -1,6 +1,8 @@
 /**
  * Formats a node's status as gauges in the Prometheus text format.
  */
+import { HELD_KINDS } from '../../../connection/createMemoryAccount/index.js';
+import type { ConnectionGuard } from '../../runtime/guardConnections/index.js';
 import type { SiteStatus } from '../describeSite/index.js';
 
 /** Values that the status does not contain. */
@@ -9,6 +11,8 @@
   readonly open: number;
   /** Log lines dropped since the start. */
   readonly leftOut: number;
+  /** Guard of the callers' connections. */
+  readonly guard: Pick<ConnectionGuard, 'memory' | 'countConnections'>;
 }
 
 const STATES = ['usable', 'draining', 'lost', 'avoided'] as const;
@@ -29,7 +33,7 @@
  * @param extras - number of open requests and of dropped log lines
  * @returns the text
  * @example
- * formatGauges(core.describe(), { open: 3, leftOut: 0 });
+ * formatGauges(core.describe(), { open: 3, leftOut: 0, guard });
  */
 export function formatGauges(status: SiteStatus, extras: GaugeExtras): string {
   const { endpoints, services, room, nodes } = status;
@@ -49,6 +53,10 @@
       {},
       endpoints.filter(({ requestsPerSecond }) => requestsPerSecond !== undefined).length,
     ),
+    gauge('caller_connections', {}, extras.guard.countConnections()),
+    ...HELD_KINDS.map((kind) =>
+      gauge('caller_memory_bytes', { kind }, extras.guard.memory.countHeld(kind)),
+    ),
     gauge('log_lines_left_out', {}, extras.leftOut),
     gauge('nodes', { state: 'alive' }, nodes.filter(({ state }) => state === 'alive').length),
     gauge('nodes', { state: 'leaving' }, nodes.filter(({ state }) => state === 'leaving').length),
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -70,6 +70,19 @@
   }),
   leaving: define('info', 'The node is shutting down and accepts no new callers.', { open }),
   stopped: define('info', 'The node stopped and the process exits.', { open }),
+  'caller-limited': define(
+    'warn',
+    'A connection of a caller was closed, or its request refused, because of a limit of caller connections.',
+    {
+      cause: text(
+        'total, address: too many connections; unread: nobody reads the response; evictedBody, evictedResponse: closed to make room; noMemory',
+      ),
+      address: text("the caller's address"),
+      heldBytes: number('bytes that the connection held'),
+      open: number('requests of the connection without a complete response'),
+      omitted: number('such events without a line since the last one'),
+    },
+  ),
   'loop-failed': define(
     'error',
     'A loop failed with an internal error, or a listener cannot accept a connection; it continues.',
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -9,6 +9,7 @@
 import type { EndpointPort, SiteProtocol } from '../../../types/relay/index.js';
 import type { NodeRecord } from '../../../types/site/index.js';
 import type { Store } from '../../../types/store/index.js';
+import { createTokenBucket } from '../../../request/createTokenBucket/index.js';
 import { describeError } from '../../describeError/index.js';
 import { createLifeCycle } from '../../createLifeCycle/index.js';
 import type { LeavingPeriod } from '../../relay/admitRequest/index.js';
@@ -98,6 +99,9 @@
  */
 const LEAVING_MARGIN_MILLISECONDS = 500;
 const LEAVING_MARGIN_SHARE = 1 / 6;
+/** Log lines of limited callers, which a burst of them must not fill the log with. */
+const LIMIT_LINES_PER_SECOND = 2;
+const LIMIT_LINES_BURST = 20;
 const LEAVING_CHECK_MILLISECONDS = 10;
 /** Share of that margin in which the last responses of a leaving node are sent. */
 const LAST_RESPONSES_SHARE = 0.5;
@@ -151,11 +155,24 @@
       metrics.count('closed_connections', cause);
     },
   );
+  const limitLines = createTokenBucket({
+    tokensPerSecond: LIMIT_LINES_PER_SECOND,
+    burst: LIMIT_LINES_BURST,
+    now,
+  });
+  let omittedLimitLines = 0;
   const guard = guardConnections(callerServer, {
     limits,
     now,
-    onLimit: ({ cause }) => {
+    onLimit: ({ cause, address, heldBytes, openRequests }) => {
       metrics.count('caller_limits', cause);
+      if (!limitLines.take()) {
+        omittedLimitLines += 1;
+        return;
+      }
+      const omitted = omittedLimitLines;
+      omittedLimitLines = 0;
+      logger.log('caller-limited', { cause, address, heldBytes, open: openRequests, omitted });
     },
   });
   lifeCycle.own({ name: 'guard of callers', close: guard.close });
@@ -201,7 +218,7 @@
   const isReady = (): boolean => state.getCompiled() !== undefined && !isLeaving();
   const readinessServer = createReadinessServer(queries, isReady, {
     '/metrics': () => {
-      const extras = { open: handler.countOpen(), leftOut: logger.countDroppedLines() };
+      const extras = { open: handler.countOpen(), leftOut: logger.countDroppedLines(), guard };
       return `${metrics.format()}${formatGauges(core.describe(), extras)}`;
     },
     '/v1/status': () => JSON.stringify(core.describe()),
--- a/tests/support/siteNodes/index.ts
+++ b/tests/support/siteNodes/index.ts
@@ -154,7 +154,9 @@
 export async function startNode(
   name: string,
   store: SiteStore,
-  changes: Partial<Pick<StartSiteNodeOptions, 'graceMilliseconds' | 'endpointPort' | 'node'>> = {},
+  changes: Partial<
+    Pick<StartSiteNodeOptions, 'graceMilliseconds' | 'endpointPort' | 'node' | 'callerLimits'>
+  > = {},
 ): Promise<TestNode> {
   const [callers, readiness, directory, peers] = await Promise.all(
     Array.from({ length: 4 }, findFreeAddress),
