--- a/src/process/runtime/createParserErrorResponder/index.ts
+++ b/src/process/runtime/createParserErrorResponder/index.ts
@@ -23,6 +23,7 @@
 /** Result codes of requests that cannot be parsed, by the error code of the runtime. */
 const PARSER_ERROR_CODES: Readonly<Record<string, ResultCodeName>> = {
   HPE_HEADER_OVERFLOW: 'headersTooLarge',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: 'bodyTooLarge',
   ERR_HTTP_REQUEST_TIMEOUT: 'bodyTimeout',
 };
 
--- a/tests/callerListener.test.ts
+++ b/tests/callerListener.test.ts
@@ -164,3 +164,31 @@
   server.close();
   server.closeAllConnections();
 });
+
+const POST = 'POST /a HTTP/1.1\r\nhost: a\r\n';
+const CHUNKED = `${POST}transfer-encoding: chunked\r\n`;
+/** Requests at the parser's edge, and the status and result code of the response. */
+const EDGE_CASES: Readonly<Record<string, readonly [text: string, expected: RegExp]>> = {
+  'a length together with chunks': [
+    `${POST}content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n`,
+    /^HTTP\/1.1 400 .*"code":1400.*"outcome":"not-run"/s,
+  ],
+  'chunk extensions over the limit': [
+    `${CHUNKED}\r\n2;${'x'.repeat(40_000)}\r\nab\r\n0\r\n\r\n`,
+    /^HTTP\/1.1 413 .*"code":1413.*"outcome":"not-run"/s,
+  ],
+  'an invalid chunk size': [
+    `${CHUNKED}\r\nzz\r\n`,
+    /^HTTP\/1.1 400 .*"code":1400.*"outcome":"not-run"/s,
+  ],
+};
+
+for (const [name, [text, expected]] of Object.entries(EDGE_CASES)) {
+  test(`refuses ${name} with a result code, on both listeners`, async (context) => {
+    const { port, lifeCycle } = await listen((request) => request.resume());
+    assert.match(await exchangeBytes(port, text), expected);
+    await lifeCycle.close();
+    const sitePort = await listenToCallers(context, (request) => request.resume());
+    assert.match(await exchangeBytes(sitePort, text), expected);
+  });
+}
