Spread choices for services with several priorities only

Cause: at a site with one priority and step times that differ by a factor of 11, the spread makes more streams late.

Change: step times no longer enable the spread; several effective priorities do.

--- a/src/version/listSpreadServices/index.ts
+++ b/src/version/listSpreadServices/index.ts
@@ -1,19 +1,7 @@
 /**
  * Services whose nodes spread their choices of a path, because the loads that they know are too old to choose the best.
  */
-import type { LayeredModel, SiteConfiguration } from '../../types/site/index.js';
-
-/**
- * Ratio of the step times of a model's accelerators from which loads are too old: the fastest endpoint fills within the
- * time that a load report needs to reach the other nodes.
- */
-const MINIMUM_PACE_RATIO = 8;
-
-/** Returns whether the step times of a model's accelerators are far apart. */
-function isUneven({ kinds }: LayeredModel): boolean {
-  const paces = kinds.map(({ pace }) => pace);
-  return paces.length > 0 && Math.max(...paces) >= MINIMUM_PACE_RATIO * Math.min(...paces);
-}
+import type { SiteConfiguration } from '../../types/site/index.js';
 
 /** Lists the effective priorities of a service: the priority of an account replaces that of the route. */
 function listServicePriorities(
@@ -32,8 +20,8 @@
 /**
  * Lists the services with a layered model whose nodes spread their choices of a path.
  *
- * These are the services whose accelerators differ in step time by a factor of 8 or more, and those with several
- * priorities.
+ * These are the services with several priorities. With one priority, and accelerators whose step times are far apart,
+ * the spread makes more streams late.
  *
  * @param configuration - version of the configuration
  * @returns names of the services
@@ -42,8 +30,7 @@
  */
 export function listSpreadServices(configuration: SiteConfiguration): ReadonlySet<string> {
   const spread = configuration.services.filter(
-    ({ name, model }) =>
-      model && (isUneven(model) || listServicePriorities(configuration, name).size > 1),
+    ({ name, model }) => model && listServicePriorities(configuration, name).size > 1,
   );
   return new Set(spread.map(({ name }) => name));
 }
