--- a/emulator/createChooser/index.ts
+++ b/emulator/createChooser/index.ts
@@ -16,6 +16,8 @@
 import type { ChosenPath } from '../../src/request/choosePath/index.js';
 import { createZoneLinkMonitor } from '../../src/request/createZoneLinkMonitor/index.js';
 import type { TokenEstimate } from '../../src/request/estimateTokens/index.js';
+import { compileSiteConfiguration } from '../../src/version/compileSiteConfiguration/index.js';
+import { MODEL_SERVICE } from '../createEngineFleet/index.js';
 import type {
   EndpointRecord,
   LayeredModel,
@@ -30,7 +32,8 @@
   readonly nodes: readonly NodeRecord[];
   readonly records: readonly EndpointRecord[];
   readonly model: LayeredModel;
-  readonly route: SiteRoute;
+  /** Routes to the service; the first one is that of all requests. */
+  readonly routes: readonly [SiteRoute, ...SiteRoute[]];
   readonly now: () => number;
   readonly seed: number;
   readonly decisions: Pick<SiteDecisions, 'choosePath' | 'movesRuns' | 'prefersLocalZone'>;
@@ -57,6 +60,13 @@
 /** Share of the messages that carry loads in a large availability zone, as in `createPeerExchange`. */
 const LARGE_ZONE_LOADS_SHARE = 0.34;
 const HEALTH_PATH = '/';
+/** Limits on callers' requests, which choices do not depend on. */
+const LIMITS = {
+  headerBytes: 16_384,
+  bodyBytes: 1_048_576,
+  headerTimeoutMilliseconds: 1_000,
+  idleTimeoutMilliseconds: 5_000,
+} as const;
 
 /**
  * Creates a node that chooses paths, without sockets, requests and messages of its own.
@@ -67,7 +77,8 @@
  * createChooser(options).select(size, new Set())?.hops;
  */
 export function createChooser(options: CreateChooserOptions): Chooser {
-  const { self, nodes, records, model, route, now, decisions } = options;
+  const { self, nodes, records, model, routes, now, decisions } = options;
+  const [route] = routes;
   const random = createRandom(hashText(`${self.name}/${options.seed}`));
   const endpoints = createEndpointTable();
   for (const record of records) endpoints.update(record.id, record, 0);
@@ -89,7 +100,13 @@
     zoneLinks: createZoneLinkMonitor({ countSendingNodes: () => zoneNodes.length }),
     decisions,
   } as unknown as RelayContext;
-  const service = { name: 'assistant', healthPath: HEALTH_PATH, maximumConnections: 1_000, model };
+  const { findService } = compileSiteConfiguration({
+    version: 1,
+    routes,
+    services: [{ name: MODEL_SERVICE, healthPath: HEALTH_PATH, maximumConnections: 1_000, model }],
+    limits: LIMITS,
+  });
+  const service = findService(MODEL_SERVICE);
   const request = { service, route, log: { add: () => undefined } } as unknown as RelayedRequest;
   const listLoads = (): EndpointLoadUpdate[] =>
     endpoints
--- a/emulator/createVirtualCallers/index.ts
+++ b/emulator/createVirtualCallers/index.ts
@@ -31,6 +31,12 @@
   longestPause: number;
 }
 
+/** Demand that rises and falls by a share of its mean. */
+export interface DemandWave {
+  readonly amplitude: number;
+  readonly periodSeconds: number;
+}
+
 /** Emulated callers of a site. */
 export interface VirtualCallers {
   readonly records: CallerRecord[];
@@ -45,6 +51,8 @@
   readonly start: (until: number) => void;
   /** Sets the factor on the request rate. */
   readonly setRate: (factor: number) => void;
+  /** Lets the rate of each zone rise and fall, one zone after the other; undefined ends it. */
+  readonly setWave: (wave: DemandWave | undefined) => void;
   /** Returns the number of missing, duplicate and reordered events. */
   readonly countEventErrors: () => number;
 }
@@ -120,6 +128,12 @@
   const refusedAttempts = new Set<string>();
   const addressCache = new Map<string, { at: number; addresses: string[] }>();
   let rate = 1;
+  let wave: DemandWave | undefined;
+  const computeWaveFactor = (zone: number): number => {
+    if (!wave) return 1;
+    const phase = time.now() / (wave.periodSeconds * 1_000) + zone / site.availabilityZones.length;
+    return 1 + wave.amplitude * Math.sin(2 * Math.PI * phase);
+  };
   let attempts = 0;
   let eventErrors = 0;
 
@@ -378,13 +392,16 @@
     setRate: (factor) => {
       rate = factor;
     },
+    setWave: (changed) => {
+      wave = changed;
+    },
     start: (until) => {
       const perZone = 1 / site.availabilityZones.length;
       for (const requestClass of site.requests) {
-        for (const zone of site.availabilityZones) {
+        site.availabilityZones.forEach((zone, index) => {
           const next = (): void => {
-            const pause =
-              (-Math.log(1 - random()) * 1_000) / (requestClass.perSecond * perZone * rate);
+            const zoneRate = requestClass.perSecond * perZone * rate * computeWaveFactor(index);
+            const pause = (-Math.log(1 - random()) * 1_000) / zoneRate;
             if (time.now() + pause > until) return;
             time.schedule(pause, () => {
               startRequest(requestClass, zone);
@@ -392,7 +409,7 @@
             });
           };
           next();
-        }
+        });
       }
     },
   };
--- a/emulator/decisionVariants/index.ts
+++ b/emulator/decisionVariants/index.ts
@@ -69,12 +69,17 @@
     candidates: options.candidates.map((candidate) => ({ ...candidate, usedTokenLayers: 0 })),
   });
 
+/** Chooses the cheapest path by the known loads, without spreading choices where these are too old. */
+const chooseWithoutSpread: SiteDecisions['choosePath'] = (options) =>
+  SITE_DECISIONS.choosePath({ ...options, costSpread: undefined });
+
 /** Variants of the decisions by name; `product` is the router's own. */
 export const DECISION_VARIANTS: Readonly<Record<string, SiteDecisions>> = {
   product: SITE_DECISIONS,
   'fill-by-zone': { ...SITE_DECISIONS, planPlacement: fillByZone },
   'any-path': { ...SITE_DECISIONS, choosePath: chooseAnyPath, prefersLocalZone: false },
   'admit-all': { ...SITE_DECISIONS, choosePath: chooseIgnoringMemory },
+  'no-spread': { ...SITE_DECISIONS, choosePath: chooseWithoutSpread },
   'run-anew': { ...SITE_DECISIONS, movesRuns: false },
   'ignore-era': SITE_DECISIONS,
   'ignore-limits': SITE_DECISIONS,
--- a/emulator/injectFaults/index.ts
+++ b/emulator/injectFaults/index.ts
@@ -84,6 +84,12 @@
       callers.setRate(1);
     });
   },
+  demandWave: ({ callers, time }, { amplitude, periodSeconds, seconds }) => {
+    callers.setWave({ amplitude, periodSeconds });
+    time.schedule(seconds * 1_000, () => {
+      callers.setWave(undefined);
+    });
+  },
   crashEngines: (system, { count, seconds, isDark }) => {
     const { engines, random } = system;
     const loaded = listLiveEngines(engines).filter(({ layers }) => layers);
--- a/emulator/readScenario/index.ts
+++ b/emulator/readScenario/index.ts
@@ -75,6 +75,13 @@
 
 const faultSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('burst'), ...spanSchema, factor: z.number() }),
+  /** The demand of each zone rises and falls by a share of its mean, one zone after the other. */
+  z.object({
+    kind: z.literal('demandWave'),
+    ...spanSchema,
+    amplitude: z.number(),
+    periodSeconds: z.number(),
+  }),
   z.object({
     kind: z.literal('crashEngines'),
     ...spanSchema,
--- a/emulator/simulateChoosers/index.ts
+++ b/emulator/simulateChoosers/index.ts
@@ -25,6 +25,8 @@
   readonly seconds?: number;
   /** Amplitude and period of the demand of each zone, one after the other; constant by default. */
   readonly demand?: { readonly amplitude: number; readonly periodSeconds: number };
+  /** Priorities of the routes to the service; one by default. */
+  readonly priorities?: readonly number[];
   readonly decisions?: CreateChooserOptions['decisions'];
 }
 
@@ -153,7 +155,7 @@
  */
 export function simulateChoosers(options: SimulateChoosersOptions): ChoosersResult {
   const { site, streamsPerSecond, seed, demand, seconds = 15 } = options;
-  const { decisions = SITE_DECISIONS } = options;
+  const { decisions = SITE_DECISIONS, priorities = [] } = options;
   const { model } = site;
   const random = createRandom(seed);
   const queue = createEventQueue(0);
@@ -184,7 +186,7 @@
         nodes,
         records,
         model,
-        route: ROUTE,
+        routes: [ROUTE, ...priorities.map((priority) => ({ ...ROUTE, priority }))],
         now: time.now,
         seed,
         decisions,
