--- a/emulator/readScenario/index.ts
+++ b/emulator/readScenario/index.ts
@@ -81,6 +81,13 @@
     factor: z.number(),
     priority: z.number().optional(),
   }),
+  /** The demand of each zone rises and falls by a share of its mean, one zone after the other. */
+  z.object({
+    kind: z.literal('demandWave'),
+    ...spanSchema,
+    amplitude: z.number(),
+    periodSeconds: z.number(),
+  }),
   z.object({
     kind: z.literal('crashEngines'),
     ...spanSchema,
