Admit bodies of the maximum size in chunks of one byte by default

Cause: the default of 65,536 pieces refused a body of 4 MiB in chunks of less than 64 bytes, which the platform allows. Change: the default is the number of bytes of the largest body.

--- a/src/connection/deriveCallerLimits/index.ts
+++ b/src/connection/deriveCallerLimits/index.ts
@@ -40,8 +40,8 @@
 /** Maximum number of caller connections, whatever the descriptors. */
 const MAXIMUM_CONNECTIONS = 1_800;
 const PIPELINED_REQUESTS = 4;
-/** A body of 4 MiB may arrive in pieces of 64 bytes. */
-const BODY_CHUNKS = 65_536;
+/** A body of 4 MiB may arrive in chunks of one byte. */
+const BODY_CHUNKS = 4_194_304;
 /** Longer than the deadline of any request. */
 const UNREAD_MILLISECONDS = 30_000;
 const STALL_MILLISECONDS = 1_000;
