--- a/src/connection/createConnectionLimit/index.ts
+++ b/src/connection/createConnectionLimit/index.ts
@@ -1,7 +1,7 @@
 /**
  * Limit on the number of open caller connections, in total and from one address.
  *
- * Addresses callers that open connections without using them until no descriptor is left.
+ * Protects against callers that open connections without using them until no descriptor is left.
  */
 
 /** Limit that a new connection would exceed. */
--- a/src/connection/createMemoryAccount/index.ts
+++ b/src/connection/createMemoryAccount/index.ts
@@ -1,7 +1,7 @@
 /**
  * Account of the memory that callers make a process hold, with one budget for all connections.
  *
- * Addresses callers that stay connected with unfinished bodies, unread responses and pipelined requests.
+ * Protects against callers that stay connected with unfinished bodies, unread responses and pipelined requests.
  */
 
 /** What a connection holds: open requests, bodies, the unparsed rest of a read, or bytes that wait for the reader. */
@@ -74,8 +74,8 @@
   return bytes.request + bytes.body + bytes.unparsed + bytes.response;
 }
 
-/** Returns what a connection without progress holds for nothing; undefined when it has to stay. */
-function findUselessKind({ bytes, running }: HolderState): HeldKind | undefined {
+/** Returns the kind of bytes for which an idle connection may be closed; undefined when it may not be closed. */
+function findEvictionCause({ bytes, running }: HolderState): HeldKind | undefined {
   if (bytes.response > 0) return 'response';
   return bytes.body > 0 && running === 0 ? 'body' : undefined;
 }
@@ -122,7 +122,7 @@
           holder !== asking &&
           holder.progressedAt <= progressedBefore &&
           (account === undefined || holder.account === account) &&
-          findUselessKind(holder) !== undefined,
+          findEvictionCause(holder) !== undefined,
       )
       .sort((first, second) => sumCounts(second.bytes) - sumCounts(first.bytes));
   };
@@ -135,7 +135,7 @@
     let freed = 0;
     for (const holder of listEvictable(asking, account)) {
       if (freed >= missing) break;
-      const kind = findUselessKind(holder) ?? 'request';
+      const kind = findEvictionCause(holder) ?? 'request';
       freed += sumCounts(holder.bytes);
       close(holder);
       holder.evict(kind);
--- a/src/connection/deriveCallerLimits/index.ts
+++ b/src/connection/deriveCallerLimits/index.ts
@@ -42,7 +42,7 @@
 const PIPELINED_REQUESTS = 4;
 /** A body of 4 MiB may arrive in chunks of one byte. */
 const BODY_CHUNKS = 4_194_304;
-/** Longer than the deadline of any request. */
+/** Time for which a response may wait while its caller reads nothing, in milliseconds. */
 const UNREAD_MILLISECONDS = 30_000;
 const STALL_MILLISECONDS = 1_000;
 
--- a/src/process/relay/createEndpointPort/index.ts
+++ b/src/process/relay/createEndpointPort/index.ts
@@ -4,7 +4,7 @@
 import type { EndpointPort, SiteProtocol } from '../../../types/relay/index.js';
 import { checkListening } from '../checkListening/index.js';
 import { openEndpointCall } from '../openEndpointCall/index.js';
-import { openWitness } from '../openWitness/index.js';
+import { openLivenessCheck } from '../openLivenessCheck/index.js';
 
 /**
  * Creates the port to endpoints over HTTP.
@@ -28,10 +28,10 @@
         method,
         url,
         body,
-        openWitness:
+        openLivenessCheck:
           forwarding.healthPath === undefined
             ? undefined
-            : () => openWitness({ address: forwarding.address, requestInstance }),
+            : () => openLivenessCheck({ address: forwarding.address, requestInstance }),
         headers: protocol.buildRequestHeaders(rawHeaders, {
           ...forwarding,
           bodyBytes: body?.length,
--- a/src/process/relay/openEndpointCall/index.ts
+++ b/src/process/relay/openEndpointCall/index.ts
@@ -9,7 +9,7 @@
 import type {
   EndpointCall,
   EndpointCallHandlers,
-  EndpointWitness,
+  LivenessCheck,
   SendState,
 } from '../../../types/relay/index.js';
 import { startRequest } from '../../runtime/startRequest/index.js';
@@ -23,8 +23,8 @@
   readonly url: string;
   readonly headers: string[];
   readonly body: Buffer | undefined;
-  /** Opens the witness of a response without framing when its head has arrived. */
-  readonly openWitness?: (() => EndpointWitness) | undefined;
+  /** Opens the liveness check of a response without framing when its head has arrived. */
+  readonly openLivenessCheck?: (() => LivenessCheck) | undefined;
 }
 
 /** Line break that is written to detect a reset; servers ignore it before a request. */
@@ -92,7 +92,7 @@
   let isDone = false;
   let state: SendState = 'notSent';
   let response: IncomingMessage | undefined;
-  let witness: EndpointWitness | undefined;
+  let livenessCheck: LivenessCheck | undefined;
   let resetProbe: Promise<boolean> = Promise.resolve(false);
   const started = startRequest(address, {
     method,
@@ -111,12 +111,12 @@
   const fail = (reason: string): void => {
     if (!finish()) return;
     outgoing.destroy();
-    witness?.close();
+    livenessCheck?.close();
     onFailure(state, reason);
   };
   const endAfterProbe = async (): Promise<void> => {
     if (await resetProbe) fail('connection reset');
-    else if (finish()) onEnd('connection', witness);
+    else if (finish()) onEnd('connection', livenessCheck);
   };
   let bytesWithoutBody = 0;
   /**
@@ -148,7 +148,7 @@
     });
     socket.prependOnceListener('end', () => {
       if (!response || !isEndedByConnection(response, method)) return;
-      witness?.recordResponseEnd();
+      livenessCheck?.recordResponseEnd();
       resetProbe = probeReset(socket);
     });
   });
@@ -171,7 +171,7 @@
     }
     onResponse(incoming);
     // The head may have ended the call, as that of a refusal does.
-    if (mayEndWithoutProof(incoming)) witness = options.openWitness?.();
+    if (mayEndWithoutProof(incoming)) livenessCheck = options.openLivenessCheck?.();
     incoming.on('data', (chunk: Buffer) => {
       bytesWithoutBody = 0;
       if (!isDone) onData(chunk);
@@ -193,7 +193,7 @@
     abort: () => {
       if (!finish()) return;
       outgoing.destroy();
-      witness?.close();
+      livenessCheck?.close();
     },
     pause: () => {
       response?.pause();
--- a/src/process/relay/openWitness/index.ts
+++ b/src/process/relay/openLivenessCheck/index.ts
@@ -1,20 +1,20 @@
 /**
- * Second connection to an endpoint that sends a response without framing: whether the process that sent
- * the response outlived its end.
+ * Second connection to an endpoint, which shows whether the process that sent a response without framing still ran
+ * after the response ended.
  */
 import { connect, type Socket } from 'node:net';
 import type {
-  EndpointWitness,
+  LivenessCheck,
   InstanceAnswer,
   InstanceProtocol,
   InstanceQuery,
-  WitnessFinding,
+  LivenessResult,
 } from '../../../types/relay/index.js';
 import { splitAddress } from '../../runtime/splitAddress/index.js';
 import { waitForPendingReads } from '../../runtime/waitForPendingReads/index.js';
 
-/** Options of {@link openWitness}. */
-export interface OpenWitnessOptions {
+/** Options of {@link openLivenessCheck}. */
+export interface OpenLivenessCheckOptions {
   readonly address: string;
   readonly requestInstance: InstanceProtocol['requestInstance'];
 }
@@ -22,20 +22,20 @@
 /** State of the connection. */
 type ConnectionState = 'connecting' | 'open' | 'closed';
 
-/** Findings by the answer on a connection that was established after the end of the response, or not shown to be earlier. */
-const LATE_FINDINGS: Readonly<Record<InstanceAnswer, WitnessFinding>> = {
-  same: 'outlived',
+/** Results by the answer on a connection that is not known to have been established before the end of the response. */
+const LATE_RESULTS: Readonly<Record<InstanceAnswer, LivenessResult>> = {
+  same: 'alive',
   other: 'ended',
   unnamed: 'unknown',
 };
-/** Findings by the answer on a connection that was established while the response was open. */
-const EARLY_FINDINGS: Readonly<Record<InstanceAnswer, WitnessFinding>> = {
-  ...LATE_FINDINGS,
-  unnamed: 'outlived',
+/** Results by the answer on a connection that was established while the response was open. */
+const EARLY_RESULTS: Readonly<Record<InstanceAnswer, LivenessResult>> = {
+  ...LATE_RESULTS,
+  unnamed: 'alive',
 };
 
-/** Creates the witness of an endpoint whose address cannot be connected to. */
-function createSilentWitness(): EndpointWitness {
+/** Creates the check of an endpoint whose address cannot be connected to. */
+function createFailedCheck(): LivenessCheck {
   return {
     recordResponseEnd: () => undefined,
     confirm: () => Promise.resolve('unknown'),
@@ -51,15 +51,18 @@
  * ended first, only an answer that names the endpoint counts.
  *
  * @param options - the address, and the protocol's health request
- * @returns the witness, to be closed when its finding is no longer needed
+ * @returns the check, to be closed when its result is no longer needed
  * @example
- * const witness = openWitness({ address, requestInstance });
- * witness.recordResponseEnd();
- * await witness.confirm(query); // 'outlived'
+ * const livenessCheck = openLivenessCheck({ address, requestInstance });
+ * livenessCheck.recordResponseEnd();
+ * await livenessCheck.confirm(query); // 'alive'
  */
-export function openWitness({ address, requestInstance }: OpenWitnessOptions): EndpointWitness {
+export function openLivenessCheck({
+  address,
+  requestInstance,
+}: OpenLivenessCheckOptions): LivenessCheck {
   const target = splitAddress(address);
-  if (!target) return createSilentWitness();
+  if (!target) return createFailedCheck();
   let state: ConnectionState = 'connecting';
   let hasResponseEnded = false;
   let isEarly = false;
@@ -97,7 +100,7 @@
       }
       const answer = await requestInstance(socket, query);
       if (answer === undefined) return 'unknown';
-      return (isEarly ? EARLY_FINDINGS : LATE_FINDINGS)[answer];
+      return (isEarly ? EARLY_RESULTS : LATE_RESULTS)[answer];
     },
     close: () => {
       socket.destroy();
--- a/src/process/relay/openWitness/test.ts
+++ b/src/process/relay/openLivenessCheck/test.ts
@@ -6,13 +6,9 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import { after, before, beforeEach, test } from 'node:test';
 import { listenOnLoopback } from '../../../../standins/listenOnLoopback/index.js';
-import type {
-  EndpointWitness,
-  InstanceAnswer,
-  WitnessFinding,
-} from '../../../types/relay/index.js';
+import type { LivenessCheck, InstanceAnswer, LivenessResult } from '../../../types/relay/index.js';
 import { waitForPendingReads } from '../../runtime/waitForPendingReads/index.js';
-import { openWitness } from './index.js';
+import { openLivenessCheck } from './index.js';
 
 let server: Server;
 let address = '';
@@ -34,13 +30,13 @@
   server.close();
 });
 
-function open(answer: InstanceAnswer | undefined, to = address): EndpointWitness {
-  return openWitness({ address: to, requestInstance: () => Promise.resolve(answer) });
+function open(answer: InstanceAnswer | undefined, to = address): LivenessCheck {
+  return openLivenessCheck({ address: to, requestInstance: () => Promise.resolve(answer) });
 }
 
-function confirm(witness: EndpointWitness): Promise<WitnessFinding> {
+function confirm(livenessCheck: LivenessCheck): Promise<LivenessResult> {
   const query = { endpoint: 'i-1', address, healthPath: '/healthz', timeoutMilliseconds: 500 };
-  return witness.confirm(query).finally(witness.close);
+  return livenessCheck.confirm(query).finally(livenessCheck.close);
 }
 
 /** Waits until the connection was established and what had arrived before it is read. */
@@ -50,41 +46,41 @@
 }
 
 test('any answer but that of another endpoint is proof on a connection that is older than the end', async () => {
-  const findings: Record<string, WitnessFinding> = {};
+  const findings: Record<string, LivenessResult> = {};
   for (const answer of ['same', 'other', 'unnamed', undefined] as const) {
     accepted = [];
-    const witness = open(answer);
+    const livenessCheck = open(answer);
     await waitUntilEarly();
-    witness.recordResponseEnd();
-    findings[`${answer}`] = await confirm(witness);
+    livenessCheck.recordResponseEnd();
+    findings[`${answer}`] = await confirm(livenessCheck);
   }
-  const expected = { same: 'outlived', other: 'ended', unnamed: 'outlived', undefined: 'unknown' };
+  const expected = { same: 'alive', other: 'ended', unnamed: 'alive', undefined: 'unknown' };
   assert.deepEqual(findings, expected);
 });
 
 /** The end of a response may arrive while the node is suspended, before it opens the connection. */
 test('on a connection that is not older than the end, only the name of the endpoint is proof', async () => {
-  const findings: Record<string, WitnessFinding> = {};
+  const findings: Record<string, LivenessResult> = {};
   for (const answer of ['same', 'other', 'unnamed'] as const) {
-    const witness = open(answer);
-    witness.recordResponseEnd();
-    findings[answer] = await confirm(witness);
+    const livenessCheck = open(answer);
+    livenessCheck.recordResponseEnd();
+    findings[answer] = await confirm(livenessCheck);
   }
-  assert.deepEqual(findings, { same: 'outlived', other: 'ended', unnamed: 'unknown' });
+  assert.deepEqual(findings, { same: 'alive', other: 'ended', unnamed: 'unknown' });
 });
 
 /** Another process may answer under the same id at the address, so that no second connection is opened. */
 test('a connection that the endpoint has closed proves nothing, whoever answers at the address', async () => {
-  const witness = open('same');
+  const livenessCheck = open('same');
   await waitUntilEarly();
-  witness.recordResponseEnd();
+  livenessCheck.recordResponseEnd();
   accepted[0]?.destroy();
   await waitForPendingReads();
-  assert.deepEqual([await confirm(witness), accepted.length], ['unknown', 1]);
+  assert.deepEqual([await confirm(livenessCheck), accepted.length], ['unknown', 1]);
 });
 
 test('an address that cannot be connected to proves nothing', async () => {
-  const witness = open('same', 'nowhere');
-  witness.recordResponseEnd();
-  assert.equal(await confirm(witness), 'unknown');
+  const livenessCheck = open('same', 'nowhere');
+  livenessCheck.recordResponseEnd();
+  assert.equal(await confirm(livenessCheck), 'unknown');
 });
--- a/src/process/relay/runBufferedAttempt/index.ts
+++ b/src/process/relay/runBufferedAttempt/index.ts
@@ -5,7 +5,7 @@
 import type {
   EndpointCall,
   EndpointCallHandlers,
-  EndpointWitness,
+  LivenessCheck,
   ResponseEnd,
   ResponseHead,
 } from '../../../types/relay/index.js';
@@ -19,8 +19,8 @@
       readonly kind: 'answered';
       readonly response: BufferedResponse;
       readonly end: ResponseEnd;
-      /** Witness of a response that ended with its connection; whoever receives it closes it. */
-      readonly witness?: EndpointWitness | undefined;
+      /** LivenessCheck of a response that ended with its connection; whoever receives it closes it. */
+      readonly livenessCheck?: LivenessCheck | undefined;
     }
   | { readonly kind: 'notSent'; readonly reason: string }
   | {
@@ -141,11 +141,11 @@
           finish({ kind: 'unknown', reason: 'no memory for the response' });
         else chunks.push(chunk);
       },
-      onEnd: (end, witness) => {
+      onEnd: (end, livenessCheck) => {
         const outcome = classifyEnd(Buffer.concat(chunks), end);
         const hasTaker = !isDone && outcome.kind === 'answered';
-        finish(hasTaker ? { ...outcome, witness } : outcome);
-        if (!hasTaker) witness?.close();
+        finish(hasTaker ? { ...outcome, livenessCheck } : outcome);
+        if (!hasTaker) livenessCheck?.close();
       },
       onFailure: (state, reason) => {
         if (state === 'notSent') finish({ kind: 'notSent', reason });
--- a/src/process/relay/sendOnce/index.ts
+++ b/src/process/relay/sendOnce/index.ts
@@ -98,12 +98,12 @@
   );
   const finding = isEndedByConnection
     ? await proveBufferedEnd(context, request, {
-        witness: outcome.witness,
+        livenessCheck: outcome.livenessCheck,
         sentTo,
         timeoutMilliseconds,
       })
     : 'unknown';
-  if (finding === 'outlived') return outcome;
+  if (finding === 'alive') return outcome;
   const reason = outcome.kind === 'unknown' ? outcome.reason : 'connection ended';
   const { report } = await context.crashes.recordBrokenRun({
     endpoint,
--- a/src/process/relay/watchStream/index.ts
+++ b/src/process/relay/watchStream/index.ts
@@ -56,7 +56,7 @@
   const idleWatch = watchIdleStream({
     clock,
     getIdleLimit: getProbeLimit,
-    getReplaceLimit: () => computeIdleLimit(getPath(), hasBegun()).replace,
+    getReplaceLimit: () => computeIdleLimit(getPath(), hasBegun()).replaceWithoutLoss,
     onIdle: (round) => {
       prober.probePath(listEndpoints(), round);
     },
--- a/src/process/runtime/callJson/index.ts
+++ b/src/process/runtime/callJson/index.ts
@@ -15,7 +15,7 @@
   /** Time limit of the call, or, with `maximumMilliseconds`, of a call without any progress. */
   readonly timeoutMilliseconds: number;
   /**
-   * Time limit of a call whose response goes on arriving; `timeoutMilliseconds` by default. A long response takes its
+   * Time limit of a call whose response goes on arriving; by default, such a call has no more time than any other. A long response takes its
    * time on a slow link, and a repeated call would transfer it again from its beginning.
    */
   readonly maximumMilliseconds?: number;
--- a/src/process/runtime/createBodyBuffer/index.ts
+++ b/src/process/runtime/createBodyBuffer/index.ts
@@ -1,7 +1,7 @@
 /**
  * Buffer of a body that arrives in pieces.
  *
- * Addresses bodies in very small chunks: each piece that the parser emits is an object, and a view on a read of
+ * Protects against bodies in very small chunks: each piece that the parser emits is an object, and a view on a read of
  * up to 64 KB. The pieces are copied into blocks, so that a body costs at most about twice its bytes.
  */
 
--- a/src/process/runtime/guardConnections/index.ts
+++ b/src/process/runtime/guardConnections/index.ts
@@ -32,10 +32,19 @@
   readonly openRequests: number;
 }
 
+const GUARD_CAUSE_TEXTS: Readonly<Record<GuardCause, string>> = {
+  total: 'too many connections',
+  address: 'too many connections from its address',
+  unread: 'response not read in time',
+  evictedBody: 'unfinished body without progress, memory needed',
+  evictedResponse: 'response not read, memory needed',
+  noMemory: 'no memory left for the connection',
+};
+
 /** Error that a connection is closed with. */
 export class CallerLimitError extends Error {
   public constructor(public readonly reason: GuardCause) {
-    super(`the connection of a caller exceeds a limit: ${reason}`);
+    super(`connection of a caller closed: ${GUARD_CAUSE_TEXTS[reason]}`);
   }
 }
 
--- a/src/process/runtime/limitPipelining/index.ts
+++ b/src/process/runtime/limitPipelining/index.ts
@@ -1,8 +1,8 @@
 /**
  * Back-pressure on pipelined requests of a connection of an HTTP server.
  *
- * Addresses callers that send thousands of requests without reading responses: the parser runs through a whole
- * read, which can contain 2,600 requests, before a pause of the socket takes effect.
+ * Protects against callers that send thousands of requests without reading responses: the parser handles all
+ * requests of a read before a pause of the socket takes effect.
  */
 import type { Socket } from 'node:net';
 
--- a/src/process/runtime/readProcessResources/index.ts
+++ b/src/process/runtime/readProcessResources/index.ts
@@ -8,7 +8,7 @@
 const LIMITS_FILE = '/proc/self/limits';
 /** Descriptors where the limit cannot be read. */
 const ASSUMED_DESCRIPTORS = 4_096;
-/** Memory that a process uses beside its heap, as a multiple of the maximum size of the heap. */
+/** Memory of a process, its heap included, as a multiple of the maximum size of the heap. */
 const MEMORY_PER_HEAP = 1.25;
 
 function readDescriptors(): number {
--- a/src/process/site/createAdmissionExchange/index.ts
+++ b/src/process/site/createAdmissionExchange/index.ts
@@ -18,7 +18,7 @@
 import { shuffleItems } from '../../shuffleItems/index.js';
 import { decodeDemands, encodeDemands, MAXIMUM_DEMAND_PRIORITIES } from '../demandCodec/index.js';
 import { tagNode } from '../peerMessageCodec/index.js';
-import { sumDemands, type NodeDemand } from '../sumDemands/index.js';
+import { countByZone, sumDemands, type NodeDemand } from '../sumDemands/index.js';
 
 /** Share that changed, for the log. */
 export interface ShareChange {
@@ -130,13 +130,6 @@
   return new Map(priorities.map((priority, index) => [priority, index === 0 ? 1 : START_SHARE]));
 }
 
-function countByZone(nodes: readonly NodeRecord[]): Map<string, number> {
-  const counts = new Map<string, number>();
-  for (const { availabilityZone } of nodes)
-    counts.set(availabilityZone, (counts.get(availabilityZone) ?? 0) + 1);
-  return counts;
-}
-
 /**
  * Creates the shares of a node that knows no demand.
  *
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -175,7 +175,7 @@
       logger.log('caller-limited', { cause, address, heldBytes, open: openRequests, omitted });
     },
   });
-  lifeCycle.own({ name: 'guard of callers', close: guard.close });
+  lifeCycle.own({ name: 'callers-guard', close: guard.close });
   const peerPort = await createPeerPort({
     address: self.peerAddress,
     lifeCycle,
--- a/src/process/site/sumDemands/index.ts
+++ b/src/process/site/sumDemands/index.ts
@@ -27,10 +27,19 @@
   };
 }
 
-/** Counts the nodes with a report in each availability zone. */
-function countReporting(reported: readonly NodeDemand[]): Map<string, number> {
+/**
+ * Counts nodes by availability zone.
+ *
+ * @param nodes - the nodes, or what they reported
+ * @returns number of nodes by availability zone
+ * @example
+ * countByZone([{ availabilityZone: 'mission' }]).get('mission'); // 1
+ */
+export function countByZone(
+  nodes: readonly { readonly availabilityZone: string }[],
+): Map<string, number> {
   const counts = new Map<string, number>();
-  for (const { availabilityZone } of reported)
+  for (const { availabilityZone } of nodes)
     counts.set(availabilityZone, (counts.get(availabilityZone) ?? 0) + 1);
   return counts;
 }
@@ -64,7 +73,7 @@
   reported: readonly NodeDemand[],
   nodesByZone: ReadonlyMap<string, number>,
 ): ServiceDemand {
-  const reporting = countReporting(reported);
+  const reporting = countByZone(reported);
   let nodes = 0;
   let nodesInReportingZones = 0;
   for (const [zone, count] of nodesByZone) {
--- a/src/request/computeAdmissionShares/index.ts
+++ b/src/request/computeAdmissionShares/index.ts
@@ -21,7 +21,7 @@
   readonly previous?: ReadonlyMap<number, number>;
 }
 
-/** Minimum share, so that the least urgent requests use capacity that stays unused. */
+/** Share that the least urgent requests may always fill, so that they do not starve. */
 export const MINIMUM_SHARE = 0.15;
 /**
  * Factor on the demand of more urgent priorities: arrivals vary by chance, and those of a beginning burst are not
@@ -29,8 +29,8 @@
  */
 const DEMAND_FACTOR = 1.15;
 /**
- * Time for which capacity is reserved ahead, in seconds: until other nodes know an arrival (a round, and the age of
- * their information), and less urgent requests that end meanwhile have made room. Later needs are met by later ends.
+ * Time for which capacity is reserved ahead, in seconds: the time until other nodes know of an arrival and running
+ * requests have ended.
  */
 const RESERVED_SECONDS = 1;
 /** Maximum increase of a share in one round; decreases apply at once. */
@@ -76,7 +76,8 @@
 /**
  * Computes the share of slots and of memory that the requests of each priority may fill.
  *
- * A priority may fill all but what more urgent ones are expected to need beyond what they hold. The most urgent one may fill everything. The same facts give the same shares on all nodes.
+ * A priority may fill all but what more urgent ones are expected to need beyond what they hold. The most urgent one may
+ * fill everything. The same facts give the same shares on all nodes.
  *
  * @param options - the demand by priority, the capacity and the shares of the previous round
  * @returns shares from `MINIMUM_SHARE` to 1 by priority; a less urgent priority never has a larger one
--- a/src/request/computeIdleLimit/index.ts
+++ b/src/request/computeIdleLimit/index.ts
@@ -5,12 +5,12 @@
 
 /** Limits of the time without data, in milliseconds. */
 export interface IdleLimits {
-  /** Time after which the endpoints of the path are probed. */
+  /** Time after which the endpoints of the path are probed, and a run whose endpoint is known as lost is replaced. */
   readonly probe: number;
   /** Time after which a run is moved off an endpoint of its path that is already known as lost. */
   readonly move: number;
   /** Time after which the run is replaced if possible, although no endpoint is known to be unreachable. */
-  readonly replace: number;
+  readonly replaceWithoutLoss: number;
 }
 
 /** Limits before the first event, in milliseconds, and the factor on its predicted time. */
@@ -20,7 +20,7 @@
   factor: 3,
   moveMinimum: 200,
   moveFactor: 3,
-  replace: 1_500,
+  replaceWithoutLoss: 1_500,
 } as const;
 /**
  * Limits between events, in milliseconds, and the factors on the predicted time between them. A run is moved sooner
@@ -32,7 +32,7 @@
   factor: 4,
   moveMinimum: 60,
   moveFactor: 2,
-  replace: 1_700,
+  replaceWithoutLoss: 1_700,
 } as const;
 
 /**
@@ -42,15 +42,15 @@
  * @param hasBegun - true when an event was forwarded to the caller
  * @returns the limits
  * @example
- * computeIdleLimit(path, true).replace;
+ * computeIdleLimit(path, true).move;
  */
 export function computeIdleLimit(path: ChosenPath | undefined, hasBegun: boolean): IdleLimits {
   const limits = hasBegun ? BETWEEN_EVENTS_LIMITS : FIRST_EVENT_LIMITS;
-  const { minimum, maximum, factor, moveMinimum, moveFactor, replace } = limits;
+  const { minimum, maximum, factor, moveMinimum, moveFactor, replaceWithoutLoss } = limits;
   const predicted = (hasBegun ? path?.pauseMilliseconds : path?.firstEventMilliseconds) ?? 0;
   return {
     probe: Math.min(maximum, Math.max(minimum, predicted * factor)),
     move: Math.min(maximum, Math.max(moveMinimum, predicted * moveFactor)),
-    replace,
+    replaceWithoutLoss,
   };
 }
--- a/src/request/computeIdleLimit/test.ts
+++ b/src/request/computeIdleLimit/test.ts
@@ -12,7 +12,8 @@
 test('replaces a run without a first event before its caller disconnects', () => {
   for (const predicted of [0, 50, 400, 5_000])
     assert.ok(
-      computeIdleLimit(createPath(predicted), false).replace <= CALLER_WAIT_MILLISECONDS - 500,
+      computeIdleLimit(createPath(predicted), false).replaceWithoutLoss <=
+        CALLER_WAIT_MILLISECONDS - 500,
     );
 });
 
@@ -21,7 +22,7 @@
     const fast = computeIdleLimit(createPath(10), hasBegun);
     const slow = computeIdleLimit(createPath(10_000), hasBegun);
     assert.ok(fast.probe < slow.probe);
-    assert.ok(slow.probe < slow.replace);
+    assert.ok(slow.probe < slow.replaceWithoutLoss);
   }
 });
 
--- a/src/request/createDemandMeter/index.ts
+++ b/src/request/createDemandMeter/index.ts
@@ -28,10 +28,7 @@
   readonly read: (now: number) => ServiceDemand;
 }
 
-/**
- * Time over which arrivals are averaged, in milliseconds: half of a burst is counted after a second, and the share of
- * a priority that sends nothing any more is released within a few seconds.
- */
+/** Time constant of the decay of arrivals, in milliseconds. */
 const DEMAND_DECAY_MILLISECONDS = 1_500;
 /** Time over which the stay of requests is averaged, in milliseconds. */
 const STAY_DECAY_MILLISECONDS = 10_000;
--- a/src/types/relay/index.ts
+++ b/src/types/relay/index.ts
@@ -158,15 +158,15 @@
   ) => Promise<InstanceAnswer | undefined>;
 }
 
-/** Whether the process that sent a response outlived its end. */
-export type WitnessFinding = 'outlived' | 'ended' | 'unknown';
+/** Whether the process that sent a response still ran after the response ended. */
+export type LivenessResult = 'alive' | 'ended' | 'unknown';
 
 /** Second connection to an endpoint, opened when the head of a response without framing has arrived. */
-export interface EndpointWitness {
+export interface LivenessCheck {
   /** Records that the connection of the response has ended. */
   readonly recordResponseEnd: () => void;
   /** Asks the endpoint after the end of the response, once; closes the connection. */
-  readonly confirm: (query: InstanceQuery) => Promise<WitnessFinding>;
+  readonly confirm: (query: InstanceQuery) => Promise<LivenessResult>;
   readonly close: () => void;
 }
 
@@ -203,10 +203,10 @@
   readonly onHead: (head: ResponseHead) => void;
   readonly onData: (chunk: Buffer) => void;
   /**
-   * Called when the response is complete, as far as its framing tells; with a witness where the end is that of
+   * Called when the response is complete, as far as its framing tells; with a liveness check where the end is that of
    * the connection and a health path was given.
    */
-  readonly onEnd: (end: ResponseEnd, witness?: EndpointWitness) => void;
+  readonly onEnd: (end: ResponseEnd, livenessCheck?: LivenessCheck) => void;
   readonly onFailure: (state: SendState, reason: string) => void;
 }
 
--- a/tests/support/cutEndpointPort/index.ts
+++ b/tests/support/cutEndpointPort/index.ts
@@ -78,10 +78,10 @@
           handlers.onData(chunk);
         });
       },
-      onEnd: (how, witness) => {
+      onEnd: (how, livenessCheck) => {
         deliver(() => {
           end();
-          handlers.onEnd(how, witness);
+          handlers.onEnd(how, livenessCheck);
         });
       },
       onFailure: (state, reason) => {
