--- a/src/process/relay/createWaitingRooms/index.ts
+++ b/src/process/relay/createWaitingRooms/index.ts
@@ -286,8 +286,10 @@
     const answer = room.offer(entry, offeredAt);
     if (answer.kind === 'wait') signal.addEventListener('abort', onAbort, { once: true });
     else {
-      metrics.count('waits', 'refused_at_once');
-      onEnd(answer.kind === 'refuse' ? answer : (waitOptions.findPath() ?? UNKNOWN_REFUSAL));
+      const result =
+        answer.kind === 'refuse' ? answer : (waitOptions.findPath() ?? UNKNOWN_REFUSAL);
+      metrics.count('waits', 'hops' in result ? 'path_at_once' : 'refused_at_once');
+      onEnd(result);
     }
     serve(state);
   };
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -80,6 +80,8 @@
   readonly decoders: SiteDecoders;
   readonly keys: SiteKeys;
   readonly retries: RetryBounds;
+  /** Whether streams wait for a path where their service has several priorities; false by default. */
+  readonly hasWaitingRooms?: boolean;
   /** {@link SITE_DECISIONS} by default. */
   readonly decisions?: SiteDecisions;
   readonly onConfiguration: CreateSiteStateOptions['onConfiguration'];
@@ -140,7 +142,7 @@
  */
 export function createSiteNode(options: CreateSiteNodeOptions): SiteCore {
   const { self, clock, store, endpointPort, logger, decoders, keys, retries } = options;
-  const { decisions = SITE_DECISIONS } = options;
+  const { decisions = SITE_DECISIONS, hasWaitingRooms = false } = options;
   const { now } = clock;
   const random = createRandom(hashText(`${self.name}/${self.incarnation}`));
   const metrics = createRelayMetrics();
@@ -167,7 +169,7 @@
     now,
     parse: parseJson,
     onConfiguration: (compiled) => {
-      priorities = listPriorities(compiled.configuration);
+      if (hasWaitingRooms) priorities = listPriorities(compiled.configuration);
       onConfiguration(compiled);
       startServing();
       follower.clearPendingRead();
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -63,6 +63,8 @@
   readonly queries: SiteQueries;
   readonly graceMilliseconds: number;
   readonly retries: RetryBounds;
+  /** Whether streams wait for a path where their service has several priorities; false by default. */
+  readonly hasWaitingRooms?: boolean;
   /** Limits of the callers' connections; derived from the memory and descriptors of the process by default. */
   readonly callerLimits?: ConnectionLimits;
   /** Port to endpoints; over HTTP by default. */
@@ -198,6 +200,7 @@
     decoders: options.decoders,
     keys: options.keys,
     retries: options.retries,
+    ...(options.hasWaitingRooms && { hasWaitingRooms: true }),
     onConfiguration: ({ configuration }) => {
       applyCallerLimits(callerServer, configuration.limits);
     },
--- a/src/request/createWaitingRoom/index.ts
+++ b/src/request/createWaitingRoom/index.ts
@@ -19,7 +19,7 @@
 export interface WaitingRequest {
   readonly id: string;
   readonly account: string;
-  /** Priority; 0 is the most urgent. */
+  /** Effective priority, from 1, the most urgent, to 9. */
   readonly priority: number;
   /** Memory that it needs, in tokens. */
   readonly tokens: number;
