--- a/emulator/createChooser/index.ts
+++ b/emulator/createChooser/index.ts
@@ -97,6 +97,7 @@
     countNodesWithoutLoad: remoteLoads.countNodesWithoutLoad,
     readLoadAge: remoteLoads.readAge,
     permits: { estimateWait: () => 0 },
+    spreadsChoices: true,
     admission: { findShare: () => 1, hold: () => () => undefined },
     zoneLinks: createZoneLinkMonitor({ countSendingNodes: () => zoneNodes.length }),
     decisions,
--- a/src/process/relay/selectPath/index.ts
+++ b/src/process/relay/selectPath/index.ts
@@ -181,7 +181,9 @@
       random,
       nodes,
       fillableShare,
-      ...(spreadsChoices && nodes > 1 && { costSpread: SPREAD_COST_SPREAD }),
+      ...(context.spreadsChoices &&
+        spreadsChoices &&
+        nodes > 1 && { costSpread: SPREAD_COST_SPREAD }),
       estimateZoneLinkWait: (from, to) =>
         context.zoneLinks.estimateWait(from, to, context.clock.now()),
       ...(firstHop && { firstHop: { hop: firstHop, availabilityZone: startZone } }),
--- a/src/process/relay/types/index.ts
+++ b/src/process/relay/types/index.ts
@@ -59,6 +59,8 @@
   readonly responseMemory: BodyMemoryLimit;
   /** Requests that wait for a path, of services whose requests have different priorities. */
   readonly waitingRooms: WaitingRooms;
+  /** Whether this node spreads its choices of a path for services with several priorities. */
+  readonly spreadsChoices: boolean;
   /** Returns the number of live nodes, including this one. */
   readonly countNodes: () => number;
   /** Returns the milliseconds since the last load report of another node. */
--- a/src/process/site/createSiteNode/index.ts
+++ b/src/process/site/createSiteNode/index.ts
@@ -82,6 +82,8 @@
   readonly retries: RetryBounds;
   /** Whether streams wait for a path where their service has several priorities; false by default. */
   readonly hasWaitingRooms?: boolean;
+  /** Whether choices of a path are spread where a service has several priorities; false by default. */
+  readonly spreadsChoices?: boolean;
   /** {@link SITE_DECISIONS} by default. */
   readonly decisions?: SiteDecisions;
   readonly onConfiguration: CreateSiteStateOptions['onConfiguration'];
@@ -142,7 +144,7 @@
  */
 export function createSiteNode(options: CreateSiteNodeOptions): SiteCore {
   const { self, clock, store, endpointPort, logger, decoders, keys, retries } = options;
-  const { decisions = SITE_DECISIONS, hasWaitingRooms = false } = options;
+  const { decisions = SITE_DECISIONS, hasWaitingRooms = false, spreadsChoices = false } = options;
   const { now } = clock;
   const random = createRandom(hashText(`${self.name}/${self.incarnation}`));
   const metrics = createRelayMetrics();
@@ -377,6 +379,7 @@
     stopSignal,
     zoneLinks: createZoneLinkMonitor({ countSendingNodes: () => listZonePeers().length }),
     responseMemory: createBodyMemoryLimit(MAXIMUM_RESPONSE_BYTES),
+    spreadsChoices,
     countNodes: exchange.peers.countAlive,
     readLoadAge: exchange.readLoadAge,
     countNodesWithoutLoad: exchange.countNodesWithoutLoad,
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -65,6 +65,8 @@
   readonly retries: RetryBounds;
   /** Whether streams wait for a path where their service has several priorities; false by default. */
   readonly hasWaitingRooms?: boolean;
+  /** Whether choices of a path are spread where a service has several priorities; false by default. */
+  readonly spreadsChoices?: boolean;
   /** Limits of the callers' connections; derived from the memory and descriptors of the process by default. */
   readonly callerLimits?: ConnectionLimits;
   /** Port to endpoints; over HTTP by default. */
@@ -201,6 +203,7 @@
     keys: options.keys,
     retries: options.retries,
     ...(options.hasWaitingRooms && { hasWaitingRooms: true }),
+    ...(options.spreadsChoices && { spreadsChoices: true }),
     onConfiguration: ({ configuration }) => {
       applyCallerLimits(callerServer, configuration.limits);
     },
