--- a/emulator/createVirtualCallers/index.ts
+++ b/emulator/createVirtualCallers/index.ts
@@ -17,6 +17,7 @@
 /** A request with its outcome. */
 export interface CallerRecord {
   readonly requestClass: string;
+  readonly priority: number;
   readonly account: string;
   readonly availabilityZone: string;
   readonly promptTokens: number;
@@ -31,6 +32,12 @@
   longestPause: number;
 }
 
+/** Demand that rises and falls by a share of its mean. */
+export interface DemandWave {
+  readonly amplitude: number;
+  readonly periodSeconds: number;
+}
+
 /** Emulated callers of a site. */
 export interface VirtualCallers {
   readonly records: CallerRecord[];
@@ -43,8 +50,10 @@
   readonly refusedAttempts: ReadonlySet<string>;
   /** Sends requests until a moment of virtual time, in milliseconds. */
   readonly start: (until: number) => void;
-  /** Sets the factor on the request rate. */
-  readonly setRate: (factor: number) => void;
+  /** Sets the factor on the request rate, of the requests with a priority or of all. */
+  readonly setRate: (factor: number, priority?: number) => void;
+  /** Lets the rate of each zone rise and fall, one zone after the other; undefined ends it. */
+  readonly setWave: (wave: DemandWave | undefined) => void;
   /** Returns the number of missing, duplicate and reordered events. */
   readonly countEventErrors: () => number;
 }
@@ -119,7 +128,14 @@
   const metadata = new Map<string, RequestMetadata>();
   const refusedAttempts = new Set<string>();
   const addressCache = new Map<string, { at: number; addresses: string[] }>();
-  let rate = 1;
+  /** Factor on the request rate, by request class. */
+  const rates = new Map<string, number>();
+  let wave: DemandWave | undefined;
+  const computeWaveFactor = (zone: number): number => {
+    if (!wave) return 1;
+    const phase = time.now() / (wave.periodSeconds * 1_000) + zone / site.availabilityZones.length;
+    return 1 + wave.amplitude * Math.sin(2 * Math.PI * phase);
+  };
   let attempts = 0;
   let eventErrors = 0;
 
@@ -338,6 +354,7 @@
     const answerTokens = events * site.model.stride;
     const record: CallerRecord = {
       requestClass: requestClass.name,
+      priority: requestClass.priority,
       account: drawAccount(),
       availabilityZone,
       promptTokens: prompt,
@@ -375,16 +392,22 @@
       return found;
     },
     findRequest: (attempt) => requests.get(attempt) ?? { attempt, promptTokens: 0, lastEvent: 0 },
-    setRate: (factor) => {
-      rate = factor;
+    setRate: (factor, priority) => {
+      for (const requestClass of site.requests)
+        if (priority === undefined || requestClass.priority === priority)
+          rates.set(requestClass.name, factor);
+    },
+    setWave: (changed) => {
+      wave = changed;
     },
     start: (until) => {
       const perZone = 1 / site.availabilityZones.length;
       for (const requestClass of site.requests) {
-        for (const zone of site.availabilityZones) {
+        site.availabilityZones.forEach((zone, index) => {
           const next = (): void => {
-            const pause =
-              (-Math.log(1 - random()) * 1_000) / (requestClass.perSecond * perZone * rate);
+            const rate = rates.get(requestClass.name) ?? 1;
+            const zoneRate = requestClass.perSecond * perZone * rate * computeWaveFactor(index);
+            const pause = (-Math.log(1 - random()) * 1_000) / zoneRate;
             if (time.now() + pause > until) return;
             time.schedule(pause, () => {
               startRequest(requestClass, zone);
@@ -392,7 +415,7 @@
             });
           };
           next();
-        }
+        });
       }
     },
   };
--- a/emulator/decisionVariants/index.ts
+++ b/emulator/decisionVariants/index.ts
@@ -69,16 +69,27 @@
     candidates: options.candidates.map((candidate) => ({ ...candidate, usedTokenLayers: 0 })),
   });
 
+/** Lets the requests of every priority fill the whole capacity. */
+const shareNothing: SiteDecisions['computeAdmissionShares'] = ({ demand }) =>
+  new Map(demand.priorities.map(({ priority }) => [priority, 1]));
+
+/** Chooses the cheapest path by the known loads, without spreading choices where these are too old. */
+const chooseWithoutSpread: SiteDecisions['choosePath'] = (options) =>
+  SITE_DECISIONS.choosePath({ ...options, costSpread: undefined });
+
 /** Variants of the decisions by name; `product` is the router's own. */
 export const DECISION_VARIANTS: Readonly<Record<string, SiteDecisions>> = {
   product: SITE_DECISIONS,
   'fill-by-zone': { ...SITE_DECISIONS, planPlacement: fillByZone },
   'any-path': { ...SITE_DECISIONS, choosePath: chooseAnyPath, prefersLocalZone: false },
   'admit-all': { ...SITE_DECISIONS, choosePath: chooseIgnoringMemory },
+  'no-spread': { ...SITE_DECISIONS, choosePath: chooseWithoutSpread },
   'run-anew': { ...SITE_DECISIONS, movesRuns: false },
+  'no-shares': { ...SITE_DECISIONS, computeAdmissionShares: shareNothing },
   'ignore-era': SITE_DECISIONS,
   'ignore-limits': SITE_DECISIONS,
   'no-neighbours': SITE_DECISIONS,
+  'trust-ends': SITE_DECISIONS,
 };
 
 /** What the nodes of a variant lack, beside its decisions. */
@@ -89,6 +100,8 @@
   readonly ignoresLimits?: boolean;
   /** Whether they may hand requests over to each other. */
   readonly hasNeighbours?: boolean;
+  /** Whether they take a response without framing for complete when its connection ends. */
+  readonly trustsEnds?: boolean;
 }
 
 /** Variants whose nodes lack something, by name. */
@@ -96,4 +109,5 @@
   'ignore-era': { ignoresEra: true },
   'ignore-limits': { ignoresLimits: true },
   'no-neighbours': { hasNeighbours: false },
+  'trust-ends': { trustsEnds: true },
 };
--- a/emulator/readScenario/index.ts
+++ b/emulator/readScenario/index.ts
@@ -74,7 +74,20 @@
 const spanSchema = { at: z.number(), seconds: z.number() };
 
 const faultSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('burst'), ...spanSchema, factor: z.number() }),
+  /** More requests, of one priority or of all. */
+  z.object({
+    kind: z.literal('burst'),
+    ...spanSchema,
+    factor: z.number(),
+    priority: z.number().optional(),
+  }),
+  /** The demand of each zone rises and falls by a share of its mean, one zone after the other. */
+  z.object({
+    kind: z.literal('demandWave'),
+    ...spanSchema,
+    amplitude: z.number(),
+    periodSeconds: z.number(),
+  }),
   z.object({
     kind: z.literal('crashEngines'),
     ...spanSchema,
@@ -124,6 +137,8 @@
   seconds: z.number(),
   /** Factor on the site's request rate. */
   rate: z.number().default(1),
+  /** Whether streams have neither a length nor chunks, and end with their connection; not by default. */
+  isUnframed: z.boolean().optional(),
   troubles: z.array(faultSchema),
 });
 
--- a/src/process/relay/createStreamPaths/index.ts
+++ b/src/process/relay/createStreamPaths/index.ts
@@ -4,6 +4,7 @@
 import type { ChosenPath } from '../../../request/choosePath/index.js';
 import type { TokenEstimate } from '../../../request/estimateTokens/index.js';
 import { computePermitWaitLimit } from '../../../request/computePermitWaitLimit/index.js';
+import { findRetryTime } from '../../../request/findRetryTime/index.js';
 import type { EndpointRecord, PathHop } from '../../../types/site/index.js';
 import { acquirePermit } from '../acquirePermit/index.js';
 import type { ResponseHead } from '../../../types/relay/index.js';
@@ -50,8 +51,11 @@
     hops: readonly PathHop[],
     refusal: Pick<ResponseHead, 'status' | 'metadata'>,
   ) => string | undefined;
-  /** Returns the time after which another node that refused the request asks to retry, in milliseconds. */
-  readonly getNeighbourRetry: () => number | undefined;
+  /**
+   * Finds the time after which another node that refused the request, or an endpoint that asked for fewer requests,
+   * accepts one, in milliseconds; undefined when there is none.
+   */
+  readonly findRetryTime: () => number | undefined;
   /** Records a complete run for each endpoint of its path. */
   readonly recordSuccess: (hops: readonly PathHop[]) => void;
   /** Returns the first hop whose endpoint is marked as lost. */
@@ -201,7 +205,14 @@
       return isGranted;
     },
     wasDenied: () => denied.size > 0,
-    getNeighbourRetry: () => neighbourRetryMilliseconds,
+    findRetryTime: () =>
+      neighbourRetryMilliseconds ??
+      findRetryTime({
+        endpoints: endpoints.list(),
+        service: request.service.name,
+        estimateWait: permits.estimateWait,
+        now: clock.now(),
+      }),
     recordFailedRun: (first, reason) => {
       if (recordNeighbour(first)) return;
       recordFirstHopFailure(first, reason);
@@ -224,6 +235,7 @@
       const refusingEndpoint = namedEndpoint ?? endpoints.find(hops[0]?.endpoint ?? '');
       if (!refusingEndpoint) return undefined;
       const { id } = refusingEndpoint.record;
+      context.metrics.count('refused_arrivals', request.service.name);
       avoidedEndpoints.add(id);
       void prober.probe(id, `status ${status}`);
       endpoints.avoid(refusingEndpoint, clock.now(), REFUSAL_AVOID_MILLISECONDS);
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -70,6 +70,19 @@
   }),
   leaving: define('info', 'The node is shutting down and accepts no new callers.', { open }),
   stopped: define('info', 'The node stopped and the process exits.', { open }),
+  'caller-limited': define(
+    'warn',
+    'A connection of a caller was closed, or its request refused, because of a limit of caller connections.',
+    {
+      cause: text(
+        'total, address: too many connections; unread: nobody reads the response; evictedBody, evictedResponse: closed to make room; noMemory',
+      ),
+      address: text("the caller's address"),
+      heldBytes: number('bytes that the connection held'),
+      open: number('requests of the connection without a complete response'),
+      omitted: number('such events without a line since the last one'),
+    },
+  ),
   'loop-failed': define(
     'error',
     'A loop failed with an internal error, or a listener cannot accept a connection; it continues.',
@@ -249,6 +262,17 @@
     endpoint,
     source: announcedIn,
   }),
+  'admission-share': define(
+    'info',
+    'The share of slots and memory that requests of a priority may fill changed by more than a tenth.',
+    {
+      service: text('name of the service'),
+      priority: number('priority of the requests; 1 is the most urgent'),
+      before: number('share when it was logged last; 1 is everything'),
+      share: number('share now'),
+      requestsPerSecond: number('demand of all nodes for the service, as this node estimates it'),
+    },
+  ),
   'endpoint-rest-unreadable': define(
     'warn',
     'An endpoint requested no traffic, but the duration cannot be parsed.',
@@ -346,6 +370,12 @@
     candidates: number('endpoints that were considered'),
     uncovered: text('layers that no usable endpoint hosts'),
     tightest: text('layers with the least free memory, and the tokens that fit there'),
+    fillableShare: z
+      .number()
+      .optional()
+      .describe(
+        'share of slots and memory that its priority may fill; absent when that is everything',
+      ),
   }),
   'endpoint-chosen': define('info', 'An endpoint was chosen for a buffered response.', {
     request,
