Derive the limit of connections from the descriptors that the settings state

Change: descriptors that the settings state go before the limit of the process. The test of a large configuration names the services of its routes, which the list of priorities reads.

--- a/src/process/runtime/readProcessResources/index.ts
+++ b/src/process/runtime/readProcessResources/index.ts
@@ -21,12 +21,12 @@
 }
 
 /**
- * Reads the limits of the process, and lowers them to those that its settings state.
+ * Reads the limits of the process; those that its settings state go first for descriptors, and lower the memory.
  *
  * @param stated - memory in bytes and descriptors from the settings, if any
  * @returns memory in bytes and number of descriptors
  * @example
- * readProcessResources({ descriptors: 4_100 }).descriptors; // at most 4,100
+ * readProcessResources({ descriptors: 4_100 }).descriptors; // 4,100
  */
 export function readProcessResources(
   stated: { readonly [Name in keyof ProcessResources]?: number | undefined } = {},
@@ -39,6 +39,7 @@
       constrained > 0 ? constrained : Infinity,
       stated.memoryBytes ?? Infinity,
     ),
-    descriptors: Math.min(readDescriptors(), stated.descriptors ?? Infinity),
+    // The limit of the process may count less than the platform grants, which its settings state.
+    descriptors: stated.descriptors ?? readDescriptors(),
   };
 }
--- a/src/process/site/createPeerExchange/test.ts
+++ b/src/process/site/createPeerExchange/test.ts
@@ -69,6 +69,7 @@
     slo_ms: 501,
     priority: 1,
     service: 'assistant',
+    services: [{ service: 'assistant', weight: 1 }],
     max_attempts: 2,
     public: false,
     resumable: true,
