Limit and exchange demand only where several priorities have a part of it

Change: a service takes part while two priorities or more have 5 in 100 of its demand each. The test of one node's demand now records both priorities, since the demand of one alone no longer limits anybody; a new test checks that.

--- a/src/process/site/createAdmissionExchange/index.ts
+++ b/src/process/site/createAdmissionExchange/index.ts
@@ -88,6 +88,11 @@
 const START_MILLISECONDS = 1_000;
 /** Change of a share that is logged. */
 const LOGGED_CHANGE = 0.1;
+/**
+ * Share of the demand from which a priority counts, so that a few requests on a route of another priority neither limit
+ * nor cost the others anything.
+ */
+const CONTENDING_SHARE = 0.05;
 /** Demand below which a service counts as unused, in requests per second of one node. */
 const MINIMUM_PER_SECOND = 0.01;
 
@@ -126,6 +131,13 @@
   ];
 }
 
+/** Returns whether several priorities have more than a negligible part of the demand. */
+function isContended({ priorities }: ServiceDemand): boolean {
+  const total = priorities.reduce((sum, { requestsPerSecond }) => sum + requestsPerSecond, 0);
+  const least = Math.max(MINIMUM_PER_SECOND, CONTENDING_SHARE * total);
+  return priorities.filter(({ requestsPerSecond }) => requestsPerSecond >= least).length > 1;
+}
+
 function createStartShares(priorities: readonly number[]): Map<number, number> {
   return new Map(priorities.map((priority, index) => [priority, index === 0 ? 1 : START_SHARE]));
 }
@@ -216,6 +228,10 @@
     const { availabilityZone } = self;
     const reported = [{ availabilityZone, demand: own }, ...listReported(state, zones)];
     const sum = sumDemands(reported, countByZone(alive));
+    if (!isContended(sum)) {
+      if (!isStarting()) state.shares = new Map();
+      return undefined;
+    }
     const demand = {
       stayMilliseconds: sum.stayMilliseconds || options.estimateStay(service),
       priorities: addMissingPriorities(sum.priorities, state.priorities),
--- a/src/process/site/createAdmissionExchange/test.ts
+++ b/src/process/site/createAdmissionExchange/test.ts
@@ -296,3 +296,16 @@
   const rounds = (6 * 10_000) / ROUND_MILLISECONDS;
   assert.ok(site.changes.length < rounds / 4, `${site.changes.length} lines`);
 });
+
+/** Guards against messages and limits where a few requests have another priority than nearly all. */
+test('a priority with a negligible part of the demand neither limits others nor causes messages', () => {
+  const site = createSite({ nodes: 6 });
+  for (const zone of ZONES)
+    site.setDemand(zone, [
+      [1, 0.2],
+      [3, 60],
+    ]);
+  site.run(6_000);
+  assert.deepEqual([...new Set(site.listShares(3))], [1]);
+  assert.equal(site.countBytes(), 0);
+});
--- a/src/process/site/createRequestLimits/test.ts
+++ b/src/process/site/createRequestLimits/test.ts
@@ -88,8 +88,11 @@
   }
   const run = (service: string): void => {
     for (; now < 3_000; now += 300) {
-      for (let requests = 0; requests < 30; requests += 1)
+      for (let requests = 0; requests < 30; requests += 1) {
         limits.get('node-1')?.admission.record(service, { priority: 1, tokenLayers: 0 });
+        if (requests % 6 === 0)
+          limits.get('node-1')?.admission.record(service, { priority: 3, tokenLayers: 0 });
+      }
       for (const { admission } of limits.values()) admission.step();
     }
   };
