--- a/src/process/relay/relayStream/index.ts
+++ b/src/process/relay/relayStream/index.ts
@@ -5,23 +5,21 @@
  * response continues: on a path with the same first endpoint if only later endpoints were lost,
  * otherwise in a new run after the last forwarded event.
  */
-import { estimateTokens, type TokenEstimate } from '../../../request/estimateTokens/index.js';
 import type { ChosenPath } from '../../../request/choosePath/index.js';
-import { findRetryTime } from '../../../request/findRetryTime/index.js';
 import type { EndpointCall, ResponseEnd } from '../../../types/relay/index.js';
 import type { PathHop } from '../../../types/site/index.js';
 import type { CrashCheck } from '../createCrashRecorder/index.js';
 import type { BlockedRun } from '../createRunGate/index.js';
 import { createRunCounter } from '../createRunCounter/index.js';
-import { createRunRecord, type RunRecord } from '../createRunRecord/index.js';
+import { createRunRecord, UNPROVEN_END, type RunRecord } from '../createRunRecord/index.js';
 import { createStreamResponse } from '../createStreamResponse/index.js';
+import { createStreamPlace } from '../createStreamPlace/index.js';
 import { createStreamPaths } from '../createStreamPaths/index.js';
 import { decideStreamFailure, type StreamFailureConditions } from '../decideStreamFailure/index.js';
 import { formatHops } from '../formatHops/index.js';
 import { moveStream } from '../moveStream/index.js';
 import { CONTINUATION_PRIORITY, openRequestRun } from '../openRequestRun/index.js';
 import type { NonStreamResponse } from '../openStreamRun/index.js';
-import { reserveMemory } from '../selectPath/index.js';
 import { watchLostEndpoints } from '../watchLostEndpoints/index.js';
 import { watchStream } from '../watchStream/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
@@ -29,6 +27,8 @@
 /** State of a stream; `checking` while the end of a run is looked into before the next one. */
 type RunState = 'idle' | 'running' | 'checking' | 'moving' | 'done';
 
+const NO_PATH = 'no path with enough free memory';
+
 /** Open run of a stream. */
 interface OpenRun {
   readonly call: EndpointCall;
@@ -53,7 +53,7 @@
 }
 
 function startStream(context: RelayContext, request: RelayedRequest, onDone: () => void): void {
-  const { clock, budget, endpoints, neighbours, permits } = context;
+  const { clock, budget, neighbours } = context;
   const { route, service, caller, deadlineAt, log } = request;
   const paths = createStreamPaths(context, request, hasBegun);
   let state: RunState = 'idle';
@@ -104,6 +104,8 @@
       finish();
     },
   });
+  const place = createStreamPlace({ context, request, paths, response, counter });
+  const { computeSize } = place;
   const lostEndpoints = watchLostEndpoints({
     context,
     request,
@@ -201,17 +203,16 @@
 
   /** Goes on after the run that was to be replaced has ended its response. */
   async function completeStandby(kept: OpenRun, end: ResponseEnd): Promise<void> {
-    const hasCrashed =
-      end === 'connection' && (await kept.record.recordBroken('connection ended', 'report'));
-    if (standby === kept && hasCrashed) {
+    const isComplete = await kept.record.confirmEnd(end, kept.path.hops);
+    if (standby === kept && !isComplete) {
       isAbandoned = false;
-      giveUpStandby('connection ended');
+      giveUpStandby(UNPROVEN_END);
       return;
     }
     if (standby === kept) restoreStandby('complete');
     if (call !== kept.call) return;
-    if (hasCrashed) recover('connection ended');
-    else endComplete();
+    if (isComplete) endComplete();
+    else recover(UNPROVEN_END);
   }
 
   function finish(): void {
@@ -219,6 +220,7 @@
     endRun();
     endStandby();
     watch.close();
+    place.end();
     lostEndpoints.close();
     stopBlockListener();
     gate.end();
@@ -247,26 +249,13 @@
         hasBegun,
         mayHaveRun: counter.mayHaveRun(),
         isTimeUp: false,
-        retryMilliseconds: paths.getNeighbourRetry() ?? findOwnRetryTime(),
+        retryMilliseconds: paths.findRetryTime(),
         ...conditions,
       }),
     });
     finish();
   }
 
-  function findOwnRetryTime(): number | undefined {
-    return findRetryTime({
-      endpoints: endpoints.list(),
-      service: service.name,
-      estimateWait: permits.estimateWait,
-      now: clock.now(),
-    });
-  }
-
-  function computeSize(): TokenEstimate {
-    return estimateTokens({ caller, model: service.model, lastEventId: response.getLastEventId() });
-  }
-
   /** Selects the path of the next run, and starts it when its first endpoint may get a request. */
   function startRun(chosen?: ChosenPath): void {
     const blocked = gate.mayRun() ? undefined : gate.admitRun();
@@ -274,12 +263,21 @@
       failBlocked(blocked);
       return;
     }
-    path = chosen ?? paths.select(computeSize());
-    if (!path) failRun(paths.wasDenied() ? 'rate limit' : 'no path with enough free memory');
+    path = chosen ?? place.select();
+    if (!path && place.mayWait()) void waitForPath();
+    else if (!path) failRun(paths.wasDenied() ? 'rate limit' : NO_PATH);
     else if (paths.needsPermit(path)) void startPermittedRun(path);
     else runOn(path);
   }
 
+  async function waitForPath(): Promise<void> {
+    const isUnchanged = beginCheck();
+    const found = await place.wait();
+    if (!isUnchanged()) return;
+    if ('hops' in found) startRun(found);
+    else fail(NO_PATH, { forecastMilliseconds: found.retryAfterMilliseconds });
+  }
+
   async function startPermittedRun(chosen: ChosenPath): Promise<void> {
     const isUnchanged = beginCheck();
     const mayStart = await paths.acquirePermit(chosen, {
@@ -309,8 +307,7 @@
       failRun('retry budget exhausted');
       return;
     }
-    const { roomTokens } = computeSize();
-    release = reserveMemory(context, request, chosen.hops, roomTokens);
+    release = place.reserve(chosen);
     state = 'running';
     if (chosen.neighbour) logHandOver(chosen.neighbour.name);
     openRun(chosen, first);
@@ -386,15 +383,17 @@
     call = opened;
   }
 
-  /** Ends a response that only its connection ended, unless the crash of the endpoint did that. */
+  /** Ends a response that only its connection ended, once it is proved to be complete. */
   async function endWithConnection(): Promise<void> {
     const isUnchanged = beginCheck();
     endRun();
     counter.recordMayHaveRun();
-    const hasCrashed = await run.recordBroken('connection ended', 'report');
+    // The other node may have used all attempts that the route allows.
+    if (path?.neighbour) counter.recordExhausted();
+    const isComplete = await run.confirmEnd('connection', listHops());
     if (!isUnchanged()) return;
-    if (hasCrashed) recover('connection ended');
-    else endComplete();
+    if (isComplete) endComplete();
+    else recover(UNPROVEN_END);
   }
 
   function endComplete(): void {
--- a/src/process/site/startSiteNode/index.ts
+++ b/src/process/site/startSiteNode/index.ts
@@ -2,9 +2,14 @@
  * Node of a site with its sockets: listeners, loops and shutdown.
  */
 import { createServer, type RequestListener, type Server } from 'node:http';
+import {
+  deriveCallerLimits,
+  type ConnectionLimits,
+} from '../../../connection/deriveCallerLimits/index.js';
 import type { EndpointPort, SiteProtocol } from '../../../types/relay/index.js';
 import type { NodeRecord } from '../../../types/site/index.js';
 import type { Store } from '../../../types/store/index.js';
+import { createTokenBucket } from '../../../request/createTokenBucket/index.js';
 import { describeError } from '../../describeError/index.js';
 import { createLifeCycle } from '../../createLifeCycle/index.js';
 import type { LeavingPeriod } from '../../relay/admitRequest/index.js';
@@ -12,6 +17,9 @@
 import { createEndpointPort } from '../../relay/createEndpointPort/index.js';
 import { createNeighbourPort } from '../../relay/createNeighbourPort/index.js';
 import { createSystemClock } from '../../runtime/createSystemClock/index.js';
+import { guardConnections } from '../../runtime/guardConnections/index.js';
+import { readProcessResources } from '../../runtime/readProcessResources/index.js';
+import { refuseOverloaded } from '../../runtime/refuseOverloaded/index.js';
 import { runLoop } from '../../runtime/runLoop/index.js';
 import { createPeerPort } from '../createPeerPort/index.js';
 import { createSiteLogger } from '../createSiteLogger/index.js';
@@ -55,6 +63,12 @@
   readonly queries: SiteQueries;
   readonly graceMilliseconds: number;
   readonly retries: RetryBounds;
+  /** Whether streams wait for a path where their service has several priorities; false by default. */
+  readonly hasWaitingRooms?: boolean;
+  /** Whether choices of a path are spread where a service has several priorities; false by default. */
+  readonly spreadsChoices?: boolean;
+  /** Limits of the callers' connections; derived from the memory and descriptors of the process by default. */
+  readonly callerLimits?: ConnectionLimits;
   /** Port to endpoints; over HTTP by default. */
   readonly endpointPort?: EndpointPort;
   /** Output stream of log lines; standard output by default. */
@@ -89,6 +103,9 @@
  */
 const LEAVING_MARGIN_MILLISECONDS = 500;
 const LEAVING_MARGIN_SHARE = 1 / 6;
+/** Log lines of limited callers, which a burst of them must not fill the log with. */
+const LIMIT_LINES_PER_SECOND = 2;
+const LIMIT_LINES_BURST = 20;
 const LEAVING_CHECK_MILLISECONDS = 10;
 /** Share of that margin in which the last responses of a leaving node are sent. */
 const LAST_RESPONSES_SHARE = 0.5;
@@ -132,14 +149,37 @@
   const logger = createSiteLogger({ node, availabilityZone, now, stream: options.logStream });
   const lifeCycle = createLifeCycle();
   let leaving: LeavingPeriod | undefined;
+  const limits = options.callerLimits ?? deriveCallerLimits(readProcessResources());
   const callerServer = createCallerServer(
     (incoming, response) => {
-      handler.handle(incoming, response);
+      if (guard.admit(incoming, response)) handler.handle(incoming, response);
+      else refuseOverloaded(response);
     },
     (cause) => {
       metrics.count('closed_connections', cause);
     },
   );
+  const limitLines = createTokenBucket({
+    tokensPerSecond: LIMIT_LINES_PER_SECOND,
+    burst: LIMIT_LINES_BURST,
+    now,
+  });
+  let omittedLimitLines = 0;
+  const guard = guardConnections(callerServer, {
+    limits,
+    now,
+    onLimit: ({ cause, address, heldBytes, openRequests }) => {
+      metrics.count('caller_limits', cause);
+      if (!limitLines.take()) {
+        omittedLimitLines += 1;
+        return;
+      }
+      const omitted = omittedLimitLines;
+      omittedLimitLines = 0;
+      logger.log('caller-limited', { cause, address, heldBytes, open: openRequests, omitted });
+    },
+  });
+  lifeCycle.own({ name: 'callers-guard', close: guard.close });
   const peerPort = await createPeerPort({
     address: self.peerAddress,
     lifeCycle,
@@ -162,6 +202,8 @@
     decoders: options.decoders,
     keys: options.keys,
     retries: options.retries,
+    ...(options.hasWaitingRooms && { hasWaitingRooms: true }),
+    ...(options.spreadsChoices && { spreadsChoices: true }),
     onConfiguration: ({ configuration }) => {
       applyCallerLimits(callerServer, configuration.limits);
     },
@@ -176,11 +218,13 @@
     metrics,
     now,
     isLeaving,
+    guard,
+    maximumBodyChunks: limits.bodyChunks,
   });
   const isReady = (): boolean => state.getCompiled() !== undefined && !isLeaving();
   const readinessServer = createReadinessServer(queries, isReady, {
     '/metrics': () => {
-      const extras = { open: handler.countOpen(), leftOut: logger.countDroppedLines() };
+      const extras = { open: handler.countOpen(), leftOut: logger.countDroppedLines(), guard };
       return `${metrics.format()}${formatGauges(core.describe(), extras)}`;
     },
     '/v1/status': () => JSON.stringify(core.describe()),
