Notice within 1.8 s that the connection to the store is dead

Callers were refused with 404 on routes that had been acknowledged more than 2 s before. A watch that waits on a connection that has gone silent cannot be told from one without changes until its limit of 3.5 s; the next call then took another kept connection, silent as well, for 1.05 s more. One change wakes the watches of all nodes, so that no node knew more than the others.

A call that fails over a kept connection closes the idle ones and is repeated at once over a new one; the store counts as reachable meanwhile. Nodes that follow through others check at once when these fall silent.

--- a/soak/createProxy/index.ts
+++ b/soak/createProxy/index.ts
@@ -30,6 +30,8 @@
   readonly retarget: (address: string | undefined) => void;
   readonly startFault: (fault: LinkFault) => void;
   readonly stopFault: (fault: LinkFault) => void;
+  /** Drops all further data of the connections that are open now, without an error on either side; new ones work. */
+  readonly silenceConnections: () => void;
   readonly close: () => Promise<void>;
 }
 
@@ -42,6 +44,11 @@
 
 type Direction = 'toServer' | 'toClient';
 
+/** State of one proxied connection. */
+interface ProxiedConnection {
+  isSilent: boolean;
+}
+
 const BLOCKING_FAULTS: Readonly<Record<Direction, readonly LinkFault[]>> = {
   toServer: ['cutToServer', 'silence'],
   toClient: ['cutToClient', 'silence'],
@@ -71,6 +78,7 @@
 export async function createProxy(target: string | undefined): Promise<LinkProxy> {
   const active = new Set<LinkFault>();
   const sockets = new Set<Socket>();
+  const connections = new Set<ProxiedConnection>();
   let currentTarget = target;
   let isClosed = false;
   const isBlocked = (direction: Direction): boolean =>
@@ -92,24 +100,28 @@
     }, REPEAT_MILLISECONDS);
   };
   /** Forwards data in order; when one side ends, the other side ends after the forwarded data. */
-  const forwardInOrder = (from: Socket, to: Socket, direction: Direction): void => {
+  const forwardInOrder = (
+    from: Socket,
+    to: Socket,
+    { direction, connection }: { direction: Direction; connection: ProxiedConnection },
+  ): void => {
     let last: Promise<void> = Promise.resolve();
     from.on('data', (chunk: Buffer) => {
       from.pause();
       last = last.then(async () => {
-        await forward(chunk, to, direction);
+        if (!connection.isSilent) await forward(chunk, to, direction);
         from.resume();
       });
     });
     from.on('end', () => {
       last = last.then(() => {
-        if (!to.destroyed) to.end();
+        if (!to.destroyed && !connection.isSilent) to.end();
       });
     });
     from.on('close', () => {
       // Forwards data that was read before the close first, unless the link was reset.
       last = last.then(() => {
-        to.destroy();
+        if (!connection.isSilent) to.destroy();
       });
     });
   };
@@ -120,6 +132,9 @@
     }
     const [host, port] = currentTarget.split(':');
     const server = connect({ host, port: Number(port), allowHalfOpen: true });
+    const connection: ProxiedConnection = { isSilent: false };
+    connections.add(connection);
+    client.on('close', () => connections.delete(connection));
     for (const socket of [client, server]) {
       sockets.add(socket);
       socket.setNoDelay(true);
@@ -131,8 +146,8 @@
     server.on('error', () => {
       client.resetAndDestroy();
     });
-    forwardInOrder(client, server, 'toServer');
-    forwardInOrder(server, client, 'toClient');
+    forwardInOrder(client, server, { direction: 'toServer', connection });
+    forwardInOrder(server, client, { direction: 'toClient', connection });
   };
   const listener = createServer({ allowHalfOpen: true }, handleConnection);
   const address = await listenOnLoopback(listener);
@@ -148,6 +163,9 @@
     stopFault: (fault) => {
       active.delete(fault);
     },
+    silenceConnections: () => {
+      for (const connection of connections) connection.isSilent = true;
+    },
     close: () =>
       new Promise((resolve) => {
         isClosed = true;
--- a/src/process/runtime/callJson/test.ts
+++ b/src/process/runtime/callJson/test.ts
@@ -90,3 +90,41 @@
   close();
   assert.deepEqual(result, { kind: 'unknown', reason: 'timeout after 200 ms' });
 });
+
+/** Serves `/silent` without a response, and everything else at once. */
+async function serveWithSilence() {
+  const server = createServer((request, response) => {
+    if (request.url !== '/silent') setTimeout(() => response.end('{}'), 20);
+  });
+  const address = await listenOnLoopback(server);
+  const agent = new Agent({ keepAlive: true });
+  const close = (): void => {
+    agent.destroy();
+    server.closeAllConnections();
+    server.close();
+  };
+  const call = (path: string) =>
+    callJson({
+      address,
+      method: 'GET',
+      path,
+      agent,
+      timeoutMilliseconds: 2_000,
+      reusedTimeoutMilliseconds: 100,
+    });
+  return { agent, call, close };
+}
+
+/** Guards against further dead connections that calls use one after the other. */
+test('a call without a response over a kept connection fails early and closes the idle connections', async () => {
+  const { agent, call, close } = await serveWithSilence();
+  await Promise.all([call('/'), call('/'), call('/')]);
+  const reused = await call('/silent');
+  const idle = Object.values(agent.freeSockets).flatMap((sockets) => sockets ?? []);
+  const open = idle.filter(({ destroyed }) => !destroyed).length;
+  const next = await call('/silent');
+  close();
+  assert.deepEqual(reused, { kind: 'unknown', reason: 'timeout after 100 ms', isReused: true });
+  assert.equal(open, 0);
+  assert.deepEqual(next, { kind: 'unknown', reason: 'timeout after 2000 ms' });
+});
--- a/src/process/site/createStoreFollower/index.ts
+++ b/src/process/site/createStoreFollower/index.ts
@@ -56,15 +56,12 @@
   readonly onChanges?: (batch: ChangeBatch) => void;
 }
 
-/** Maximum duration of a watch, so that an unresponsive connection is detected soon. */
-const WATCH_MILLISECONDS = 2_500;
 /**
- * Addition to the watch duration per node beyond a few, and its limit; many nodes also learn
- * changes from each other.
+ * Maximum duration of a watch. A connection that is dead without a sign shows only after it, and nodes
+ * have to apply a change within two seconds.
  */
-const WATCH_MILLISECONDS_PER_NODE = 60;
-const MAXIMUM_WATCH_MILLISECONDS = 6_000;
-/** Number of nodes up to which watches stay short. */
+const WATCH_MILLISECONDS = 1_200;
+/** Number of nodes up to which the pauses between attempts stay short. */
 const SMALL_SITE_NODES = 10;
 /**
  * Pause between two watches per node, which batches changes, because each change wakes all nodes.
@@ -106,7 +103,10 @@
  */
 const RECOVERY_GRACE_MILLISECONDS = 2_200;
 
-function describeFailure(result: Exclude<StoreResult<unknown>, { kind: 'done' }>): string {
+/** Result of a call that did not return a value. */
+type FailedResult = Exclude<StoreResult<unknown>, { readonly kind: 'done' }>;
+
+function describeFailure(result: FailedResult): string {
   return 'reason' in result ? result.reason : result.kind;
 }
 
@@ -138,6 +138,8 @@
   let retryPause = FIRST_RETRY_MILLISECONDS;
   /** When this node was last up to date with the store. */
   let confirmedAt = Number.NEGATIVE_INFINITY;
+  /** When the store last responded, to this node or to one that forwards changes. */
+  let respondedAt = now();
   /** Whether the next watch has to end soon. */
   let isCheckDue = false;
   /**
@@ -161,18 +163,34 @@
   const recordResponse = (): void => {
     retryPause = FIRST_RETRY_MILLISECONDS;
     confirmedAt = now();
+    respondedAt = now();
     if (isReachable) return;
     isReachable = true;
     recoveredAt = now();
     logger.log('store-reached', { revision });
   };
   /** Starts the time anew in which missing items are retained. */
-  const recordRestoration = (): void => {
+  const retainMissingItems = (): void => {
     hadOutage = true;
     recoveredAt = now();
   };
+  /**
+   * Records a call that failed over a kept connection. That says little about the store, and the next call opens a new
+   * connection, so that it need not wait. The store may have been away nevertheless.
+   */
+  const recordLostConnection = (reason: string): void => {
+    isCheckDue = true;
+    retainMissingItems();
+    const silentMilliseconds = Math.round(now() - respondedAt);
+    logger.log('store-connection-lost', { reason, revision, silentMilliseconds });
+  };
   /** Records a failed call; returns the pause before the next one, in milliseconds. */
-  const recordFailure = (reason: string): number => {
+  const recordFailure = (result: FailedResult): number => {
+    const reason = describeFailure(result);
+    if (result.kind === 'unknown' && result.isReused) {
+      recordLostConnection(reason);
+      return 0;
+    }
     isCheckDue = true;
     hadOutage = true;
     if (isReachable) {
@@ -188,13 +206,13 @@
   };
   const readAll = async (): Promise<number> => {
     const result = await store.range('');
-    if (result.kind !== 'done') return recordFailure(describeFailure(result));
+    if (result.kind !== 'done') return recordFailure(result);
     recordResponse();
     const { value } = result;
     const { era: newEra = 0 } = value;
     const isRestored = wasRestored || newEra > (era ?? newEra);
     if (isRestored) {
-      recordRestoration();
+      retainMissingItems();
       logger.log('store-restored', { revision, newRevision: value.revision });
     }
     for (const key of listReported()) items.addReported(key);
@@ -221,12 +239,12 @@
       return 0;
     }
     if (result.kind === 'restored') {
-      recordRestoration();
+      retainMissingItems();
       mustReadAll = true;
       wasRestored = true;
       return 0;
     }
-    if (result.kind !== 'done') return recordFailure(describeFailure(result));
+    if (result.kind !== 'done') return recordFailure(result);
     recordResponse();
     isCheckDue = false;
     pendingRead = undefined;
@@ -241,12 +259,7 @@
     };
   };
   const followAlone = async (after: number): Promise<number> => {
-    const maximum = Math.min(
-      MAXIMUM_WATCH_MILLISECONDS,
-      WATCH_MILLISECONDS +
-        WATCH_MILLISECONDS_PER_NODE * Math.max(0, countNodes() - SMALL_SITE_NODES),
-    );
-    const batch = await watch(after, maximum);
+    const batch = await watch(after, WATCH_MILLISECONDS);
     if (typeof batch === 'number') return batch;
     return Math.min(MAXIMUM_GATHER_MILLISECONDS, GATHER_MILLISECONDS_PER_NODE * countNodes());
   };
@@ -261,7 +274,8 @@
       pendingRead !== undefined && now() - pendingRead.at > PENDING_READ_TIMEOUT_MILLISECONDS;
     const remaining = confirmedAt + CONFIRMATION_TIMEOUT_MILLISECONDS - now();
     if (remaining > 0 && !isOverdue) return Math.min(MAXIMUM_CHECK_PAUSE_MILLISECONDS, remaining);
-    const batch = await watch(pendingRead?.after ?? after, RELAYED_WATCH_MILLISECONDS);
+    // The connection has been idle for long, and changes may have been missed: both show at once.
+    const batch = await watch(pendingRead?.after ?? after, CHECK_WATCH_MILLISECONDS);
     return typeof batch === 'number' ? batch : 0;
   };
   const follow: Readonly<Record<FollowerRole, (after: number) => Promise<number>>> = {
--- a/src/process/site/logEvents/index.ts
+++ b/src/process/site/logEvents/index.ts
@@ -125,6 +125,15 @@
 
   'store-reached': define('info', "The platform's store is reachable.", { revision }),
   'store-lost': define('warn', "The platform's store does not respond.", { reason, revision }),
+  'store-connection-lost': define(
+    'warn',
+    'A call to the store failed over a kept connection; the next one uses a new connection.',
+    {
+      reason,
+      revision,
+      silentMilliseconds: number('milliseconds since the last response of the store'),
+    },
+  ),
   'store-restored': define(
     'warn',
     'The store was restored from an older copy; all items are read again.',
--- a/src/types/store/index.ts
+++ b/src/types/store/index.ts
@@ -34,7 +34,15 @@
   /** The call had no effect. */
   | { readonly kind: 'refused'; readonly reason: string }
   /** The call may have taken effect, or may take effect later. */
-  | { readonly kind: 'unknown'; readonly reason: string };
+  | {
+      readonly kind: 'unknown';
+      readonly reason: string;
+      /**
+       * Whether the call used a connection that was kept from earlier calls, so that its failure may be that of the
+       * connection alone; false by default.
+       */
+      readonly isReused?: boolean;
+    };
 
 /** Write that takes effect only if all expected revisions match. */
 export interface StoreTransaction {
