Let open connections go silent in the soak and the emulator

Nodes keep the versions' bound of the users' pages: 2 s after acceptance, from 3 s after a fault of the node or the store.

Defective twins: a follower that waits without a limit, the emulator's variant wait-without-limit; both are found.

The figure of all violations gains lateVersions.

--- a/emulator/createVirtualStore/index.ts
+++ b/emulator/createVirtualStore/index.ts
@@ -23,6 +23,8 @@
    * time run anew.
    */
   readonly restore: (ageMilliseconds: number) => void;
+  /** Lets the connections of all waiting watches go silent: their responses never arrive. */
+  readonly silenceConnections: () => void;
   readonly calls: ReadonlyMap<StoreCall, number>;
 }
 
@@ -30,6 +32,8 @@
 export interface CreateVirtualStoreOptions {
   /** Whether nodes get revisions without the era, as from an adapter that ignores it; false by default. */
   readonly hidesEra?: boolean;
+  /** Whether nodes wait for responses without a time limit; false by default. */
+  readonly waitsWithoutLimit?: boolean;
 }
 
 /** Duration of a call. */
@@ -37,10 +41,16 @@
 /** Time-out of a call without a reply. */
 const TIMEOUT_MILLISECONDS = 1_500;
 
+/** Time that a watch may take beyond its wait. */
+const WATCH_TIMEOUT_MARGIN_MILLISECONDS = 600;
+
+/** How a watch ends without a response. */
+type WatchFailure = 'cut' | 'silent';
+
 /** A watch that waits for a change. */
 interface PendingWatch {
   readonly prefix: string;
-  readonly finish: (end?: 'cut') => void;
+  readonly finish: (failure?: WatchFailure) => void;
 }
 
 interface Lease {
@@ -60,7 +70,7 @@
  */
 export function createVirtualStore(
   time: VirtualTime,
-  { hidesEra = false }: CreateVirtualStoreOptions = {},
+  { hidesEra = false, waitsWithoutLimit = false }: CreateVirtualStoreOptions = {},
 ): VirtualStore {
   const items = new Map<string, StoreItem>();
   let history: StoreItem[] = [];
@@ -148,11 +158,14 @@
       watch: async ({ prefix, after, waitMilliseconds }) => {
         const hasChanges = (): boolean => listChanges(prefix, toNumber(after)).length > 0;
         const isCurrent = (): boolean => !isOfEarlierEra(after) && toNumber(after) <= revision;
-        let isCut = false;
+        const timeoutAt = waitsWithoutLimit
+          ? Number.POSITIVE_INFINITY
+          : time.now() + waitMilliseconds + WATCH_TIMEOUT_MARGIN_MILLISECONDS;
+        let failure: WatchFailure | undefined;
         if (isCurrent() && !hasChanges() && !unreachableFrom.has(node)) {
           await new Promise<void>((resolve) => {
-            const finish = (end?: 'cut'): void => {
-              isCut = end === 'cut';
+            const finish = (end?: WatchFailure): void => {
+              failure = end;
               cancel();
               pendingWatches.delete(watch);
               time.requestFlush();
@@ -163,8 +176,13 @@
             pendingWatches.add(watch);
           });
         }
+        if (failure === 'silent') {
+          calls.set('watch', (calls.get('watch') ?? 0) + 1);
+          const result = { kind: 'unknown', reason: 'timeout', isReused: true } as const;
+          return time.delay(timeoutAt - time.now(), result);
+        }
         return call('watch', () => {
-          if (isCut) return { kind: 'unknown', reason: 'connection closed' };
+          if (failure === 'cut') return { kind: 'unknown', reason: 'connection closed' };
           if (isOfEarlierEra(after)) return { kind: 'restored' };
           if (!isCurrent()) return { kind: 'rejected' };
           return done(createSnapshot(listChanges(prefix, toNumber(after))));
@@ -224,5 +242,8 @@
     for (const lease of leases.values()) lease.expiresAt = time.now() + lease.milliseconds;
     for (const watch of [...pendingWatches]) watch.finish('cut');
   };
-  return { connect, put, unreachableFrom, restore, calls };
+  const silenceConnections = (): void => {
+    for (const watch of [...pendingWatches]) watch.finish('silent');
+  };
+  return { connect, put, unreachableFrom, restore, silenceConnections, calls };
 }
--- a/emulator/decisionVariants/index.ts
+++ b/emulator/decisionVariants/index.ts
@@ -90,6 +90,7 @@
   'ignore-limits': SITE_DECISIONS,
   'no-neighbours': SITE_DECISIONS,
   'trust-ends': SITE_DECISIONS,
+  'wait-without-limit': SITE_DECISIONS,
 };
 
 /** What the nodes of a variant lack, beside its decisions. */
@@ -102,6 +103,8 @@
   readonly hasNeighbours?: boolean;
   /** Whether they take a response without framing for complete when its connection ends. */
   readonly trustsEnds?: boolean;
+  /** Whether they wait for responses of the store without a time limit. */
+  readonly waitsWithoutLimit?: boolean;
 }
 
 /** Variants whose nodes lack something, by name. */
@@ -110,4 +113,5 @@
   'ignore-limits': { ignoresLimits: true },
   'no-neighbours': { hasNeighbours: false },
   'trust-ends': { trustsEnds: true },
+  'wait-without-limit': { waitsWithoutLimit: true },
 };
--- a/emulator/injectFaults/index.ts
+++ b/emulator/injectFaults/index.ts
@@ -165,6 +165,9 @@
       for (const node of cut) node.setCut(undefined);
     });
   },
+  silenceConnections: ({ store }) => {
+    store.silenceConnections();
+  },
   changeConfiguration: ({ operator }) => {
     operator.changeConfiguration();
   },
--- a/emulator/playDay/index.ts
+++ b/emulator/playDay/index.ts
@@ -11,6 +11,7 @@
 import { createVirtualOperator } from '../createVirtualOperator/index.js';
 import { createVirtualStore, type StoreCall } from '../createVirtualStore/index.js';
 import { createVirtualTime } from '../createVirtualTime/index.js';
+import { watchVersions } from '../watchVersions/index.js';
 import type { VirtualDay, VirtualSite } from '../readScenario/index.js';
 import type { EngineCounts } from '../createForwardPasses/index.js';
 import type { Repair } from '../createRepairMonitor/index.js';
@@ -38,13 +39,15 @@
   /**
    * Violated guarantees: missing, duplicate or reordered events; at-most-once requests executed twice;
    * executed requests whose refusal stated that they were not; processes that returned to an older configuration, and
-   * nodes that do not have the newest one at the end; rate limits that were exceeded.
+   * nodes that do not have the newest one at the end; versions that a process applied too late; rate limits that were
+   * exceeded.
    */
   readonly broken: {
     readonly events: number;
     readonly ranTwice: number;
     readonly refusedThoughRun: number;
     readonly configuration: number;
+    readonly lateVersions: number;
     readonly limits: number;
   };
   /** Virtual time of the first request, in milliseconds. */
@@ -69,6 +72,8 @@
   readonly hasNeighbours?: boolean;
   /** Whether nodes take a stream without framing for complete when its connection ends; false by default. */
   readonly trustsEnds?: boolean;
+  /** Whether nodes wait for responses of the store without a time limit; false by default. */
+  readonly waitsWithoutLimit?: boolean;
 }
 
 /** Time after the last request in which requests may still complete. */
@@ -159,9 +164,10 @@
 export async function playDay(options: PlayDayOptions): Promise<DayResult> {
   const { site, day, seed, decisions = SITE_DECISIONS } = options;
   const { ignoresEra = false, ignoresLimits = false, hasNeighbours = true } = options;
+  const { waitsWithoutLimit = false } = options;
   const framedEnd = options.trustsEnds === true ? 'trusted' : 'unframed';
   const time = createVirtualTime();
-  const store = createVirtualStore(time, { hidesEra: ignoresEra });
+  const store = createVirtualStore(time, { hidesEra: ignoresEra, waitsWithoutLimit });
   const engines = createEngineFleet({ site, time, store, seed });
   const plain = createPlainFleet({ site, time, store, seed });
   const limits = createVirtualLimits(time);
@@ -209,6 +215,7 @@
   const fleets = { engines, plain, limits };
   const system = { site, time, store, ...fleets, callers, nodes: nodes.nodes, operator };
   injectFaults(system, day, seed);
+  const versionWatch = watchVersions({ time, nodes: nodes.nodes, operator, day, firstAt });
   await time.run(firstAt + milliseconds + TAIL_MILLISECONDS);
   for (const record of callers.records) record.outcome ??= 'failed';
   const atMostOnceClasses = new Set(
@@ -233,6 +240,7 @@
           callers.refusedAttempts.has(attempt) && atMostOnceClasses.has(callers.findClass(attempt)),
       ).length,
       configuration: nodes.countConfigurationErrors(operator.getVersion()),
+      lateVersions: versionWatch.countLate(),
       limits: limits.countExceeded(),
     },
     firstAt,
--- a/emulator/playDay/test.ts
+++ b/emulator/playDay/test.ts
@@ -20,7 +20,14 @@
 }
 
 function assertNoViolation({ broken }: DayFigures): void {
-  const none = { events: 0, ranTwice: 0, refusedThoughRun: 0, configuration: 0, limits: 0 };
+  const none = {
+    events: 0,
+    ranTwice: 0,
+    refusedThoughRun: 0,
+    configuration: 0,
+    lateVersions: 0,
+    limits: 0,
+  };
   assert.deepEqual(broken, none);
 }
 
@@ -113,6 +120,25 @@
   assert.ok(broken.configuration > 0);
 });
 
+/** A change, a silence before the next watches end, and changes that the silent watches do not return. */
+const SILENT_CONNECTIONS: InjectedFault[] = [
+  { kind: 'changeConfiguration', at: 1 },
+  { kind: 'silenceConnections', at: 1.25 },
+  { kind: 'changeConfiguration', at: 1.3 },
+  { kind: 'changeConfiguration', at: 1.8 },
+];
+
+test('open connections to the store that go silent violate no guarantee and all requests are served', async () => {
+  const figures = await play(SILENT_CONNECTIONS);
+  assertNoViolation(figures);
+  assert.equal(figures.all.served, 1);
+});
+
+test('shows that nodes which wait for the store without a limit apply a version too late', async () => {
+  const { broken } = await play(SILENT_CONNECTIONS, { version: 'wait-without-limit' });
+  assert.ok(broken.lateVersions > 0);
+});
+
 /** Some first endpoints of paths and two of three plain endpoints announce a rate limit. */
 const RATE_LIMITS: InjectedFault[] = [
   { kind: 'limitEndpoints', at: 0, seconds: 7, engines: 2, plain: 2, requestsPerSecond: 1 },
--- a/emulator/readScenario/index.ts
+++ b/emulator/readScenario/index.ts
@@ -127,6 +127,8 @@
   z.object({ kind: z.literal('storeAway'), ...spanSchema, share: z.number() }),
   /** The store is away for a time, and returns from a copy that was so old when it went away. */
   z.object({ kind: z.literal('restoreStore'), ...spanSchema, ageSeconds: z.number() }),
+  /** The open connections to the store go silent, and new ones work. */
+  z.object({ kind: z.literal('silenceConnections'), at: z.number() }),
   z.object({ kind: z.literal('changeConfiguration'), at: z.number() }),
   z.object({ kind: z.literal('replaceNodes'), at: z.number(), gapSeconds: z.number() }),
   z.object({ kind: z.literal('loseNodes'), ...spanSchema, share: z.number() }),
--- a/soak/checkVersions/index.ts
+++ b/soak/checkVersions/index.ts
@@ -6,6 +6,7 @@
 import type {
   Check,
   ConfigurationWrite,
+  InjectedFault,
   SoakBounds,
   SoakRecord,
   VersionObservation,
@@ -36,10 +37,19 @@
   }, write.at);
 }
 
+/** Time limit of one kind of node, and what excuses a late version. */
+interface VersionLimit {
+  readonly applyMilliseconds: number;
+  /** Time for which a fault excuses a late version, in milliseconds. */
+  readonly excusedMilliseconds: number;
+  readonly excusing: readonly InjectedFault[];
+  readonly noticeMilliseconds: number;
+}
+
 function findLateVersions(
   record: SoakRecord,
   { node, version, at }: VersionObservation,
-  { applyMilliseconds, noticeMilliseconds }: SoakBounds,
+  { applyMilliseconds, excusedMilliseconds, excusing, noticeMilliseconds }: VersionLimit,
 ) {
   const oldest = record.writes.find(
     (write) =>
@@ -47,23 +57,46 @@
       findApplyStart(record, write, noticeMilliseconds) + applyMilliseconds < at,
   );
   if (!oldest) return [];
-  const excusing = record.disturbances.filter(({ kind }) => kind !== RESTORATION);
-  const options = { targets: [node, 'store'], from: at - applyMilliseconds, until: at };
+  const options = { targets: [node, 'store'], from: at - excusedMilliseconds, until: at };
   if (hasFault(excusing, options)) return [];
   return [
     `${node} serves version ${version} ${Math.round(at - oldest.at)} ms after version ${oldest.version} was accepted`,
   ];
 }
 
-/** Checks that each node serves the last accepted version within the time limit. */
+/** Lists the limits: of nodes without faults since the acceptance, and of nodes in contact. */
+function listLimits({ disturbances }: SoakRecord, bounds: SoakBounds): VersionLimit[] {
+  const { applyMilliseconds, contactApplyMilliseconds, contactMilliseconds, noticeMilliseconds } =
+    bounds;
+  return [
+    {
+      applyMilliseconds,
+      excusedMilliseconds: applyMilliseconds,
+      excusing: disturbances.filter(({ kind }) => kind !== RESTORATION),
+      noticeMilliseconds,
+    },
+    {
+      applyMilliseconds: contactApplyMilliseconds,
+      excusedMilliseconds: contactMilliseconds,
+      excusing: disturbances,
+      noticeMilliseconds,
+    },
+  ];
+}
+
+/** Checks that each node serves the last accepted version within the time limits. */
 export const checkVersions: Check = {
   promise: 'an accepted configuration is in force in time and never goes back',
   count: ({ versions }) => versions.length,
-  find: (record, bounds) =>
-    groupByProcess(record.versions)
+  find: (record, bounds) => {
+    const limits = listLimits(record, bounds);
+    return groupByProcess(record.versions)
       .flatMap((observations) => [
         ...findRollbacks(observations),
-        ...observations.flatMap((observation) => findLateVersions(record, observation, bounds)),
+        ...observations.flatMap((observation) =>
+          limits.flatMap((limit) => findLateVersions(record, observation, limit)),
+        ),
       ])
-      .map((detail) => ({ request: undefined, detail })),
+      .map((detail) => ({ request: undefined, detail }));
+  },
 };
--- a/soak/createDefectiveFollower/index.ts
+++ b/soak/createDefectiveFollower/index.ts
@@ -1,6 +1,6 @@
 /**
  * Minimal follower of the store for a defective node. Each defect misunderstands a store that was restored from an
- * older copy, or entries that no endpoint can have written.
+ * older copy, entries that no endpoint can have written, or a connection that goes silent.
  */
 import { z } from 'zod';
 import { sleep } from '../../bench/sleep/index.js';
@@ -23,7 +23,9 @@
   /** Follows the store no further than to the first entry that names no endpoint. */
   | 'stopsAtOddEntry'
   /** Takes each configuration that has a version, whatever its other fields are. */
-  | 'takesOddConfigurations';
+  | 'takesOddConfigurations'
+  /** Waits for responses of the store without a time limit. */
+  | 'waitsWithoutLimit';
 
 /** Running follower. */
 export interface DefectiveFollower {
@@ -36,6 +38,8 @@
 }
 
 const PAUSE_MILLISECONDS = 20;
+/** Time limit of a call to the store. */
+const TIMEOUT_MILLISECONDS = 200;
 const CONFIGURATION_KEY = 'op/config';
 const ENDPOINT_PREFIX = 'servers/';
 const rangeSchema = z.object({
@@ -64,6 +68,7 @@
   address: string,
   defect: FollowerDefect,
 ): DefectiveFollower {
+  const ending = new AbortController();
   const departed = new Set<string>();
   const available = new Map<string, boolean>();
   const odd = new Map<string, z.infer<typeof looseSchema>>();
@@ -101,7 +106,10 @@
     available.set(id, !hasLeft);
   };
   const poll = async (): Promise<void> => {
-    const response = await fetch(`http://${address}/kv-range?prefix=`);
+    const limits =
+      defect === 'waitsWithoutLimit' ? [] : [AbortSignal.timeout(TIMEOUT_MILLISECONDS)];
+    const signal = AbortSignal.any([ending.signal, ...limits]);
+    const response = await fetch(`http://${address}/kv-range?prefix=`, { signal });
     const { items, at } = rangeSchema.parse(await response.json());
     const era = Number(response.headers.get('store-era'));
     const isNewEra = defect !== 'trustsRevisions' && era > latestEra;
@@ -129,6 +137,7 @@
       [...odd.values()].filter((entry) => entry.service === service).map(({ address: at }) => at),
     close: () => {
       isClosed = true;
+      ending.abort();
       return following;
     },
   };
--- a/soak/createFaultInjector/index.ts
+++ b/soak/createFaultInjector/index.ts
@@ -44,6 +44,8 @@
 const BURST_CHANGES = 6;
 const BURST_PAUSE_MILLISECONDS = 120;
 const STORE_DELAY_MILLISECONDS = 300;
+/** Time in which a change wakes the nodes' watches and the next ones begin. */
+const NEXT_WATCH_MILLISECONDS = 250;
 
 function findNode({ nodes }: FaultContext, { index }: ScheduledFault): SoakNode {
   const node = nodes[index];
@@ -255,6 +257,22 @@
   }
 };
 
+/** Lets all open connections to the store and to endpoints go silent, right after a change and before the next one. */
+const silenceConnections: Handler = async ({ nodes, endpoints, operator, record, now }) => {
+  operator.changeConfiguration();
+  await sleep(NEXT_WATCH_MILLISECONDS);
+  const at = now();
+  const links = [
+    ...nodes.map(({ name, storeLink }) => ({ target: name, link: storeLink })),
+    ...endpoints.map(({ id, link }) => ({ target: id, link })),
+  ];
+  for (const { target, link } of links) {
+    link.silenceConnections();
+    record.disturbances.push({ kind: 'silence', target, from: at, until: at });
+  }
+  operator.changeConfiguration();
+};
+
 const HANDLERS: Readonly<Record<FaultKind, Handler>> = {
   freezeNode,
   killNode: restartNode('kill', false),
@@ -314,6 +332,7 @@
     return Promise.resolve();
   },
   stormConfiguration,
+  silenceConnections,
   restoreStore: ({ store, record, now, operator, listWriters, random }, fault) =>
     restoreStore({
       store,
--- a/soak/drawSchedule/index.ts
+++ b/soak/drawSchedule/index.ts
@@ -59,6 +59,8 @@
   drainUnframed: { target: 'endpoint', weight: 0 },
   expireUnframed: { target: 'endpoint', weight: 0 },
   restartUnframed: { target: 'endpoint', weight: 0 },
+  // Drawn by drawSilences only.
+  silenceConnections: { target: 'store', weight: 0 },
   // Drawn by drawOddEntries only.
   writeOddEntries: { target: 'store', weight: 0 },
   writeOddConfiguration: { target: 'configuration', weight: 0 },
--- a/soak/findViolations/test.ts
+++ b/soak/findViolations/test.ts
@@ -15,6 +15,7 @@
   attemptMilliseconds: 10_000,
   stopMilliseconds: 9_000,
   applyMilliseconds: 17_000,
+  contactApplyMilliseconds: 2_000,
   noticeMilliseconds: 1_000,
   registerMilliseconds: 10_000,
   drainMilliseconds: 2_000,
@@ -109,6 +110,7 @@
   { version: 1, at: 0 },
   { version: 2, at: 1_000 },
 ];
+const SILENCE = { kind: 'silence', target: 'node-0' };
 const RESTORED = { kind: 'restored', target: 'store', from: 3_000, until: 6_000 };
 const RESTORATION = { copiedAt: 500, awayAt: 3_000, returnedAt: 4_500, rewrittenAt: 6_000 };
 /** A restoration that loses the second version before nodes have to know it. */
@@ -405,6 +407,15 @@
       disturbances: [{ kind: 'storeLink', target: 'node-0', from: 900, until: 22_000 }],
     }),
   ],
+  [
+    'an accepted configuration is in force in time and never goes back',
+    'late version on a node whose connections went silent before its contact time',
+    record({
+      versions: [{ ...VERSION, at: 4_600 }],
+      writes: WRITES,
+      disturbances: [{ ...SILENCE, from: 1_500, until: 1_500 }],
+    }),
+  ],
   [
     'an endpoint that has left the registry gets nothing from a node that knows',
     'request after the drain time',
@@ -509,12 +520,20 @@
   [
     'version that the store lost before nodes had to know it, within the time after it was written again',
     record({
-      versions: [VERSION],
+      versions: [{ ...VERSION, at: 7_900 }],
       writes: WRITES,
       disturbances: [{ ...RESTORED, from: 1_500 }],
       restorations: [EARLY_RESTORATION],
     }),
   ],
+  [
+    'late version on a node whose connections went silent within its contact time',
+    record({
+      versions: [{ ...VERSION, at: 4_600 }],
+      writes: WRITES,
+      disturbances: [{ ...SILENCE, from: 1_700, until: 1_700 }],
+    }),
+  ],
   [
     'odd entries of which nothing was taken',
     record({
--- a/soak/runSoak/index.ts
+++ b/soak/runSoak/index.ts
@@ -20,6 +20,7 @@
 import { createRecord } from '../createRecord/index.js';
 import { drawRateLimits } from '../drawRateLimits/index.js';
 import { drawUnframedEnds } from '../drawUnframedEnds/index.js';
+import { drawSilences } from '../drawSilences/index.js';
 import { drawOddEntries } from '../drawOddEntries/index.js';
 import { serveOddAddress, type OddAddress } from '../serveOddAddress/index.js';
 import { createSoakEndpoint, type SoakEndpoint } from '../createSoakEndpoint/index.js';
@@ -61,6 +62,7 @@
   attemptMilliseconds: 12_000,
   stopMilliseconds: 13_000,
   applyMilliseconds: 17_000,
+  contactApplyMilliseconds: 2_000,
   noticeMilliseconds: 1_000,
   registerMilliseconds: 10_000,
   drainMilliseconds: 2_000,
@@ -200,6 +202,7 @@
     ...drawOddEntries({ seed, milliseconds, endpoints }),
     ...drawRateLimits({ seed, milliseconds, endpoints }),
     ...drawUnframedEnds({ seed, milliseconds, endpoints }),
+    ...drawSilences({ seed, milliseconds }),
     ...restorations,
   ].sort((left, right) => left.at - right.at);
 }
--- a/soak/serveDefectiveNode/test.ts
+++ b/soak/serveDefectiveNode/test.ts
@@ -20,6 +20,7 @@
   type EndpointMode,
   type SoakEndpoint,
 } from '../createSoakEndpoint/index.js';
+import { createProxy, type LinkProxy } from '../createProxy/index.js';
 import { findViolations } from '../findViolations/index.js';
 import { createCallers } from '../createCallers/index.js';
 import { SOAK_BOUNDS } from '../runSoak/index.js';
@@ -52,6 +53,7 @@
   noticeMilliseconds: 300,
   drainMilliseconds: 300,
   applyMilliseconds: 700,
+  contactApplyMilliseconds: 700,
 };
 const COPY_AGE_MILLISECONDS = 200;
 /** Changes that the restoration loses; more than the writers write again. */
@@ -81,6 +83,8 @@
 /** Components of a run with a node that follows a store. */
 interface FollowedSite {
   readonly store: SiteStore;
+  /** Link between the node and the store. */
+  readonly storeLink: LinkProxy;
   readonly record: SoakRecord;
   readonly now: () => number;
   readonly operator: Operator;
@@ -118,7 +122,8 @@
   const timeoutMilliseconds = ATTEMPT_MILLISECONDS;
   const operator = createOperator({ store, record, now, timeoutMilliseconds });
   operator.changeConfiguration();
-  const followed = { address: store.address, defect: followerDefect };
+  const storeLink = await createProxy(store.address);
+  const followed = { address: storeLink.address, defect: followerDefect };
   const node = await serveDefectiveNode({ defect: 'none', plain, model, now, followed });
   const target = { node: 'node-0', address: node.address };
   const callers = createCallers({
@@ -135,10 +140,11 @@
   callers.start();
   const nodes = [{ ...target, getStartNumber: () => 1 }];
   const stopVersionWatch = watchVersions({ nodes, callers, record, now });
-  await disturb({ store, record, now, operator, model, writers });
+  await disturb({ store, storeLink, record, now, operator, model, writers });
   await sleep(RESTORATION_BOUNDS.applyMilliseconds + 3 * PROBE_MILLISECONDS);
   await Promise.all([callers.stop(), stopVersionWatch()]);
   await node.close();
+  await storeLink.close();
   await Promise.all([plain.close(), model.close(), store.close()]);
   return [...new Set(findViolations(record, RESTORATION_BOUNDS).map(({ promise }) => promise))];
 }
@@ -198,6 +204,14 @@
   operator.changeConfiguration();
 }
 
+/** Lets the node's connections to the store go silent between two versions. */
+async function disturbBySilence({ storeLink, operator }: FollowedSite): Promise<void> {
+  await sleep(PROBE_MILLISECONDS);
+  operator.changeConfiguration();
+  storeLink.silenceConnections();
+  operator.changeConfiguration();
+}
+
 /** Runs callers against a defective node and returns the promises that the checks report as broken. */
 async function findBrokenPromises(
   {
@@ -381,6 +395,15 @@
   assert.deepEqual(await findBrokenByFollower('none', disturbByOddConfiguration), []);
 });
 
+test('detects a node that waitsWithoutLimit for the store after its connections have gone silent', async () => {
+  const broken = await findBrokenByFollower('waitsWithoutLimit', disturbBySilence);
+  assert.deepEqual(broken, [CONFIGURATION_PROMISE]);
+});
+
+test('reports no violation for a node without a defect after its connections have gone silent', async () => {
+  assert.deepEqual(await findBrokenByFollower('none', disturbBySilence), []);
+});
+
 test('reports no violation for a node without a defect while odd entries stand', async () => {
   assert.deepEqual(await findBrokenByFollower('none', disturbByOddEntries), []);
 });
--- a/soak/types/index.ts
+++ b/soak/types/index.ts
@@ -232,6 +232,8 @@
   readonly stopMilliseconds: number;
   /** Time in which nodes have to apply an accepted configuration, in milliseconds. */
   readonly applyMilliseconds: number;
+  /** The same for nodes without faults of their own and of the store for the contact time, in milliseconds. */
+  readonly contactApplyMilliseconds: number;
   /** Time after which a node without faults knows what the store accepted, in milliseconds. */
   readonly noticeMilliseconds: number;
   /** Time in which a node without faults has to be registered, in milliseconds. */
@@ -242,8 +244,9 @@
   readonly retryRatio: number;
   readonly retrySlack: number;
   readonly retryWindowMilliseconds: number;
-  /** Crashes by one part after which nodes have to know it, and the time they have for it. */
+  /** Crashes by one part after which nodes have to know it. */
   readonly crashesUntilKnown: number;
+  /** Time after a disruption from which a node counts as in contact with the others, in milliseconds. */
   readonly contactMilliseconds: number;
   /** Requests with a known part that may still reach endpoints. */
   readonly maximumKnownSends: number;
