Apply removals at once after a kept connection was lost

Requests reached endpoints up to 3.2 s after the store had accepted their departure, through nodes whose connections had gone silent more than 3 s before. A call that failed over a kept connection made a node retain all removals for 2.2 s, as after an outage of the store.

A node retains them only where the first response over the new connection removes more than half of all items, as the end of an outage in which entries expire does. The soak excuses a request to an endpoint that has left for the 3 s after a silence in which a node counts as out of contact, and no longer.

The unit test of a removal after a lost connection failed before.

--- a/soak/findViolations/test.ts
+++ b/soak/findViolations/test.ts
@@ -421,6 +421,13 @@
     'request after the drain time',
     createRequestAfterDeparture(2_200),
   ],
+  [
+    'an endpoint that has left the registry gets nothing from a node that knows',
+    'request after the drain time through a node whose connections went silent before its contact time',
+    createRequestAfterDeparture(2_200, {
+      disturbances: [{ ...SILENCE, from: 100, until: 100 }],
+    }),
+  ],
   [
     'an endpoint that has left the registry gets nothing from a node that knows',
     'request after the store was restored',
@@ -540,6 +547,12 @@
       disturbances: [{ kind: 'oddEntries', target: 'registry', from: 1_000, until: 3_000 }],
     }),
   ],
+  [
+    'request to a departed endpoint through a node whose connections went silent within its contact time',
+    createRequestAfterDeparture(2_200, {
+      disturbances: [{ ...SILENCE, from: 700, until: 700 }],
+    }),
+  ],
   ['request within the drain time of a departed endpoint', createRequestAfterDeparture(1_900)],
   [
     'request to a departed endpoint through a node that started after its departure',
--- a/src/process/site/createStoreFollower/index.ts
+++ b/src/process/site/createStoreFollower/index.ts
@@ -102,6 +102,11 @@
  * expired or were lost may be written again.
  */
 const RECOVERY_GRACE_MILLISECONDS = 2_200;
+/**
+ * Share of the items whose removal at once shows that they expired in an outage of the store. Fewer
+ * are those of endpoints that have left.
+ */
+const OUTAGE_REMOVED_SHARE = 0.5;
 
 /** Result of a call that did not return a value. */
 type FailedResult = Exclude<StoreResult<unknown>, { readonly kind: 'done' }>;
@@ -142,6 +147,8 @@
   let respondedAt = now();
   /** Whether the next watch has to end soon. */
   let isCheckDue = false;
+  /** Whether the store may have been away unnoticed, because a kept connection did not respond. */
+  let isOutagePossible = false;
   /**
    * Revision before the oldest item that a shortened batch omitted, and the time of the omission.
    */
@@ -176,11 +183,11 @@
   };
   /**
    * Records a call that failed over a kept connection. That says little about the store, and the next call opens a new
-   * connection, so that it need not wait. The store may have been away nevertheless.
+   * connection, so that it need not wait.
    */
   const recordLostConnection = (reason: string): void => {
     isCheckDue = true;
-    retainMissingItems();
+    isOutagePossible = true;
     const silentMilliseconds = Math.round(now() - respondedAt);
     logger.log('store-connection-lost', { reason, revision, silentMilliseconds });
   };
@@ -204,6 +211,11 @@
     retryPause = Math.min(maximum, 2 * retryPause);
     return pause;
   };
+  /** Retains the items that the first response after a lost connection removes, if they are too many to have left. */
+  const checkForOutage = (computeRemovedShare: () => number): void => {
+    if (isOutagePossible && computeRemovedShare() > OUTAGE_REMOVED_SHARE) retainMissingItems();
+    isOutagePossible = false;
+  };
   const readAll = async (): Promise<number> => {
     const result = await store.range('');
     if (result.kind !== 'done') return recordFailure(result);
@@ -216,6 +228,7 @@
       logger.log('store-restored', { revision, newRevision: value.revision });
     }
     for (const key of listReported()) items.addReported(key);
+    checkForOutage(() => items.computeMissingShare(value));
     items.applySnapshot(value, isRestored ? 'restored' : 'change');
     revision = value.revision;
     era = newEra;
@@ -249,6 +262,7 @@
     isCheckDue = false;
     pendingRead = undefined;
     const { items: changes } = result.value;
+    checkForOutage(() => items.computeRemovedShare(changes));
     for (const item of changes) items.apply(item);
     revision = Math.max(revision, result.value.revision);
     return {
--- a/src/process/site/createStoreItems/index.ts
+++ b/src/process/site/createStoreItems/index.ts
@@ -24,6 +24,10 @@
   readonly removeDue: () => void;
   /** Returns the time of the next deferred removal in milliseconds; infinite without one. */
   readonly getNextRemoval: () => number;
+  /** Returns which share of the known items changes remove, from 0 to 1. */
+  readonly computeRemovedShare: (changes: readonly StoreItem[]) => number;
+  /** Returns which share of the known items a snapshot does not contain, from 0 to 1. */
+  readonly computeMissingShare: (snapshot: StoreSnapshot) => number;
 }
 
 /** Options of {@link createStoreItems}. */
@@ -53,6 +57,9 @@
   /** Revision of the newest change of removed items, so that an older change does not bring one back. */
   const removedRevisions = new Map<string, number>();
 
+  /** Returns the share of the known keys that satisfy a condition. */
+  const computeShare = (isCounted: (key: string) => boolean): number =>
+    [...revisions.keys()].filter(isCounted).length / Math.max(1, revisions.size);
   const rememberRemoval = (key: string): void => {
     removedRevisions.delete(key);
     removedRevisions.set(key, revisions.get(key) ?? 0);
@@ -111,5 +118,13 @@
       for (const [key, dueAt] of removals) if (dueAt <= now()) remove(key);
     },
     getNextRemoval: () => Math.min(...removals.values(), Number.POSITIVE_INFINITY),
+    computeRemovedShare: (changes) => {
+      const latest = new Map(changes.map(({ key, value }) => [key, value]));
+      return computeShare((key) => latest.has(key) && latest.get(key) === undefined);
+    },
+    computeMissingShare: ({ items }) => {
+      const present = new Set(items.map(({ key }) => key));
+      return computeShare((key) => !present.has(key));
+    },
   };
 }
