Take a response without a final status for no response

Callers got the responses of endpoints in trouble with status 600 or 999 as answers; 000, 001, 099, 101 and 1000 were refused already.

--- a/src/process/relay/openEndpointCall/index.ts
+++ b/src/process/relay/openEndpointCall/index.ts
@@ -12,6 +12,7 @@
   LivenessCheck,
   SendState,
 } from '../../../types/relay/index.js';
+import { isFinalStatus } from '../../runtime/isFinalStatus/index.js';
 import { startRequest } from '../../runtime/startRequest/index.js';
 import { startTimeLimit } from '../../runtime/startTimeLimit/index.js';
 
@@ -39,9 +40,6 @@
 /** Maximum number of interim responses (1xx) before the final response. */
 const MAXIMUM_INTERIM_RESPONSES = 256;
 
-/** Final statuses below this one cannot be sent to callers: 101, and those that HTTP does not define. */
-const FIRST_FINAL_STATUS = 200;
-
 /** Statuses of responses that end with their head. */
 const HEAD_ONLY_STATUSES: ReadonlySet<number | undefined> = new Set([204, 304]);
 
@@ -164,9 +162,8 @@
   outgoing.on('response', (incoming) => {
     response = incoming;
     if (isDone) return;
-    const { statusCode = 0 } = incoming;
-    if (statusCode < FIRST_FINAL_STATUS) {
-      fail(`invalid status ${statusCode}`);
+    if (!isFinalStatus(incoming.statusCode)) {
+      fail(`invalid status ${incoming.statusCode}`);
       return;
     }
     onResponse(incoming);
--- a/src/process/relay/openEndpointCall/test.ts
+++ b/src/process/relay/openEndpointCall/test.ts
@@ -138,7 +138,7 @@
   }
 }
 
-for (const status of ['099', '000', '101']) {
+for (const status of ['099', '000', '001', '101', '600', '999']) {
   test(`fails on a response whose final status is ${status}, which no caller can be sent`, async () => {
     const outcome = await callRaw((socket) => {
       socket.end(`HTTP/1.1 ${status} Odd\r\nContent-Length: 2\r\n\r\nhi`);
--- a/src/process/runtime/callHttp/index.ts
+++ b/src/process/runtime/callHttp/index.ts
@@ -2,6 +2,7 @@
  * Buffered HTTP calls whose result says whether the request can have reached the other side.
  */
 import type http from 'node:http';
+import { isFinalStatus } from '../isFinalStatus/index.js';
 import { startRequest } from '../startRequest/index.js';
 
 /** Options of {@link callHttp}. */
@@ -90,6 +91,12 @@
   });
   request.on('response', (response) => {
     hasResponse = true;
+    const { statusCode: status } = response;
+    if (!isFinalStatus(status)) {
+      fail();
+      request.destroy();
+      return;
+    }
     const chunks: Buffer[] = [];
     let size = 0;
     response.on('data', (chunk: Buffer) => {
@@ -106,7 +113,7 @@
       }
       finish({
         kind: 'reply',
-        status: response.statusCode ?? 0,
+        status,
         contentType: response.headers['content-type'] ?? '',
         body: Buffer.concat(chunks).toString('utf8'),
       });
--- a/src/process/runtime/callHttp/test.ts
+++ b/src/process/runtime/callHttp/test.ts
@@ -39,3 +39,12 @@
   const result = await new Promise<HttpResult>((resolve) => callHttp(call, resolve));
   assert.deepEqual(result, { kind: 'failed', sent: false });
 });
+
+test('fails on a response without a final status', async () => {
+  for (const status of ['000', '099', '600', '999']) {
+    const result = await callRaw((socket) => {
+      socket.end(`HTTP/1.1 ${status} Odd\r\nContent-Length: 2\r\n\r\nhi`);
+    });
+    assert.deepEqual(result, { kind: 'failed', sent: true });
+  }
+});
--- a/src/process/runtime/callJson/index.ts
+++ b/src/process/runtime/callJson/index.ts
@@ -4,6 +4,7 @@
 import type { Agent } from 'node:http';
 import { parseJson } from '../../parseJson/index.js';
 import { closeIdleConnections } from '../closeIdleConnections/index.js';
+import { isFinalStatus } from '../isFinalStatus/index.js';
 import { startRequest } from '../startRequest/index.js';
 import { startTimeLimit } from '../startTimeLimit/index.js';
 
@@ -127,6 +128,12 @@
       fail(error.message);
     });
     outgoing.on('response', (response) => {
+      const { statusCode: status, headers: responseHeaders } = response;
+      if (!isFinalStatus(status)) {
+        fail(`invalid status ${status}`);
+        outgoing.destroy();
+        return;
+      }
       const chunks: Buffer[] = [];
       response.on('data', (chunk: Buffer) => {
         size += chunk.length;
@@ -138,7 +145,6 @@
       });
       response.on('end', () => {
         const value = parseJson(Buffer.concat(chunks).toString('utf8'));
-        const { statusCode: status = 0, headers: responseHeaders } = response;
         finish({ kind: 'answered', status, headers: responseHeaders, value });
       });
     });
--- a/src/process/runtime/callJson/test.ts
+++ b/src/process/runtime/callJson/test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { Agent, createServer } from 'node:http';
+import { createServer as createTcpServer } from 'node:net';
 import { test } from 'node:test';
 import { callJson } from './index.js';
 import { listenOnLoopback } from '../../../../standins/listenOnLoopback/index.js';
@@ -128,3 +129,24 @@
   assert.equal(open, 0);
   assert.deepEqual(next, { kind: 'unknown', reason: 'timeout after 2000 ms' });
 });
+
+/** Guards against refusals, reports and outcomes of orders that are read from bytes that are no answer. */
+test('a response without a final status leaves the outcome unknown', async () => {
+  for (const status of ['000', '099', '600', '999']) {
+    const server = createTcpServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        socket.end(`HTTP/1.1 ${status} Odd\r\nContent-Length: 2\r\n\r\n{}`);
+      });
+    });
+    const address = await listenOnLoopback(server);
+    const result = await callJson({
+      address,
+      method: 'GET',
+      path: '/',
+      timeoutMilliseconds: 2_000,
+    });
+    server.close();
+    assert.deepEqual(result, { kind: 'unknown', reason: `invalid status ${Number(status)}` });
+  }
+});
--- a/src/process/runtime/createEngineRuns/index.ts
+++ b/src/process/runtime/createEngineRuns/index.ts
@@ -5,6 +5,7 @@
 import csp, { type Channel } from 'js-csp';
 import type { RunRequest, TokenLine } from '../../../types/endpoint/index.js';
 import type { NodeEvent } from '../../../types/node/index.js';
+import { isFinalStatus } from '../isFinalStatus/index.js';
 
 /** Events that a run emits. */
 export type RunEvent = Extract<NodeEvent, { kind: 'tokens' | 'runEnded' | 'runFailed' }>;
@@ -98,7 +99,9 @@
     firstEngine: string,
   ): void => {
     if (response.statusCode !== SUCCESS_STATUS) {
-      const refusal = response.headers['x-refused'];
+      const refusal = isFinalStatus(response.statusCode)
+        ? response.headers['x-refused']
+        : undefined;
       response.resume();
       // Only the header states that the engine did not run the request.
       fail(attempt, refusal === undefined, firstEngine, refusal === 'leaving');
