Bound what the pieces of a response cost, not only its bytes

An endpoint that sends an endless body in chunks of one byte ended the process that had called it: each piece that the parser emits is an object of its own, and the bounds counted bytes. The same held for reports and all other responses that are read whole.

Responses are copied into the blocks that bodies of callers use (createBodyBuffer): about twice their bytes, at most 131,072 pieces.

The start of such a process moved from callerLimits.process.test.ts to tests/support/platformProcess.

--- a/src/process/relay/openStreamRun/index.ts
+++ b/src/process/relay/openStreamRun/index.ts
@@ -14,6 +14,7 @@
   RawHeaders,
   ResponseEnd,
 } from '../../../types/relay/index.js';
+import { createBodyBuffer, MAXIMUM_RESPONSE_CHUNKS } from '../../runtime/createBodyBuffer/index.js';
 import { isResponseTo } from '../recordResponse/index.js';
 
 /** Response that is not a stream, such as a refusal. */
@@ -69,8 +70,13 @@
   const { send, attempt } = options;
   const { onMetadata, onEvent, onNonStreamResponse, onComplete, onFailed, onNotSent } = options;
   const splitter = createEventSplitter();
-  const bodyChunks: Buffer[] = [];
-  let bodyBytes = 0;
+  const body = createBodyBuffer({
+    maximumBytes: MAXIMUM_NON_STREAM_BYTES,
+    maximumChunks: MAXIMUM_RESPONSE_CHUNKS,
+    reserve: () => true,
+  });
+  /** Pieces of the event that is not complete. */
+  let pieces = 0;
   let head: ResponseHead | undefined;
   let isRefused = false;
   let hasEvents = false;
@@ -81,7 +87,7 @@
     if (!isResponseTo(received.metadata, attempt)) onFailed('response to another request');
     else if (checkRefusal({ ...received, attempt }) === 'unproven')
       onFailed('refusal without proof');
-    else onNonStreamResponse({ head: received, body: Buffer.concat(bodyChunks) });
+    else onNonStreamResponse({ head: received, body: body.join() });
   };
   return send({
     onHead: (received) => {
@@ -100,16 +106,17 @@
     onData: (chunk) => {
       if (!head || isRefused) return;
       if (!isStream(head)) {
-        bodyChunks.push(chunk);
-        bodyBytes += chunk.length;
-        if (bodyBytes > MAXIMUM_NON_STREAM_BYTES) onFailed('response too large');
+        if (body.append(chunk)) onFailed('response too large');
         return;
       }
+      pieces += 1;
       for (const event of splitter.add(chunk)) {
         hasEvents = true;
+        pieces = 0;
         if (!onEvent(event, head.headers)) return;
       }
-      if (splitter.countPending() > MAXIMUM_EVENT_BYTES) onFailed('event too large');
+      const isTooLarge = splitter.countPending() > MAXIMUM_EVENT_BYTES;
+      if (isTooLarge || pieces > MAXIMUM_RESPONSE_CHUNKS) onFailed('event too large');
     },
     onEnd: (end) => {
       if (!head || isRefused) return;
--- a/src/process/relay/runBufferedAttempt/index.ts
+++ b/src/process/relay/runBufferedAttempt/index.ts
@@ -9,6 +9,11 @@
   ResponseEnd,
   ResponseHead,
 } from '../../../types/relay/index.js';
+import {
+  createBodyBuffer,
+  MAXIMUM_RESPONSE_CHUNKS,
+  type BodyBufferRefusal,
+} from '../../runtime/createBodyBuffer/index.js';
 import type { BufferedResponse } from '../sendFailure/index.js';
 import { isResponseTo } from '../recordResponse/index.js';
 import type { RelayContext, RelayedRequest } from '../types/index.js';
@@ -48,6 +53,12 @@
 /** Maximum size of a buffered response in bytes. */
 const MAXIMUM_RESPONSE_BYTES = 4_194_304;
 
+const REFUSAL_REASONS: Readonly<Record<BodyBufferRefusal, string>> = {
+  tooLarge: 'response too large',
+  tooManyChunks: 'response in too many pieces',
+  noMemory: 'no memory for the response',
+};
+
 /** Statuses of responses without a body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 205, 304]);
 
@@ -101,9 +112,13 @@
   const { clock } = context;
   const { open, timeoutMilliseconds } = options;
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
     const reservation = context.responseMemory.createReservation();
-    let size = 0;
+    const body = createBodyBuffer({
+      maximumBytes: MAXIMUM_RESPONSE_BYTES,
+      maximumChunks: MAXIMUM_RESPONSE_CHUNKS,
+      reserve: reservation.add,
+    });
+    let hasBody = false;
     let head: ResponseHead | undefined;
     let isDone = false;
     const finish = (outcome: AttemptOutcome): void => {
@@ -112,15 +127,16 @@
       cancelTimer();
       removeStopCallback();
       call.abort();
+      body.clear();
       reservation.release();
       resolve(outcome);
     };
-    const classifyEnd = (body: Buffer, end: ResponseEnd): AttemptOutcome => {
+    const classifyEnd = (bytes: Buffer, end: ResponseEnd): AttemptOutcome => {
       const { method } = request.forwarded;
       if (!head) return { kind: 'unknown', reason: 'no response' };
-      if (hasMissingBody({ ...head, body }, end, method))
+      if (hasMissingBody({ ...head, body: bytes }, end, method))
         return { kind: 'unknown', reason: 'response without a body', isConnectionLost: true };
-      return classifyResponse(head, request.caller.attempt, body, end);
+      return classifyResponse(head, request.caller.attempt, bytes, end);
     };
     const call = open({
       onHead: (received) => {
@@ -134,15 +150,12 @@
         finish({ kind: 'notRun', reason: `status ${status}`, retryMilliseconds });
       },
       onData: (chunk) => {
-        size += chunk.length;
-        if (size > MAXIMUM_RESPONSE_BYTES)
-          finish({ kind: 'unknown', reason: 'response too large' });
-        else if (!reservation.add(chunk.length))
-          finish({ kind: 'unknown', reason: 'no memory for the response' });
-        else chunks.push(chunk);
+        hasBody = true;
+        const refusal = isDone ? undefined : body.append(chunk);
+        if (refusal) finish({ kind: 'unknown', reason: REFUSAL_REASONS[refusal] });
       },
       onEnd: (end, livenessCheck) => {
-        const outcome = classifyEnd(Buffer.concat(chunks), end);
+        const outcome = classifyEnd(body.join(), end);
         const hasTaker = !isDone && outcome.kind === 'answered';
         finish(hasTaker ? { ...outcome, livenessCheck } : outcome);
         if (!hasTaker) livenessCheck?.close();
@@ -153,7 +166,7 @@
       },
     });
     const cancelTimer = clock.scheduleAfterReads(timeoutMilliseconds, () => {
-      const reason = chunks.length > 0 ? 'response too slow' : 'no response in time';
+      const reason = hasBody ? 'response too slow' : 'no response in time';
       finish({ kind: 'unknown', reason, isTimeout: true });
     });
     const removeStopCallback = context.stopSignal.onRaised(() => {
--- a/src/process/runtime/callHttp/index.ts
+++ b/src/process/runtime/callHttp/index.ts
@@ -2,6 +2,7 @@
  * Buffered HTTP calls whose result says whether the request can have reached the other side.
  */
 import type http from 'node:http';
+import { createBodyBuffer, MAXIMUM_RESPONSE_CHUNKS } from '../createBodyBuffer/index.js';
 import { isFinalStatus } from '../isFinalStatus/index.js';
 import { startRequest } from '../startRequest/index.js';
 
@@ -97,12 +98,15 @@
       request.destroy();
       return;
     }
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const received = createBodyBuffer({
+      maximumBytes: MAXIMUM_RESPONSE_BYTES,
+      maximumChunks: MAXIMUM_RESPONSE_CHUNKS,
+      reserve: () => true,
+    });
     response.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > MAXIMUM_RESPONSE_BYTES) request.destroy();
-      else chunks.push(chunk);
+      if (received.append(chunk) === undefined) return;
+      received.clear();
+      request.destroy();
     });
     response.on('error', fail);
     response.on('close', fail);
@@ -115,7 +119,7 @@
         kind: 'reply',
         status,
         contentType: response.headers['content-type'] ?? '',
-        body: Buffer.concat(chunks).toString('utf8'),
+        body: received.join().toString('utf8'),
       });
     });
   });
--- a/src/process/runtime/callJson/index.ts
+++ b/src/process/runtime/callJson/index.ts
@@ -4,6 +4,7 @@
 import type { Agent } from 'node:http';
 import { parseJson } from '../../parseJson/index.js';
 import { closeIdleConnections } from '../closeIdleConnections/index.js';
+import { createBodyBuffer, MAXIMUM_RESPONSE_CHUNKS } from '../createBodyBuffer/index.js';
 import { isFinalStatus } from '../isFinalStatus/index.js';
 import { startRequest } from '../startRequest/index.js';
 import { startTimeLimit } from '../startTimeLimit/index.js';
@@ -134,17 +135,22 @@
         outgoing.destroy();
         return;
       }
-      const chunks: Buffer[] = [];
+      const received = createBodyBuffer({
+        maximumBytes: maximumResponseBytes,
+        maximumChunks: MAXIMUM_RESPONSE_CHUNKS,
+        reserve: () => true,
+      });
       response.on('data', (chunk: Buffer) => {
         size += chunk.length;
-        if (size <= maximumResponseBytes) chunks.push(chunk);
-        else outgoing.destroy(new Error(`response exceeds ${maximumResponseBytes} bytes`));
+        if (received.append(chunk) === undefined) return;
+        received.clear();
+        outgoing.destroy(new Error(`response exceeds ${maximumResponseBytes} bytes`));
       });
       response.on('error', (error) => {
         fail(error.message);
       });
       response.on('end', () => {
-        const value = parseJson(Buffer.concat(chunks).toString('utf8'));
+        const value = parseJson(received.join().toString('utf8'));
         finish({ kind: 'answered', status, headers: responseHeaders, value });
       });
     });
--- a/src/process/runtime/createBodyBuffer/index.ts
+++ b/src/process/runtime/createBodyBuffer/index.ts
@@ -26,6 +26,11 @@
   readonly reserve: (bytes: number) => boolean;
 }
 
+/**
+ * Maximum number of pieces of a response. A sound response has far fewer; each piece costs processor time, which one
+ * without an end would take from all other requests.
+ */
+export const MAXIMUM_RESPONSE_CHUNKS = 131_072;
 const MINIMUM_BLOCK_BYTES = 1_024;
 /** A block is as large as all before it up to this size, so that few are needed and little of the last is unused. */
 const MAXIMUM_BLOCK_BYTES = 262_144;
--- a/tests/callerLimits.process.test.ts
+++ b/tests/callerLimits.process.test.ts
@@ -4,14 +4,16 @@
  * connections without using them. Callers and bounds are fixed: they do not follow the code.
  */
 import assert from 'node:assert/strict';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer } from 'node:net';
-import { tmpdir } from 'node:os';
+import { writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { after, before, test, type TestContext } from 'node:test';
 import { serveSiteEndpoint } from '../standins/serveSiteEndpoint/index.js';
-import { createNodeSettings } from '../standins/servePlatformSite/index.js';
-import { listenOnLoopback } from '../standins/listenOnLoopback/index.js';
+import {
+  createFolder,
+  findFreePorts,
+  readStatus,
+  startPlatformProcess,
+} from './support/platformProcess/index.js';
 import {
   buildPlatformProgram,
   startServerProcess,
@@ -22,8 +24,6 @@
   PLAIN_SERVICE,
   registerEndpoint,
   respondCompletely,
-  sendCallerRequest,
-  startStore,
   waitFor,
 } from './support/siteNodes/index.js';
 import {
@@ -49,36 +49,6 @@
   readonly isAnswering: () => Promise<boolean>;
 }
 
-async function findFreePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const addresses = await Promise.all(
-    servers.map((server) => listenOnLoopback(server, { host: HOST })),
-  );
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return addresses.map((address) => Number(address.split(':')[1]));
-}
-
-/** Returns the status of a response, or undefined without one. */
-async function readStatus(
-  port: number,
-  path: string,
-  headers: Readonly<Record<string, string>> = {},
-): Promise<number | undefined> {
-  try {
-    return (await sendCallerRequest({ address: `${HOST}:${port}`, path, headers })).status;
-  } catch {
-    return undefined;
-  }
-}
-
-function createFolder(context: TestContext): string {
-  const folder = mkdtempSync(join(tmpdir(), 'caller-limits-'));
-  context.after(() => {
-    rmSync(folder, { recursive: true });
-  });
-  return folder;
-}
-
 /** Route of lookups that need no credential. */
 const PUBLIC_ROUTE = {
   name: 'look',
@@ -97,37 +67,32 @@
 
 /** Starts a node of the platform build with a store and two plain endpoints. */
 async function startPlatformNode(context: TestContext): Promise<Subject> {
-  const folder = createFolder(context);
-  const store = await startStore();
-  const endpoints = await Promise.all(
-    ['plain-1', 'plain-2'].map((id) => serveSiteEndpoint({ id, handle: respondCompletely })),
-  );
-  for (const endpoint of endpoints) registerEndpoint(store, endpoint, PLAIN_SERVICE);
   const limits = {
     max_header_bytes: 16_384,
     max_body_bytes: 4_194_304,
     header_timeout_ms: 10_000,
     idle_timeout_ms: 15_000,
   };
-  store.put('op/config', createPlatformConfiguration(1, { limits, routes: [PUBLIC_ROUTE] }));
-  const ports = await findFreePorts(4);
-  const [callerPort = 0, readinessPort = 0, directoryPort = 0, peerPort = 0] = ports;
-  const addresses = { ip: HOST, callerPort, readinessPort, directoryPort, peerPort };
-  const settings = {
-    ...createNodeSettings(0, addresses, { storeAddress: store.address, seeds: [] }),
-    limits: { memory_mb: MAXIMUM_MEMORY_MEGABYTES, max_fds: LIMITS.descriptors },
-  };
-  const path = join(folder, 'settings.json');
-  writeFileSync(path, JSON.stringify(settings));
-  const server = startServerProcess([program], { MARJORAMCLEAT_BOOT: path }, LIMITS);
-  context.after(async () => {
-    await server.end();
-    await Promise.all([...endpoints.map(({ crash }) => crash()), store.close()]);
+  const {
+    process: server,
+    store,
+    host,
+    callerPort,
+  } = await startPlatformProcess(context, {
+    program,
+    limits: LIMITS,
+    memoryMegabytes: MAXIMUM_MEMORY_MEGABYTES,
+    configuration: createPlatformConfiguration(1, { limits, routes: [PUBLIC_ROUTE] }),
   });
+  const endpoints = await Promise.all(
+    ['plain-1', 'plain-2'].map((id) => serveSiteEndpoint({ id, handle: respondCompletely })),
+  );
+  for (const endpoint of endpoints) registerEndpoint(store, endpoint, PLAIN_SERVICE);
+  context.after(() => Promise.all(endpoints.map(({ crash }) => crash())));
   const isAnswering = async (): Promise<boolean> =>
     (await readStatus(callerPort, '/look/one')) === 200;
   await waitFor('the node answers', isAnswering);
-  return { process: server, callers: { host: HOST, port: callerPort }, isAnswering };
+  return { process: server, callers: { host, port: callerPort }, isAnswering };
 }
 
 /** Starts a node with the product's own interface, without a platform. */
