--- a/src/process/relay/createCallerHandler/test.ts
+++ b/src/process/relay/createCallerHandler/test.ts
@@ -5,6 +5,7 @@
 import { test, type TestContext } from 'node:test';
 import { createSiteProtocol } from '../../../../platform/createSiteProtocol/index.js';
 import type { CallerResponse } from '../../../types/relay/index.js';
+import { createParserErrorResponder } from '../../runtime/createParserErrorResponder/index.js';
 import type { Relay } from '../createRelay/index.js';
 import { createCallerHandler } from './index.js';
 
@@ -44,6 +45,8 @@
     isLeaving: () => false,
   });
   const server = createServer(handler.handle);
+  // Which heads the parser refuses by itself depends on the version of the runtime.
+  server.on('clientError', createParserErrorResponder().respond);
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   context.after(() => {
