--- a/src/request/createEventSplitter/test.ts
+++ b/src/request/createEventSplitter/test.ts
@@ -33,3 +33,26 @@
   const [data] = createEventSplitter().add(Buffer.from('id: 3\ndata: HTTP/1.1 500\n\n'));
   assert.equal(data?.id, 3);
 });
+
+/** Guards against a stream that takes the processor for minutes because it copies an event for each of its bytes. */
+test('an event of 1 MB in chunks of one byte is split within five seconds, and unchanged', () => {
+  const text = `id: 1\ndata: ${'x'.repeat(1_048_576)}\n\nid: 2\n\n`;
+  const bytes = Buffer.from(text);
+  const splitter = createEventSplitter();
+  const startedAt = performance.now();
+  const events = Array.from(bytes.keys()).flatMap((index) =>
+    splitter.add(bytes.subarray(index, index + 1)),
+  );
+  const milliseconds = performance.now() - startedAt;
+  assert.equal(Buffer.concat(events.map((event) => event.bytes)).toString(), text);
+  assert.equal(events.length, 2);
+  assert.ok(milliseconds < 5_000, `${milliseconds.toFixed(0)} ms`);
+});
+
+test('events stay as they are when more chunks follow', () => {
+  const splitter = createEventSplitter();
+  splitter.add(Buffer.from('id: 1\nda'));
+  const [event] = splitter.add(Buffer.from('ta: a\n\nid: 2\n'));
+  splitter.add(Buffer.from('data: bbbbbbbbbbbbbbbbb\n\nid: 3'));
+  assert.equal(event?.bytes.toString(), 'id: 1\ndata: a\n\n');
+});
