Write the small events for a caller together while it does not read

Thirty callers that did not read their streams ended a process with a heap of 64 MB: each event of 24 bytes was a write of its own, which waits as several objects, while the bound of 262,144 bytes counts payload.

A batch passes one write at a time on; what comes meanwhile is copied into blocks and becomes the next one. Events of one turn of the event loop are written together, in the same turn as before.

--- a/src/process/relay/createCallerResponse/index.ts
+++ b/src/process/relay/createCallerResponse/index.ts
@@ -3,6 +3,7 @@
  */
 import type { ServerResponse } from 'node:http';
 import type { AbortCause, CallerResponse } from '../../../types/relay/index.js';
+import { createWriteBatch } from '../createWriteBatch/index.js';
 
 /**
  * Creates the port to a caller on an HTTP connection.
@@ -17,27 +18,28 @@
   response: ServerResponse,
   onAbort: (cause: AbortCause) => void,
 ): CallerResponse {
+  const batch = createWriteBatch((bytes, onWritten) => {
+    response.write(bytes, onWritten);
+  });
   return {
     isOpen: () => !response.headersSent && !response.destroyed,
     begin: (status, headers) => {
       response.writeHead(status, [...headers]);
     },
-    write: (bytes) => {
-      response.write(bytes);
-    },
+    write: batch.add,
     end: (bytes) => {
+      batch.flush();
       response.end(bytes);
     },
     abort: (cause) => {
+      batch.flush();
       onAbort(cause);
       // Where only the end of the connection ends the body, an ordinary end would look complete.
       if (response.headersSent && !response.chunkedEncoding) response.socket?.resetAndDestroy();
       response.destroy();
     },
-    countBufferedBytes: () => response.writableLength,
-    onceDrained: (action) => {
-      response.once('drain', action);
-    },
+    countBufferedBytes: () => response.writableLength + batch.countBytes(),
+    onceDrained: batch.onceWritten,
     onDisconnect: (action) => {
       response.on('close', () => {
         if (!response.writableFinished) action();
--- a/tests/endlessResponses.process.test.ts
+++ b/tests/endlessResponses.process.test.ts
@@ -4,11 +4,13 @@
  */
 import assert from 'node:assert/strict';
 import { after, before, test, type TestContext } from 'node:test';
+import { connect, type Socket } from 'node:net';
 import { sleep } from '../bench/sleep/index.js';
 import { serveSiteEndpoint } from '../standins/serveSiteEndpoint/index.js';
 import {
   ENDLESS_RESPONSES,
   ENDLESS_STREAMS,
+  fillPiece,
   serveEndlessEndpoint,
   type EndlessBytes,
   type Responder,
@@ -159,3 +161,29 @@
     await checkProcess(subject, context, part);
   }
 });
+
+/** Opens connections that send one request each and never read. */
+function connectWithoutReading({ host, callerPort }: Subject): Socket[] {
+  return Array.from({ length: REQUESTS }, (_, index) => {
+    const socket = connect({ host, port: callerPort });
+    socket.pause();
+    socket.on('error', () => undefined);
+    const fields = `Host: desk.example\r\nAttempt-Id: a-${index}\r\nToken-Counts: 20,10\r\n`;
+    socket.write(`GET /ask/one HTTP/1.1\r\n${fields}\r\n`);
+    return socket;
+  });
+}
+
+test('a process survives streams without an end whose callers do not read', async (context) => {
+  const subject = await startSubject(context, MODEL_SERVICE);
+  const head = 'HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n';
+  const events = Array.from({ length: 200_000 }, (_, index) => `id: ${index + 1}\ndata: x\n\n`);
+  const stream = { start: `${head}${events.join('')}`, piece: fillPiece(': ') };
+  await subject.restart((line) => (isReport(line) ? NO_BYTES : stream));
+  const callers = connectWithoutReading(subject);
+  context.after(() => {
+    for (const caller of callers) caller.destroy();
+  });
+  await sleep(2 * DEADLINE_MILLISECONDS);
+  await checkProcess(subject, context, 'unread events');
+});
