Stop reading an engine whose run has failed on the own interface

A line without an end was kept whole, and searched anew with each chunk; the body of a refusal without an end was read on and on. A line is 1,048,576 characters at most, and the connection is closed with the failure of its run.

Both new tests did not end within 20 s before.

--- a/src/process/runtime/createEngineRuns/index.ts
+++ b/src/process/runtime/createEngineRuns/index.ts
@@ -26,6 +26,8 @@
 
 const CHUNK_CHANNEL_CAPACITY = 256;
 const SUCCESS_STATUS = 200;
+/** Maximum length of a line, in characters. */
+const MAXIMUM_LINE_LENGTH = 1_048_576;
 
 function isFailure(line: TokenLine | FailureLine): line is FailureLine {
   return 'failed' in line;
@@ -79,14 +81,17 @@
       for (;;) {
         const chunk = yield csp.take(chunks);
         if (chunk === null) break;
-        const text = incompleteLine + chunk;
-        const end = text.lastIndexOf('\n') + 1;
-        incompleteLine = text.slice(end);
+        const end = chunk.lastIndexOf('\n') + 1;
+        const completeLines = end > 0 ? incompleteLine + chunk.slice(0, end) : '';
+        incompleteLine = end > 0 ? chunk.slice(end) : incompleteLine + chunk;
         try {
-          if (end > 0) parseLines(attempt, text.slice(0, end));
+          parseLines(attempt, completeLines);
         } catch {
           fail(attempt, true, firstEngine);
         }
+        if (incompleteLine.length > MAXIMUM_LINE_LENGTH) fail(attempt, true, firstEngine);
+        // An engine that goes on sending after the failure of its run is not read any further.
+        if (!requests.has(attempt)) response.destroy();
         if (response.isPaused()) response.resume();
       }
       if (response.complete) finish(attempt, { kind: 'runEnded', attempt });
@@ -102,7 +107,7 @@
       const refusal = isFinalStatus(response.statusCode)
         ? response.headers['x-refused']
         : undefined;
-      response.resume();
+      response.destroy();
       // Only the header states that the engine did not run the request.
       fail(attempt, refusal === undefined, firstEngine, refusal === 'leaving');
       return;
--- a/src/process/runtime/createEngineRuns/test.ts
+++ b/src/process/runtime/createEngineRuns/test.ts
@@ -117,3 +117,32 @@
     assert.ok(last.sent);
   }
 });
+
+/** Resolves to the events of a run whose engine sends a start, and a piece until the connection is closed. */
+async function runWithoutEnd(start: string, piece: string) {
+  let recordClose = (): void => undefined;
+  const closed = new Promise<void>((resolve) => (recordClose = resolve));
+  respond = (socket) => {
+    const write = (): void => {
+      while (!socket.destroyed) if (!socket.write(piece)) break;
+    };
+    socket.on('drain', write);
+    socket.on('close', recordClose);
+    socket.write(start);
+    write();
+  };
+  const events = await run('attempt-1');
+  await closed;
+  return events.map(({ kind }) => kind);
+}
+
+/** Guards against a node that keeps the bytes of an engine without an end, or reads them without an end. */
+test('a run whose engine sends a line without an end fails, and its connection is closed', async () => {
+  const head = 'HTTP/1.1 200 OK\r\n\r\n';
+  assert.deepEqual(await runWithoutEnd(head, 'x'.repeat(16_384)), ['runFailed']);
+});
+
+test('the connection of a refusal without an end is closed', async () => {
+  const head = 'HTTP/1.1 503 Full\r\nX-Refused: full\r\n\r\n';
+  assert.deepEqual(await runWithoutEnd(head, 'x'.repeat(16_384)), ['runFailed']);
+});
