Refuse a handed-over request of a newer configuration than the own one

A node that reaches no endpoint hands its requests to a neighbour, which handles them by the version that it has: for up to a second after a change, a caller of a node that had applied it was served as only the older version allows.

The request names the version that admitted it, and a neighbour with an older one refuses it as not run.

--- a/src/process/relay/createNeighbourPort/index.ts
+++ b/src/process/relay/createNeighbourPort/index.ts
@@ -14,7 +14,13 @@
 const HANDED_OVER_HEADER = 'marjoramcleat-handed-over-by';
 /** Header of a request that has reached an endpoint before. */
 const REPEAT_HEADER = 'marjoramcleat-repeat';
-const OWN_HEADERS: ReadonlySet<string> = new Set([HANDED_OVER_HEADER, REPEAT_HEADER]);
+/** Header with the version of the configuration that admitted the request. */
+const VERSION_HEADER = 'marjoramcleat-configuration-version';
+const OWN_HEADERS: ReadonlySet<string> = new Set([
+  HANDED_OVER_HEADER,
+  REPEAT_HEADER,
+  VERSION_HEADER,
+]);
 /** Lowest status of a response after which a request may have been executed: 500, but for the refusals. */
 const FIRST_FAILURE_STATUS = 500;
 const REFUSED_STATUS = 503;
@@ -36,6 +42,8 @@
   readonly rawHeaders: RawHeaders;
   /** Whether it has reached an endpoint before. */
   readonly isRepeat: boolean;
+  /** Version of the configuration that admitted it; 0 when the other node does not state it. */
+  readonly configurationVersion: number;
 }
 
 /**
@@ -56,6 +64,7 @@
   return {
     rawHeaders: rawHeaders.filter((_, index) => !isOwn(index)),
     isRepeat: headers[REPEAT_HEADER] !== undefined,
+    configurationVersion: Number(headers[VERSION_HEADER] ?? 0),
   };
 }
 
@@ -90,6 +99,8 @@
           ...translator.buildHandOverHeaders(rawHeaders, details, body?.length),
           HANDED_OVER_HEADER,
           node,
+          VERSION_HEADER,
+          String(details.configurationVersion),
           ...(details.isRepeat ? [REPEAT_HEADER, '1'] : []),
         ],
         onResponse: (incoming) => {
--- a/src/process/relay/createNeighbourPort/test.ts
+++ b/src/process/relay/createNeighbourPort/test.ts
@@ -46,6 +46,7 @@
     deadlineMilliseconds: 700.9,
     lastEventId,
     isRepeat: lastEventId !== undefined,
+    configurationVersion: 7,
   };
   const outcome = await new Promise<Outcome>((resolve) => {
     let head: ResponseHead | undefined;
@@ -84,6 +85,7 @@
   const names = readHandedOver(received)?.rawHeaders.map((text) => text.toLowerCase()) ?? [];
   assert.ok(!names.some((name) => name.startsWith('marjoramcleat')));
   assert.equal(readHandedOver(received)?.isRepeat, true);
+  assert.equal(readHandedOver(received)?.configurationVersion, 7);
   assert.equal(readHandedOver({ headers: {}, rawHeaders: [] }), undefined);
 });
 
--- a/src/process/relay/createRelay/index.ts
+++ b/src/process/relay/createRelay/index.ts
@@ -47,7 +47,7 @@
   readonly arrivedAt: number;
   readonly response: CallerResponse;
   /** How another node handed the request over; undefined for a request of a caller. */
-  readonly handOver?: Pick<HandedOverRequest, 'isRepeat'> | undefined;
+  readonly handOver?: Pick<HandedOverRequest, 'isRepeat' | 'configurationVersion'> | undefined;
 }
 
 /** Relay of one node. */
@@ -133,7 +133,10 @@
     run: async ({ admitted, caller, forwarded, arrivedAt, response, handOver }) => {
       const isHandedOver = handOver !== undefined;
       const { compiled, route, account } = admitted;
-      if (isHandedOver && !mayTakeOver()) {
+      const { version } = compiled.configuration;
+      // The other node has acted on a version that this one does not have yet.
+      const isOutdated = isHandedOver && version < handOver.configurationVersion;
+      if (isHandedOver && (isOutdated || !mayTakeOver())) {
         metrics.count('handed_over', 'refused');
         const retryAfterSeconds = HAND_OVER_RETRY_SECONDS;
         sendFailure(response, { code: 'noEndpoint', retryAfterSeconds });
@@ -152,7 +155,7 @@
         route: route.name,
         account: account?.name ?? '',
         service: service.name,
-        version: compiled.configuration.version,
+        version,
         parts: caller.promptParts.slice(0, MAXIMUM_LOGGED_PARTS).join(' '),
         promptTokens: caller.promptTokens,
         answerTokens: caller.maximumAnswerTokens,
@@ -186,6 +189,7 @@
         arrivedAt,
         isHandedOver,
         isRepeat: handOver?.isRepeat ?? false,
+        configurationVersion: version,
         deadlineAt,
         response,
         log,
--- a/src/process/relay/handOverBuffered/index.ts
+++ b/src/process/relay/handOverBuffered/index.ts
@@ -31,6 +31,7 @@
   { neighbour, isRepeat, reason }: HandOverBufferedOptions,
 ): Promise<AttemptOutcome> {
   const deadlineMilliseconds = request.deadlineAt - context.clock.now();
+  const { configurationVersion } = request;
   const { attempt } = request.caller;
   context.metrics.count('handed_over', 'sent');
   request.log.add('request-handed-over', { peer: neighbour.name, reason });
@@ -39,7 +40,13 @@
     open: (handlers) =>
       context.neighbours.send(
         request.forwarded,
-        { address: neighbour.peerAddress, attempt, deadlineMilliseconds, isRepeat },
+        {
+          address: neighbour.peerAddress,
+          attempt,
+          deadlineMilliseconds,
+          isRepeat,
+          configurationVersion,
+        },
         handlers,
       ),
   });
--- a/src/process/relay/openRequestRun/index.ts
+++ b/src/process/relay/openRequestRun/index.ts
@@ -73,7 +73,15 @@
   if (isNeighbour) {
     const deadlineMilliseconds = request.deadlineAt - startedAt;
     const { address } = first;
-    const details = { address, attempt, deadlineMilliseconds, lastEventId, isRepeat };
+    const { configurationVersion } = request;
+    const details = {
+      address,
+      attempt,
+      deadlineMilliseconds,
+      lastEventId,
+      isRepeat,
+      configurationVersion,
+    };
     return openStreamRun({
       ...common,
       send: (handlers) => context.neighbours.send(request.forwarded, details, handlers),
--- a/src/process/relay/types/index.ts
+++ b/src/process/relay/types/index.ts
@@ -82,6 +82,8 @@
   readonly isHandedOver: boolean;
   /** Whether that node has sent it to an endpoint, so that this node repeats it. */
   readonly isRepeat: boolean;
+  /** Version of the configuration that admitted it. */
+  readonly configurationVersion: number;
   /** Time at which the caller must have its final response, in milliseconds. */
   readonly deadlineAt: number;
   readonly response: CallerResponse;
--- a/src/types/relay/index.ts
+++ b/src/types/relay/index.ts
@@ -57,6 +57,8 @@
   readonly lastEventId?: number | undefined;
   /** Whether the request has reached an endpoint before, so that sending it again takes from the retry budget. */
   readonly isRepeat: boolean;
+  /** Version of the configuration that admitted the request. */
+  readonly configurationVersion: number;
 }
 
 /** Metadata that the headers of an endpoint's response carry. */
--- a/tests/support/siteNodes/index.ts
+++ b/tests/support/siteNodes/index.ts
@@ -33,6 +33,8 @@
   readonly callers: string;
   readonly readiness: string;
   readonly directory: string;
+  /** Address for other nodes. */
+  readonly peers: string;
   readonly logs: string[];
   readonly node: SiteNode;
 }
@@ -185,7 +187,7 @@
     logStream,
     ...changes,
   });
-  return { name, callers, readiness, directory, logs, node };
+  return { name, callers, readiness, directory, peers, logs, node };
 }
 
 /** Sends a request with the headers of a caller. */
