Close idle connections after a failed call on the own interface too

The client of the platform's store and VM list keeps connections. After they have gone silent, each call took another one until its timeout, as on the users' platform (store followers). The new test failed before: two idle connections were left.

--- a/src/process/runtime/callHttp/index.ts
+++ b/src/process/runtime/callHttp/index.ts
@@ -2,6 +2,7 @@
  * Buffered HTTP calls whose result says whether the request can have reached the other side.
  */
 import type http from 'node:http';
+import { closeIdleConnections } from '../closeIdleConnections/index.js';
 import { createBodyBuffer, MAXIMUM_RESPONSE_CHUNKS } from '../createBodyBuffer/index.js';
 import { isFinalStatus } from '../isFinalStatus/index.js';
 import { startRequest } from '../startRequest/index.js';
@@ -32,7 +33,8 @@
 /**
  * Calls an address over HTTP.
  *
- * Without an agent, the call opens a new connection, which is not reused.
+ * Without an agent, the call opens a new connection, which is not reused. When a call fails over a connection that the
+ * agent kept, the agent's idle connections are closed, because they may be dead for the same reason.
  *
  * @param options - address, request, and timeout in milliseconds
  * @param done - called once with the response or the failure
@@ -43,6 +45,7 @@
 export function callHttp(options: CallHttpOptions, done: (result: HttpResult) => void): () => void {
   const [host = '', port = '80'] = options.address.split(':');
   let isConnected = false;
+  let isReused = false;
   let isDone = false;
   const finish = (result: HttpResult): void => {
     if (isDone) return;
@@ -51,6 +54,7 @@
     done(result);
   };
   const fail = (): void => {
+    if (isReused && options.agent) closeIdleConnections(options.agent);
     finish({ kind: 'failed', sent: isConnected });
   };
   const body = options.body ?? '';
@@ -79,6 +83,7 @@
   }, options.timeoutMilliseconds);
   request.on('socket', (socket) => {
     isConnected = !socket.connecting;
+    isReused = isConnected;
     if (isConnected) return;
     socket.once('connect', () => {
       isConnected = true;
--- a/src/process/runtime/callHttp/test.ts
+++ b/src/process/runtime/callHttp/test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { Agent, createServer as createHttpServer } from 'node:http';
 import { createServer, type Socket } from 'node:net';
 import { test } from 'node:test';
 import { listenOnLoopback } from '../../../../standins/listenOnLoopback/index.js';
@@ -48,3 +49,25 @@
     assert.deepEqual(result, { kind: 'failed', sent: true });
   }
 });
+
+/** Guards against further dead connections that calls use one after the other. */
+test('a call without a response over a kept connection closes the idle connections', async () => {
+  const server = createHttpServer((request, response) => {
+    if (request.url !== '/silent') setTimeout(() => response.end(), 20);
+  });
+  const address = await listenOnLoopback(server);
+  const agent = new Agent({ keepAlive: true });
+  const call = (path: string): Promise<HttpResult> =>
+    new Promise((resolve) => {
+      callHttp({ address, method: 'GET', path, agent, timeoutMilliseconds: 200 }, resolve);
+    });
+  await Promise.all([call('/'), call('/'), call('/')]);
+  const result = await call('/silent');
+  const idle = Object.values(agent.freeSockets).flatMap((sockets) => sockets ?? []);
+  const open = idle.filter(({ destroyed }) => !destroyed).length;
+  agent.destroy();
+  server.closeAllConnections();
+  server.close();
+  assert.deepEqual(result, { kind: 'failed', sent: true });
+  assert.equal(open, 0);
+});
