Keep idle connections when a call has succeeded

callHttp runs its failure handler when the stream of a complete response closes. Since idle connections are closed after failed calls, each successful call over a kept connection of the own interface closed them all, so that hardly any was used again.

A call that has its result does not fail any more, in callJson too; whether a connection was reused is read from the request. The new test failed before: no idle connection of three was left.

--- a/src/process/runtime/callHttp/index.ts
+++ b/src/process/runtime/callHttp/index.ts
@@ -45,7 +45,6 @@
 export function callHttp(options: CallHttpOptions, done: (result: HttpResult) => void): () => void {
   const [host = '', port = '80'] = options.address.split(':');
   let isConnected = false;
-  let isReused = false;
   let isDone = false;
   const finish = (result: HttpResult): void => {
     if (isDone) return;
@@ -54,7 +53,9 @@
     done(result);
   };
   const fail = (): void => {
-    if (isReused && options.agent) closeIdleConnections(options.agent);
+    // The end of a response is followed by the close of its stream, which is no failure.
+    if (isDone) return;
+    if (request.reusedSocket && options.agent) closeIdleConnections(options.agent);
     finish({ kind: 'failed', sent: isConnected });
   };
   const body = options.body ?? '';
@@ -83,7 +84,6 @@
   }, options.timeoutMilliseconds);
   request.on('socket', (socket) => {
     isConnected = !socket.connecting;
-    isReused = isConnected;
     if (isConnected) return;
     socket.once('connect', () => {
       isConnected = true;
--- a/src/process/runtime/callHttp/test.ts
+++ b/src/process/runtime/callHttp/test.ts
@@ -50,8 +50,8 @@
   }
 });
 
-/** Guards against further dead connections that calls use one after the other. */
-test('a call without a response over a kept connection closes the idle connections', async () => {
+/** Serves `/silent` without a response, and everything else at once; calls share kept connections. */
+async function serveWithSilence() {
   const server = createHttpServer((request, response) => {
     if (request.url !== '/silent') setTimeout(() => response.end(), 20);
   });
@@ -61,13 +61,36 @@
     new Promise((resolve) => {
       callHttp({ address, method: 'GET', path, agent, timeoutMilliseconds: 200 }, resolve);
     });
+  const countIdle = (): number => {
+    const idle = Object.values(agent.freeSockets).flatMap((sockets) => sockets ?? []);
+    return idle.filter(({ destroyed }) => !destroyed).length;
+  };
+  const close = (): void => {
+    agent.destroy();
+    server.closeAllConnections();
+    server.close();
+  };
   await Promise.all([call('/'), call('/'), call('/')]);
+  return { call, countIdle, close };
+}
+
+/** Guards against further dead connections that calls use one after the other. */
+test('a call without a response over a kept connection closes the idle connections', async () => {
+  const { call, countIdle, close } = await serveWithSilence();
   const result = await call('/silent');
-  const idle = Object.values(agent.freeSockets).flatMap((sockets) => sockets ?? []);
-  const open = idle.filter(({ destroyed }) => !destroyed).length;
-  agent.destroy();
-  server.closeAllConnections();
-  server.close();
+  const idle = countIdle();
+  close();
   assert.deepEqual(result, { kind: 'failed', sent: true });
-  assert.equal(open, 0);
+  assert.equal(idle, 0);
+});
+
+/** Guards against connections that no call can use again, because the end of each response closes them. */
+test('a complete response over a kept connection leaves the idle connections open', async () => {
+  const { call, countIdle, close } = await serveWithSilence();
+  const result = await call('/');
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  const idle = countIdle();
+  close();
+  assert.equal(result.kind, 'reply');
+  assert.equal(idle, 3);
 });
--- a/src/process/runtime/callJson/index.ts
+++ b/src/process/runtime/callJson/index.ts
@@ -70,6 +70,7 @@
   return new Promise((resolve) => {
     const startedAt = performance.now();
     let isConnected = false;
+    let isDone = false;
     let size = 0;
     const started = startRequest(address, {
       method,
@@ -89,10 +90,12 @@
     }
     const outgoing = started.value;
     const finish = (result: JsonResult): void => {
+      isDone = true;
       cancelLimit();
       resolve(result);
     };
     const fail = (reason: string): void => {
+      if (isDone) return;
       const isReused = outgoing.reusedSocket;
       if (isReused && agent) closeIdleConnections(agent);
       finish(
--- a/src/process/runtime/closeIdleConnections/test.ts
+++ b/src/process/runtime/closeIdleConnections/test.ts
@@ -25,8 +25,9 @@
   await call('/');
   const late = Promise.all([call('/late'), call('/')]);
   await call('/');
-  closeIdleConnections(agent);
   const idle = Object.values(agent.freeSockets).flatMap((sockets) => sockets ?? []);
+  assert.ok(idle.length > 0);
+  closeIdleConnections(agent);
   assert.ok(idle.every(({ destroyed }) => destroyed));
   finish();
   const [body] = await late;
