--- a/tests/endlessResponses.test.ts
+++ b/tests/endlessResponses.test.ts
@@ -8,6 +8,7 @@
 import type { SiteEndpoint } from '../standins/serveSiteEndpoint/index.js';
 import { serveSiteEndpoint, writeEvents } from '../standins/serveSiteEndpoint/index.js';
 import type { SiteStore } from '../standins/serveSiteStore/index.js';
+import { fillPiece, PIECE_BYTES } from './support/endlessEndpoint/index.js';
 import {
   sendCallerRequest,
   createPlatformConfiguration,
@@ -25,12 +26,6 @@
 
 /** Bytes of one response that a node may read before it closes the connection. */
 const MAXIMUM_READ_BYTES = 16 * 1_024 * 1_024;
-const PIECE_BYTES = 16_384;
-
-/** Repeats a text up to the size of a piece, so that few writes carry many bytes. */
-function fillPiece(text: string): string {
-  return text.repeat(Math.ceil(PIECE_BYTES / text.length));
-}
 /** Time limit of the routes, in milliseconds. */
 const REQUEST_TIMEOUT_MILLISECONDS = 20_000;
 const FILLER = 'x'.repeat(PIECE_BYTES);
