Show that waiting requests reach an engine that asked for rest

Cause: a request that has waited for a permit is sent without another look at the state of its endpoint.

Change: a case with engines that name a limit, one of which then answers 503 with Retry-After.

--- a/review/lib-2/client.ts
+++ b/review/lib-2/client.ts
@@ -98,6 +98,18 @@
   return `${lines.join('\r\n')}\r\n\r\n${body}`;
 }
 
+/** Formats a lookup, which may be repeated. */
+export function formatLookup(attempt: string, deadlineMilliseconds: number): string {
+  const lines = [
+    'GET /look/1 HTTP/1.1',
+    `Host: ${BOOKING_HOST}`,
+    `Attempt-Id: ${attempt}`,
+    `Deadline-Ms: ${deadlineMilliseconds}`,
+    `Credential: ${BOOKING_KEY}`,
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n`;
+}
+
 /** Sends a booking over a new connection. */
 export async function sendBooking(
   address: TcpNetConnectOpts,
--- a/review/lib-2/engine.ts
+++ b/review/lib-2/engine.ts
@@ -25,6 +25,10 @@
   readonly service?: string;
   readonly slots?: number;
   readonly workMilliseconds?: number;
+  /** Limit that the engine names in all its answers, in requests per second; none by default. */
+  readonly requestsPerSecond?: number | undefined;
+  /** Returns for how many seconds the engine wants nothing, when it turns a request away; undefined otherwise. */
+  readonly turnAway?: ((run: EngineRun) => number | undefined) | undefined;
   /** Called when the engine begins to work on a request; returns true when the engine crashes by it. */
   readonly onRun: (run: EngineRun) => boolean;
 }
@@ -66,6 +70,7 @@
 export async function startEngine(options: StartEngineOptions): Promise<EngineStandIn> {
   const { store, host, zone, onRun } = options;
   const { service = 'booking-desk', slots = 6, workMilliseconds = 40 } = options;
+  const { requestsPerSecond, turnAway = () => undefined } = options;
   const id = createId();
   const key = `servers/${id}`;
   const born = Date.now();
@@ -121,6 +126,7 @@
       ...(attempt !== undefined && { 'Attempt-Id': attempt }),
       'Instance-Id': id,
       'Server-Load': `${running},0,${slots}`,
+      ...(requestsPerSecond !== undefined && { 'Server-Limit': `${requestsPerSecond}` }),
       ...(state === 'draining' && { 'Server-Leaving': '1', Connection: 'close' }),
     };
     const expected = headers['expect-instance'];
@@ -136,12 +142,19 @@
       socket.write(formatAnswer(400, { ...own, 'Not-Executed': '1' }, ''));
       return;
     }
+    const run = { engine: id, attempt, method, url, body, headers, at: Date.now() };
+    const restSeconds = turnAway(run);
+    if (restSeconds !== undefined) {
+      const refusal = { ...own, 'Not-Executed': '1', 'Retry-After': `${restSeconds}` };
+      socket.write(formatAnswer(503, refusal, ''));
+      return;
+    }
     if (running >= slots) {
       socket.write(formatAnswer(503, { ...own, 'Not-Executed': '1' }, ''));
       return;
     }
     running += 1;
-    const crashes = onRun({ engine: id, attempt, method, url, body, headers, at: Date.now() });
+    const crashes = onRun(run);
     if (crashes) {
       end();
       setTimeout(() => {
--- a/review/lib-2/runCase.ts
+++ b/review/lib-2/runCase.ts
@@ -29,7 +29,11 @@
 export interface RunCaseOptions {
   /** Folder of the record. */
   readonly folder: string;
+  /** Configuration; that of bookings by default. */
+  readonly configuration?: Readonly<Record<string, unknown>>;
   readonly workMilliseconds?: number;
+  readonly requestsPerSecond?: number;
+  readonly turnAway?: (run: EngineRun, context: Pick<CaseContext, 'note'>) => number | undefined;
   /** Called with each request that an engine begins to work on; returns true when the engine crashes by it. */
   readonly onRun: (run: EngineRun, context: Pick<CaseContext, 'note'>) => boolean;
   readonly play: (context: CaseContext) => Promise<CaseResult>;
@@ -52,7 +56,8 @@
  * run.
  */
 export async function runCase(options: RunCaseOptions): Promise<never> {
-  const { folder, workMilliseconds = 40, onRun, play } = options;
+  const { folder, workMilliseconds = 40, requestsPerSecond, turnAway, onRun, play } = options;
+  const { configuration = createBookingConfiguration() } = options;
   const hasTrouble = process.env.TROUBLE !== '0';
   const startedAt = Date.now();
   const lines: string[] = [];
@@ -82,6 +87,8 @@
         host: `127.0.2.${index + 1}`,
         zone: ZONES[index % ZONES.length] ?? ZONES[0],
         workMilliseconds,
+        requestsPerSecond,
+        turnAway: (run) => turnAway?.(run, { note }),
         onRun: (run) => {
           note(`${run.engine} runs ${run.attempt}: ${run.method} ${run.url}, body "${run.body}"`);
           const crashes = onRun(run, { note });
@@ -92,7 +99,7 @@
       engines.push(engine);
     };
     for (const index of ZONES.keys()) await addEngine(index);
-    store.put('op/config', createBookingConfiguration());
+    store.put('op/config', configuration);
     site = await startSite(NODES, store.address);
     if (!(await site.waitForReady()))
       return await end(EXIT_NOT_RUN, 'could not run: a machine is not ready');
--- a/review/lib-2/site.ts
+++ b/review/lib-2/site.ts
@@ -199,24 +199,33 @@
   };
 }
 
-/** Creates a configuration with a service whose bookings run at most once. */
-export function createBookingConfiguration(): Readonly<Record<string, unknown>> {
+/** Route of the configuration. */
+interface RouteOptions {
+  readonly name: string;
+  readonly type: 'safe' | 'unsafe';
+  readonly timeoutMilliseconds: number;
+  readonly maximumAttempts: number;
+  readonly priority: number;
+}
+
+/** Creates a configuration with one service, and routes whose prefixes are their names. */
+export function createConfiguration(
+  routes: readonly RouteOptions[],
+): Readonly<Record<string, unknown>> {
   return {
     version: 10,
-    routes: [
-      {
-        name: 'book',
-        host: BOOKING_HOST,
-        prefix: '/book/',
-        route_type: 'unsafe',
-        service: 'booking-desk',
-        timeout_ms: 800,
-        slo_ms: 300,
-        priority: 2,
-        max_attempts: 1,
-        public: false,
-      },
-    ],
+    routes: routes.map(({ name, type, timeoutMilliseconds, maximumAttempts, priority }) => ({
+      name,
+      host: BOOKING_HOST,
+      prefix: `/${name}/`,
+      route_type: type,
+      service: 'booking-desk',
+      timeout_ms: timeoutMilliseconds,
+      slo_ms: 300,
+      priority,
+      max_attempts: maximumAttempts,
+      public: false,
+    })),
     services: [{ name: 'booking-desk', health_path: '/healthz', max_conns: 96 }],
     limits: {
       max_header_bytes: 16_384,
@@ -227,3 +236,16 @@
     tenants: [{ name: 'clinic', api_keys: [BOOKING_KEY] }],
   };
 }
+
+/** Creates a configuration with bookings, which run at most once. */
+export function createBookingConfiguration(): Readonly<Record<string, unknown>> {
+  return createConfiguration([
+    {
+      name: 'book',
+      type: 'unsafe',
+      timeoutMilliseconds: 800,
+      maximumAttempts: 1,
+      priority: 2,
+    },
+  ]);
+}
