--- a/review/lib-2/runCase.ts
+++ b/review/lib-2/runCase.ts
@@ -77,6 +77,8 @@
     process.exit(code);
   };
   setTimeout(() => void end(EXIT_NOT_RUN, 'could not run: out of time'), LIMIT_MILLISECONDS);
+  for (const signal of ['SIGTERM', 'SIGINT'] as const)
+    process.once(signal, () => void end(EXIT_NOT_RUN, `could not run: ${signal}`));
   note(`begins, ${hasTrouble ? 'with' : 'without'} the disruption`);
   try {
     const startedStore = await startStore();
--- a/review/lib-2/site.ts
+++ b/review/lib-2/site.ts
@@ -70,7 +70,8 @@
   return /^run = "(.*)"$/m.exec(deploy)?.[1]?.split(' ') ?? [];
 }
 
-async function isReady({ readiness: { host = '', port } }: SiteNode): Promise<boolean> {
+/** Returns whether a machine says that it is ready. */
+export async function isReady({ readiness: { host = '', port } }: SiteNode): Promise<boolean> {
   try {
     const { status } = await fetch(`http://${host}:${port}/readyz`);
     return status === 200;
