--- a/review/lib-2/runCase.ts
+++ b/review/lib-2/runCase.ts
@@ -4,7 +4,12 @@
 import { writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { startEngine, type EngineRun, type EngineStandIn } from './engine.js';
+import {
+  startEngine,
+  type EngineRun,
+  type EngineStandIn,
+  type StartEngineOptions,
+} from './engine.js';
 import { createBookingConfiguration, startSite, ZONES, type Site } from './site.js';
 import { startStore, type StoreStandIn } from './store.js';
 
@@ -17,6 +22,10 @@
   readonly note: (text: string) => void;
   /** Whether the disruption happens. */
   readonly hasTrouble: boolean;
+  /** Starts an engine of another service, which ends with the case. */
+  readonly addEngine: (
+    options: Pick<StartEngineOptions, 'host' | 'zone' | 'service' | 'onRun'>,
+  ) => Promise<EngineStandIn>;
 }
 
 /** Result of a case. */
@@ -83,7 +92,7 @@
   try {
     const startedStore = await startStore();
     store = startedStore;
-    const addEngine = async (index: number): Promise<void> => {
+    const startBookingEngine = async (index: number): Promise<void> => {
       const engine = await startEngine({
         store: startedStore,
         host: `127.0.2.${index + 1}`,
@@ -94,19 +103,24 @@
         onRun: (run) => {
           note(`${run.engine} runs ${run.attempt}: ${run.method} ${run.url}, body "${run.body}"`);
           const crashes = onRun(run, { note });
-          if (crashes) setTimeout(() => void addEngine(index), RETURN_MILLISECONDS);
+          if (crashes) setTimeout(() => void startBookingEngine(index), RETURN_MILLISECONDS);
           return crashes;
         },
       });
       engines.push(engine);
     };
-    for (const index of ZONES.keys()) await addEngine(index);
+    for (const index of ZONES.keys()) await startBookingEngine(index);
     store.put('op/config', configuration);
     site = await startSite(NODES, store.address);
     if (!(await site.waitForReady()))
       return await end(EXIT_NOT_RUN, 'could not run: a machine is not ready');
     await sleep(SETTLE_MILLISECONDS);
-    const context = { site, store, engines, note, hasTrouble };
+    const addEngine: CaseContext['addEngine'] = async (engineOptions) => {
+      const engine = await startEngine({ ...engineOptions, store: startedStore });
+      engines.push(engine);
+      return engine;
+    };
+    const context = { site, store, engines, note, hasTrouble, addEngine };
     const { isBroken, text } = await play(context);
     return await end(isBroken ? EXIT_BROKEN : EXIT_HELD, text);
   } catch (error) {
--- a/review/lib-2/site.ts
+++ b/review/lib-2/site.ts
@@ -40,6 +40,7 @@
 const PROJECT = join(import.meta.dirname, '..', '..');
 export const ZONES = ['abbotsford', 'chilliwack', 'mission'] as const;
 const REGION = 'bc-south';
+const BOOKING_SERVICE = 'booking-desk';
 const INTERNAL_PORTS = 15;
 const SEEDS = 3;
 const READY_MILLISECONDS = 15_000;
@@ -207,27 +208,30 @@
   readonly timeoutMilliseconds: number;
   readonly maximumAttempts: number;
   readonly priority: number;
+  readonly service?: string;
 }
 
-/** Creates a configuration with one service, and routes whose prefixes are their names. */
+/** Creates a configuration with routes whose prefixes are their names. */
 export function createConfiguration(
   routes: readonly RouteOptions[],
 ): Readonly<Record<string, unknown>> {
   return {
     version: 10,
-    routes: routes.map(({ name, type, timeoutMilliseconds, maximumAttempts, priority }) => ({
+    routes: routes.map(({ name, type, timeoutMilliseconds, ...route }) => ({
       name,
       host: BOOKING_HOST,
       prefix: `/${name}/`,
       route_type: type,
-      service: 'booking-desk',
+      service: route.service ?? BOOKING_SERVICE,
       timeout_ms: timeoutMilliseconds,
       slo_ms: 300,
-      priority,
-      max_attempts: maximumAttempts,
+      priority: route.priority,
+      max_attempts: route.maximumAttempts,
       public: false,
     })),
-    services: [{ name: 'booking-desk', health_path: '/healthz', max_conns: 96 }],
+    services: [
+      ...new Set([BOOKING_SERVICE, ...routes.flatMap(({ service }) => service ?? [])]),
+    ].map((name) => ({ name, health_path: '/healthz', max_conns: 96 })),
     limits: {
       max_header_bytes: 16_384,
       max_body_bytes: 4_194_304,
