Show that a crashing request loses accepted work after a restart of all

Cause: the crashes of a request are known to the processes only.

Change: the case of the crashing request is case 10 again, in place of the one of idle connections; its engines run sound bookings, too.

--- a/review/10/case.ts
+++ b/review/10/case.ts
@@ -1,106 +1,114 @@
 /**
- * One client that the deployment does not control opens idle connections to a machine, as many as that takes.
+ * A request that crashes engines comes again after the processes of all machines were killed at the same moment.
  */
-import { connect, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { sendBooking } from '../lib-2/client.js';
 import { runCase, type CaseContext } from '../lib-2/runCase.js';
-import { isReady, type SiteNode } from '../lib-2/site.js';
 
-/** Ordinary caller's try at a new connection. */
-interface Try {
-  readonly caller: number;
-  readonly at: number;
-  readonly isTaken: boolean;
+/** Crashing run of the request. */
+interface CrashingRun {
+  /** Unix time of the sending in milliseconds. */
+  readonly sentAt: number;
+  /** Whether the machine that passed it on was in touch. */
+  readonly isInTouch: boolean;
 }
 
-/** Connections of the foreign client; fewer than half of the sockets of a machine. */
-const FOREIGN_CONNECTIONS = 1_900;
-const CONNECTIONS_PER_PAUSE = 20;
-const PAUSE_MILLISECONDS = 10;
-/** Time after which the foreign client replaces a connection that was closed. */
-const REPLACE_MILLISECONDS = 500;
-const CALLERS = 10;
-const CALLER_PAUSE_MILLISECONDS = 300;
+const CRASHING_BODY = 'slot=14:30&note=crash';
 const CONTACT_MILLISECONDS = 3_000;
-const MINIMUM_CALLERS = 7;
-const OBSERVED_MILLISECONDS = 20_000;
-const WINDOW_STEP_MILLISECONDS = 250;
+const CRASHES_BEFORE_BOUND = 3;
+const ALLOWED_RETRIES = 3;
+/** Time between two attempts of the request. */
+const CRASHING_INTERVAL_MILLISECONDS = 4_000;
+const SOUND_INTERVAL_MILLISECONDS = 40;
+const WORK_MILLISECONDS = 300;
+const RESTART_MILLISECONDS = 500;
+const OBSERVED_MILLISECONDS = 100_000;
+const WAIT_MILLISECONDS = 50;
 
-const tries: Try[] = [];
-const end = new AbortController();
-const isOver = (): boolean => end.signal.aborted;
+const runs: CrashingRun[] = [];
+/** Unix time of the sending in milliseconds, by attempt. */
+const sentAt = new Map<string, number>();
+/** Engine by the sound attempt that it ran. */
+const soundRuns = new Map<string, string>();
+const crashedEngines = new Set<string>();
+/** Sound bookings that an engine ran, and that got no success. */
+const failed: string[] = [];
+/** Unix time of the last start of the machines, in milliseconds. */
+let startedAt = 0;
 
-/** Books over a new connection again and again. */
-async function book(node: SiteNode, caller: number, note: CaseContext['note']): Promise<void> {
-  await sleep((caller * CALLER_PAUSE_MILLISECONDS) / CALLERS);
-  for (let index = 0; !isOver(); index += 1) {
-    const at = Date.now();
-    const attempt = `caller-${caller}-${index}`;
-    const address = { ...node.front, localAddress: `127.0.4.${caller + 1}` };
-    const { status, reason } = await sendBooking(address, { attempt });
-    note(`${attempt} gets ${reason ?? status}`);
-    tries.push({ caller, at, isTaken: status !== 0 });
-    await sleep(CALLER_PAUSE_MILLISECONDS);
-  }
+async function killAll({ site, note }: Pick<CaseContext, 'site' | 'note'>): Promise<void> {
+  note('the processes of all machines are killed');
+  await Promise.all(site.nodes.map(site.kill));
+  await sleep(RESTART_MILLISECONDS);
+  site.nodes.forEach(site.start);
+  startedAt = Date.now();
+  note('the processes of all machines start again');
 }
 
-/** Keeps a connection open on which nothing is sent. */
-function holdConnection(node: SiteNode, sockets: Set<Socket>): void {
-  const socket = connect({ ...node.front, localAddress: '127.0.3.1' });
-  sockets.add(socket);
-  socket.on('error', () => undefined);
-  socket.resume();
-  socket.on('close', () => {
-    sockets.delete(socket);
-    if (isOver()) return;
-    setTimeout(() => {
-      if (!isOver()) holdConnection(node, sockets);
-    }, REPLACE_MILLISECONDS);
-  });
-}
-
-/** Returns whether no try of enough callers was taken in a span that begins at a time. */
-function isClosedFrom(from: number): boolean {
-  const within = tries.filter(({ at }) => at >= from && at < from + CONTACT_MILLISECONDS);
-  const callers = new Set(within.map(({ caller }) => caller));
-  return callers.size >= MINIMUM_CALLERS && within.every(({ isTaken }) => !isTaken);
+/** Resolves when the request has crashed so many engines. */
+async function waitForCrashes(count: number): Promise<void> {
+  while (runs.length < count) await sleep(WAIT_MILLISECONDS);
 }
 
 await runCase({
   folder: import.meta.dirname,
-  onRun: () => false,
-  play: async ({ site, note, hasTrouble }) => {
-    const [target] = site.nodes;
-    if (!target) throw new Error('no machine');
-    const callers = Array.from({ length: CALLERS }, (_, caller) => book(target, caller, note));
-    await sleep(CONTACT_MILLISECONDS);
-    const sockets = new Set<Socket>();
-    for (let index = 0; hasTrouble && index < FOREIGN_CONNECTIONS; index += 1) {
-      holdConnection(target, sockets);
-      if (index % CONNECTIONS_PER_PAUSE === 0) await sleep(PAUSE_MILLISECONDS);
-    }
-    const heldAt = Date.now();
-    note(`a foreign client holds or tries ${sockets.size} connections to ${target.name}`);
-    let notReady = 0;
-    while (Date.now() < heldAt + OBSERVED_MILLISECONDS) {
-      if (!(await isReady(target))) notReady += 1;
-      await sleep(1_000);
+  workMilliseconds: WORK_MILLISECONDS,
+  onRun: ({ attempt, body, engine }, { note }) => {
+    if (body !== CRASHING_BODY) {
+      soundRuns.set(attempt, engine);
+      return false;
     }
-    end.abort();
-    await Promise.all(callers);
-    for (const socket of sockets) socket.destroy();
-    const spans = Array.from(
-      { length: (OBSERVED_MILLISECONDS - CONTACT_MILLISECONDS) / WINDOW_STEP_MILLISECONDS },
-      (_, index) => heldAt + index * WINDOW_STEP_MILLISECONDS,
+    crashedEngines.add(engine);
+    const at = sentAt.get(attempt) ?? 0;
+    const isInTouch = at - startedAt > CONTACT_MILLISECONDS;
+    runs.push({ sentAt: at, isInTouch });
+    note(
+      `${engine} crashes by ${attempt}, crash ${runs.length}${isInTouch ? '' : ', not counted'}`,
     );
-    const closed = spans.filter(isClosedFrom).length;
-    const taken = tries.filter(({ at, isTaken }) => at >= heldAt && isTaken).length;
-    const tried = tries.filter(({ at }) => at >= heldAt).length;
-    note(`${target.name} was not ready at ${notReady} of ${OBSERVED_MILLISECONDS / 1_000} checks`);
+    return true;
+  },
+  play: async ({ site, note, hasTrouble }) => {
+    let sent = 0;
+    const send = async (kind: string, body?: string): Promise<void> => {
+      sent += 1;
+      const node = site.nodes[sent % site.nodes.length];
+      const attempt = `${kind}-${sent}`;
+      if (!node) return;
+      sentAt.set(attempt, Date.now());
+      const { status, reason } = await sendBooking(node.front, { attempt, body });
+      note(`${attempt} at ${node.name} gets ${reason ?? status}`);
+      if (body !== CRASHING_BODY && status !== 200) failed.push(attempt);
+    };
+    startedAt = Date.now() - CONTACT_MILLISECONDS;
+    const timers = [
+      setInterval(() => void send('sound', `slot=${sent}`), SOUND_INTERVAL_MILLISECONDS),
+      setInterval(() => {
+        // It comes only at machines in touch, as the others do not count.
+        if (Date.now() - startedAt > CONTACT_MILLISECONDS + WAIT_MILLISECONDS)
+          void send('crashing', CRASHING_BODY);
+      }, CRASHING_INTERVAL_MILLISECONDS),
+    ];
+    const observedUntil = Date.now() + OBSERVED_MILLISECONDS;
+    await waitForCrashes(CRASHES_BEFORE_BOUND);
+    const boundAt = Date.now() + CONTACT_MILLISECONDS;
+    note(`the request has crashed ${CRASHES_BEFORE_BOUND} engines`);
+    await sleep(CONTACT_MILLISECONDS);
+    if (hasTrouble) await killAll({ site, note });
+    const countRetries = (): number =>
+      runs.filter((run) => run.isInTouch && run.sentAt > boundAt).length;
+    while (Date.now() < observedUntil && countRetries() <= ALLOWED_RETRIES)
+      await sleep(WAIT_MILLISECONDS);
+    for (const timer of timers) clearInterval(timer);
+    await sleep(1_000);
+    const retries = countRetries();
+    const lost = failed.filter((attempt) => crashedEngines.has(soundRuns.get(attempt) ?? ''));
+    for (const attempt of lost)
+      note(
+        `${attempt} was run by ${soundRuns.get(attempt) ?? ''}, which crashed, and got no success`,
+      );
     return {
-      isBroken: closed > 0 && notReady === 0,
-      text: `${taken} of ${tried} new connections were taken; none in ${closed} of ${spans.length} spans of ${CONTACT_MILLISECONDS} ms`,
+      isBroken: retries > ALLOWED_RETRIES,
+      text: `${retries} retries of the request reached engines later than ${CONTACT_MILLISECONDS} ms after it had crashed ${CRASHES_BEFORE_BOUND}; ${lost.length} sound bookings were lost with the crashed engines`,
     };
   },
 });
